--- a/tools/sharding.py
+++ b/tools/sharding.py
@@ -32,8 +32,9 @@
 def _list_test_classes(path: pathlib.Path) -> list[str]:
     tree = ast.parse(path.read_text(encoding="utf-8"))
     return [
-        node.name for node in tree.body if isinstance(node, ast.ClassDef) and
-        any(
+        node.name
+        for node in tree.body
+        if isinstance(node, ast.ClassDef) and any(
             isinstance(item, (ast.FunctionDef, ast.AsyncFunctionDef)) and
             item.name.startswith("test") for item in node.body)
     ]
--- a/tools/testrun.py
+++ b/tools/testrun.py
@@ -100,9 +100,10 @@
               f"{done.stdout}{done.stderr}")
         return Result(0, 0, (shard.name,))
     passed, skipped, failed = json.loads(results[-1][len(_RESULT_PREFIX):])
-    print(f"{shard.name}: {passed} passed, {len(failed)} failed, "
-          f"{skipped} skipped in {time.monotonic() - began:.1f} s",
-          flush=True)
+    print(
+        f"{shard.name}: {passed} passed, {len(failed)} failed, "
+        f"{skipped} skipped in {time.monotonic() - began:.1f} s",
+        flush=True)
     if failed:
         print(done.stdout + done.stderr, flush=True)
     return Result(passed, skipped, tuple(failed))
