--- /dev/null
+++ b/src/gentianlead/dispatch/_admission.py
@@ -0,0 +1,106 @@
+"""Whether a job is accepted, and by which group."""
+
+import datetime
+from typing import NamedTuple
+
+from gentianlead import model
+from gentianlead.dispatch import _group
+from gentianlead.dispatch import _runs
+
+REPORT_LIMIT = datetime.timedelta(seconds=2)
+"""Age of a group's report above which another group is preferred: several
+report intervals."""
+
+HOME_BONUS_MS = 150
+"""Waiting work that another group must be ahead by to get a job."""
+
+RETRY_NO_GROUP = datetime.timedelta(seconds=1)
+"""Delay that a caller is told when no group can take a job: a takeover takes
+about as long."""
+
+MAX_RETRY = datetime.timedelta(seconds=10)
+"""Longest delay that a caller is told."""
+
+LATE_FACTOR = 3.0
+"""Multiple of the objective after which a finished job is worth nothing."""
+
+
+class GroupReport(NamedTuple):
+    """Newest report of a group's leader.
+
+    Attributes:
+        load: How busy the group is.
+        reported_at: Monotonic time in seconds of its arrival.
+    """
+
+    load: _group.GroupLoad
+    reported_at: float
+
+
+class Admission(NamedTuple):
+    """Decision on a job.
+
+    Attributes:
+        group: Group that gets the job, or empty when it is refused.
+        reason: Why it is refused, or empty.
+        retry_after: When the caller may come back.
+    """
+
+    group: str
+    reason: str = ""
+    retry_after: datetime.timedelta = datetime.timedelta(0)
+
+
+def decide_admission(job: model.SteppedJob, reports: dict[str, GroupReport],
+                     home: str, now: float) -> Admission:
+    """Chooses a group for a job, or refuses it.
+
+    Args:
+        job: The job; its group is not set yet.
+        reports: Newest reports by group.
+        home: Group of the daemon's own failure domain.
+        now: Monotonic time in seconds.
+    """
+    usable = {
+        group: report.load
+        for group, report in reports.items()
+        if report.load.is_usable and now -
+        report.reported_at <= REPORT_LIMIT.total_seconds()
+    }
+    needed = {step.required_label for step in job.steps if step.required_label}
+    near = {step.data_rack for step in job.steps if step.data_rack}
+    able = {
+        group: load
+        for group, load in usable.items()
+        if needed <= set(load.labels)
+    }
+    if not able:
+        if usable or any(report.load.is_usable for report in reports.values()):
+            # A group with such a label may be between two leaders.
+            return Admission("", "no group can run the job",
+                             RETRY_NO_GROUP) if usable else Admission(home)
+        return Admission("", "no group has usable workers", RETRY_NO_GROUP)
+
+    def compute_cost(group: str) -> tuple[bool, int]:
+        load = able[group]
+        is_far = bool(near) and not near & set(load.labels)
+        bonus = HOME_BONUS_MS if group == home else 0
+        return is_far, load.waiting_ms - bonus
+
+    group = min(able, key=compute_cost)
+    excess = compute_excess_ms(job, able[group])
+    if excess > 0:
+        return Admission(
+            "", "the group cannot finish the job in time",
+            min(MAX_RETRY, datetime.timedelta(milliseconds=max(500, excess))))
+    return Admission(group)
+
+
+def compute_excess_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
+    """Returns by how much a job would miss the time in which it has worth."""
+    if job.is_lasting or job.is_timed:
+        return 0
+    chain = _runs.compute_chain_ms(job)
+    objective = (job.queue.objective_factor * chain +
+                 job.queue.objective_slack_ms)
+    return int(load.waiting_ms + chain - LATE_FACTOR * objective)
--- /dev/null
+++ b/src/gentianlead/dispatch/_placement.py
@@ -0,0 +1,155 @@
+"""Choice of the worker for a task."""
+
+import abc
+from typing import NamedTuple
+
+from gentianlead import model
+from gentianlead.dispatch import _workers
+
+SERVING_USE = 0.6
+"""Part of its declared processors that a serving task uses at a high load; the
+load swings around half."""
+
+MIN_FILL_SHARE = 0.7
+"""Part of its declared processors that must be left over for a filler."""
+
+SLOW_PENALTY = 4.0
+"""Weight of a worker's slowness against free room in the score."""
+
+
+class Candidate(NamedTuple):
+    """A worker with what it has left.
+
+    Attributes:
+        worker: The worker.
+        free_cpu: Unreserved processors in thousandths.
+        spare_cpu: Processors that fillers can use, in thousandths.
+        free_memory: Memory in MiB.
+        free_gpu: Accelerators.
+        serving_cpu: Reserved by serving tasks, in thousandths.
+        has_fillers: Whether fillers run there.
+    """
+
+    worker: _workers.WorkerState
+    free_cpu: int
+    spare_cpu: int
+    free_memory: int
+    free_gpu: int
+    serving_cpu: int
+    has_fillers: bool
+
+
+def build_candidate(worker: _workers.WorkerState) -> Candidate:
+    """Returns a worker with what it has left."""
+    entry = worker.entry
+    load = _workers.compute_load(worker)
+    used = load.firm - load.serving + int(SERVING_USE * load.serving)
+    return Candidate(worker, entry.cpu_millis - load.firm,
+                     entry.cpu_millis - used - load.filling,
+                     entry.memory_mib - load.memory,
+                     entry.accelerators - load.gpu, load.serving, load.filling
+                     > 0)
+
+
+def fits(candidate: Candidate, step: model.Step) -> bool:
+    """Returns whether a task of a step has room."""
+    if (step.memory_mib > candidate.free_memory or
+            step.accelerators > candidate.free_gpu):
+        return False
+    if (step.required_label and
+            step.required_label not in candidate.worker.entry.labels):
+        return False
+    if step.is_filler:
+        return candidate.spare_cpu >= MIN_FILL_SHARE * step.cpu_millis
+    return candidate.free_cpu >= step.cpu_millis
+
+
+class TaskPlacement(abc.ABC):
+    """Ranks the workers that have room for a task."""
+
+    @abc.abstractmethod
+    def score(self, candidate: Candidate, step: model.Step) -> float:
+        """Returns a score; the highest one is chosen."""
+
+
+class SpreadPlacement(TaskPlacement):
+    """Chooses the worker with most free processors: for short tasks."""
+
+    def score(self, candidate: Candidate, step: model.Step) -> float:
+        capacity = max(1, candidate.worker.entry.cpu_millis)
+        return candidate.free_cpu / capacity - compute_slowness(candidate)
+
+
+class ServingPlacement(TaskPlacement):
+    """Fills workers that serve already, so that others are left to fillers."""
+
+    def score(self, candidate: Candidate, step: model.Step) -> float:
+        capacity = max(1, candidate.worker.entry.cpu_millis)
+        score = candidate.serving_cpu / capacity - compute_slowness(candidate)
+        if candidate.has_fillers:
+            score -= 0.1
+        return score
+
+
+class FillerPlacement(TaskPlacement):
+    """Chooses most spare processors, away from serving tasks."""
+
+    def score(self, candidate: Candidate, step: model.Step) -> float:
+        capacity = max(1, candidate.worker.entry.cpu_millis)
+        spare = candidate.spare_cpu / capacity
+        if candidate.serving_cpu:
+            spare *= 0.5 * candidate.worker.pace / 100
+            spare -= 0.5 * min(2.0, candidate.worker.pressure)
+        return spare - compute_slowness(candidate)
+
+
+def compute_slowness(candidate: Candidate) -> float:
+    """Returns a penalty for a worker on which runs take long."""
+    excess = candidate.worker.ratio / _workers.SLOW_RATIO - 1.0
+    return SLOW_PENALTY * max(0.0, excess)
+
+
+_SPREAD = SpreadPlacement()
+_SERVING = ServingPlacement()
+_FILLER = FillerPlacement()
+
+
+def choose_placement(step: model.Step) -> TaskPlacement:
+    """Returns the placement for the tasks of a step."""
+    if step.is_filler:
+        return _FILLER
+    if step.tail_limit_ms or step.is_lasting:
+        return _SERVING
+    return _SPREAD
+
+
+def choose_worker(candidates: list[Candidate], step: model.Step, avoided: str,
+                  counts: dict[str, int],
+                  racks: frozenset[str] | None) -> Candidate | None:
+    """Returns the best worker with room, or None.
+
+    Args:
+        candidates: Workers that may get starts.
+        step: Shape of the task.
+        avoided: Worker on which the task failed last, or empty.
+        counts: Tasks of the step by worker, for its spread limit.
+        racks: Labels of the rack that a rack-bound step runs on, or None.
+    """
+    placement = choose_placement(step)
+    best = None
+    best_rank = None
+    for candidate in candidates:
+        worker = candidate.worker
+        if not fits(candidate, step):
+            continue
+        if step.spread_limit and counts.get(worker.worker_id,
+                                            0) >= step.spread_limit:
+            continue
+        labels = worker.entry.labels
+        is_near = ((not step.data_rack or step.data_rack in labels) and
+                   (racks is None or racks == labels))
+        rank = (worker.worker_id
+                != avoided, is_near, placement.score(candidate, step))
+        if best_rank is None or rank > best_rank:
+            best, best_rank = candidate, rank
+    return best
--- /dev/null
+++ b/src/gentianlead/dispatch/_table.py
@@ -0,0 +1,197 @@
+"""Fold of the job topic: what all daemons know of jobs, leaders and members."""
+
+from typing import NamedTuple
+
+from gentianlead import errors
+from gentianlead import model
+from gentianlead import ports
+from gentianlead.dispatch import _records
+
+
+class JobEntry(NamedTuple):
+    """A job as the topic describes it.
+
+    Attributes:
+        job: The job as it was accepted.
+        offset: Offset of the acceptance that took effect.
+        group: Group that the job belongs to now.
+        moved_at: Offset of the last move, or of the acceptance.
+        last_run: Highest number of a run before the last move.
+        is_cancelled: Whether a caller cancelled it.
+        progress: Newest progress, or None.
+    """
+
+    job: model.SteppedJob
+    offset: int
+    group: str
+    moved_at: int
+    last_run: int = 0
+    is_cancelled: bool = False
+    progress: _records.ProgressRecord | None = None
+
+    @property
+    def state(self) -> model.JobState:
+        """State that a caller is told."""
+        if self.progress is not None and self.progress.state.is_final:
+            return self.progress.state
+        if self.is_cancelled:
+            return model.JobState.CANCELLED
+        if self.progress is not None:
+            return self.progress.state
+        return model.JobState.QUEUED
+
+
+class LeaderEntry(NamedTuple):
+    """The leader of a group.
+
+    Attributes:
+        record: Newest record.
+        offset: Offset of the first record of its epoch.
+        confirmed_at: Monotonic time in seconds at which the newest record, or
+            another record of this leader, was read.
+    """
+
+    record: _records.LeaderRecord
+    offset: int
+    confirmed_at: float
+
+
+class MemberEntry(NamedTuple):
+    """A member.
+
+    Attributes:
+        record: Newest record.
+        seen_at: Monotonic time in seconds at which it was read.
+    """
+
+    record: _records.MemberRecord
+    seen_at: float
+
+
+class JobTable:
+    """State of the topic up to a position.
+
+    Example:
+        >>> table = JobTable()
+        >>> table.apply(stored, now=clock.monotonic())
+        >>> table.jobs["5c0e7a21d94b36f8"].state
+        <JobState.QUEUED: 'queued'>
+
+    Attributes:
+        jobs: Jobs by identifier.
+        leaders: Leaders by group.
+        members: Members by name.
+        position: Offset of the next record.
+        changed: Jobs that changed since the last `take_changed`.
+    """
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobEntry] = {}
+        self.leaders: dict[str, LeaderEntry] = {}
+        self.members: dict[str, MemberEntry] = {}
+        self.position = 0
+        self.changed: set[str] = set()
+        # Records of a job whose acceptance was not read yet: pages of newest
+        # records are not in offset order.
+        self._early: dict[str, list[tuple[int, _records.Record]]] = {}
+
+    def apply(self, stored: ports.KeyedRecord, now: float) -> None:
+        """Applies a record.
+
+        Raises:
+            ProtocolError: The record cannot be read and has no effect.
+        """
+        self.position = max(self.position, stored.offset + 1)
+        record = _records.decode_record(stored)
+        if record is None:
+            self._remove(stored.key)
+        elif isinstance(record, _records.LeaderRecord):
+            self._apply_leader(stored.offset, record, now)
+        elif isinstance(record, _records.MemberRecord):
+            self.members[record.node] = MemberEntry(record, now)
+        elif isinstance(record, _records.AcceptedRecord):
+            self._apply_accepted(stored.offset, record)
+        else:
+            self._apply_to_job(stored.offset, record, now)
+
+    def apply_newest(self, batch: ports.KeyedBatch, now: float) -> list[str]:
+        """Replaces the state by the newest records of all keys.
+
+        Returns:
+            Descriptions of the records that cannot be read.
+        """
+        self.jobs.clear()
+        self.leaders.clear()
+        self.members.clear()
+        self._early.clear()
+        problems = []
+        for stored in sorted(batch.records, key=lambda record: record.offset):
+            try:
+                self.apply(stored, now)
+            except errors.ProtocolError as error:
+                problems.append(f"{stored.key}: {error}")
+        self.position = batch.end
+        self.changed.update(self.jobs)
+        return problems
+
+    def take_changed(self) -> set[str]:
+        """Returns the jobs that changed since the last call."""
+        changed, self.changed = self.changed, set()
+        return changed
+
+    def confirm_leader(self, group: str, epoch: int, now: float) -> None:
+        """Notes a sign of life of a leader."""
+        entry = self.leaders.get(group)
+        if entry is not None and entry.record.epoch == epoch:
+            self.leaders[group] = entry._replace(confirmed_at=now)
+
+    def _remove(self, key: str) -> None:
+        kind, _, name = key.partition("/")
+        job_id = name.partition("/")[0]
+        if kind == "n":
+            self.members.pop(name, None)
+        elif kind == "j":
+            self.jobs.pop(job_id, None)
+            self.changed.add(job_id)
+
+    def _apply_leader(self, offset: int, record: _records.LeaderRecord,
+                      now: float) -> None:
+        known = self.leaders.get(record.group)
+        if known is not None and record.epoch < known.record.epoch:
+            return
+        is_new = known is None or record.epoch > known.record.epoch
+        self.leaders[record.group] = LeaderEntry(
+            record, offset if is_new else known.offset, now)
+
+    def _apply_accepted(self, offset: int,
+                        record: _records.AcceptedRecord) -> None:
+        job = record.job
+        known = self.jobs.get(job.job_id)
+        if known is not None and known.offset <= offset:
+            return
+        self.jobs[job.job_id] = JobEntry(job, offset, job.group, offset)
+        self.changed.add(job.job_id)
+        for early_offset, early in self._early.pop(job.job_id, ()):
+            self._apply_to_job(early_offset, early, 0.0)
+
+    def _apply_to_job(self, offset: int, record: _records.Record,
+                      now: float) -> None:
+        entry = self.jobs.get(record.job_id)
+        if isinstance(record, _records.ProgressRecord):
+            self.confirm_leader(record.group, record.epoch, now)
+        if entry is None:
+            self._early.setdefault(record.job_id, []).append((offset, record))
+            return
+        if isinstance(record, _records.CancelledRecord):
+            entry = entry._replace(is_cancelled=True)
+        elif isinstance(record, _records.MovedRecord):
+            entry = entry._replace(group=record.group,
+                                   moved_at=offset,
+                                   last_run=max(entry.last_run,
+                                                record.last_run))
+        elif isinstance(record, _records.ProgressRecord):
+            entry = entry._replace(progress=record,
+                                   last_run=max(entry.last_run,
+                                                record.last_run))
+        self.jobs[record.job_id] = entry
+        self.changed.add(record.job_id)
--- /dev/null
+++ b/src/gentianlead/dispatch/_workers.py
@@ -0,0 +1,183 @@
+"""What a leader knows of one worker: clock, lease, runs, health."""
+
+import collections
+import datetime
+
+from gentianlead import ports
+from gentianlead.dispatch import _runs
+
+CLOCK_DRIFT = 0.02
+"""Largest relative error of a worker's clock; the platform's bound."""
+
+LAPSE_MARGIN_MS = 150
+"""Scheduling delay at a worker after the end of its lease, in milliseconds."""
+
+RESPONSIVE_LIMIT = datetime.timedelta(milliseconds=2600)
+"""Age of the last reply above which nothing is started on a worker. A look may
+wait two seconds at the worker, and the reply may take its time."""
+
+ROOM_BACKOFF = datetime.timedelta(milliseconds=200)
+"""Pause after a start was refused for want of room: about two looks."""
+
+UNHEALTHY_BACKOFF = datetime.timedelta(seconds=1)
+"""Pause after a worker answered that it is unhealthy."""
+
+QUARANTINE = datetime.timedelta(seconds=3)
+"""Pause after a worker failed several runs in a row; then one run probes it."""
+
+FAILURES_TO_QUARANTINE = 3
+"""Failed runs in a row; tasks that can never succeed spread over workers, so
+that a sound worker rarely fails three in a row."""
+
+SLOW_RATIO = 2.5
+"""Duration against the group's usual one above which a worker counts as slow.
+Estimates of single tasks are off by up to a factor of two."""
+
+RATIO_WEIGHT = 0.3
+"""Weight of the newest run in the moving average of durations."""
+
+
+class WorkerState:
+    """A worker of the group.
+
+    Attributes:
+        entry: Newest entry of the registry.
+        is_listed: Whether the registry lists it.
+        unlisted_at: Monotonic time in seconds at which it was last removed.
+        born_ms: Lifetime that the last reply came from; 0 before any reply.
+        runs: Runs by task and number.
+        strangers: Time at which an unknown run was first listed, by task and
+            number.
+        seen_end: Highest number of an end that was applied.
+        acknowledged: Highest number of an end that is stored.
+        reached_at: Time of the first reply under this leader's fence.
+        replied_at: Time of the last reply.
+        is_answering: Whether the last call was answered.
+        paused_until: Time before which nothing is started on it.
+        failures_in_row: Failed runs since the last good one.
+        ratio: Moving average of duration against estimate.
+        pace: Share of their speed that fillers keep to, in percent.
+        pressure: Worst tail against its limit at the last look.
+        pressed_at: Time since which the pressure is above 1; None if below.
+    """
+
+    def __init__(self, entry: ports.WorkerEntry):
+        self.entry = entry
+        self.is_listed = True
+        self.unlisted_at = 0.0
+        self.born_ms = 0
+        self.runs: dict[tuple, _runs.Run] = {}
+        self.strangers: dict[tuple, float] = {}
+        self.seen_end = 0
+        self.acknowledged = 0
+        self.reached_at: float | None = None
+        self.replied_at: float | None = None
+        self.is_answering = False
+        self.paused_until = 0.0
+        self.failures_in_row = 0
+        self.ratio = 1.0
+        self.pace = 100
+        self.pressure = 0.0
+        self.pressed_at: float | None = None
+        self._clock_ms = 0
+        self._clock_at = 0.0
+        self._lease_until_ms = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Identifier of the worker."""
+        return self.entry.worker_id
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Notes a time that the worker's clock has reached by `now`."""
+        if clock_ms >= self.get_earliest_ms(now) or not self._clock_ms:
+            self._clock_ms = clock_ms
+            self._clock_at = now
+
+    def get_earliest_ms(self, now: float) -> int:
+        """Returns a time that the worker's clock has certainly reached."""
+        elapsed = max(0.0, now - self._clock_at)
+        return self._clock_ms + int(elapsed * (1 - CLOCK_DRIFT) * 1000)
+
+    def extend_lease(self, now: float, length: datetime.timedelta) -> int:
+        """Returns a new end of the lease on the worker's clock."""
+        until = self.get_earliest_ms(now) + int(length.total_seconds() * 1000)
+        self._lease_until_ms = max(self._lease_until_ms, until)
+        return self._lease_until_ms
+
+    def is_lapsed(self, now: float) -> bool:
+        """Returns whether the lease has certainly lapsed."""
+        return (self.get_earliest_ms(now)
+                >= self._lease_until_ms + LAPSE_MARGIN_MS)
+
+    def restart(self, born_ms: int) -> None:
+        """Starts anew with a worker that was born again."""
+        self.born_ms = born_ms
+        self.strangers.clear()
+        self.seen_end = 0
+        self.acknowledged = 0
+        self.failures_in_row = 0
+        self.ratio = 1.0
+        self.pace = 100
+        self.pressure = 0.0
+        self.pressed_at = None
+        self._clock_ms = 0
+        self._lease_until_ms = 0
+
+    def can_start(self, now: float) -> bool:
+        """Returns whether starts may be sent."""
+        return (
+            self.is_listed and not self.entry.is_draining and
+            self.reached_at is not None and self.is_answering and
+            now >= self.paused_until and
+            now - self.replied_at <= RESPONSIVE_LIMIT.total_seconds() and
+            not (self.failures_in_row >= FAILURES_TO_QUARANTINE and self.runs))
+
+    def note_result(self, is_good: bool, now: float) -> None:
+        """Notes the end of a run for the worker's health."""
+        if is_good:
+            self.failures_in_row = 0
+            return
+        self.failures_in_row += 1
+        if self.failures_in_row >= FAILURES_TO_QUARANTINE:
+            self.paused_until = now + QUARANTINE.total_seconds()
+
+    def note_duration(self, seconds: float, estimate_ms: int) -> None:
+        """Notes how long a run took."""
+        if estimate_ms > 0:
+            ratio = seconds * 1000 / estimate_ms
+            self.ratio += RATIO_WEIGHT * (ratio - self.ratio)
+
+    def get_rack_labels(self) -> frozenset[str]:
+        """Returns the labels, of which one names the rack."""
+        return self.entry.labels
+
+
+class Load(collections.namedtuple("Load", "firm serving filling memory gpu")):
+    """Resources of the runs on a worker.
+
+    Attributes:
+        firm: Processors of all runs but fillers, in thousandths.
+        serving: The part of `firm` that serving tasks have.
+        filling: Processors of fillers, in thousandths.
+        memory: Memory in MiB.
+        gpu: Accelerators.
+    """
+
+    __slots__ = ()
+
+
+def compute_load(worker: WorkerState) -> Load:
+    """Returns what the runs of a worker take up."""
+    firm = serving = filling = memory = gpu = 0
+    for run in worker.runs.values():
+        step = run.step
+        memory += step.memory_mib
+        gpu += step.accelerators
+        if step.is_filler:
+            filling += step.cpu_millis
+        else:
+            firm += step.cpu_millis
+            if step.tail_limit_ms:
+                serving += step.cpu_millis
+    return Load(firm, serving, filling, memory, gpu)
--- a/src/gentianlead/model/__init__.py
+++ b/src/gentianlead/model/__init__.py
@@ -61,5 +61,11 @@
 from gentianlead.model._records import WorkerPut
 from gentianlead.model._records import WorkerRemoved
 from gentianlead.model._resources import Resources
+from gentianlead.model._stepped_jobs import FleetConfiguration
+from gentianlead.model._stepped_jobs import JobState
+from gentianlead.model._stepped_jobs import Queue
+from gentianlead.model._stepped_jobs import Step
+from gentianlead.model._stepped_jobs import SteppedJob
+from gentianlead.model._stepped_jobs import TaskKey
 from gentianlead.model._vms import VM
 from gentianlead.model._vms import VMState
--- a/src/gentianlead/peers/__init__.py
+++ b/src/gentianlead/peers/__init__.py
@@ -7,6 +7,8 @@
 from gentianlead.peers._handler import PeerHandler
 from gentianlead.peers._link import PeerLink
 from gentianlead.peers._messages import ForwardRequest
+from gentianlead.peers._messages import GroupAnswer
+from gentianlead.peers._messages import GroupCall
 from gentianlead.peers._messages import Hello
 from gentianlead.peers._messages import LoanAsk
 from gentianlead.peers._messages import LoanGrant
@@ -20,6 +22,8 @@
 __all__ = [
     "EventCallback",
     "ForwardRequest",
+    "GroupAnswer",
+    "GroupCall",
     "Hello",
     "LinkSettings",
     "LoanAsk",
--- a/src/gentianlead/peers/_handler.py
+++ b/src/gentianlead/peers/_handler.py
@@ -5,6 +5,7 @@
 import enum
 from typing import Callable, NamedTuple
 
+from gentianlead import errors
 from gentianlead import ports
 from gentianlead.peers import _messages
 
@@ -40,6 +41,14 @@
             message: _messages.StatusQuery) -> _messages.StatusAnswer:
         """Returns a part of this daemon's status."""
 
+    async def handle_group_call(
+            self, peer: _messages.Hello,
+            message: _messages.GroupCall) -> _messages.GroupAnswer:
+        """Serves a call that concerns jobs or a group of workers."""
+        del peer
+        raise errors.RequestError(errors.ErrorCode.BAD_REQUEST,
+                                  f"no group call {message.subject!r}")
+
 
 class PeerEventKind(enum.Enum):
     """What happened to a connection."""
--- a/src/gentianlead/peers/_incoming.py
+++ b/src/gentianlead/peers/_incoming.py
@@ -25,6 +25,7 @@
             _messages.ForwardRequest: handler.handle_forward,
             _messages.LoanAsk: handler.handle_loan_ask,
             _messages.StatusQuery: handler.handle_status_query,
+            _messages.GroupCall: handler.handle_group_call,
         }
 
     def __len__(self) -> int:
--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -67,12 +67,14 @@
             _messages.ForwardRequest: self._receive_request,
             _messages.LoanAsk: self._receive_request,
             _messages.StatusQuery: self._receive_request,
+            _messages.GroupCall: self._receive_request,
             _messages.LoanReturn: self._receive_loan_return,
             _messages.Cancel: self._receive_cancel,
             ports.Answer: self._receive_reply,
             _messages.Refusal: self._receive_refusal,
             _messages.LoanGrant: self._receive_reply,
             _messages.StatusAnswer: self._receive_reply,
+            _messages.GroupAnswer: self._receive_reply,
             _messages.AnswerPart: self._receive_part,
         }
 
--- a/src/gentianlead/peers/_messages.py
+++ b/src/gentianlead/peers/_messages.py
@@ -158,8 +158,30 @@
     value: object
 
 
-Request = Union[ForwardRequest, LoanAsk, StatusQuery]
-Reply = Union[ports.Answer, Refusal, LoanGrant, StatusAnswer]
+class GroupCall(NamedTuple):
+    """Asks the receiver for something that concerns jobs or a group.
+
+    Attributes:
+        subject: Name of the call.
+        payload: Arguments, in the codec of the job topic.
+    """
+
+    subject: str
+    payload: bytes
+
+
+class GroupAnswer(NamedTuple):
+    """Reply to `GroupCall`.
+
+    Attributes:
+        payload: Result, in the codec of the job topic.
+    """
+
+    payload: bytes
+
+
+Request = Union[ForwardRequest, LoanAsk, StatusQuery, GroupCall]
+Reply = Union[ports.Answer, Refusal, LoanGrant, StatusAnswer, GroupAnswer]
 Message = Union[Hello, Heartbeat, Request, Reply, AnswerPart, Cancel,
                 LoanReturn]
 
@@ -176,12 +198,15 @@
     10: LoanReturn,
     11: StatusQuery,
     12: StatusAnswer,
+    13: GroupCall,
+    14: GroupAnswer,
 }
 
 REPLY_TYPES: dict[type, type] = {
     ForwardRequest: ports.Answer,
     LoanAsk: LoanGrant,
     StatusQuery: StatusAnswer,
+    GroupCall: GroupAnswer,
 }
 """The only reply, apart from `Refusal`, that each request can have."""
 
