Do not take up jobs again that ended; keep fillers apart from serving tasks

A leader now remembers what left its group.

Fillers beside serving tasks are still paced most of the time: anti-affinity spreads serving tasks over six of the eight workers of a domain, so that keeping fillers apart cannot be enough.

--- a/src/gentianlead/cluster/_decision_log.py
+++ b/src/gentianlead/cluster/_decision_log.py
@@ -8,6 +8,7 @@
 import json
 import os
 import sys
+import traceback
 from typing import Any
 
 from gentianlead import ports
@@ -85,3 +86,12 @@
                 return False
             self._rest = self._rest[written:]
         return True
+
+
+def format_error(error: BaseException) -> str:
+    """Returns an unexpected error with the place that it comes from."""
+    frames = traceback.extract_tb(error.__traceback__)[-3:]
+    places = " < ".join(
+        f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}"
+        for frame in reversed(frames))
+    return f"{error!r} at {places}"
--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -261,9 +261,9 @@
         self.reports[report.group] = dispatch.GroupReport(
             report.load, self._clock.monotonic())
         for notice in report.states:
-            if not self._newer_states.get(notice.job_id, notice.state).is_final:
-                self._newer_states.pop(notice.job_id)
-            self._newer_states.setdefault(notice.job_id, notice.state)
+            known = self._newer_states.get(notice.job_id)
+            if known is None or not known.is_final:
+                self._newer_states[notice.job_id] = notice.state
 
     async def _relay(
             self, subject: str, argument: object,
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -32,8 +32,9 @@
 PLAN_PAUSE = datetime.timedelta(milliseconds=2)
 """Least time between two plans, so that events of one moment share one."""
 
-FLUSH_PAUSE = datetime.timedelta(milliseconds=10)
-"""Time in which changes are gathered for one append."""
+FLUSH_PAUSE = datetime.timedelta(milliseconds=20)
+"""Time in which changes are gathered for one append; the end of a job is not
+kept waiting."""
 
 REPORT_INTERVAL = datetime.timedelta(milliseconds=300)
 """Time between two reports to the other daemons."""
@@ -142,7 +143,7 @@
         if not task.cancelled() and task.exception() is not None:
             self._log.write("internal-error",
                             group=self.group,
-                            error=repr(task.exception()))
+                            error=_decision_log.format_error(task.exception()))
             self._give_up("a loop failed")
 
     def _give_up(self, reason: str) -> None:
@@ -275,7 +276,9 @@
                 async with asyncio.timeout(
                         dispatch.BEAT_INTERVAL.total_seconds()):
                     await self._flush_wanted.wait()
-                await self._clock.sleep(FLUSH_PAUSE)
+                if not any(job.is_dirty and job.state.is_final
+                           for job in self.scheduler.jobs.values()):
+                    await self._clock.sleep(FLUSH_PAUSE)
             except TimeoutError:
                 pass
             self._flush_wanted.clear()
@@ -366,8 +369,18 @@
                             born_ms=look.born_ms,
                             running=len(look.running),
                             ended=len(look.ended))
+        pace = worker.pace
         self.scheduler.apply_look(worker.worker_id, look, sent_at,
                                   self._clock.monotonic())
+        if worker.pace != pace:
+            load = worker.compute_load()
+            self._log.write("pace-changed",
+                            group=self.group,
+                            worker=worker.worker_id,
+                            pressure=round(worker.pressure, 2),
+                            pace=worker.pace,
+                            serving=load.serving,
+                            filling=load.filling)
         self._plan_wanted.set()
 
     def _choose_wait(self, worker: dispatch.WorkerState) -> datetime.timedelta:
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -148,7 +148,7 @@
     def _finish_task(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.write("internal-error", error=repr(task.exception()))
+            self._log.write("internal-error", error=_decision_log.format_error(task.exception()))
 
     # Dependencies.
 
--- a/src/gentianlead/cluster/_topic.py
+++ b/src/gentianlead/cluster/_topic.py
@@ -21,7 +21,7 @@
 READ_WAIT = datetime.timedelta(seconds=1)
 """How long the store may hold a read; bounds the age of what a reader knows."""
 
-READ_INTERVAL = datetime.timedelta(milliseconds=200)
+READ_INTERVAL = datetime.timedelta(milliseconds=300)
 """Least time between two reads of the topic; news that cannot wait that long
 travels on peer streams."""
 
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -147,6 +147,9 @@
         self.notes: list[EndNote] = []
         self.is_evacuated = False
         self.queues: dict[tuple[str, str], model.Queue] = {}
+        # Jobs that left this group, with the offset of the acceptance or move
+        # that they had: the topic is read back later than it is written.
+        self._left: dict[str, int] = {}
         self._rules = rules
         self._epoch_offset = epoch_offset
         self._settled_at = now + rules.takeover_wait.total_seconds()
@@ -319,8 +322,8 @@
         job_id = entry.job.job_id
         known = self.jobs.get(job_id)
         if entry.group != self.group:
-            if known is not None and not known.list_active():
-                del self.jobs[job_id]
+            if known is not None:
+                self.forget_job(job_id)
             return
         if known is not None:
             known.entry = known.entry._replace(
@@ -330,7 +333,7 @@
             if known.entry.is_cancelled:
                 known.set_state(model.JobState.CANCELLED)
             return
-        if entry.state.is_final:
+        if entry.state.is_final or entry.moved_at <= self._left.get(job_id, -1):
             return
         self.jobs[job_id] = _runs.JobRun(entry,
                                          is_settled=entry.moved_at
@@ -347,6 +350,7 @@
         """Forgets a job that was moved away or whose end is stored."""
         job = self.jobs.get(job_id)
         if job is not None and not job.list_active():
+            self._left[job_id] = job.entry.moved_at
             del self.jobs[job_id]
 
     def set_queues(self, queues: Iterable[model.Queue]) -> None:
@@ -716,7 +720,7 @@
         for worker in self.workers.values():
             if worker.can_start(now):
                 capacity += worker.entry.cpu_millis
-                firm += _workers.compute_load(worker).firm
+                firm += worker.compute_load().firm
                 labels |= worker.entry.labels
         work = 0
         for job in self.jobs.values():
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -13,6 +13,17 @@
 MIN_FILL_SHARE = 0.7
 """Part of its declared processors that must be left over for a filler."""
 
+SERVING_BONUS = 0.5
+"""Score of a worker with serving tasks for a short task, against a whole free
+worker: such a worker is taken unless it is nearly full."""
+
+FILLER_MALUS = 0.1
+"""Score that a worker loses for fillers when a serving task is placed."""
+
+SHARING_MALUS = 1.0
+"""Score that a worker loses for serving tasks when a filler is placed: as much
+as all of its processors, so that any other worker with room is taken."""
+
 SLOW_PENALTY = 4.0
 """Weight of a worker's slowness against free room in the score."""
 
@@ -42,12 +53,12 @@
 def build_candidate(worker: _workers.WorkerState) -> Candidate:
     """Returns a worker with what it has left."""
     entry = worker.entry
-    load = _workers.compute_load(worker)
+    load = worker.compute_load()
     used = load.firm - load.serving + int(SERVING_USE * load.serving)
     return Candidate(worker, entry.cpu_millis - load.firm,
                      entry.cpu_millis - used - load.filling,
                      entry.memory_mib - load.memory,
-                     entry.accelerators - load.gpu, load.serving, load.filling
+                     entry.accelerators - load.accelerators, load.serving, load.filling
                      > 0)
 
 
@@ -73,11 +84,18 @@
 
 
 class SpreadPlacement(TaskPlacement):
-    """Chooses the worker with most free processors: for short tasks."""
+    """For short tasks: free processors, first those that fillers avoid.
+
+    Only fillers disturb serving tasks, so a short task beside serving tasks
+    takes nothing from anybody.
+    """
 
     def score(self, candidate: Candidate, step: model.Step) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
-        return candidate.free_cpu / capacity - compute_slowness(candidate)
+        score = candidate.free_cpu / capacity - compute_slowness(candidate)
+        if candidate.serving_cpu:
+            score += SERVING_BONUS
+        return score
 
 
 class ServingPlacement(TaskPlacement):
@@ -87,7 +105,7 @@
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.serving_cpu / capacity - compute_slowness(candidate)
         if candidate.has_fillers:
-            score -= 0.1
+            score -= FILLER_MALUS
         return score
 
 
@@ -96,11 +114,11 @@
 
     def score(self, candidate: Candidate, step: model.Step) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
-        spare = candidate.spare_cpu / capacity
+        score = candidate.spare_cpu / capacity - compute_slowness(candidate)
         if candidate.serving_cpu:
-            spare *= 0.5 * candidate.worker.pace / 100
-            spare -= 0.5 * min(2.0, candidate.worker.pressure)
-        return spare - compute_slowness(candidate)
+            score -= SHARING_MALUS + candidate.worker.pressure
+            score -= 1.0 - candidate.worker.pace / 100
+        return score
 
 
 def compute_slowness(candidate: Candidate) -> float:
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -1,7 +1,7 @@
 """What a leader knows of one worker: clock, lease, runs, health."""
 
-import collections
 import datetime
+from typing import NamedTuple
 
 from gentianlead import ports
 from gentianlead.dispatch import _runs
@@ -37,6 +37,24 @@
 """Weight of the newest run in the moving average of durations."""
 
 
+class Load(NamedTuple):
+    """Resources of the runs on a worker.
+
+    Attributes:
+        firm: Processors of all runs but fillers, in thousandths.
+        serving: The part of `firm` that serving tasks have.
+        filling: Processors of fillers, in thousandths.
+        memory: Memory in MiB.
+        accelerators: Accelerators.
+    """
+
+    firm: int
+    serving: int
+    filling: int
+    memory: int
+    accelerators: int
+
+
 class WorkerState:
     """A worker of the group.
 
@@ -148,36 +166,17 @@
             ratio = seconds * 1000 / estimate_ms
             self.ratio += RATIO_WEIGHT * (ratio - self.ratio)
 
-    def get_rack_labels(self) -> frozenset[str]:
-        """Returns the labels, of which one names the rack."""
-        return self.entry.labels
-
-
-class Load(collections.namedtuple("Load", "firm serving filling memory gpu")):
-    """Resources of the runs on a worker.
-
-    Attributes:
-        firm: Processors of all runs but fillers, in thousandths.
-        serving: The part of `firm` that serving tasks have.
-        filling: Processors of fillers, in thousandths.
-        memory: Memory in MiB.
-        gpu: Accelerators.
-    """
-
-    __slots__ = ()
-
-
-def compute_load(worker: WorkerState) -> Load:
-    """Returns what the runs of a worker take up."""
-    firm = serving = filling = memory = gpu = 0
-    for run in worker.runs.values():
-        step = run.step
-        memory += step.memory_mib
-        gpu += step.accelerators
-        if step.is_filler:
-            filling += step.cpu_millis
-        else:
+    def compute_load(self) -> Load:
+        """Returns what the runs take up."""
+        firm = serving = filling = memory = accelerators = 0
+        for run in self.runs.values():
+            step = run.step
+            memory += step.memory_mib
+            accelerators += step.accelerators
+            if step.is_filler:
+                filling += step.cpu_millis
+                continue
             firm += step.cpu_millis
             if step.tail_limit_ms:
                 serving += step.cpu_millis
-    return Load(firm, serving, filling, memory, gpu)
+        return Load(firm, serving, filling, memory, accelerators)
