Learn interference by pair of images; pace and move fillers by it

Cause: one pace for all fillers of a worker. Slowing all fillers beside one such pair made bundles late.

The model learns a coefficient for each pair; fillers of an unknown pair are tried with one task; harmful ones are slowed and, with checkpoints, go on elsewhere. Daemons share what they learned.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -79,12 +79,14 @@
                  on_report: Callable[[_reports.LeaderReport],
                                      None], on_fenced: Callable[[str, str],
                                                                 None],
-                 choose_group: Callable[[dispatch.JobRun], str]):
+                 choose_group: Callable[[dispatch.JobRun], str],
+                 interference: dispatch.InterferenceModel):
         self.group = group
         self.epoch = epoch
         self.scheduler = dispatch.GroupScheduler(group, epoch, rules,
                                                  clock.monotonic(),
-                                                 epoch_offset)
+                                                 epoch_offset, interference)
+        self._interference = interference
         self._lease = rules.lease
         self._node, self._incarnation = identity
         self._workers = workers
@@ -222,7 +224,7 @@
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
             self._flush_wanted.set()
         if now - self._reported_at >= REPORT_INTERVAL.total_seconds():
-            self._report(now, now_ms)
+            self._report(now)
 
     def _plan_moves(self) -> None:
         """Moves jobs that this group cannot run."""
@@ -255,13 +257,14 @@
                             cause=note.cause,
                             seconds=round(note.seconds, 3))
 
-    def _report(self, now: float, now_ms: int) -> None:
+    def _report(self, now: float) -> None:
         self._reported_at = now
         states, self._states = self._states, []
         self._on_report(
             _reports.LeaderReport(self.group, self.epoch,
-                                  self.scheduler.compute_load(now, now_ms),
-                                  tuple(states)))
+                                  self.scheduler.compute_load(now),
+                                  tuple(states),
+                                  tuple(self._interference.take_changed())))
 
     async def _append(self, records: list[dispatch.Record]) -> None:
         try:
@@ -319,8 +322,7 @@
                                 state=record.state.value)
                 self.scheduler.forget_job(record.job_id)
         if has_final:
-            self._report(self._clock.monotonic(),
-                         int(self._clock.now().timestamp() * 1000))
+            self._report(self._clock.monotonic())
 
     # Workers.
 
@@ -369,18 +371,18 @@
                             born_ms=look.born_ms,
                             running=len(look.running),
                             ended=len(look.ended))
-        pace = worker.pace
+        paces = dict(worker.paces)
         self.scheduler.apply_look(worker.worker_id, look, sent_at,
                                   self._clock.monotonic())
-        if worker.pace != pace:
-            load = worker.compute_load()
+        if worker.paces != paces:
             self._log.write("pace-changed",
                             group=self.group,
                             worker=worker.worker_id,
-                            pressure=round(worker.pressure, 2),
-                            pace=worker.pace,
-                            serving=load.serving,
-                            filling=load.filling)
+                            tails={
+                                image: round(pressure, 2)
+                                for image, pressure in worker.pressures.items()
+                            },
+                            paces=worker.paces)
         self._plan_wanted.set()
 
     def _choose_wait(self, worker: dispatch.WorkerState) -> datetime.timedelta:
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -59,6 +59,7 @@
         self._log = log
         self._metrics_address = metrics_address
         self._metrics = _metrics.ClusterMetrics()
+        self._interference = dispatch.InterferenceModel()
         self._incarnation = f"{settings.node}#{random_source.token()}"
         self._leaders: dict[str, _group_leader.GroupLeader] = {}
         self._acquiring: set[str] = set()
@@ -148,7 +149,8 @@
     def _finish_task(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.write("internal-error", error=_decision_log.format_error(task.exception()))
+            self._log.write("internal-error",
+                            error=_decision_log.format_error(task.exception()))
 
     # Dependencies.
 
@@ -289,7 +291,7 @@
             group, epoch, offset, rules,
             (self._settings.node, self._incarnation), self._workers, writer,
             self._clock, self._log, self._metrics, self._publish_report,
-            self._lose_lead, self._choose_group)
+            self._lose_lead, self._choose_group, self._interference)
         self._leaders[group] = leader
         for entry in self._reader.table.jobs.values():
             leader.put_job(entry)
@@ -320,8 +322,7 @@
             step.required_label for step in job.job.steps if step.required_label
         }
         now = self._clock.monotonic()
-        load = leader.scheduler.compute_load(
-            now, int(self._clock.now().timestamp() * 1000))
+        load = leader.scheduler.compute_load(now)
         if load.is_usable and needed <= set(load.labels):
             return ""
         reports = {
@@ -383,8 +384,9 @@
         return True
 
     async def _serve_report(self, payload: bytes) -> object:
-        self._desk.apply_report(
-            dispatch.decode_value(payload, _reports.LeaderReport))
+        report = dispatch.decode_value(payload, _reports.LeaderReport)
+        self._desk.apply_report(report)
+        self._interference.merge(report.figures)
         return True
 
     # Metrics.
--- a/src/gentianlead/cluster/_reports.py
+++ b/src/gentianlead/cluster/_reports.py
@@ -54,12 +54,14 @@
         epoch: Its epoch.
         load: How busy the group is.
         states: Jobs whose state changed.
+        figures: Interference between images that was learned.
     """
 
     group: str
     epoch: int
     load: dispatch.GroupLoad
     states: tuple[JobStateNotice, ...]
+    figures: tuple[dispatch.PairFigure, ...] = ()
 
 
 class RelayedSubmission(NamedTuple):
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -16,6 +16,8 @@
 from gentianlead.dispatch._group import RUN_NUMBERS_PER_EPOCH
 from gentianlead.dispatch._group import StartOrder
 from gentianlead.dispatch._group import StopOrder
+from gentianlead.dispatch._interference import InterferenceModel
+from gentianlead.dispatch._interference import PairFigure
 from gentianlead.dispatch._records import AcceptedRecord
 from gentianlead.dispatch._records import build_key
 from gentianlead.dispatch._records import CancelledRecord
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -85,7 +85,7 @@
         load = able[group]
         is_far = bool(near) and not near & set(load.labels)
         bonus = HOME_BONUS_MS if group == home else 0
-        return is_far, load.waiting_ms - bonus
+        return is_far, get_waiting_ms(job, load) - bonus
 
     group = min(able, key=compute_cost)
     excess = compute_excess_ms(job, able[group])
@@ -96,6 +96,13 @@
     return Admission(group)
 
 
+def get_waiting_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
+    """Returns how long a job waits for what is ahead of it."""
+    if any(step.is_filler for step in job.steps):
+        return load.filling_ms
+    return load.urgent_ms
+
+
 def compute_excess_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
     """Returns by how much a job would miss the time in which it has worth."""
     if job.is_lasting or job.is_timed:
@@ -103,4 +110,4 @@
     chain = _runs.compute_chain_ms(job)
     objective = (job.queue.objective_factor * chain +
                  job.queue.objective_slack_ms)
-    return int(load.waiting_ms + chain - LATE_FACTOR * objective)
+    return int(get_waiting_ms(job, load) + chain - LATE_FACTOR * objective)
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -13,6 +13,7 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _pacing
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _records
@@ -41,6 +42,10 @@
 LASTING_START_LIMIT = datetime.timedelta(seconds=6)
 """Time in which a lasting task must be at work after its start."""
 
+LEAVE_PACE = 50
+"""Pace in percent at and below which a filler with checkpoints goes on
+elsewhere, if a worker has room."""
+
 PLAN_MISSES = 24
 """Steps without room after which a planning pass ends."""
 
@@ -108,14 +113,18 @@
         is_usable: Whether tasks can be started.
         capacity_millis: Processors of usable workers.
         firm_millis: Reserved by runs that do not fill.
-        waiting_ms: Waiting work in milliseconds of all usable processors.
+        urgent_ms: Waiting work of tasks that fillers give way to, in
+            milliseconds of all usable processors.
+        filling_ms: Waiting work of fillers, in milliseconds of the processors
+            that serving tasks leave over.
         labels: Labels of usable workers.
     """
 
     is_usable: bool
     capacity_millis: int
     firm_millis: int
-    waiting_ms: int
+    urgent_ms: int
+    filling_ms: int
     labels: tuple[str, ...] = ()
 
 
@@ -139,7 +148,8 @@
     """
 
     def __init__(self, group: str, epoch: int, rules: GroupRules, now: float,
-                 epoch_offset: int):
+                 epoch_offset: int,
+                 interference: _interference.InterferenceModel):
         self.group = group
         self.epoch = epoch
         self.jobs: dict[str, _runs.JobRun] = {}
@@ -150,6 +160,7 @@
         # Jobs that left this group, with the offset of the acceptance or move
         # that they had: the topic is read back later than it is written.
         self._left: dict[str, int] = {}
+        self._model = interference
         self._rules = rules
         self._epoch_offset = epoch_offset
         self._settled_at = now + rules.takeover_wait.total_seconds()
@@ -218,7 +229,7 @@
         self._release_vanished(worker, listed, sent_at, now)
         for key in [key for key in worker.strangers if key not in listed]:
             del worker.strangers[key]
-        _pacing.update_pace(worker, now)
+        _pacing.update_paces(worker, self._model, now)
 
     def _apply_end(self, worker: _workers.WorkerState, ended: ports.EndedTask,
                    now: float) -> None:
@@ -513,8 +524,23 @@
             return "task is done"
         if self._is_stalled(run, now):
             return "no progress"
+        if self._should_leave(run, now):
+            return "disturbs serving tasks"
         return ""
 
+    def _should_leave(self, run: _runs.Run, now: float) -> bool:
+        """Returns whether a slowed filler can go on elsewhere."""
+        step = run.step
+        if (not step.is_filler or not step.has_checkpoints or
+                run.phase is not _runs.RunPhase.RUNNING or
+                not 0 <= run.pace <= LEAVE_PACE):
+            return False
+        return any(
+            worker.worker_id != run.worker_id and worker.can_start(now) and
+            _placement.fits(_placement.build_candidate(worker), step) and
+            _pacing.may_add(worker, self._model, step.image, step.cpu_millis)
+            for worker in self.workers.values())
+
     def _is_stalled(self, run: _runs.Run, now: float) -> bool:
         if run.phase is not _runs.RunPhase.RUNNING or run.pace != 100:
             return False
@@ -549,13 +575,13 @@
                 if (not run.step.is_filler or run.is_ordered or
                         run.phase is not _runs.RunPhase.RUNNING):
                     continue
-                change = abs(run.pace - worker.pace)
+                pace = worker.get_pace(run)
+                change = abs(run.pace - pace)
                 if change >= _pacing.MIN_CHANGE or (change and
-                                                    worker.pace in (0, 100)):
+                                                    pace in (0, 100)):
                     run.is_ordered = True
                     orders.append(
-                        PaceOrder(worker.worker_id, run.task, run.number,
-                                  worker.pace))
+                        PaceOrder(worker.worker_id, run.task, run.number, pace))
 
     def _plan_starts(self, orders: list[Order], now: float,
                      now_ms: int) -> None:
@@ -612,7 +638,7 @@
         for index in sorted(step_run.waiting):
             chosen = _placement.choose_worker(rows, step,
                                               step_run.avoided.get(index, ""),
-                                              counts, racks)
+                                              counts, racks, self._model)
             if chosen is None:
                 return False
             worker = chosen.worker
@@ -641,7 +667,7 @@
         left = {row.worker.worker_id: row for row in rows}
         for _ in range(step.count):
             row = _placement.choose_worker(list(left.values()), step, "",
-                                           counts, racks)
+                                           counts, racks, self._model)
             if row is None:
                 return False
             worker = row.worker
@@ -713,27 +739,32 @@
             if job.is_settled and not job.is_over and not job.list_active()
         ]
 
-    def compute_load(self, now: float, now_ms: int) -> GroupLoad:
+    def compute_load(self, now: float) -> GroupLoad:
         """Returns how busy the group is."""
-        capacity = firm = 0
+        capacity = firm = serving = 0
         labels: set[str] = set()
         for worker in self.workers.values():
             if worker.can_start(now):
+                load = worker.compute_load()
                 capacity += worker.entry.cpu_millis
-                firm += worker.compute_load().firm
+                firm += load.firm
+                serving += load.serving
                 labels |= worker.entry.labels
-        work = 0
+        work = {True: 0.0, False: 0.0}
         for job in self.jobs.values():
             if job.is_over:
                 continue
             for step_run in job.steps.values():
-                if step_run.step.is_lasting:
+                step = step_run.step
+                if step.is_lasting:
                     continue
                 left = len(step_run.waiting) + 0.5 * len(step_run.active)
                 if left and (step_run.key[0] == 0 or not job.job.is_timed):
-                    work += (left * step_run.step.cpu_millis *
-                             step_run.step.estimate_ms)
+                    work[step.is_filler] += (left * step.cpu_millis *
+                                             step.estimate_ms)
         is_usable = capacity > 0 and not self.is_evacuated
-        waiting = int(work / capacity) if capacity else 0
-        return GroupLoad(is_usable, capacity, firm, waiting,
+        left_over = max(1, capacity - serving)
+        return GroupLoad(is_usable, capacity, firm,
+                         int(work[False] / left_over),
+                         int((work[True] + work[False]) / left_over),
                          tuple(sorted(labels)))
--- /dev/null
+++ b/src/gentianlead/dispatch/_interference.py
@@ -0,0 +1,148 @@
+"""How much fillers of an image disturb serving tasks of an image.
+
+Interference depends on the pair of images: most pairs get along at any load,
+and some raise the tail tenfold at a twentieth of a worker. The model learns
+one coefficient for each pair, in tail against its limit for a whole worker's
+processors, by normalized least mean squares.
+"""
+
+import math
+from typing import Iterable, NamedTuple
+
+UNTRIED = 0.0
+"""Weight of a pair that was never seen together."""
+
+TRIED_WEIGHT = 0.6
+"""Seconds side by side after which a coefficient is trusted: the tail is a
+figure of half a second."""
+
+LEARNING_RATE = 0.5
+"""Part of an error that one sample corrects."""
+
+MAX_EXCESS = 5.0
+"""Bound on a sample: beyond it, the tail says only that a pair is harmful."""
+
+TAIL_DECAY_S = 0.45
+"""Time constant in seconds with which a tail forgets a filler that stopped."""
+
+MIN_SHARE = 0.004
+"""Share of a worker's processors below which a filler teaches nothing."""
+
+CALM_PRESSURE = 0.6
+"""Tail against its limit that a serving task reaches by its own load; what is
+below teaches that a filler is harmless."""
+
+MAX_SAMPLE_GAP_S = 1.0
+"""Longest time that one sample stands for."""
+
+
+class PairFigure(NamedTuple):
+    """What is known of a pair.
+
+    Attributes:
+        serving: Image of the serving task.
+        filler: Image of the filler.
+        coefficient: Rise of the tail against its limit for a whole worker.
+        weight: Seconds that the pair was seen side by side.
+    """
+
+    serving: str
+    filler: str
+    coefficient: float
+    weight: float
+
+
+class Exposure:
+    """Recent use of a worker by each image of fillers, as tails feel it."""
+
+    def __init__(self) -> None:
+        self.shares: dict[str, float] = {}
+        self._updated_at = 0.0
+
+    def update(self, shares: dict[str, float], now: float) -> float:
+        """Notes the present shares; returns the seconds since the last call."""
+        gap = max(0.0, now - self._updated_at)
+        self._updated_at = now
+        factor = math.exp(-gap / TAIL_DECAY_S)
+        decayed = {
+            image: share * factor
+            for image, share in self.shares.items()
+            if share * factor >= MIN_SHARE
+        }
+        for image, share in shares.items():
+            decayed[image] = max(share, decayed.get(image, 0.0))
+        self.shares = decayed
+        return min(gap, MAX_SAMPLE_GAP_S)
+
+
+class InterferenceModel:
+    """Coefficients of all pairs that were seen.
+
+    Example:
+        >>> model = InterferenceModel()
+        >>> model.learn({"watcher": 2.4}, {"bundle": 0.08}, 0.4)
+        >>> model.predict("watcher", {"bundle": 0.08}) > 0.3
+        True
+    """
+
+    def __init__(self) -> None:
+        self._figures: dict[tuple[str, str], PairFigure] = {}
+        self._changed: set[tuple[str, str]] = set()
+
+    def learn(self, pressures: dict[str, float], exposure: dict[str, float],
+              seconds: float) -> None:
+        """Learns from tails beside fillers.
+
+        Args:
+            pressures: Worst tail against its limit by image.
+            exposure: Share of the worker by image of fillers.
+            seconds: Time that the sample stands for.
+        """
+        shares = {
+            image: share
+            for image, share in exposure.items()
+            if share >= MIN_SHARE
+        }
+        norm = sum(share * share for share in shares.values())
+        if not norm:
+            return
+        for serving, pressure in pressures.items():
+            excess = min(MAX_EXCESS, max(0.0, pressure - CALM_PRESSURE))
+            error = excess - self.predict(serving, shares)
+            for filler, share in shares.items():
+                pair = (serving, filler)
+                known = self._figures.get(pair, PairFigure(*pair, 0.0, UNTRIED))
+                step = LEARNING_RATE * error * share / norm
+                self._figures[pair] = known._replace(
+                    coefficient=max(0.0, known.coefficient + step),
+                    weight=known.weight + seconds)
+                self._changed.add(pair)
+
+    def is_tried(self, serving: str, filler: str) -> bool:
+        """Returns whether a pair's coefficient can be trusted."""
+        figure = self._figures.get((serving, filler))
+        return figure is not None and figure.weight >= TRIED_WEIGHT
+
+    def get_coefficient(self, serving: str, filler: str) -> float:
+        """Returns the coefficient of a pair; 0 for one that was not seen."""
+        figure = self._figures.get((serving, filler))
+        return figure.coefficient if figure is not None else 0.0
+
+    def predict(self, serving: str, shares: dict[str, float]) -> float:
+        """Returns the rise of a tail against its limit."""
+        return sum(
+            self.get_coefficient(serving, filler) * share
+            for filler, share in shares.items())
+
+    def take_changed(self) -> list[PairFigure]:
+        """Returns the figures that changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return [self._figures[pair] for pair in sorted(changed)]
+
+    def merge(self, figures: Iterable[PairFigure]) -> None:
+        """Takes over figures of another daemon that saw more of a pair."""
+        for figure in figures:
+            pair = (figure.serving, figure.filler)
+            known = self._figures.get(pair)
+            if known is None or figure.weight > known.weight:
+                self._figures[pair] = figure
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 from gentianlead import model
+from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _pacing
 from gentianlead.dispatch import _workers
 
 SERVING_USE = 0.6
@@ -58,8 +60,8 @@
     return Candidate(worker, entry.cpu_millis - load.firm,
                      entry.cpu_millis - used - load.filling,
                      entry.memory_mib - load.memory,
-                     entry.accelerators - load.accelerators, load.serving, load.filling
-                     > 0)
+                     entry.accelerators - load.accelerators, load.serving,
+                     load.filling > 0)
 
 
 def fits(candidate: Candidate, step: model.Step) -> bool:
@@ -116,8 +118,8 @@
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.spare_cpu / capacity - compute_slowness(candidate)
         if candidate.serving_cpu:
-            score -= SHARING_MALUS + candidate.worker.pressure
-            score -= 1.0 - candidate.worker.pace / 100
+            score -= SHARING_MALUS
+            score -= max(candidate.worker.pressures.values(), default=0.0)
         return score
 
 
@@ -141,9 +143,10 @@
     return _SPREAD
 
 
-def choose_worker(candidates: list[Candidate], step: model.Step, avoided: str,
-                  counts: dict[str, int],
-                  racks: frozenset[str] | None) -> Candidate | None:
+def choose_worker(
+        candidates: list[Candidate], step: model.Step, avoided: str,
+        counts: dict[str, int], racks: frozenset[str] | None,
+        interference: _interference.InterferenceModel) -> Candidate | None:
     """Returns the best worker with room, or None.
 
     Args:
@@ -152,6 +155,7 @@
         avoided: Worker on which the task failed last, or empty.
         counts: Tasks of the step by worker, for its spread limit.
         racks: Labels of the rack that a rack-bound step runs on, or None.
+        interference: What fillers do to serving tasks.
     """
     placement = choose_placement(step)
     best = None
@@ -163,6 +167,9 @@
         if step.spread_limit and counts.get(worker.worker_id,
                                             0) >= step.spread_limit:
             continue
+        if step.is_filler and not _pacing.may_add(worker, interference,
+                                                  step.image, step.cpu_millis):
+            continue
         labels = worker.entry.labels
         is_near = ((not step.data_rack or step.data_rack in labels) and
                    (racks is None or racks == labels))
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from gentianlead import ports
+from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _runs
 
 CLOCK_DRIFT = 0.02
@@ -74,9 +75,12 @@
         paused_until: Time before which nothing is started on it.
         failures_in_row: Failed runs since the last good one.
         ratio: Moving average of duration against estimate.
-        pace: Share of their speed that fillers keep to, in percent.
-        pressure: Worst tail against its limit at the last look.
-        pressed_at: Time since which the pressure is above 1; None if below.
+        paces: Share of their speed in percent by image of fillers that are
+            slowed.
+        paced_at: Time of the last change of pace by image.
+        pressures: Worst tail against its limit by image of serving tasks, at
+            the last look.
+        exposure: Recent use by fillers, as the tails feel it.
     """
 
     def __init__(self, entry: ports.WorkerEntry):
@@ -94,9 +98,10 @@
         self.paused_until = 0.0
         self.failures_in_row = 0
         self.ratio = 1.0
-        self.pace = 100
-        self.pressure = 0.0
-        self.pressed_at: float | None = None
+        self.paces: dict[str, int] = {}
+        self.paced_at: dict[str, float] = {}
+        self.pressures: dict[str, float] = {}
+        self.exposure = _interference.Exposure()
         self._clock_ms = 0
         self._clock_at = 0.0
         self._lease_until_ms = 0
@@ -106,6 +111,21 @@
         """Identifier of the worker."""
         return self.entry.worker_id
 
+    @property
+    def serving_images(self) -> set[str]:
+        """Images of serving tasks that run or start here."""
+        return {
+            run.step.image
+            for run in self.runs.values()
+            if run.step.tail_limit_ms
+        }
+
+    def get_pace(self, run: _runs.Run) -> int:
+        """Returns the percent of its speed that a run should keep to."""
+        if not run.step.is_filler:
+            return 100
+        return self.paces.get(run.step.image, 100)
+
     def note_clock(self, clock_ms: int, now: float) -> None:
         """Notes a time that the worker's clock has reached by `now`."""
         if clock_ms >= self.get_earliest_ms(now) or not self._clock_ms:
@@ -136,9 +156,10 @@
         self.acknowledged = 0
         self.failures_in_row = 0
         self.ratio = 1.0
-        self.pace = 100
-        self.pressure = 0.0
-        self.pressed_at = None
+        self.paces.clear()
+        self.paced_at.clear()
+        self.pressures.clear()
+        self.exposure = _interference.Exposure()
         self._clock_ms = 0
         self._lease_until_ms = 0
 
