Store the workers of a group; let the lease of a lost worker lapse

The topic now names the workers of a group, nothing starts on one that it does not name, and a successor asks them all. - Two members took the lead back at once; only the first of the domain does now.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -158,11 +158,19 @@
     def put_worker(self, entry: ports.WorkerEntry) -> None:
         """Adds or updates a worker of the group."""
         self.scheduler.put_worker(entry)
-        session = self._sessions.get(entry.worker_id)
+        self._open_session(entry.worker_id)
+
+    def put_recorded_worker(self, entry: ports.WorkerEntry) -> None:
+        """Adds a worker on which a former leader may have started runs."""
+        self.scheduler.put_recorded_worker(entry, self._clock.monotonic())
+        self._open_session(entry.worker_id)
+
+    def _open_session(self, worker_id: str) -> None:
+        session = self._sessions.get(worker_id)
         if session is None or session.done():
-            self._sessions[entry.worker_id] = (
-                asyncio.get_running_loop().create_task(
-                    self._follow_worker(entry.worker_id)))
+            self._sessions[worker_id] = (asyncio.get_running_loop().create_task(
+                self._follow_worker(worker_id)))
+            self._flush_wanted.set()
         self._plan_wanted.set()
 
     def unlist_worker(self, worker_id: str) -> None:
@@ -295,12 +303,18 @@
         }
         progress = self.scheduler.take_dirty()
         records: list[dispatch.Record] = list(progress)
+        workers = self.scheduler.build_workers_record()
+        if workers is not None:
+            records.append(workers)
         if not records:
             self._beat += 1
             records.append(
                 dispatch.LeaderRecord(self.group, self.epoch, self._node,
                                       self._incarnation, self._beat))
         await self._append(records)
+        if workers is not None:
+            self.scheduler.note_workers_recorded(workers)
+            self._plan_wanted.set()
         for worker_id, (born_ms, number) in seen.items():
             worker = self.scheduler.workers.get(worker_id)
             if worker is not None and worker.born_ms == born_ms:
@@ -357,7 +371,9 @@
     async def _look(self, worker: dispatch.WorkerState) -> None:
         sent_at = self._clock.monotonic()
         expires_at_ms = None
-        if worker.born_ms and self._may_start():
+        # A call that gets no reply may still extend the lease, so a worker
+        # that does not answer is only looked at until it does.
+        if worker.born_ms and worker.is_answering and self._may_start():
             expires_at_ms = worker.extend_lease(sent_at, self._lease)
         wait = self._choose_wait(worker)
         look = await self._workers.look(worker.entry, self.epoch,
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -295,6 +295,8 @@
         self._leaders[group] = leader
         for entry in self._reader.table.jobs.values():
             leader.put_job(entry)
+        for entry in self._reader.table.workers.get(group, ()):
+            leader.put_recorded_worker(entry)
         for entry in self._registry.entries.values():
             if entry.domain == group:
                 leader.put_worker(entry)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -31,6 +31,7 @@
 from gentianlead.dispatch._records import ProgressRecord
 from gentianlead.dispatch._records import Record
 from gentianlead.dispatch._records import TOPIC
+from gentianlead.dispatch._records import WorkersRecord
 from gentianlead.dispatch._runs import compute_chain_ms
 from gentianlead.dispatch._runs import compute_deadline_ms
 from gentianlead.dispatch._runs import JobRun
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -32,6 +32,8 @@
 """Candidates choose different epochs within a step, so that the store never
 takes the append of one for a repetition of another's."""
 
+_RETURN_HOME = "leader is in another domain"
+
 
 class ElectionView(NamedTuple):
     """What a daemon knows when it decides.
@@ -104,6 +106,8 @@
         waited = now - max(view.started_at, view.store_fresh_since)
         return "group has no leader" if waited >= delay else ""
     reason, since = _find_vacancy(group, leader, view)
+    if reason == _RETURN_HOME and order[0] != view.node:
+        return ""  # Only the first of the domain; nothing is urgent.
     if reason and now - since >= delay:
         return reason
     return ""
@@ -131,5 +135,5 @@
     if (is_home and settled and leads_from is not None and
             leads_from != group and
             now - view.started_at >= HOME_DELAY.total_seconds()):
-        return "leader is in another domain", view.started_at
+        return _RETURN_HOME, view.started_at
     return "", now
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -160,6 +160,7 @@
         # Jobs that left this group, with the offset of the acceptance or move
         # that they had: the topic is read back later than it is written.
         self._left: dict[str, int] = {}
+        self._recorded: set[str] = set()
         self._model = interference
         self._rules = rules
         self._epoch_offset = epoch_offset
@@ -168,7 +169,7 @@
     # Input: workers.
 
     def put_worker(self, entry: ports.WorkerEntry) -> None:
-        """Adds a worker, or updates its entry."""
+        """Adds a worker that the registry lists, or updates its entry."""
         worker = self.workers.get(entry.worker_id)
         if worker is None:
             self.workers[entry.worker_id] = _workers.WorkerState(entry)
@@ -176,6 +177,30 @@
             worker.entry = entry
             worker.is_listed = True
 
+    def put_recorded_worker(self, entry: ports.WorkerEntry, now: float) -> None:
+        """Adds a worker on which a former leader may have started runs."""
+        worker = self.workers.get(entry.worker_id)
+        if worker is None:
+            worker = _workers.WorkerState(entry)
+            worker.is_listed = False
+            worker.unlisted_at = now
+            self.workers[entry.worker_id] = worker
+        worker.is_recorded = True
+
+    def build_workers_record(self) -> _records.WorkersRecord | None:
+        """Returns the workers to store, or None when all are stored."""
+        if self._recorded == set(self.workers):
+            return None
+        return _records.WorkersRecord(
+            self.group, self.epoch,
+            tuple(worker.entry for worker in self.workers.values()))
+
+    def note_workers_recorded(self, record: _records.WorkersRecord) -> None:
+        """Notes that a record of workers is stored."""
+        self._recorded = {entry.worker_id for entry in record.workers}
+        for worker_id in self._recorded & set(self.workers):
+            self.workers[worker_id].is_recorded = True
+
     def unlist_worker(self, worker_id: str, now: float) -> None:
         """Notes that the registry no longer lists a worker."""
         worker = self.workers.get(worker_id)
@@ -218,6 +243,8 @@
         worker.is_answering = True
         if worker.reached_at is None:
             worker.reached_at = now
+            # A former leader may have renewed the lease just before.
+            worker.extend_lease(now, self._rules.lease)
         for ended in look.ended:
             if ended.number > worker.seen_end:
                 self._apply_end(worker, ended, now)
@@ -507,8 +534,11 @@
 
     def _is_obsolete(self, task: model.TaskKey) -> bool:
         job = self.jobs.get(task.job_id)
-        return job is not None and (job.is_over or job.get_step(task) is None or
-                                    task.index in job.get_step(task).done)
+        if job is None:
+            return False
+        step_run = job.get_step(task)
+        return (job.is_over or step_run is None or
+                task.index not in step_run.waiting)
 
     def _find_stop_reason(self, run: _runs.Run, now: float) -> str:
         job = self.jobs.get(run.task.job_id)
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -144,8 +144,25 @@
     beat: int
 
 
+class WorkersRecord(NamedTuple):
+    """Workers of a group on which runs may exist.
+
+    A leader starts nothing on a worker that is not stored here, so that its
+    successor asks them all, also those that the registry no longer lists.
+
+    Attributes:
+        group: The group.
+        epoch: Epoch of the writer.
+        workers: Entries as the registry listed them last.
+    """
+
+    group: str
+    epoch: int
+    workers: tuple[ports.WorkerEntry, ...]
+
+
 Record = (AcceptedRecord | CancelledRecord | ProgressRecord | MovedRecord |
-          LeaderRecord | MemberRecord)
+          LeaderRecord | MemberRecord | WorkersRecord)
 
 _KINDS: dict[str, type] = {
     "j": AcceptedRecord,
@@ -154,6 +171,7 @@
     "m": MovedRecord,
     "g": LeaderRecord,
     "n": MemberRecord,
+    "w": WorkersRecord,
 }
 
 
@@ -165,6 +183,8 @@
         return f"g/{record.group}"
     if isinstance(record, MemberRecord):
         return f"n/{record.node}"
+    if isinstance(record, WorkersRecord):
+        return f"w/{record.group}"
     if isinstance(record, CancelledRecord):
         return f"c/{record.job_id}"
     if isinstance(record, ProgressRecord):
@@ -175,6 +195,8 @@
 def _encode_value(value: object) -> object:
     if isinstance(value, model.JobState):
         return value.value
+    if isinstance(value, frozenset):
+        return sorted(value)
     raise TypeError(f"cannot store a {type(value).__name__}")
 
 
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -81,6 +81,7 @@
         jobs: Jobs by identifier.
         leaders: Leaders by group.
         members: Members by name.
+        workers: Workers on which runs may exist, by group.
         position: Offset of the next record.
         changed: Jobs that changed since the last `take_changed`.
     """
@@ -89,6 +90,7 @@
         self.jobs: dict[str, JobEntry] = {}
         self.leaders: dict[str, LeaderEntry] = {}
         self.members: dict[str, MemberEntry] = {}
+        self.workers: dict[str, tuple[ports.WorkerEntry, ...]] = {}
         self.position = 0
         self.changed: set[str] = set()
         # Records of a job whose acceptance was not read yet: pages of newest
@@ -109,6 +111,9 @@
             self._apply_leader(stored.offset, record, now)
         elif isinstance(record, _records.MemberRecord):
             self.members[record.node] = MemberEntry(record, now)
+        elif isinstance(record, _records.WorkersRecord):
+            self.workers[record.group] = record.workers
+            self.confirm_leader(record.group, record.epoch, now)
         elif isinstance(record, _records.AcceptedRecord):
             self._apply_accepted(stored.offset, record)
         else:
@@ -123,6 +128,7 @@
         self.jobs.clear()
         self.leaders.clear()
         self.members.clear()
+        self.workers.clear()
         self._early.clear()
         problems = []
         for stored in sorted(batch.records, key=lambda record: record.offset):
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -63,6 +63,7 @@
         entry: Newest entry of the registry.
         is_listed: Whether the registry lists it.
         unlisted_at: Monotonic time in seconds at which it was last removed.
+        is_recorded: Whether the topic names it as a worker of the group.
         born_ms: Lifetime that the last reply came from; 0 before any reply.
         runs: Runs by task and number.
         strangers: Time at which an unknown run was first listed, by task and
@@ -87,6 +88,7 @@
         self.entry = entry
         self.is_listed = True
         self.unlisted_at = 0.0
+        self.is_recorded = False
         self.born_ms = 0
         self.runs: dict[tuple, _runs.Run] = {}
         self.strangers: dict[tuple, float] = {}
