Spread lasting jobs over groups; move lasting tasks that find no room

Tasks of a lasting step are now assigned to groups one by one at acceptance, and a task without room goes to another group.

--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -113,9 +113,9 @@
         now = self._clock.monotonic()
         admission = dispatch.decide_admission(job, self.reports, self._domain,
                                               now)
-        if not admission.group:
+        if not admission.assignment:
             return _refuse(admission.reason, admission.retry_after)
-        job = job._replace(group=admission.group)
+        job = job._replace(assignment=admission.assignment)
         try:
             offset = await self._writer.append(
                 [dispatch.AcceptedRecord(job, self._incarnation)], deadline)
@@ -123,15 +123,15 @@
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 return _refuse(str(error), RETRY_STORE)
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
-        self._log.write("job-accepted",
-                        job=job.job_id,
-                        group=job.group,
-                        offset=offset,
-                        steps=[step.count for step in job.steps],
-                        store_ms=_to_ms(
-                            datetime.timedelta(seconds=self._clock.monotonic() -
-                                               now)),
-                        report_age_ms=self._get_report_age_ms(job.group))
+        self._log.write(
+            "job-accepted",
+            job=job.job_id,
+            groups=sorted(set(job.assignment)),
+            offset=offset,
+            steps=[step.count for step in job.steps],
+            store_ms=_to_ms(
+                datetime.timedelta(seconds=self._clock.monotonic() - now)),
+            report_age_ms=self._get_report_age_ms(job.assignment[0]))
         self._spawn(self._notify_leader(job, offset))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
@@ -152,12 +152,13 @@
                             job=job.job_id,
                             offset=offset)
             return
-        leader = self._reader.table.leaders.get(entry.group)
-        if leader is not None:
-            self._notify(
-                entry.group, _reports.NOTICE_JOB,
-                _reports.JobNotice(entry.group, leader.record.epoch,
-                                   entry.offset, entry.job))
+        for group in entry.groups:
+            leader = self._reader.table.leaders.get(group)
+            if leader is not None:
+                self._notify(
+                    group, _reports.NOTICE_JOB,
+                    _reports.JobNotice(group, leader.record.epoch, entry.offset,
+                                       entry.job))
 
     async def cancel(self, job_id: str,
                      deadline: datetime.timedelta) -> ports.SubmitReply | None:
@@ -196,8 +197,9 @@
                 return _refuse(str(error), RETRY_STORE)
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._newer_states.setdefault(job_id, model.JobState.CANCELLED)
-        self._notify(entry.group, _reports.NOTICE_CANCEL,
-                     _reports.CancelNotice(entry.group, job_id))
+        for group in entry.groups:
+            self._notify(group, _reports.NOTICE_CANCEL,
+                         _reports.CancelNotice(group, job_id))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
     async def _catch_up(self, deadline: datetime.timedelta) -> None:
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -80,6 +80,7 @@
                                      None], on_fenced: Callable[[str, str],
                                                                 None],
                  choose_group: Callable[[dispatch.JobRun], str],
+                 choose_refuge: Callable[[dispatch.JobRun], str],
                  interference: dispatch.InterferenceModel):
         self.group = group
         self.epoch = epoch
@@ -97,6 +98,8 @@
         self._on_report = on_report
         self._on_fenced = on_fenced
         self._choose_group = choose_group
+        self._choose_refuge = choose_refuge
+        self._moving: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._sessions: dict[str, asyncio.Task] = {}
         self._plan_wanted = asyncio.Event()
@@ -235,22 +238,47 @@
             self._report(now)
 
     def _plan_moves(self) -> None:
-        """Moves jobs that this group cannot run."""
+        """Moves jobs, and lasting tasks, that this group cannot run."""
+        if self._moving or not self._may_start():
+            return
         for job in self.scheduler.list_movable():
             target = self._choose_group(job)
             if target and target != self.group:
-                job.is_settled = False  # Nothing of it starts from now on.
-                self._spawn(self._move(job, target))
-
-    async def _move(self, job: dispatch.JobRun, target: str) -> None:
+                self._start_move(
+                    job,
+                    tuple(target if group == self.group else group
+                          for group in job.entry.assignment))
+        now = self._clock.monotonic()
+        for job, indexes in self.scheduler.list_stuck(now):
+            target = self._choose_refuge(job)
+            if target and len(job.entry.assignment) > 1:
+                assignment = list(job.entry.assignment)
+                assignment[indexes[0]] = target
+                self._start_move(job, tuple(assignment))
+
+    def _start_move(self, job: dispatch.JobRun, assignment: tuple[str,
+                                                                  ...]) -> None:
+        job.is_settled = False  # Nothing of it starts until the move is stored.
+        self._moving.add(job.job.job_id)
+        self._spawn(self._move(job, assignment))
+
+    async def _move(self, job: dispatch.JobRun, assignment: tuple[str,
+                                                                  ...]) -> None:
         job_id = job.job.job_id
         records: list[dispatch.Record] = [
             job.build_progress(self.group, self.epoch),
-            dispatch.MovedRecord(job_id, target, job.last_run)
+            dispatch.MovedRecord(job_id, self.group, assignment, job.last_run)
         ]
         await self._append(records)
-        self._log.write("job-moved", job=job_id, group=self.group, to=target)
-        self.scheduler.forget_job(job_id)
+        self._log.write("tasks-moved",
+                        job=job_id,
+                        group=self.group,
+                        assignment=assignment)
+        job.update_entry(job.entry._replace(assignment=assignment))
+        job.is_settled = True
+        self._moving.discard(job_id)
+        if self.group not in assignment:
+            self.scheduler.forget_job(job_id)
 
     def _log_ends(self) -> None:
         notes = self.scheduler.notes
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -291,7 +291,8 @@
             group, epoch, offset, rules,
             (self._settings.node, self._incarnation), self._workers, writer,
             self._clock, self._log, self._metrics, self._publish_report,
-            self._lose_lead, self._choose_group, self._interference)
+            self._lose_lead, self._choose_group, self._choose_refuge,
+            self._interference)
         self._leaders[group] = leader
         for entry in self._reader.table.jobs.values():
             leader.put_job(entry)
@@ -316,7 +317,7 @@
 
     def _choose_group(self, job: dispatch.JobRun) -> str:
         """Returns a better group for a job that cannot run in its own."""
-        own = job.entry.group
+        own = job.group
         leader = self._leaders.get(own)
         if leader is None:
             return ""
@@ -332,7 +333,14 @@
             for group, report in self._desk.reports.items()
             if group != own
         }
-        return dispatch.decide_admission(job.job, reports, own, now).group
+        admission = dispatch.decide_admission(job.job, reports, own, now)
+        return admission.assignment[0] if admission.assignment else ""
+
+    def _choose_refuge(self, job: dispatch.JobRun) -> str:
+        """Returns a group for a lasting task without room in its own."""
+        return dispatch.choose_refuge(job.job, job.entry.assignment,
+                                      job.group, self._desk.reports,
+                                      self._clock.monotonic())
 
     # Calls between daemons.
 
@@ -366,13 +374,10 @@
         leader = self._leaders.get(notice.group)
         # The sender must know this leadership: a job that a former leader may
         # have got has an offset below the one at which this leader began.
-        if (leader is not None and leader.epoch == notice.epoch and
-                notice.job.job_id not in self._reader.table.jobs):
-            leader.put_job(
-                dispatch.JobEntry(notice.job, notice.offset, notice.group,
-                                  notice.offset))
-        elif leader is not None and leader.epoch == notice.epoch:
-            leader.put_job(self._reader.table.jobs[notice.job.job_id])
+        if leader is None or leader.epoch != notice.epoch:
+            return
+        entry = self._reader.table.jobs.get(notice.job.job_id)
+        leader.put_job(entry or dispatch.build_entry(notice.job, notice.offset))
 
     async def _serve_job(self, payload: bytes) -> object:
         self._take_job(dispatch.decode_value(payload, _reports.JobNotice))
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Decisions on jobs with steps: fold of the job topic, groups of workers."""
 
 from gentianlead.dispatch._admission import Admission
+from gentianlead.dispatch._admission import choose_refuge
 from gentianlead.dispatch._admission import decide_admission
 from gentianlead.dispatch._admission import GroupReport
 from gentianlead.dispatch._election import BEAT_INTERVAL
@@ -37,6 +38,7 @@
 from gentianlead.dispatch._runs import JobRun
 from gentianlead.dispatch._runs import Run
 from gentianlead.dispatch._runs import RunPhase
+from gentianlead.dispatch._table import build_entry
 from gentianlead.dispatch._table import JobEntry
 from gentianlead.dispatch._table import JobTable
 from gentianlead.dispatch._table import LeaderEntry
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -41,12 +41,13 @@
     """Decision on a job.
 
     Attributes:
-        group: Group that gets the job, or empty when it is refused.
+        assignment: Groups that get the job, as in a job; empty when it is
+            refused.
         reason: Why it is refused, or empty.
         retry_after: When the caller may come back.
     """
 
-    group: str
+    assignment: tuple[str, ...]
     reason: str = ""
     retry_after: datetime.timedelta = datetime.timedelta(0)
 
@@ -77,9 +78,11 @@
     if not able:
         if usable or any(report.load.is_usable for report in reports.values()):
             # A group with such a label may be between two leaders.
-            return Admission("", "no group can run the job",
-                             RETRY_NO_GROUP) if usable else Admission(home)
-        return Admission("", "no group has usable workers", RETRY_NO_GROUP)
+            return Admission((), "no group can run the job",
+                             RETRY_NO_GROUP) if usable else Admission((home,))
+        return Admission((), "no group has usable workers", RETRY_NO_GROUP)
+    if job.is_lasting and len(job.steps) == 1:
+        return Admission(spread_tasks(job, able))
 
     def compute_cost(group: str) -> tuple[bool, int]:
         load = able[group]
@@ -90,10 +93,10 @@
     group = min(able, key=compute_cost)
     excess = compute_excess_ms(job, able[group])
     if excess > 0:
-        return Admission(
-            "", "the group cannot finish the job in time",
-            min(MAX_RETRY, datetime.timedelta(milliseconds=max(500, excess))))
-    return Admission(group)
+        return Admission((), "the group cannot finish the job in time",
+                         min(MAX_RETRY,
+                             datetime.timedelta(milliseconds=max(500, excess))))
+    return Admission((group,))
 
 
 def get_waiting_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
@@ -111,3 +114,53 @@
     objective = (job.queue.objective_factor * chain +
                  job.queue.objective_slack_ms)
     return int(get_waiting_ms(job, load) + chain - LATE_FACTOR * objective)
+
+
+def spread_tasks(job: model.SteppedJob,
+                 loads: dict[str, _group.GroupLoad]) -> tuple[str, ...]:
+    """Returns the group of each task of a job with one lasting step.
+
+    Each task goes to the group with most unreserved processors left, so that
+    the loss of a domain takes a part of the job only, and a spread limit finds
+    workers in all domains.
+    """
+    step = job.steps[0]
+    free = {
+        group: load.capacity_millis - load.firm_millis
+        for group, load in loads.items()
+    }
+    counts = dict.fromkeys(loads, 0)
+    assignment = []
+    for _ in range(step.count):
+        roomy = [
+            group for group in loads
+            if not step.spread_limit or counts[group] < loads[group].workers *
+            step.spread_limit
+        ]
+        group = max(roomy or list(loads), key=lambda name: free[name])
+        assignment.append(group)
+        counts[group] += 1
+        free[group] -= step.cpu_millis
+    return tuple(assignment)
+
+
+def choose_refuge(job: model.SteppedJob, assignment: tuple[str, ...], own: str,
+                  reports: dict[str, GroupReport], now: float) -> str:
+    """Returns a group for a lasting task that finds no room in its own."""
+    step = job.steps[0]
+    best = ""
+    best_free = 1.5 * step.cpu_millis
+    for group, report in reports.items():
+        load = report.load
+        if (group == own or not load.is_usable or
+                now - report.reported_at > REPORT_LIMIT.total_seconds()):
+            continue
+        if step.required_label and step.required_label not in load.labels:
+            continue
+        if step.spread_limit and assignment.count(
+                group) >= load.workers * step.spread_limit:
+            continue
+        free = load.capacity_millis - load.firm_millis
+        if free > best_free:
+            best, best_free = group, free
+    return best
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -42,6 +42,9 @@
 LASTING_START_LIMIT = datetime.timedelta(seconds=6)
 """Time in which a lasting task must be at work after its start."""
 
+STUCK_LIMIT = datetime.timedelta(milliseconds=700)
+"""Time without room after which lasting tasks go to another group."""
+
 LEAVE_PACE = 50
 """Pace in percent at and below which a filler with checkpoints goes on
 elsewhere, if a worker has room."""
@@ -117,6 +120,7 @@
             milliseconds of all usable processors.
         filling_ms: Waiting work of fillers, in milliseconds of the processors
             that serving tasks leave over.
+        workers: Number of usable workers.
         labels: Labels of usable workers.
     """
 
@@ -125,6 +129,7 @@
     firm_millis: int
     urgent_ms: int
     filling_ms: int
+    workers: int = 0
     labels: tuple[str, ...] = ()
 
 
@@ -359,23 +364,17 @@
         """Adds or updates a job as the topic describes it."""
         job_id = entry.job.job_id
         known = self.jobs.get(job_id)
-        if entry.group != self.group:
-            if known is not None:
-                self.forget_job(job_id)
-            return
         if known is not None:
-            known.entry = known.entry._replace(
-                is_cancelled=entry.is_cancelled or known.entry.is_cancelled,
-                group=entry.group,
-                moved_at=entry.moved_at)
-            if known.entry.is_cancelled:
-                known.set_state(model.JobState.CANCELLED)
+            known.update_entry(entry)
+            if self.group not in entry.since:
+                self.forget_job(job_id)
             return
-        if entry.state.is_final or entry.moved_at <= self._left.get(job_id, -1):
+        since = entry.since.get(self.group, -1)
+        if entry.state.is_final or since <= self._left.get(job_id, -1):
             return
         self.jobs[job_id] = _runs.JobRun(entry,
-                                         is_settled=entry.moved_at
-                                         > self._epoch_offset)
+                                         self.group,
+                                         is_settled=since > self._epoch_offset)
 
     def cancel_job(self, job_id: str) -> None:
         """Cancels a job whose cancellation is stored."""
@@ -388,7 +387,9 @@
         """Forgets a job that was moved away or whose end is stored."""
         job = self.jobs.get(job_id)
         if job is not None and not job.list_active():
-            self._left[job_id] = job.entry.moved_at
+            self._left[job_id] = max(
+                self._left.get(job_id, -1),
+                job.entry.since.get(self.group, job.entry.offset))
             del self.jobs[job_id]
 
     def set_queues(self, queues: Iterable[model.Queue]) -> None:
@@ -626,8 +627,12 @@
         for job, step_run in self._list_startable(now_ms):
             if misses >= PLAN_MISSES:
                 break
-            if not self._start_step(job, step_run, candidates, orders, now):
-                misses += 1
+            if self._start_step(job, step_run, candidates, orders, now):
+                step_run.stuck_since = None
+                continue
+            misses += 1
+            if step_run.stuck_since is None:
+                step_run.stuck_since = now
 
     def _list_startable(
             self, now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
@@ -769,13 +774,27 @@
             if job.is_settled and not job.is_over and not job.list_active()
         ]
 
+    def list_stuck(self, now: float) -> list[tuple[_runs.JobRun, list[int]]]:
+        """Returns lasting tasks that have found no room here for a while."""
+        stuck = []
+        for job in self.jobs.values():
+            step_run = job.steps.get((0, 0))
+            if (job.is_over or not job.is_settled or step_run is None or
+                    not step_run.step.is_lasting or not step_run.waiting or
+                    step_run.stuck_since is None):
+                continue
+            if now - step_run.stuck_since >= STUCK_LIMIT.total_seconds():
+                stuck.append((job, sorted(step_run.waiting)))
+        return stuck
+
     def compute_load(self, now: float) -> GroupLoad:
         """Returns how busy the group is."""
-        capacity = firm = serving = 0
+        capacity = firm = serving = workers = 0
         labels: set[str] = set()
         for worker in self.workers.values():
             if worker.can_start(now):
                 load = worker.compute_load()
+                workers += 1
                 capacity += worker.entry.cpu_millis
                 firm += load.firm
                 serving += load.serving
@@ -796,5 +815,5 @@
         left_over = max(1, capacity - serving)
         return GroupLoad(is_usable, capacity, firm,
                          int(work[False] / left_over),
-                         int((work[True] + work[False]) / left_over),
+                         int((work[True] + work[False]) / left_over), workers,
                          tuple(sorted(labels)))
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -95,16 +95,18 @@
 
 
 class MovedRecord(NamedTuple):
-    """A leader gave a job to another group; nothing of it runs in its own.
+    """A leader gave tasks to another group; none of them runs in its own.
 
     Attributes:
         job_id: The job.
-        group: The new group.
+        origin: The group that gave them up.
+        assignment: Groups of all tasks from now on, as in a job.
         last_run: Highest number of a run so far.
     """
 
     job_id: str
-    group: str
+    origin: str
+    assignment: tuple[str, ...]
     last_run: int
 
 
@@ -188,8 +190,8 @@
     if isinstance(record, CancelledRecord):
         return f"c/{record.job_id}"
     if isinstance(record, ProgressRecord):
-        return f"p/{record.job_id}"
-    return f"m/{record.job_id}"
+        return f"p/{record.job_id}/{record.group}"
+    return f"m/{record.job_id}/{record.origin}"
 
 
 def _encode_value(value: object) -> object:
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -72,10 +72,12 @@
         failures: Failed runs by index.
         checkpoints: Newest checkpoints by index.
         avoided: Workers on which a task failed last, by index.
+        stuck_since: Monotonic time since which tasks wait although no worker
+            has room; None if they do not.
     """
 
     __slots__ = ("key", "step", "waiting", "active", "done", "failures",
-                 "checkpoints", "avoided")
+                 "checkpoints", "avoided", "stuck_since")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -86,6 +88,7 @@
         self.failures: dict[int, int] = {}
         self.checkpoints: dict[int, str] = {}
         self.avoided: dict[int, str] = {}
+        self.stuck_since: float | None = None
 
     @property
     def is_done(self) -> bool:
@@ -98,6 +101,7 @@
 
     Attributes:
         entry: The job as the topic describes it.
+        group: Group of this leader.
         steps: Steps by occurrence and index.
         state: State that callers are told.
         last_run: Highest number of a run.
@@ -107,8 +111,9 @@
             milliseconds since 1970; of its first occurrence.
     """
 
-    def __init__(self, entry: _table.JobEntry, is_settled: bool):
+    def __init__(self, entry: _table.JobEntry, group: str, is_settled: bool):
         self.entry = entry
+        self.group = group
         self.steps: dict[tuple[int, int], StepRun] = {}
         self.state = model.JobState.QUEUED
         self.last_run = entry.last_run
@@ -119,11 +124,27 @@
             for index, step in enumerate(entry.job.steps):
                 key = (occurrence, index)
                 self.steps[key] = StepRun(key, step)
-        if entry.progress is not None:
-            self._restore(entry.progress)
+        for progress in entry.progress.values():
+            self._restore(progress)
+        self.update_entry(entry)
+
+    def update_entry(self, entry: _table.JobEntry) -> None:
+        """Takes over which tasks the group has, and a cancellation."""
+        is_cancelled = self.entry.is_cancelled or entry.is_cancelled
+        self.entry = entry._replace(is_cancelled=is_cancelled)
+        for step_run in self.steps.values():
+            step_run.waiting = {
+                index for index in range(step_run.step.count)
+                if index not in step_run.done and index not in step_run.active
+                and entry.has_task(self.group, index)
+            }
+        if is_cancelled:
+            self.set_state(model.JobState.CANCELLED)
 
     def _restore(self, progress: _records.ProgressRecord) -> None:
-        self.state = progress.state
+        if not self.state.is_final and progress.state is not (
+                model.JobState.QUEUED):
+            self.state = progress.state
         self.last_run = max(self.last_run, progress.last_run)
         for item in progress.done:
             step_run = self.steps.get((item.occurrence, item.step))
@@ -138,7 +159,8 @@
             if step_run is None:
                 continue
             if fact.failures:
-                step_run.failures[fact.index] = fact.failures
+                step_run.failures[fact.index] = max(
+                    fact.failures, step_run.failures.get(fact.index, 0))
             if fact.checkpoint:
                 step_run.checkpoints[fact.index] = fact.checkpoint
 
@@ -217,7 +239,8 @@
             limit = self.job.queue.max_attempts
             if not run.step.is_lasting and step_run.failures[index] >= limit:
                 self.set_state(model.JobState.FAILED)
-        if index not in step_run.active:
+        if (index not in step_run.active and
+                self.entry.has_task(self.group, index)):
             step_run.waiting.add(index)
 
     def mark_done_elsewhere(self, task: model.TaskKey) -> None:
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -14,32 +14,52 @@
     Attributes:
         job: The job as it was accepted.
         offset: Offset of the acceptance that took effect.
-        group: Group that the job belongs to now.
-        moved_at: Offset of the last move, or of the acceptance.
+        assignment: Groups of the tasks, as in the job.
+        since: Offset from which each group has had tasks of the job.
         last_run: Highest number of a run before the last move.
         is_cancelled: Whether a caller cancelled it.
-        progress: Newest progress, or None.
+        progress: Newest progress by group.
     """
 
     job: model.SteppedJob
     offset: int
-    group: str
-    moved_at: int
+    assignment: tuple[str, ...]
+    since: dict[str, int]
     last_run: int = 0
     is_cancelled: bool = False
-    progress: _records.ProgressRecord | None = None
+    progress: dict[str, _records.ProgressRecord] = {}
 
     @property
     def state(self) -> model.JobState:
         """State that a caller is told."""
-        if self.progress is not None and self.progress.state.is_final:
-            return self.progress.state
+        states = {record.state for record in self.progress.values()}
+        for state in states:
+            if state.is_final:
+                return state
         if self.is_cancelled:
             return model.JobState.CANCELLED
-        if self.progress is not None:
-            return self.progress.state
+        if model.JobState.RUNNING in states:
+            return model.JobState.RUNNING
         return model.JobState.QUEUED
 
+    @property
+    def groups(self) -> tuple[str, ...]:
+        """All groups that have tasks of the job."""
+        return tuple(dict.fromkeys(self.assignment))
+
+    def has_task(self, group: str, index: int) -> bool:
+        """Returns whether a group has a task of a step, by its index."""
+        if len(self.assignment) == 1:
+            return self.assignment[0] == group
+        return (index < len(self.assignment) and
+                self.assignment[index] == group)
+
+
+def build_entry(job: model.SteppedJob, offset: int) -> JobEntry:
+    """Returns a job that was accepted at an offset."""
+    return JobEntry(job, offset, job.assignment,
+                    {group: offset for group in job.assignment})
+
 
 class LeaderEntry(NamedTuple):
     """The leader of a group.
@@ -175,7 +195,7 @@
         known = self.jobs.get(job.job_id)
         if known is not None and known.offset <= offset:
             return
-        self.jobs[job.job_id] = JobEntry(job, offset, job.group, offset)
+        self.jobs[job.job_id] = build_entry(job, offset)
         self.changed.add(job.job_id)
         for early_offset, early in self._early.pop(job.job_id, ()):
             self._apply_to_job(early_offset, early, 0.0)
@@ -191,13 +211,21 @@
         if isinstance(record, _records.CancelledRecord):
             entry = entry._replace(is_cancelled=True)
         elif isinstance(record, _records.MovedRecord):
-            entry = entry._replace(group=record.group,
-                                   moved_at=offset,
-                                   last_run=max(entry.last_run,
-                                                record.last_run))
+            entry = _apply_move(entry, offset, record)
         elif isinstance(record, _records.ProgressRecord):
-            entry = entry._replace(progress=record,
+            entry = entry._replace(progress={
+                **entry.progress, record.group: record
+            },
                                    last_run=max(entry.last_run,
                                                 record.last_run))
         self.jobs[record.job_id] = entry
         self.changed.add(record.job_id)
+
+
+def _apply_move(entry: JobEntry, offset: int,
+                record: _records.MovedRecord) -> JobEntry:
+    groups = set(record.assignment)
+    since = {group: entry.since.get(group, offset) for group in groups}
+    return entry._replace(assignment=record.assignment,
+                          since=since,
+                          last_run=max(entry.last_run, record.last_run))
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -167,12 +167,16 @@
 
     def can_start(self, now: float) -> bool:
         """Returns whether starts may be sent."""
-        return (
-            self.is_listed and not self.entry.is_draining and
-            self.reached_at is not None and self.is_answering and
-            now >= self.paused_until and
-            now - self.replied_at <= RESPONSIVE_LIMIT.total_seconds() and
-            not (self.failures_in_row >= FAILURES_TO_QUARANTINE and self.runs))
+        if (not self.is_listed or not self.is_recorded or
+                self.entry.is_draining or not self.is_answering or
+                self.reached_at is None):
+            return False
+        if now < self.paused_until:
+            return False
+        if now - self.replied_at > RESPONSIVE_LIMIT.total_seconds():
+            return False
+        # After a quarantine one run at a time shows whether it is sound.
+        return self.failures_in_row < FAILURES_TO_QUARANTINE or not self.runs
 
     def note_result(self, is_good: bool, now: float) -> None:
         """Notes the end of a run for the worker's health."""
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -26,16 +26,15 @@
               *steps: model.Step,
               **fields) -> model.SteppedJob:
     """Returns a job of the group `north-1`."""
-    values = {"group": "north-1", "accepted_at_ms": NOW_MS}
+    values = {"assignment": ("north-1",), "accepted_at_ms": NOW_MS}
     values.update(fields)
     return model.SteppedJob(job_id, QUEUE, "text", steps or (build_step(),),
                             **values)
 
 
-def build_entry(job: model.SteppedJob,
-                offset: int = 100) -> dispatch.JobEntry:
+def build_entry(job: model.SteppedJob, offset: int = 100) -> dispatch.JobEntry:
     """Returns an accepted job."""
-    return dispatch.JobEntry(job, offset, job.group, offset)
+    return dispatch.build_entry(job, offset)
 
 
 def build_worker(worker_id: str = "w1", **fields) -> ports.WorkerEntry:
@@ -103,7 +102,10 @@
             self.scheduler.note_workers_recorded(record)
         self.look(worker.worker_id)
 
-    def look(self, worker_id: str = "w1", *, sent_ago: float = 0.0,
+    def look(self,
+             worker_id: str = "w1",
+             *,
+             sent_ago: float = 0.0,
              **lists) -> None:
         """Applies the lists of a worker, whose clock follows the driver's."""
         lists.setdefault("clock_ms", int(self.now * 1000))
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -131,7 +131,7 @@
         self.assertIs(progress.state, model.JobState.COMPLETED)
         driver.scheduler.forget_job(order.task.job_id)
         older = progress._replace(state=model.JobState.RUNNING, done=())
-        driver.scheduler.put_job(entry._replace(progress=older))
+        driver.scheduler.put_job(entry._replace(progress={"north-1": older}))
         self.assertEqual(driver.plan_starts(), [])
 
     def test_stranger_of_a_running_task_is_stopped(self):
@@ -280,8 +280,7 @@
         orders = driver.start()
         self.assertEqual(len({order.run for order in orders}), 1)
         self.assertEqual(len(orders), 3)
-        driver.look(orders[0].worker_id,
-                    ended=(builders.build_end(orders[0]),))
+        driver.look(orders[0].worker_id, ended=(builders.build_end(orders[0]),))
         (progress,) = driver.scheduler.take_dirty()
         self.assertIs(progress.state, model.JobState.COMPLETED)
 
--- a/src/gentianlead/model/_stepped_jobs.py
+++ b/src/gentianlead/model/_stepped_jobs.py
@@ -125,7 +125,8 @@
         queue: The queue as it was at acceptance.
         payload: Opaque text that each task gets.
         steps: The steps.
-        group: Failure domain whose workers run the job first.
+        assignment: Groups whose workers run the job first: one for the whole
+            job, or one for each task of a job with a lasting step.
         accepted_at_ms: Time of acceptance in milliseconds since 1970.
         first_run_ms: Time of the first occurrence; 0 for at once.
         interval_ms: Time between occurrences.
@@ -136,7 +137,7 @@
     queue: Queue
     payload: str
     steps: tuple[Step, ...]
-    group: str
+    assignment: tuple[str, ...]
     accepted_at_ms: int
     first_run_ms: int = 0
     interval_ms: int = 0
--- a/src/gentianlead/platform/_callers.py
+++ b/src/gentianlead/platform/_callers.py
@@ -140,7 +140,7 @@
             return _build_error(
                 413, "BODY_TOO_LARGE",
                 f"at most {configuration.max_body_bytes} bytes")
-        job = _jobs.parse_submission(body, job_id, queue, "",
+        job = _jobs.parse_submission(body, job_id, queue,
                                      self._desk.get_wall_ms())
         reply = await self._desk.submit(job, deadline)
         return _build_submit_response(reply)
--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -107,9 +107,9 @@
         tolerated_absences=absences)
 
 
-def parse_submission(body: bytes, job_id: str, queue: model.Queue, group: str,
+def parse_submission(body: bytes, job_id: str, queue: model.Queue,
                      accepted_at_ms: int) -> model.SteppedJob:
-    """Returns the job that a caller submits.
+    """Returns the job that a caller submits, without an assignment.
 
     Raises:
         ProtocolError: The body is not a job.
@@ -136,7 +136,7 @@
         queue=queue,
         payload=payload,
         steps=tuple(parse_step(row, i) for i, row in enumerate(rows)),
-        group=group,
+        assignment=(),
         accepted_at_ms=accepted_at_ms,
         first_run_ms=_fields.read_int(document, "first_run_ms", 0),
         interval_ms=_fields.read_int(document, "interval_ms", 0),
