--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -39,6 +39,9 @@
 REPORT_INTERVAL = datetime.timedelta(milliseconds=300)
 """Time between two reports to the other daemons."""
 
+LOAD_LOG_INTERVAL = datetime.timedelta(seconds=1)
+"""Time between two lines about the load of a group."""
+
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
 """Longest wait for the reply to an order; a calm worker in another domain
 answers within 10 ms."""
@@ -99,7 +102,6 @@
         self._on_fenced = on_fenced
         self._choose_group = choose_group
         self._choose_refuge = choose_refuge
-        self._moving: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._sessions: dict[str, asyncio.Task] = {}
         self._plan_wanted = asyncio.Event()
@@ -107,6 +109,7 @@
         self._flushed = asyncio.Event()
         self._states: list[_reports.JobStateNotice] = []
         self._reported_at = 0.0
+        self._load_logged_at = 0.0
         self._beat = 1
         self._is_stopped = False
 
@@ -239,46 +242,38 @@
 
     def _plan_moves(self) -> None:
         """Moves jobs, and lasting tasks, that this group cannot run."""
-        if self._moving or not self._may_start():
+        if not self._may_start():
             return
         for job in self.scheduler.list_movable():
             target = self._choose_group(job)
             if target and target != self.group:
-                self._start_move(
-                    job,
-                    tuple(target if group == self.group else group
-                          for group in job.entry.assignment))
+                self._start_move(job, (), target)
         now = self._clock.monotonic()
         for job, indexes in self.scheduler.list_stuck(now):
             target = self._choose_refuge(job)
             if target and len(job.entry.assignment) > 1:
-                assignment = list(job.entry.assignment)
-                assignment[indexes[0]] = target
-                self._start_move(job, tuple(assignment))
-
-    def _start_move(self, job: dispatch.JobRun, assignment: tuple[str,
-                                                                  ...]) -> None:
-        job.is_settled = False  # Nothing of it starts until the move is stored.
-        self._moving.add(job.job.job_id)
-        self._spawn(self._move(job, assignment))
-
-    async def _move(self, job: dispatch.JobRun, assignment: tuple[str,
-                                                                  ...]) -> None:
+                self._start_move(job, (indexes[0],), target)
+
+    def _start_move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
+                    target: str) -> None:
+        job.moving = frozenset(indexes or range(len(job.entry.assignment)))
+        self._spawn(self._move(job, indexes, target))
+
+    async def _move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
+                    target: str) -> None:
         job_id = job.job.job_id
-        records: list[dispatch.Record] = [
+        # Each move has a number of its own in its key.
+        job.last_run += 1
+        await self._append([
             job.build_progress(self.group, self.epoch),
-            dispatch.MovedRecord(job_id, self.group, assignment, job.last_run)
-        ]
-        await self._append(records)
+            dispatch.MovedRecord(job_id, self.group, indexes, target,
+                                 job.last_run)
+        ])
         self._log.write("tasks-moved",
                         job=job_id,
                         group=self.group,
-                        assignment=assignment)
-        job.update_entry(job.entry._replace(assignment=assignment))
-        job.is_settled = True
-        self._moving.discard(job_id)
-        if self.group not in assignment:
-            self.scheduler.forget_job(job_id)
+                        indexes=indexes,
+                        to=target)
 
     def _log_ends(self) -> None:
         notes = self.scheduler.notes
@@ -295,6 +290,7 @@
 
     def _report(self, now: float) -> None:
         self._reported_at = now
+        self._log_load(now)
         states, self._states = self._states, []
         self._on_report(
             _reports.LeaderReport(self.group, self.epoch,
@@ -302,6 +298,13 @@
                                   tuple(states),
                                   tuple(self._interference.take_changed())))
 
+    def _log_load(self, now: float) -> None:
+        if now - self._load_logged_at < LOAD_LOG_INTERVAL.total_seconds():
+            return
+        self._load_logged_at = now
+        summary = self.scheduler.summarize(now)
+        self._log.write("group-load", group=self.group, **summary._asdict())
+
     async def _append(self, records: list[dispatch.Record]) -> None:
         try:
             await self._writer.append(records, FOREVER)
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -120,8 +120,7 @@
                  loads: dict[str, _group.GroupLoad]) -> tuple[str, ...]:
     """Returns the group of each task of a job with one lasting step.
 
-    Each task goes to the group with most unreserved processors left, so that
-    the loss of a domain takes a part of the job only, and a spread limit finds
+    The loss of a domain takes a part of the job only, and a spread limit finds
     workers in all domains.
     """
     step = job.steps[0]
@@ -129,15 +128,23 @@
         group: load.capacity_millis - load.firm_millis
         for group, load in loads.items()
     }
+    capacity = {group: load.capacity_millis for group, load in loads.items()}
     counts = dict.fromkeys(loads, 0)
+    # Reports are older than the jobs that arrive together, so that the free
+    # processors would send them all to one group; shares by capacity do not.
+    first = int.from_bytes(job.job_id.encode()[-2:], "big")
+    order = sorted(loads)
+    order = order[first % len(order):] + order[:first % len(order)]
     assignment = []
     for _ in range(step.count):
         roomy = [
-            group for group in loads
-            if not step.spread_limit or counts[group] < loads[group].workers *
-            step.spread_limit
+            group for group in order if free[group] >= step.cpu_millis and
+            (not step.spread_limit or counts[group] < loads[group].workers *
+             step.spread_limit)
         ]
-        group = max(roomy or list(loads), key=lambda name: free[name])
+        group = min(roomy or order,
+                    key=lambda name:
+                    (counts[name] + 1) / max(1, capacity[name]))
         assignment.append(group)
         counts[group] += 1
         free[group] -= step.cpu_millis
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -45,6 +45,11 @@
 STUCK_LIMIT = datetime.timedelta(milliseconds=700)
 """Time without room after which lasting tasks go to another group."""
 
+STARVING_LIMIT = datetime.timedelta(seconds=2)
+DESPERATE_LIMIT = datetime.timedelta(seconds=8)
+"""Times without room after which one filler of a job of which nothing runs is
+placed without spare processors, and at last beside tasks that it disturbs."""
+
 LEAVE_PACE = 50
 """Pace in percent at and below which a filler with checkpoints goes on
 elsewhere, if a worker has room."""
@@ -133,6 +138,36 @@
     labels: tuple[str, ...] = ()
 
 
+class GroupSummary(NamedTuple):
+    """State of a group for the log; processors in thousandths.
+
+    Attributes:
+        workers: Number of workers.
+        usable: Workers that may get starts.
+        jobs: Jobs that are not forgotten.
+        capacity: Processors of usable workers.
+        serving: Reserved by serving tasks.
+        short: Reserved by other tasks that do not fill.
+        filling: Declared by fillers that run.
+        filling_used: Used by fillers at the last looks.
+        waiting_lasting: Lasting tasks that wait.
+        waiting_short: Other tasks that wait and do not fill.
+        waiting_filling: Fillers that wait.
+    """
+
+    workers: int
+    usable: int
+    jobs: int
+    capacity: int
+    serving: int
+    short: int
+    filling: int
+    filling_used: int
+    waiting_lasting: int
+    waiting_short: int
+    waiting_filling: int
+
+
 class GroupScheduler:
     """Decides what runs where in one group.
 
@@ -568,7 +603,8 @@
             return False
         return any(
             worker.worker_id != run.worker_id and worker.can_start(now) and
-            _placement.fits(_placement.build_candidate(worker), step) and
+            _placement.fits(_placement.build_candidate(worker), step,
+                            _placement.Need.NORMAL) and
             _pacing.may_add(worker, self._model, step.image, step.cpu_millis)
             for worker in self.workers.values())
 
@@ -639,7 +675,7 @@
         """Returns steps with waiting tasks, the most urgent first."""
         rows = []
         for job in self.jobs.values():
-            if job.is_over or not job.is_settled:
+            if job.is_over or not job.is_settled or job.moving:
                 continue
             for step_run in job.steps.values():
                 if step_run.waiting and job.is_step_due(step_run, now_ms):
@@ -670,10 +706,11 @@
         if step.is_gang:
             return self._start_gang(job, step_run, rows, counts, candidates,
                                     orders, now)
+        need = self._compute_need(job, step_run, now)
         for index in sorted(step_run.waiting):
             chosen = _placement.choose_worker(rows, step,
                                               step_run.avoided.get(index, ""),
-                                              counts, racks, self._model)
+                                              counts, racks, self._model, need)
             if chosen is None:
                 return False
             worker = chosen.worker
@@ -681,6 +718,7 @@
                              orders, now)
             if step.is_rack_bound and racks is None:
                 racks = worker.entry.labels
+            need = _placement.Need.NORMAL
             counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
             candidates[worker.worker_id] = _placement.build_candidate(worker)
             rows = [
@@ -689,6 +727,17 @@
             ]
         return True
 
+    def _compute_need(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                      now: float) -> _placement.Need:
+        if step_run.stuck_since is None or job.list_active():
+            return _placement.Need.NORMAL
+        waited = now - step_run.stuck_since
+        if waited >= DESPERATE_LIMIT.total_seconds():
+            return _placement.Need.DESPERATE
+        if waited >= STARVING_LIMIT.total_seconds():
+            return _placement.Need.STARVING
+        return _placement.Need.NORMAL
+
     def _start_gang(self, job: _runs.JobRun, step_run: _runs.StepRun,
                     rows: list[_placement.Candidate], counts: dict[str, int],
                     candidates: dict[str, _placement.Candidate],
@@ -770,8 +819,8 @@
     def list_movable(self) -> list[_runs.JobRun]:
         """Returns settled jobs of which nothing runs, for another group."""
         return [
-            job for job in self.jobs.values()
-            if job.is_settled and not job.is_over and not job.list_active()
+            job for job in self.jobs.values() if job.is_settled and
+            not job.is_over and not job.moving and not job.list_active()
         ]
 
     def list_stuck(self, now: float) -> list[tuple[_runs.JobRun, list[int]]]:
@@ -779,14 +828,41 @@
         stuck = []
         for job in self.jobs.values():
             step_run = job.steps.get((0, 0))
-            if (job.is_over or not job.is_settled or step_run is None or
-                    not step_run.step.is_lasting or not step_run.waiting or
-                    step_run.stuck_since is None):
+            if job.is_over or job.moving or not job.is_settled:
                 continue
-            if now - step_run.stuck_since >= STUCK_LIMIT.total_seconds():
+            if step_run is None or not step_run.step.is_lasting:
+                continue
+            if (step_run.waiting and step_run.stuck_since is not None and
+                    now - step_run.stuck_since >= STUCK_LIMIT.total_seconds()):
                 stuck.append((job, sorted(step_run.waiting)))
         return stuck
 
+    def summarize(self, now: float) -> GroupSummary:
+        """Returns the state of the group for the log."""
+        usable = [
+            worker for worker in self.workers.values() if worker.can_start(now)
+        ]
+        waiting = [0, 0, 0]
+        for job in self.jobs.values():
+            if job.is_over:
+                continue
+            for step_run in job.steps.values():
+                if all((0, i) not in job.steps or job.steps[(0, i)].is_done
+                       for i in step_run.step.depends_on):
+                    kind = (0 if step_run.step.is_lasting else
+                            2 if step_run.step.is_filler else 1)
+                    waiting[kind] += len(step_run.waiting)
+        loads = [worker.compute_load() for worker in usable]
+        used = sum(run.gauge or 0
+                   for worker in usable
+                   for run in worker.runs.values()
+                   if run.step.is_filler)
+        return GroupSummary(len(self.workers), len(usable), len(self.jobs),
+                            sum(worker.entry.cpu_millis for worker in usable),
+                            sum(load.serving for load in loads),
+                            sum(load.firm - load.serving for load in loads),
+                            sum(load.filling for load in loads), used, *waiting)
+
     def compute_load(self, now: float) -> GroupLoad:
         """Returns how busy the group is."""
         capacity = firm = serving = workers = 0
--- a/src/gentianlead/dispatch/_interference.py
+++ b/src/gentianlead/dispatch/_interference.py
@@ -16,8 +16,13 @@
 """Seconds side by side after which a coefficient is trusted: the tail is a
 figure of half a second."""
 
-LEARNING_RATE = 0.5
-"""Part of an error that one sample corrects."""
+RISE_RATE = 0.5
+FALL_RATE = 0.1
+"""Parts of an error that one sample corrects. A pair that was harmful once is
+forgotten slowly, as a wrong trial costs more than a place not taken."""
+
+REGULAR_SHARE = 0.05
+"""Share of a worker that a sample needs to teach much: one task of a bundle."""
 
 MAX_EXCESS = 5.0
 """Bound on a sample: beyond it, the tail says only that a pair is harmful."""
@@ -25,7 +30,7 @@
 TAIL_DECAY_S = 0.45
 """Time constant in seconds with which a tail forgets a filler that stopped."""
 
-MIN_SHARE = 0.004
+MIN_SHARE = 0.01
 """Share of a worker's processors below which a filler teaches nothing."""
 
 CALM_PRESSURE = 0.6
@@ -103,16 +108,18 @@
             for image, share in exposure.items()
             if share >= MIN_SHARE
         }
-        norm = sum(share * share for share in shares.values())
-        if not norm:
+        if not shares:
             return
+        norm = REGULAR_SHARE**2 + sum(
+            share * share for share in shares.values())
         for serving, pressure in pressures.items():
             excess = min(MAX_EXCESS, max(0.0, pressure - CALM_PRESSURE))
             error = excess - self.predict(serving, shares)
             for filler, share in shares.items():
                 pair = (serving, filler)
                 known = self._figures.get(pair, PairFigure(*pair, 0.0, UNTRIED))
-                step = LEARNING_RATE * error * share / norm
+                rate = RISE_RATE if error > 0 else FALL_RATE
+                step = rate * error * share / norm
                 self._figures[pair] = known._replace(
                     coefficient=max(0.0, known.coefficient + step),
                     weight=known.weight + seconds)
--- a/src/gentianlead/dispatch/_pacing.py
+++ b/src/gentianlead/dispatch/_pacing.py
@@ -30,6 +30,10 @@
 SETTLE_S = 0.5
 """Time in seconds until a tail shows a change of pace."""
 
+MIN_EFFECT = 0.03
+"""Predicted rise of a tail against its limit below which a filler is not
+slowed: the tail is due to the load of the serving task itself."""
+
 BLAME_SHARE = 0.25
 """Part of the largest predicted effect from which an image is slowed too."""
 
@@ -95,7 +99,9 @@
     largest = max(effects.values(), default=0.0)
     factor = SEVERE_FACTOR if worst > SEVERE_PRESSURE else SLOW_FACTOR
     for image, effect in effects.items():
-        if effect < BLAME_SHARE * largest:
+        is_tried = all(
+            model.is_tried(serving, image) for serving in worker.pressures)
+        if is_tried and effect < max(MIN_EFFECT, BLAME_SHARE * largest):
             continue
         if now - worker.paced_at.get(image, -SETTLE_S) < SETTLE_S:
             continue
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -1,6 +1,7 @@
 """Choice of the worker for a task."""
 
 import abc
+import enum
 from typing import NamedTuple
 
 from gentianlead import model
@@ -10,7 +11,7 @@
 
 SERVING_USE = 0.6
 """Part of its declared processors that a serving task uses at a high load; the
-load swings around half."""
+load swings around half. Tails rise on a worker without spare processors."""
 
 MIN_FILL_SHARE = 0.7
 """Part of its declared processors that must be left over for a filler."""
@@ -19,6 +20,10 @@
 """Score of a worker with serving tasks for a short task, against a whole free
 worker: such a worker is taken unless it is nearly full."""
 
+IMAGE_BONUS = 1.0
+"""Score of a worker that serves the same image, and loss for each other one:
+as much as a whole worker."""
+
 FILLER_MALUS = 0.1
 """Score that a worker loses for fillers when a serving task is placed."""
 
@@ -30,6 +35,18 @@
 """Weight of a worker's slowness against free room in the score."""
 
 
+class Need(enum.Enum):
+    """How much a filler needs a place.
+
+    A filler of a job of which nothing runs is placed without spare processors
+    after a while, and at last also where it has to be slowed.
+    """
+
+    NORMAL = "normal"
+    STARVING = "starving"
+    DESPERATE = "desperate"
+
+
 class Candidate(NamedTuple):
     """A worker with what it has left.
 
@@ -64,7 +81,7 @@
                      load.filling > 0)
 
 
-def fits(candidate: Candidate, step: model.Step) -> bool:
+def fits(candidate: Candidate, step: model.Step, need: Need) -> bool:
     """Returns whether a task of a step has room."""
     if (step.memory_mib > candidate.free_memory or
             step.accelerators > candidate.free_gpu):
@@ -73,6 +90,8 @@
             step.required_label not in candidate.worker.entry.labels):
         return False
     if step.is_filler:
+        if need is not Need.NORMAL:
+            return True
         return candidate.spare_cpu >= MIN_FILL_SHARE * step.cpu_millis
     return candidate.free_cpu >= step.cpu_millis
 
@@ -101,11 +120,19 @@
 
 
 class ServingPlacement(TaskPlacement):
-    """Fills workers that serve already, so that others are left to fillers."""
+    """Fills workers that serve the same image already.
+
+    A filler may run beside serving tasks only if it disturbs none of their
+    images, so each worker should have few of them.
+    """
 
     def score(self, candidate: Candidate, step: model.Step) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.serving_cpu / capacity - compute_slowness(candidate)
+        images = candidate.worker.serving_images
+        if images:
+            score += IMAGE_BONUS if step.image in images else 0.0
+            score -= IMAGE_BONUS * len(images - {step.image})
         if candidate.has_fillers:
             score -= FILLER_MALUS
         return score
@@ -143,10 +170,13 @@
     return _SPREAD
 
 
-def choose_worker(
-        candidates: list[Candidate], step: model.Step, avoided: str,
-        counts: dict[str, int], racks: frozenset[str] | None,
-        interference: _interference.InterferenceModel) -> Candidate | None:
+def choose_worker(candidates: list[Candidate],
+                  step: model.Step,
+                  avoided: str,
+                  counts: dict[str, int],
+                  racks: frozenset[str] | None,
+                  interference: _interference.InterferenceModel,
+                  need: Need = Need.NORMAL) -> Candidate | None:
     """Returns the best worker with room, or None.
 
     Args:
@@ -156,19 +186,21 @@
         counts: Tasks of the step by worker, for its spread limit.
         racks: Labels of the rack that a rack-bound step runs on, or None.
         interference: What fillers do to serving tasks.
+        need: How much the task needs a place.
     """
     placement = choose_placement(step)
     best = None
     best_rank = None
     for candidate in candidates:
         worker = candidate.worker
-        if not fits(candidate, step):
+        if not fits(candidate, step, need):
             continue
         if step.spread_limit and counts.get(worker.worker_id,
                                             0) >= step.spread_limit:
             continue
-        if step.is_filler and not _pacing.may_add(worker, interference,
-                                                  step.image, step.cpu_millis):
+        if (step.is_filler and
+                need is not Need.DESPERATE and not _pacing.may_add(
+                    worker, interference, step.image, step.cpu_millis)):
             continue
         labels = worker.entry.labels
         is_near = ((not step.data_rack or step.data_rack in labels) and
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -99,14 +99,17 @@
 
     Attributes:
         job_id: The job.
-        origin: The group that gave them up.
-        assignment: Groups of all tasks from now on, as in a job.
+        origin: The group that gives them up; tasks of others stay where they
+            are.
+        indexes: Tasks of the lasting step; empty for the whole job.
+        target: The group that gets them.
         last_run: Highest number of a run so far.
     """
 
     job_id: str
     origin: str
-    assignment: tuple[str, ...]
+    indexes: tuple[int, ...]
+    target: str
     last_run: int
 
 
@@ -191,7 +194,8 @@
         return f"c/{record.job_id}"
     if isinstance(record, ProgressRecord):
         return f"p/{record.job_id}/{record.group}"
-    return f"m/{record.job_id}/{record.origin}"
+    # Moves build on each other, so none may replace another one.
+    return f"m/{record.job_id}/{record.origin}/{record.last_run}"
 
 
 def _encode_value(value: object) -> object:
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -106,6 +106,8 @@
         state: State that callers are told.
         last_run: Highest number of a run.
         is_settled: Whether no run can exist that this leader does not know.
+        moving: Indexes of tasks that are being given to another group, until
+            the topic shows it; nothing of the job starts meanwhile.
         is_dirty: Whether progress changed since the last append.
         deadline_ms: Time by which the objective wants the job done, in
             milliseconds since 1970; of its first occurrence.
@@ -118,6 +120,7 @@
         self.state = model.JobState.QUEUED
         self.last_run = entry.last_run
         self.is_settled = is_settled
+        self.moving: frozenset[int] = frozenset()
         self.is_dirty = False
         self.deadline_ms = compute_deadline_ms(entry.job)
         for occurrence in range(entry.job.occurrences):
@@ -132,6 +135,8 @@
         """Takes over which tasks the group has, and a cancellation."""
         is_cancelled = self.entry.is_cancelled or entry.is_cancelled
         self.entry = entry._replace(is_cancelled=is_cancelled)
+        if not any(entry.has_task(self.group, index) for index in self.moving):
+            self.moving = frozenset()
         for step_run in self.steps.values():
             step_run.waiting = {
                 index for index in range(step_run.step.count)
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -224,8 +224,11 @@
 
 def _apply_move(entry: JobEntry, offset: int,
                 record: _records.MovedRecord) -> JobEntry:
-    groups = set(record.assignment)
-    since = {group: entry.since.get(group, offset) for group in groups}
-    return entry._replace(assignment=record.assignment,
+    assignment = tuple(
+        record.target if group == record.origin and
+        (not record.indexes or index in record.indexes) else group
+        for index, group in enumerate(entry.assignment))
+    since = {group: entry.since.get(group, offset) for group in assignment}
+    return entry._replace(assignment=assignment,
                           since=since,
                           last_run=max(entry.last_run, record.last_run))
