--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -29,7 +29,7 @@
 PLAN_INTERVAL = datetime.timedelta(milliseconds=60)
 """Longest time between two plans; events bring the next one forward."""
 
-PLAN_PAUSE = datetime.timedelta(milliseconds=2)
+PLAN_PAUSE = datetime.timedelta(milliseconds=4)
 """Least time between two plans, so that events of one moment share one."""
 
 FLUSH_PAUSE = datetime.timedelta(milliseconds=20)
--- a/src/gentianlead/cluster/_operators.py
+++ b/src/gentianlead/cluster/_operators.py
@@ -1,6 +1,5 @@
 """Follows the operators' records and the workers' registry."""
 
-import asyncio
 import datetime
 from typing import Callable
 
@@ -12,8 +11,9 @@
 from gentianlead.cluster import _metrics
 
 OPERATOR_WAIT = datetime.timedelta(seconds=1)
-"""How long the store may hold a read of the operators' records; a lost reply
-costs this and the read's allowance of the two seconds that a change may take."""
+"""How long the store may hold a read of the operators' records. A lost reply
+costs this and the read's allowance out of the two seconds that a change may
+take to be in force."""
 
 REGISTRY_INTERVAL = datetime.timedelta(seconds=1)
 """Time between two reads of the registry: half of the time in which a worker
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from gentianlead import model
-from gentianlead.dispatch import _group
+from gentianlead.dispatch import _load
 from gentianlead.dispatch import _runs
 
 REPORT_LIMIT = datetime.timedelta(seconds=2)
@@ -33,7 +33,7 @@
         reported_at: Monotonic time in seconds of its arrival.
     """
 
-    load: _group.GroupLoad
+    load: _load.GroupLoad
     reported_at: float
 
 
@@ -69,7 +69,7 @@
         report.reported_at <= REPORT_LIMIT.total_seconds()
     }
     needed = {step.required_label for step in job.steps if step.required_label}
-    near = {step.data_rack for step in job.steps if step.data_rack}
+    near = {step.near_rack for step in job.steps if step.near_rack}
     able = {
         group: load
         for group, load in usable.items()
@@ -99,14 +99,14 @@
     return Admission((group,))
 
 
-def get_waiting_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
+def get_waiting_ms(job: model.SteppedJob, load: _load.GroupLoad) -> int:
     """Returns how long a job waits for what is ahead of it."""
     if any(step.is_filler for step in job.steps):
         return load.filling_ms
     return load.urgent_ms
 
 
-def compute_excess_ms(job: model.SteppedJob, load: _group.GroupLoad) -> int:
+def compute_excess_ms(job: model.SteppedJob, load: _load.GroupLoad) -> int:
     """Returns by how much a job would miss the time in which it has worth."""
     if job.is_lasting or job.is_timed:
         return 0
@@ -117,7 +117,7 @@
 
 
 def spread_tasks(job: model.SteppedJob,
-                 loads: dict[str, _group.GroupLoad]) -> tuple[str, ...]:
+                 loads: dict[str, _load.GroupLoad]) -> tuple[str, ...]:
     """Returns the group of each task of a job with one lasting step.
 
     The loss of a domain takes a part of the job only, and a spread limit finds
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -28,9 +28,10 @@
 """Time that a member of the group's own domain has been up before it takes
 the lead back from a member of another domain."""
 
-EPOCH_STEP = 64
-"""Candidates choose different epochs within a step, so that the store never
-takes the append of one for a repetition of another's."""
+EPOCH_STEP = 512
+"""Candidates choose epochs within a step by their names, so that the store
+rarely takes the append of one for a repetition of another's; the winner is the
+one whose record is read back."""
 
 _RETURN_HOME = "leader is in another domain"
 
--- a/src/gentianlead/dispatch/_interference.py
+++ b/src/gentianlead/dispatch/_interference.py
@@ -3,7 +3,7 @@
 Interference depends on the pair of images: most pairs get along at any load,
 and some raise the tail tenfold at a twentieth of a worker. The model learns
 one coefficient for each pair, in tail against its limit for a whole worker's
-processors, by normalized least mean squares.
+processors; errors are shared out by what is known of each pair.
 """
 
 import math
@@ -17,13 +17,23 @@
 figure of half a second."""
 
 RISE_RATE = 0.5
-FALL_RATE = 0.1
-"""Parts of an error that one sample corrects. A pair that was harmful once is
-forgotten slowly, as a wrong trial costs more than a place not taken."""
+"""Part of an error that one sample corrects when a tail is higher than
+predicted."""
+
+FALL_RATE = 0.5
+"""Part of an error that a second corrects when a tail is lower. A harmful pair
+is forgotten slowly, as a wrong trial costs more than a place not taken."""
+
+CLEAR_ERROR = 0.3
+"""Prediction above the tail from which the error teaches anything: below, the
+load of the serving task itself makes the difference."""
 
 REGULAR_SHARE = 0.05
 """Share of a worker that a sample needs to teach much: one task of a bundle."""
 
+INITIAL_BLAME = 0.5
+"""Coefficient that an unknown pair is blamed as if it had."""
+
 MAX_EXCESS = 5.0
 """Bound on a sample: beyond it, the tail says only that a pair is harmful."""
 
@@ -110,21 +120,54 @@
         }
         if not shares:
             return
-        norm = REGULAR_SHARE**2 + sum(
-            share * share for share in shares.values())
+        total = sum(shares.values())
+        trust = total / (total + REGULAR_SHARE)
         for serving, pressure in pressures.items():
             excess = min(MAX_EXCESS, max(0.0, pressure - CALM_PRESSURE))
             error = excess - self.predict(serving, shares)
-            for filler, share in shares.items():
+            if error > 0:
+                self._raise(serving, shares, RISE_RATE * trust * error)
+            elif error < -CLEAR_ERROR:
+                self._lower(serving, shares,
+                            FALL_RATE * seconds * trust * error)
+            for filler in shares:
                 pair = (serving, filler)
-                known = self._figures.get(pair, PairFigure(*pair, 0.0, UNTRIED))
-                rate = RISE_RATE if error > 0 else FALL_RATE
-                step = rate * error * share / norm
-                self._figures[pair] = known._replace(
-                    coefficient=max(0.0, known.coefficient + step),
-                    weight=known.weight + seconds)
+                figure = self._get(pair)
+                self._figures[pair] = figure._replace(weight=figure.weight +
+                                                      seconds)
                 self._changed.add(pair)
 
+    def _raise(self, serving: str, shares: dict[str, float],
+               rise: float) -> None:
+        """Blames fillers for a rise by their shares and what is known."""
+        blames = {
+            filler:
+                share * (INITIAL_BLAME + self.get_coefficient(serving, filler))
+            for filler, share in shares.items()
+        }
+        scale = rise / sum(
+            blame * shares[filler] for filler, blame in blames.items())
+        for filler, blame in blames.items():
+            pair = (serving, filler)
+            figure = self._get(pair)
+            self._figures[pair] = figure._replace(
+                coefficient=figure.coefficient + scale * blame)
+
+    def _lower(self, serving: str, shares: dict[str, float],
+               fall: float) -> None:
+        predicted = self.predict(serving, shares)
+        if predicted <= 0:
+            return
+        factor = 1 + fall / predicted
+        for filler in shares:
+            pair = (serving, filler)
+            figure = self._get(pair)
+            self._figures[pair] = figure._replace(
+                coefficient=figure.coefficient * factor)
+
+    def _get(self, pair: tuple[str, str]) -> PairFigure:
+        return self._figures.get(pair, PairFigure(*pair, 0.0, UNTRIED))
+
     def is_tried(self, serving: str, filler: str) -> bool:
         """Returns whether a pair's coefficient can be trusted."""
         figure = self._figures.get((serving, filler))
--- /dev/null
+++ b/src/gentianlead/dispatch/_load.py
@@ -0,0 +1,119 @@
+"""How busy a group is: for admission, and for the log."""
+
+from typing import Iterable, NamedTuple
+
+from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _workers
+
+
+class GroupLoad(NamedTuple):
+    """How busy a group is.
+
+    Attributes:
+        is_usable: Whether tasks can be started.
+        capacity_millis: Processors of usable workers.
+        firm_millis: Reserved by runs that do not fill.
+        urgent_ms: Waiting work of tasks that fillers give way to, in
+            milliseconds of all usable processors.
+        filling_ms: Waiting work of fillers, in milliseconds of the processors
+            that serving tasks leave over.
+        workers: Number of usable workers.
+        labels: Labels of usable workers.
+    """
+
+    is_usable: bool
+    capacity_millis: int
+    firm_millis: int
+    urgent_ms: int
+    filling_ms: int
+    workers: int = 0
+    labels: tuple[str, ...] = ()
+
+
+class GroupSummary(NamedTuple):
+    """State of a group for the log; processors in thousandths.
+
+    Attributes:
+        workers: Number of workers.
+        usable: Workers that may get starts.
+        jobs: Jobs that are not forgotten.
+        capacity: Processors of usable workers.
+        serving: Reserved by serving tasks.
+        short: Reserved by other tasks that do not fill.
+        filling: Declared by fillers that run.
+        filling_used: Used by fillers at the last looks.
+        waiting_lasting: Lasting tasks that wait.
+        waiting_short: Other tasks that wait and do not fill.
+        waiting_filling: Fillers that wait.
+    """
+
+    workers: int
+    usable: int
+    jobs: int
+    capacity: int
+    serving: int
+    short: int
+    filling: int
+    filling_used: int
+    waiting_lasting: int
+    waiting_short: int
+    waiting_filling: int
+
+
+def summarize_group(workers: Iterable[_workers.WorkerState],
+                    jobs: Iterable[_runs.JobRun], now: float) -> GroupSummary:
+    """Returns the state of the group for the log."""
+    usable = [worker for worker in workers if worker.can_start(now)]
+    waiting = [0, 0, 0]
+    for job in jobs:
+        if job.is_over:
+            continue
+        for step_run in job.steps.values():
+            if all((0, i) not in job.steps or job.steps[(0, i)].is_done
+                   for i in step_run.step.depends_on):
+                kind = (0 if step_run.step.is_lasting else
+                        2 if step_run.step.is_filler else 1)
+                waiting[kind] += len(step_run.waiting)
+    loads = [worker.compute_load() for worker in usable]
+    used = sum(run.gauge or 0
+               for worker in usable
+               for run in worker.runs.values()
+               if run.step.is_filler)
+    return GroupSummary(len(workers), len(usable), len(jobs),
+                        sum(worker.entry.cpu_millis for worker in usable),
+                        sum(load.serving for load in loads),
+                        sum(load.firm - load.serving for load in loads),
+                        sum(load.filling for load in loads), used, *waiting)
+
+
+def compute_group_load(workers: Iterable[_workers.WorkerState],
+                       jobs: Iterable[_runs.JobRun], is_evacuated: bool,
+                       now: float) -> GroupLoad:
+    """Returns how busy the group is."""
+    capacity = firm = serving = usable = 0
+    labels: set[str] = set()
+    for worker in workers:
+        if worker.can_start(now):
+            load = worker.compute_load()
+            usable += 1
+            capacity += worker.entry.cpu_millis
+            firm += load.firm
+            serving += load.serving
+            labels |= worker.entry.labels
+    work = {True: 0.0, False: 0.0}
+    for job in jobs:
+        if job.is_over:
+            continue
+        for step_run in job.steps.values():
+            step = step_run.step
+            if step.is_lasting:
+                continue
+            left = len(step_run.waiting) + 0.5 * len(step_run.active)
+            if left and (step_run.key[0] == 0 or not job.job.is_timed):
+                work[step.is_filler] += (left * step.cpu_millis *
+                                         step.estimate_ms)
+    is_usable = capacity > 0 and not is_evacuated
+    left_over = max(1, capacity - serving)
+    return GroupLoad(is_usable, capacity, firm, int(work[False] / left_over),
+                     int((work[True] + work[False]) / left_over), usable,
+                     tuple(sorted(labels)))
--- /dev/null
+++ b/src/gentianlead/dispatch/_orders.py
@@ -0,0 +1,62 @@
+"""Orders of a leader to workers, and what it tells of them."""
+
+import datetime
+from typing import NamedTuple
+
+from gentianlead import model
+
+
+class StartOrder(NamedTuple):
+    """Order to start a run on a worker."""
+
+    worker_id: str
+    task: model.TaskKey
+    run: int
+    payload: str
+    checkpoint: str
+
+
+class StopOrder(NamedTuple):
+    """Order to stop a run on a worker."""
+
+    worker_id: str
+    task: model.TaskKey
+    run: int
+    reason: str
+
+
+class PaceOrder(NamedTuple):
+    """Order to let a run work at a share of its speed."""
+
+    worker_id: str
+    task: model.TaskKey
+    run: int
+    percent: int
+
+
+Order = StartOrder | StopOrder | PaceOrder
+
+
+class EndNote(NamedTuple):
+    """An end that was applied, for the log."""
+
+    worker_id: str
+    task: model.TaskKey
+    run: int
+    cause: str
+    seconds: float
+
+
+class GroupRules(NamedTuple):
+    """Times of a group.
+
+    Attributes:
+        lease: Length of a worker's lease.
+        takeover_wait: Time after which nothing that a former leader started
+            can run on a worker that was never reached.
+        stop_limit: Longest time that a stop takes at a worker.
+    """
+
+    lease: datetime.timedelta
+    takeover_wait: datetime.timedelta
+    stop_limit: datetime.timedelta
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -58,6 +58,9 @@
         free_gpu: Accelerators.
         serving_cpu: Reserved by serving tasks, in thousandths.
         has_fillers: Whether fillers run there.
+        serving_images: Images of serving tasks there.
+        joinable: Whether a filler may be added, by image and processors; a
+            cache that holds until something is placed there.
     """
 
     worker: _workers.WorkerState
@@ -67,6 +70,18 @@
     free_gpu: int
     serving_cpu: int
     has_fillers: bool
+    serving_images: frozenset[str]
+    joinable: dict[tuple[str, int], bool]
+
+    def may_join(self, step: model.Step,
+                 interference: _interference.InterferenceModel) -> bool:
+        """Returns whether a filler may be added beside the serving tasks."""
+        key = (step.image, step.cpu_millis)
+        known = self.joinable.get(key)
+        if known is None:
+            known = _pacing.may_add(self.worker, interference, *key)
+            self.joinable[key] = known
+        return known
 
 
 def build_candidate(worker: _workers.WorkerState) -> Candidate:
@@ -78,7 +93,7 @@
                      entry.cpu_millis - used - load.filling,
                      entry.memory_mib - load.memory,
                      entry.accelerators - load.accelerators, load.serving,
-                     load.filling > 0)
+                     load.filling > 0, frozenset(worker.serving_images), {})
 
 
 def fits(candidate: Candidate, step: model.Step, need: Need) -> bool:
@@ -129,7 +144,7 @@
     def score(self, candidate: Candidate, step: model.Step) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.serving_cpu / capacity - compute_slowness(candidate)
-        images = candidate.worker.serving_images
+        images = candidate.serving_images
         if images:
             score += IMAGE_BONUS if step.image in images else 0.0
             score -= IMAGE_BONUS * len(images - {step.image})
@@ -198,12 +213,11 @@
         if step.spread_limit and counts.get(worker.worker_id,
                                             0) >= step.spread_limit:
             continue
-        if (step.is_filler and
-                need is not Need.DESPERATE and not _pacing.may_add(
-                    worker, interference, step.image, step.cpu_millis)):
+        if (step.is_filler and need is not Need.DESPERATE and
+                not candidate.may_join(step, interference)):
             continue
         labels = worker.entry.labels
-        is_near = ((not step.data_rack or step.data_rack in labels) and
+        is_near = ((not step.near_rack or step.near_rack in labels) and
                    (racks is None or racks == labels))
         rank = (worker.worker_id
                 != avoided, is_near, placement.score(candidate, step))
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -1,6 +1,7 @@
 """Fold of the job topic: what all daemons know of jobs, leaders and members."""
 
-from typing import NamedTuple
+import types
+from typing import Mapping, NamedTuple
 
 from gentianlead import errors
 from gentianlead import model
@@ -27,7 +28,7 @@
     since: dict[str, int]
     last_run: int = 0
     is_cancelled: bool = False
-    progress: dict[str, _records.ProgressRecord] = {}
+    progress: Mapping[str, _records.ProgressRecord] = types.MappingProxyType({})
 
     @property
     def state(self) -> model.JobState:
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -22,9 +22,7 @@
     return model.Step(count, **values)
 
 
-def build_job(job_id: str = "00000000000000aa",
-              *steps: model.Step,
-              **fields) -> model.SteppedJob:
+def build_job(job_id: str, *steps: model.Step, **fields) -> model.SteppedJob:
     """Returns a job of the group `north-1`."""
     values = {"assignment": ("north-1",), "accepted_at_ms": NOW_MS}
     values.update(fields)
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -7,6 +7,8 @@
 from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 
+JOB = "00000000000000aa"
+
 
 class OneRunTest(unittest.TestCase):
     """A task has at most one run that has not certainly ended."""
@@ -15,7 +17,7 @@
         """Guards against a second run while a cut-off worker runs on."""
         driver = builders.GroupDriver(builders.build_worker("w1"),
                                       builders.build_worker("w2"))
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         (order,) = driver.start()
         worker = driver.scheduler.workers[order.worker_id]
         worker.extend_lease(driver.now, builders.LEASE)
@@ -32,7 +34,7 @@
         driver = builders.GroupDriver()
         driver.scheduler.put_worker(builders.build_worker())
         driver.look()
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         self.assertEqual(driver.plan_starts(), [])
         driver.scheduler.note_workers_recorded(
             driver.scheduler.build_workers_record())
@@ -43,15 +45,14 @@
         driver = builders.GroupDriver(builders.build_worker("w1"))
         driver.scheduler.put_recorded_worker(builders.build_worker("w2"),
                                              driver.now)
-        old = builders.build_entry(builders.build_job(), offset=40)
+        old = builders.build_entry(builders.build_job(JOB), offset=40)
         new = builders.build_entry(builders.build_job("00000000000000bb"),
                                    offset=60)
         driver.scheduler.put_job(old)
         driver.scheduler.put_job(new)
         jobs = [order.task.job_id for order in driver.plan_starts()]
         self.assertEqual(jobs, ["00000000000000bb"])
-        row = ports.RunningTask(model.TaskKey("00000000000000aa", 0, 0, 0), 7,
-                                "", 0, None)
+        row = ports.RunningTask(model.TaskKey(JOB, 0, 0, 0), 7, "", 0, None)
         driver.look("w2", running=(row,))
         self.assertEqual(driver.plan_starts(), [])
 
@@ -61,7 +62,7 @@
         driver.scheduler.put_recorded_worker(builders.build_worker("w2"),
                                              driver.now)
         driver.scheduler.put_job(
-            builders.build_entry(builders.build_job(), offset=40))
+            builders.build_entry(builders.build_job(JOB), offset=40))
         driver.now += builders.WAIT.total_seconds() + 0.1
         driver.look("w1")
         self.assertEqual(len(driver.plan_starts()), 1)
@@ -70,9 +71,8 @@
         """Guards against a lapse that counts from before the takeover."""
         driver = builders.GroupDriver(builders.build_worker("w1"),
                                       builders.build_worker("w2"))
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
-        row = ports.RunningTask(model.TaskKey("00000000000000aa", 0, 0, 0), 7,
-                                "", 0, None)
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
+        row = ports.RunningTask(model.TaskKey(JOB, 0, 0, 0), 7, "", 0, None)
         driver.look("w1", running=(row,))
         driver.scheduler.note_no_reply("w1")
         driver.now += 1.0
@@ -82,7 +82,7 @@
     def test_lost_reply_is_resolved_by_a_stop(self):
         """Guards against a start that is carried out after a second one."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         (order,) = driver.plan_starts()
         driver.answer(order, ports.StartOutcome.UNKNOWN)
         driver.look()
@@ -102,7 +102,7 @@
     def test_look_sent_before_the_start_does_not_end_the_run(self):
         """Guards against replies of a look that overtake a start."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         driver.start()
         driver.now += 0.5
         driver.look(sent_ago=1.0)
@@ -113,7 +113,7 @@
     def test_reborn_worker_has_lost_its_runs(self):
         """Guards against waiting for a lease that no longer exists."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         (order,) = driver.start()
         driver.now += 0.2
         driver.look(born_ms=builders.BORN + 500, clock_ms=10)
@@ -123,7 +123,7 @@
     def test_ended_job_is_not_taken_up_from_an_older_record(self):
         """Guards against a second run after the topic is read back late."""
         driver = builders.GroupDriver(builders.build_worker())
-        entry = builders.build_entry(builders.build_job())
+        entry = builders.build_entry(builders.build_job(JOB))
         driver.scheduler.put_job(entry)
         (order,) = driver.start()
         driver.look(ended=(builders.build_end(order),))
@@ -137,7 +137,7 @@
     def test_stranger_of_a_running_task_is_stopped(self):
         """Guards against an order carried out late beside a newer run."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         (order,) = driver.start()
         late = builders.build_row(order)._replace(run=order.run - 1)
         driver.look(running=(builders.build_row(order), late))
@@ -151,7 +151,7 @@
     def test_steps_follow_their_dependencies(self):
         """Guards against a start before the steps that it depends on."""
         driver = builders.GroupDriver(builders.build_worker())
-        job = builders.build_job("00000000000000aa", builders.build_step(2),
+        job = builders.build_job(JOB, builders.build_step(2),
                                  builders.build_step(1, depends_on=(0,)))
         driver.scheduler.put_job(builders.build_entry(job))
         first, second = driver.start()
@@ -169,7 +169,7 @@
         """Guards against a start after the last attempt failed."""
         driver = builders.GroupDriver(builders.build_worker("w1"),
                                       builders.build_worker("w2"))
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         for attempt in range(builders.QUEUE.max_attempts):
             (order,) = driver.start()
             driver.look(order.worker_id,
@@ -187,8 +187,7 @@
                 driver = builders.GroupDriver(builders.build_worker("w1"),
                                               builders.build_worker("w2"))
                 driver.scheduler.put_job(
-                    builders.build_entry(
-                        builders.build_job("00000000000000aa", step)))
+                    builders.build_entry(builders.build_job(JOB, step)))
                 (order,) = driver.start()
                 driver.look(order.worker_id,
                             ended=(builders.build_end(order, number + 1,
@@ -198,7 +197,7 @@
     def test_progress_survives_a_change_of_leader(self):
         """Guards against tasks that run again after a takeover."""
         driver = builders.GroupDriver(builders.build_worker())
-        job = builders.build_job("00000000000000aa", builders.build_step(3))
+        job = builders.build_job(JOB, builders.build_step(3))
         entry = builders.build_entry(job)
         driver.scheduler.put_job(entry)
         orders = driver.start()
@@ -221,7 +220,7 @@
         driver = builders.GroupDriver(builders.build_worker())
         step = builders.build_step(1, has_checkpoints=True)
         driver.scheduler.put_job(
-            builders.build_entry(builders.build_job("00000000000000aa", step)))
+            builders.build_entry(builders.build_job(JOB, step)))
         (order,) = driver.start()
         end = builders.build_end(order, 1, ports.EndCause.STOPPED, "c-1")
         driver.look(ended=(end,))
@@ -232,10 +231,10 @@
         """Guards against tasks that run on after a cancellation."""
         driver = builders.GroupDriver(builders.build_worker())
         driver.scheduler.put_job(
-            builders.build_entry(
-                builders.build_job("00000000000000aa", builders.build_step(2))))
+            builders.build_entry(builders.build_job(JOB,
+                                                    builders.build_step(2))))
         orders = driver.start()
-        driver.scheduler.cancel_job("00000000000000aa")
+        driver.scheduler.cancel_job(JOB)
         self.assertEqual({stop.run for stop in driver.plan_stops()},
                          {order.run for order in orders})
         self.assertEqual(driver.plan_starts(), [])
@@ -247,8 +246,7 @@
             builders.build_worker("w2", labels=frozenset({"b", "r1"})),
             builders.build_worker("w3", service="other"))
         job = builders.build_job(
-            "00000000000000aa",
-            builders.build_step(3, spread_limit=1, required_label="b"))
+            JOB, builders.build_step(3, spread_limit=1, required_label="b"))
         driver.scheduler.put_job(builders.build_entry(job))
         self.assertEqual([order.worker_id for order in driver.plan_starts()],
                          ["w2"])
@@ -256,7 +254,7 @@
     def test_nothing_starts_while_the_domain_is_out(self):
         """Guards against starts in a domain that operators took out."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         driver.scheduler.is_evacuated = True
         self.assertEqual(driver.plan_starts(), [])
         self.assertEqual(len(driver.scheduler.list_movable()), 1)
@@ -266,13 +264,13 @@
     def test_nothing_starts_without_a_fresh_right(self):
         """Guards against starts by a leader that was replaced."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         self.assertEqual(driver.plan(may_start=False), [])
 
     def test_gang_starts_whole_or_not_at_all(self):
         """Guards against members that wait for the others in vain."""
         step = builders.build_step(3, is_gang=True, cpu_millis=4000)
-        job = builders.build_job("00000000000000aa", step)
+        job = builders.build_job(JOB, step)
         driver = builders.GroupDriver(builders.build_worker("w1"))
         driver.scheduler.put_job(builders.build_entry(job))
         self.assertEqual(driver.plan_starts(), [])
@@ -293,8 +291,7 @@
         driver = builders.GroupDriver(builders.build_worker("w1"))
         steps = (builders.build_step(8),)
         driver.scheduler.put_job(
-            builders.build_entry(builders.build_job("00000000000000aa",
-                                                    *steps)))
+            builders.build_entry(builders.build_job(JOB, *steps)))
         orders = driver.start()
         ends = tuple(
             builders.build_end(order, number + 1, ports.EndCause.FAILED)
@@ -313,7 +310,7 @@
             with self.subTest(outcome=outcome):
                 driver = builders.GroupDriver(builders.build_worker())
                 driver.scheduler.put_job(
-                    builders.build_entry(builders.build_job()))
+                    builders.build_entry(builders.build_job(JOB)))
                 (order,) = driver.plan_starts()
                 driver.answer(order, outcome)
                 self.assertEqual(driver.plan_starts(), [])
@@ -325,7 +322,7 @@
     def test_stalled_run_is_stopped(self):
         """Guards against tasks that stand still on a worker for good."""
         driver = builders.GroupDriver(builders.build_worker())
-        driver.scheduler.put_job(builders.build_entry(builders.build_job()))
+        driver.scheduler.put_job(builders.build_entry(builders.build_job(JOB)))
         (order,) = driver.start()
         for _ in range(5):
             driver.now += 1.0
--- a/src/gentianlead/model/_stepped_jobs.py
+++ b/src/gentianlead/model/_stepped_jobs.py
@@ -18,7 +18,7 @@
         is_gang: Whether the tasks work only together.
         is_rack_bound: Whether the tasks are slow on more than one rack.
         required_label: Label that the worker must have, or empty.
-        data_rack: Rack near the data, or empty.
+        near_rack: Rack that holds the data, or empty.
         spread_limit: Most tasks of the step on one worker; 0 for no limit.
         may_duplicate: Whether copies of a task may run in parallel.
         is_lasting: Whether the tasks run until the job is cancelled.
@@ -39,7 +39,7 @@
     is_gang: bool = False
     is_rack_bound: bool = False
     required_label: str = ""
-    data_rack: str = ""
+    near_rack: str = ""
     spread_limit: int = 0
     may_duplicate: bool = False
     is_lasting: bool = False
--- a/src/gentianlead/platform/_callers.py
+++ b/src/gentianlead/platform/_callers.py
@@ -51,20 +51,27 @@
         self._runners: list[web.AppRunner] = []
 
     async def start(self, caller_address: str, ready_address: str,
-                    metrics_address: str) -> None:
+                    metrics_address: str) -> list[str]:
         """Listens at all addresses.
 
+        Returns:
+            The addresses that it is bound to, in the order of the arguments.
+
         Raises:
             OSError: An address cannot be bound.
         """
-        await self._listen(caller_address, self._serve_caller)
-        await self._listen(ready_address, self._serve_ready)
+        addresses = [
+            await self._listen(caller_address, self._serve_caller), await
+            self._listen(ready_address, self._serve_ready)
+        ]
         if metrics_address:
-            await self._listen(metrics_address, self._serve_metrics)
+            addresses.append(await self._listen(metrics_address,
+                                                self._serve_metrics))
+        return addresses
 
     async def _listen(
             self, address: str,
-            handler: Callable[[web.Request], Awaitable[web.Response]]) -> None:
+            handler: Callable[[web.Request], Awaitable[web.Response]]) -> str:
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/{path:.*}", handler)
         runner = web.AppRunner(app,
@@ -76,6 +83,8 @@
         host, _, port = address.rpartition(":")
         await web.TCPSite(runner, host, int(port), backlog=512).start()
         self._runners.append(runner)
+        bound_host, bound_port = runner.addresses[0][:2]
+        return f"{bound_host}:{bound_port}"
 
     async def close(self) -> None:
         """Stops listening and waits for answers in progress."""
--- a/src/gentianlead/platform/_http.py
+++ b/src/gentianlead/platform/_http.py
@@ -47,7 +47,7 @@
         self.address = address
         self._max_connections = max_connections
         self._session: aiohttp.ClientSession | None = None
-        self._retired: set[asyncio.Task] = set()
+        self._retired: dict[aiohttp.ClientSession, asyncio.Task] = {}
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -106,19 +106,23 @@
         # Calls in progress on other connections may still be answered.
         task = asyncio.get_running_loop().create_task(
             self._close_later(session))
-        self._retired.add(task)
-        task.add_done_callback(self._retired.discard)
+        self._retired[session] = task
 
     async def _close_later(self, session: aiohttp.ClientSession) -> None:
         await asyncio.sleep(_RETIRED_SECONDS)
+        del self._retired[session]
         await session.close()
 
     async def close(self) -> None:
         """Closes all connections."""
-        for task in list(self._retired):
+        sessions = list(self._retired)
+        for task in self._retired.values():
             task.cancel()
-        session, self._session = self._session, None
-        if session is not None:
+        self._retired.clear()
+        if self._session is not None:
+            sessions.append(self._session)
+            self._session = None
+        for session in sessions:
             await session.close()
 
 
--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -95,7 +95,7 @@
         is_gang=_fields.read_flag(row, "gang"),
         is_rack_bound=_fields.read_flag(row, "same_rack"),
         required_label=_fields.read_text(row, "requires", ""),
-        data_rack=_fields.read_text(row, "data_rack", ""),
+        near_rack=_fields.read_text(row, "data_rack", ""),
         # Not a flag: the number of tasks that one worker may run.
         spread_limit=_fields.read_int(row, "anti_affinity", 0),
         may_duplicate=_fields.read_flag(row, "speculative"),
