Choose groups by room for an image; accept jobs that will be late

Watchers of one image now go to the same groups, a leader reports its room for each image of fillers, and a job is refused only behind a backlog of four times its objective. A worker whose address answers for another lifetime has certainly ended: its runs start again at once.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -102,6 +102,7 @@
         self._on_fenced = on_fenced
         self._choose_group = choose_group
         self._choose_refuge = choose_refuge
+        self._lost: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._sessions: dict[str, asyncio.Task] = {}
         self._plan_wanted = asyncio.Event()
@@ -386,6 +387,16 @@
                                 error=str(error))
                 self._give_up("a worker has a higher fence")
                 return
+            except ports.GoneError as error:
+                self._log.write("worker-gone",
+                                group=self.group,
+                                worker=worker_id,
+                                runs=len(worker.runs),
+                                error=str(error))
+                self.scheduler.apply_gone(worker_id, self._clock.monotonic())
+                self._flush_wanted.set()
+                self._plan_wanted.set()
+                return
             except errors.WorkerError as error:
                 self._note_no_reply(worker, str(error))
                 await self._clock.sleep(LOOK_RETRY)
@@ -411,6 +422,7 @@
                                         worker.acknowledged, expires_at_ms,
                                         wait, wait + LOOK_ALLOWANCE)
         self._metrics.looks.inc({"outcome": "ok"})
+        self._lost.discard(worker.worker_id)
         if not worker.is_answering:
             self._log.write("worker-reached",
                             group=self.group,
@@ -446,7 +458,9 @@
 
     def _note_no_reply(self, worker: dispatch.WorkerState, error: str) -> None:
         self._metrics.looks.inc({"outcome": "failed"})
-        if worker.is_answering or worker.reached_at is None:
+        worker_id = worker.worker_id
+        if worker.is_answering or worker_id not in self._lost:
+            self._lost.add(worker_id)
             self._log.write("worker-lost",
                             group=self.group,
                             worker=worker.worker_id,
@@ -514,7 +528,7 @@
             return True
         except ports.FenceError:
             self._give_up("a worker has a higher fence")
-        except errors.WorkerError as error:
+        except (errors.WorkerError, ports.GoneError) as error:
             self._log.write("order-failed",
                             worker=order.worker_id,
                             job=order.task.job_id,
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -1,6 +1,7 @@
 """Whether a job is accepted, and by which group."""
 
 import datetime
+import hashlib
 from typing import NamedTuple
 
 from gentianlead import model
@@ -11,18 +12,24 @@
 """Age of a group's report above which another group is preferred: several
 report intervals."""
 
-HOME_BONUS_MS = 150
-"""Waiting work that another group must be ahead by to get a job."""
+HOME_BONUS = 0.1
+"""Crowding that another group must be below to get a job: a tenth of a group's
+room is not worth the way to another domain."""
 
 RETRY_NO_GROUP = datetime.timedelta(seconds=1)
 """Delay that a caller is told when no group can take a job: a takeover takes
 about as long."""
 
+RESERVE = 0.1
+"""Part of a group's processors that lasting tasks leave to short ones, as far
+as another group has room."""
+
 MAX_RETRY = datetime.timedelta(seconds=10)
 """Longest delay that a caller is told."""
 
-LATE_FACTOR = 3.0
-"""Multiple of the objective after which a finished job is worth nothing."""
+BACKLOG_FACTOR = 4.0
+"""Multiple of a job's objective that the work ahead of it may take; up to three
+times the objective a late end still counts for the caller."""
 
 
 class GroupReport(NamedTuple):
@@ -84,21 +91,35 @@
     if job.is_lasting and len(job.steps) == 1:
         return Admission(spread_tasks(job, able))
 
-    def compute_cost(group: str) -> tuple[bool, int]:
+    def compute_cost(group: str) -> tuple[bool, float]:
         load = able[group]
         is_far = bool(near) and not near & set(load.labels)
-        bonus = HOME_BONUS_MS if group == home else 0
-        return is_far, get_waiting_ms(job, load) - bonus
+        bonus = HOME_BONUS if group == home else 0.0
+        return is_far, compute_crowding(job, load) - bonus
 
     group = min(able, key=compute_cost)
     excess = compute_excess_ms(job, able[group])
     if excess > 0:
-        return Admission((), "the group cannot finish the job in time",
+        return Admission((), "the backlog is too long",
                          min(MAX_RETRY,
                              datetime.timedelta(milliseconds=max(500, excess))))
     return Admission((group,))
 
 
+def compute_crowding(job: model.SteppedJob, load: _load.GroupLoad) -> float:
+    """Returns the demand for what a job needs against the room for it."""
+    fillers = [step for step in job.steps if step.is_filler]
+    if not fillers:
+        return load.urgent_ms / 1000 + load.firm_millis / max(
+            1, load.capacity_millis)
+    rooms = {row.image: row.millis for row in load.rooms}
+    room = min(
+        rooms.get(step.image, load.capacity_millis - load.firm_millis // 2)
+        for step in fillers)
+    widest = max(step.count * step.cpu_millis for step in fillers)
+    return (load.filling_millis + widest) / max(1, room)
+
+
 def get_waiting_ms(job: model.SteppedJob, load: _load.GroupLoad) -> int:
     """Returns how long a job waits for what is ahead of it."""
     if any(step.is_filler for step in job.steps):
@@ -107,13 +128,17 @@
 
 
 def compute_excess_ms(job: model.SteppedJob, load: _load.GroupLoad) -> int:
-    """Returns by how much a job would miss the time in which it has worth."""
+    """Returns by how much the backlog exceeds what a job may wait for.
+
+    A job that will be late is still worth its while to the caller; one that
+    waits many times its objective only takes room from the others.
+    """
     if job.is_lasting or job.is_timed:
         return 0
     chain = _runs.compute_chain_ms(job)
     objective = (job.queue.objective_factor * chain +
                  job.queue.objective_slack_ms)
-    return int(get_waiting_ms(job, load) + chain - LATE_FACTOR * objective)
+    return int(get_waiting_ms(job, load) - BACKLOG_FACTOR * objective)
 
 
 def spread_tasks(job: model.SteppedJob,
@@ -130,33 +155,35 @@
     }
     capacity = {group: load.capacity_millis for group, load in loads.items()}
     counts = dict.fromkeys(loads, 0)
-    # Reports are older than the jobs that arrive together, so that the free
-    # processors would send them all to one group; shares by capacity do not.
-    first = int.from_bytes(job.job_id.encode()[-2:], "big")
-    order = sorted(loads)
-    order = order[first % len(order):] + order[:first % len(order)]
+    # Watchers of one image go to the same groups as far as they have room, so
+    # that fillers which they would suffer from find others.
+    order = sorted(
+        loads, key=lambda group: _hash_pair(step.image or job.job_id, group))
     assignment = []
     for _ in range(step.count):
         roomy = [
-            group for group in order if free[group] >= step.cpu_millis and
+            group for group in order
+            if free[group] - step.cpu_millis >= RESERVE * capacity[group] and
             (not step.spread_limit or counts[group] < loads[group].workers *
              step.spread_limit)
         ]
-        group = min(roomy or order,
-                    key=lambda name:
-                    (counts[name] + 1) / max(1, capacity[name]))
+        group = (roomy or order)[0]
         assignment.append(group)
         counts[group] += 1
         free[group] -= step.cpu_millis
     return tuple(assignment)
 
 
+def _hash_pair(image: str, group: str) -> bytes:
+    return hashlib.blake2b(f"{image}/{group}".encode(), digest_size=8).digest()
+
+
 def choose_refuge(job: model.SteppedJob, assignment: tuple[str, ...], own: str,
                   reports: dict[str, GroupReport], now: float) -> str:
     """Returns a group for a lasting task that finds no room in its own."""
     step = job.steps[0]
     best = ""
-    best_free = 1.5 * step.cpu_millis
+    best_free = step.cpu_millis
     for group, report in reports.items():
         load = report.load
         if (group == own or not load.is_usable or
@@ -167,7 +194,6 @@
         if step.spread_limit and assignment.count(
                 group) >= load.workers * step.spread_limit:
             continue
-        free = load.capacity_millis - load.firm_millis
-        if free > best_free:
-            best, best_free = group, free
+        if load.largest_free > best_free:
+            best, best_free = group, load.largest_free
     return best
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -91,5 +91,5 @@
     def compute_load(self, now: float) -> _load.GroupLoad:
         """Returns how busy the group is."""
         return _load.compute_group_load(self.workers.values(),
-                                        self.jobs.values(), self.is_evacuated,
-                                        now)
+                                        self.jobs.values(), self.interference,
+                                        self.is_evacuated, now)
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -123,6 +123,12 @@
         if worker is not None:
             worker.is_answering = False
 
+    def apply_gone(self, worker_id: str, now: float) -> None:
+        """Ends the runs of a worker whose lifetime has certainly ended."""
+        worker = self.workers.pop(worker_id, None)
+        if worker is not None:
+            self._end_runs(worker, ports.EndCause.LAPSED, now)
+
     def apply_look(self, worker_id: str, look: ports.WorkerLook, sent_at: float,
                    now: float) -> None:
         """Applies a worker's lists."""
--- a/src/gentianlead/dispatch/_interference.py
+++ b/src/gentianlead/dispatch/_interference.py
@@ -43,6 +43,10 @@
 MIN_SHARE = 0.01
 """Share of a worker's processors below which a filler teaches nothing."""
 
+HARMFUL_RISE = 0.15
+"""Rise of a tail against its limit by one filler from which a pair is kept
+apart when a group is chosen."""
+
 CALM_PRESSURE = 0.6
 """Tail against its limit that a serving task reaches by its own load; what is
 below teaches that a filler is harmless."""
@@ -184,6 +188,15 @@
             self.get_coefficient(serving, filler) * share
             for filler, share in shares.items())
 
+    def is_harmful(self, serving: str, filler: str) -> bool:
+        """Returns whether one filler alone presses a serving task."""
+        return (self.get_coefficient(serving, filler) * REGULAR_SHARE
+                > HARMFUL_RISE)
+
+    def list_fillers(self) -> set[str]:
+        """Returns all images of fillers that were seen beside others."""
+        return {filler for _, filler in self._figures}
+
     def take_changed(self) -> list[PairFigure]:
         """Returns the figures that changed since the last call."""
         changed, self._changed = self._changed, set()
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -2,10 +2,23 @@
 
 from typing import Iterable, NamedTuple
 
+from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _workers
 
 
+class ImageRoom(NamedTuple):
+    """Room for fillers of one image.
+
+    Attributes:
+        image: Image of the fillers.
+        millis: Left-over processors of workers that they may join.
+    """
+
+    image: str
+    millis: int
+
+
 class GroupLoad(NamedTuple):
     """How busy a group is.
 
@@ -18,6 +31,10 @@
         filling_ms: Waiting work of fillers, in milliseconds of the processors
             that serving tasks leave over.
         workers: Number of usable workers.
+        largest_free: Most unreserved processors on one worker.
+        filling_millis: Processors that waiting and running fillers declare.
+        rooms: Processors that fillers find beside the serving tasks, by image
+            of the fillers that were seen.
         labels: Labels of usable workers.
     """
 
@@ -27,6 +44,9 @@
     urgent_ms: int
     filling_ms: int
     workers: int = 0
+    largest_free: int = 0
+    filling_millis: int = 0
+    rooms: tuple[ImageRoom, ...] = ()
     labels: tuple[str, ...] = ()
 
 
@@ -69,8 +89,7 @@
         if job.is_over:
             continue
         for step_run in job.steps.values():
-            if all((0, i) not in job.steps or job.steps[(0, i)].is_done
-                   for i in step_run.step.depends_on):
+            if job.is_step_ready(step_run):
                 kind = (0 if step_run.step.is_lasting else
                         2 if step_run.step.is_filler else 1)
                 waiting[kind] += len(step_run.waiting)
@@ -87,10 +106,13 @@
 
 
 def compute_group_load(workers: Iterable[_workers.WorkerState],
-                       jobs: Iterable[_runs.JobRun], is_evacuated: bool,
-                       now: float) -> GroupLoad:
+                       jobs: Iterable[_runs.JobRun],
+                       interference: _interference.InterferenceModel,
+                       is_evacuated: bool, now: float) -> GroupLoad:
     """Returns how busy the group is."""
-    capacity = firm = serving = usable = 0
+    capacity = firm = serving = usable = largest = 0
+    filling = 0
+    rooms = dict.fromkeys(interference.list_fillers(), 0)
     labels: set[str] = set()
     for worker in workers:
         if worker.can_start(now):
@@ -99,6 +121,14 @@
             capacity += worker.entry.cpu_millis
             firm += load.firm
             serving += load.serving
+            filling += load.filling
+            largest = max(largest, worker.entry.cpu_millis - load.firm)
+            left = worker.entry.cpu_millis - load.firm + load.serving // 2
+            for image in rooms:
+                if not any(
+                        interference.is_harmful(serving_image, image)
+                        for serving_image in worker.serving_images):
+                    rooms[image] += left
             labels |= worker.entry.labels
     work = {True: 0.0, False: 0.0}
     for job in jobs:
@@ -110,10 +140,14 @@
                 continue
             left = len(step_run.waiting) + 0.5 * len(step_run.active)
             if left and (step_run.key[0] == 0 or not job.job.is_timed):
+                if step.is_filler and job.is_step_ready(step_run):
+                    filling += len(step_run.waiting) * step.cpu_millis
                 work[step.is_filler] += (left * step.cpu_millis *
                                          step.estimate_ms)
     is_usable = capacity > 0 and not is_evacuated
     left_over = max(1, capacity - serving)
     return GroupLoad(is_usable, capacity, firm, int(work[False] / left_over),
                      int((work[True] + work[False]) / left_over), usable,
+                     largest, filling,
+                     tuple(ImageRoom(*row) for row in sorted(rooms.items())),
                      tuple(sorted(labels)))
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -199,9 +199,15 @@
         if self.job.is_timed and now_ms < (self.job.first_run_ms +
                                            occurrence * self.job.interval_ms):
             return False
-        return all((dependency := self.steps.get((
-            occurrence, index))) is not None and dependency.is_done
-                   for index in step_run.step.depends_on)
+        return self.is_step_ready(step_run)
+
+    def is_step_ready(self, step_run: StepRun) -> bool:
+        """Returns whether all steps that a step depends on are done."""
+        occurrence = step_run.key[0]
+        return all(
+            (occurrence, index) in self.steps and self.steps[(occurrence,
+                                                              index)].is_done
+            for index in step_run.step.depends_on)
 
     def build_progress(self, group: str, epoch: int) -> _records.ProgressRecord:
         """Returns the record of the present progress."""
--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -133,6 +133,8 @@
             raise errors.WorkerError(str(error), error.verdict) from error
         if reply.status == 200:
             return reply
+        if reply.status == _STATUS_REBORN:
+            raise ports.GoneError(f"{entry.worker_id} is another lifetime now")
         if _read_reason(reply) == "fence":
             raise ports.FenceError(f"{entry.worker_id} has a higher fence")
         raise errors.WorkerError(
--- a/src/gentianlead/ports/__init__.py
+++ b/src/gentianlead/ports/__init__.py
@@ -8,6 +8,7 @@
 from gentianlead.ports._leased_worker import EndCause
 from gentianlead.ports._leased_worker import EndedTask
 from gentianlead.ports._leased_worker import FenceError
+from gentianlead.ports._leased_worker import GoneError
 from gentianlead.ports._leased_worker import LeasedWorkerClient
 from gentianlead.ports._leased_worker import RunningTask
 from gentianlead.ports._leased_worker import StartOutcome
@@ -45,6 +46,7 @@
     "EndedTask",
     "FencedError",
     "FenceError",
+    "GoneError",
     "JobDesk",
     "KeyedBatch",
     "KeyedRecord",
--- a/src/gentianlead/ports/_leased_worker.py
+++ b/src/gentianlead/ports/_leased_worker.py
@@ -162,6 +162,12 @@
     code = errors.ErrorCode.WORKER_FAILED
 
 
+class GoneError(errors.GentianleadError):
+    """The worker's lifetime has ended; its address has another one."""
+
+    code = errors.ErrorCode.WORKER_FAILED
+
+
 class LeasedWorkerClient(abc.ABC):
     """Calls to workers; each names the address of the worker."""
 
@@ -196,6 +202,7 @@
 
         Raises:
             FenceError: The worker has seen a higher fence.
+            GoneError: The lifetime has ended, and all its runs with it.
             WorkerError: No usable reply.
         """
 
