--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -145,7 +145,7 @@
                 work[step.is_filler] += (left * step.cpu_millis *
                                          step.estimate_ms)
     is_usable = capacity > 0 and not is_evacuated
-    left_over = max(1, capacity - serving)
+    left_over = max(1, capacity - serving // 2)
     return GroupLoad(is_usable, capacity, firm, int(work[False] / left_over),
                      int((work[True] + work[False]) / left_over), usable,
                      largest, filling,
