--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -168,7 +168,7 @@
             if job is not None and ended.cause is ports.EndCause.DONE:
                 job.mark_done_elsewhere(ended.task)
             elif job is not None and ended.cause is ports.EndCause.FAILED:
-                self._count_failure(job, ended.task)
+                job.count_failure(ended.task, ended.run)
             return
         seconds = now - run.sent_at
         self.notes.append(
@@ -183,17 +183,6 @@
         if job is not None:
             job.apply_end(run, ended.cause, ended.checkpoint or run.checkpoint)
 
-    def _count_failure(self, job: _runs.JobRun, task: model.TaskKey) -> None:
-        step_run = job.get_step(task)
-        if step_run is None or task.index in step_run.done:
-            return
-        step_run.failures[task.index] = step_run.failures.get(task.index, 0) + 1
-        job.is_dirty = True
-        limit = job.job.queue.max_attempts
-        if (not step_run.step.is_lasting and
-                step_run.failures[task.index] >= limit):
-            job.set_state(model.JobState.FAILED)
-
     def _apply_running(self, worker: _workers.WorkerState,
                        row: ports.RunningTask, now: float) -> None:
         run = worker.runs.get((row.task, row.run))
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -63,6 +63,8 @@
         index: Index of the task.
         failures: Runs that failed.
         checkpoint: Newest checkpoint, or empty.
+        failed_run: Number of the last run that is counted as failed. A worker
+            lists its end until it is acknowledged, also to a new leader.
     """
 
     occurrence: int
@@ -70,6 +72,7 @@
     index: int
     failures: int
     checkpoint: str
+    failed_run: int = 0
 
 
 class ProgressRecord(NamedTuple):
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -70,6 +70,7 @@
         active: Runs by index of the task.
         done: Indexes of tasks that are done.
         failures: Failed runs by index.
+        failed_runs: Number of the last failed run by index.
         checkpoints: Newest checkpoints by index.
         avoided: Workers on which a task failed last, by index.
         stuck_since: Monotonic time since which tasks wait although no worker
@@ -77,7 +78,7 @@
     """
 
     __slots__ = ("key", "step", "waiting", "active", "done", "failures",
-                 "checkpoints", "avoided", "stuck_since")
+                 "failed_runs", "checkpoints", "avoided", "stuck_since")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -86,6 +87,7 @@
         self.active: dict[int, Run] = {}
         self.done: set[int] = set()
         self.failures: dict[int, int] = {}
+        self.failed_runs: dict[int, int] = {}
         self.checkpoints: dict[int, str] = {}
         self.avoided: dict[int, str] = {}
         self.stuck_since: float | None = None
@@ -166,6 +168,8 @@
             if fact.failures:
                 step_run.failures[fact.index] = max(
                     fact.failures, step_run.failures.get(fact.index, 0))
+                step_run.failed_runs[fact.index] = max(
+                    fact.failed_run, step_run.failed_runs.get(fact.index, 0))
             if fact.checkpoint:
                 step_run.checkpoints[fact.index] = fact.checkpoint
 
@@ -223,7 +227,8 @@
                 facts.append(
                     _records.TaskFact(occurrence, index, i,
                                       step_run.failures.get(i, 0),
-                                      step_run.checkpoints.get(i, "")))
+                                      step_run.checkpoints.get(i, ""),
+                                      step_run.failed_runs.get(i, 0)))
         return _records.ProgressRecord(self.job.job_id, group, epoch,
                                        self.state, self.last_run, tuple(done),
                                        tuple(facts))
@@ -244,16 +249,26 @@
             step_run.checkpoints[index] = checkpoint
             self.is_dirty = True
         if cause is ports.EndCause.FAILED:
-            step_run.failures[index] = step_run.failures.get(index, 0) + 1
             step_run.avoided[index] = run.worker_id
-            self.is_dirty = True
-            limit = self.job.queue.max_attempts
-            if not run.step.is_lasting and step_run.failures[index] >= limit:
-                self.set_state(model.JobState.FAILED)
+            self.count_failure(run.task, run.number)
         if (index not in step_run.active and
                 self.entry.has_task(self.group, index)):
             step_run.waiting.add(index)
 
+    def count_failure(self, task: model.TaskKey, number: int) -> None:
+        """Counts a failed run, once."""
+        step_run = self.get_step(task)
+        index = task.index
+        if (step_run is None or index in step_run.done or
+                number <= step_run.failed_runs.get(index, 0)):
+            return
+        step_run.failed_runs[index] = number
+        step_run.failures[index] = step_run.failures.get(index, 0) + 1
+        self.is_dirty = True
+        limit = self.job.queue.max_attempts
+        if not step_run.step.is_lasting and step_run.failures[index] >= limit:
+            self.set_state(model.JobState.FAILED)
+
     def mark_done_elsewhere(self, task: model.TaskKey) -> None:
         """Applies an end `done` of a run that this leader did not follow."""
         step_run = self.get_step(task)
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -179,6 +179,26 @@
         (progress,) = driver.scheduler.take_dirty()
         self.assertIs(progress.state, model.JobState.FAILED)
 
+    def test_failure_counts_once_across_leaders(self):
+        """Guards against a job given up for a failure that is listed twice."""
+        driver = builders.GroupDriver(builders.build_worker())
+        entry = builders.build_entry(builders.build_job(JOB))
+        driver.scheduler.put_job(entry)
+        (order,) = driver.start()
+        end = builders.build_end(order, 1, ports.EndCause.FAILED)
+        driver.look(ended=(end,))
+        (progress,) = driver.scheduler.take_dirty()
+        for _ in range(builders.QUEUE.max_attempts):
+            successor = builders.GroupDriver()
+            successor.scheduler.put_job(
+                entry._replace(progress={"north-1": progress}))
+            successor.add_worker(builders.build_worker())
+            successor.look(ended=(end,))
+            job = successor.scheduler.jobs[JOB]
+            progress = job.build_progress("north-1", builders.EPOCH)
+        self.assertEqual(progress.tasks[0].failures, 1)
+        self.assertFalse(progress.state.is_final)
+
     def test_lasting_task_is_started_again_however_it_ends(self):
         """Guards against watchers that stay stopped."""
         step = builders.build_step(1, is_lasting=True)
