Leave room for short tasks; move jobs that wait to groups with room

A preview earns about four times as much per core and second. A lasting job is now refused above 85 %, with a Retry-After; a job of short tasks chooses a group with room, and one of which nothing runs leaves a full group after 0.4 s. Members of other domains wait longer before they take the lead, which ends takeovers of the same group by two daemons.

--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -327,7 +327,11 @@
         now = self._clock.monotonic()
         load = leader.scheduler.compute_load(now)
         if load.is_usable and needed <= set(load.labels):
-            return ""
+            if job.job.is_lasting or not job.is_stuck(
+                    now, dispatch.WAIT_LIMIT.total_seconds()):
+                return ""
+            return dispatch.choose_roomier(job.job, own, self._desk.reports,
+                                           now)
         reports = {
             group: report
             for group, report in self._desk.reports.items()
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from gentianlead.dispatch._admission import Admission
 from gentianlead.dispatch._admission import choose_refuge
+from gentianlead.dispatch._admission import choose_roomier
 from gentianlead.dispatch._admission import decide_admission
 from gentianlead.dispatch._admission import GroupReport
 from gentianlead.dispatch._election import BEAT_INTERVAL
@@ -9,9 +10,11 @@
 from gentianlead.dispatch._election import ElectionView
 from gentianlead.dispatch._election import find_reason_to_lead
 from gentianlead.dispatch._group import GroupScheduler
+from gentianlead.dispatch._group_state import WAIT_LIMIT
 from gentianlead.dispatch._interference import InterferenceModel
 from gentianlead.dispatch._interference import PairFigure
 from gentianlead.dispatch._load import GroupLoad
+from gentianlead.dispatch._load import ImageRoom
 from gentianlead.dispatch._orders import EndNote
 from gentianlead.dispatch._orders import GroupRules
 from gentianlead.dispatch._orders import Order
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -16,11 +16,28 @@
 """Crowding that another group must be below to get a job: a tenth of a group's
 room is not worth the way to another domain."""
 
+LASTING_LIMIT = 0.85
+"""Part of all processors that may be reserved after a lasting job is accepted.
+A short job earns several times as much per processor and second, and finds no
+room at all once lasting tasks hold everything."""
+
+RETRY_LASTING = datetime.timedelta(seconds=5)
+"""Delay that the caller of a lasting job is told: lasting jobs stay for tens of
+seconds, so that one of a full site ends about that often."""
+
+ROOMIER_FACTOR = 1.5
+"""How much less crowded another group must be for fillers to go there."""
+
 RETRY_NO_GROUP = datetime.timedelta(seconds=1)
 """Delay that a caller is told when no group can take a job: a takeover takes
 about as long."""
 
-RESERVE = 0.1
+FULL_USE = 0.9
+FULL_WEIGHT = 20.0
+"""Reserved part of a group's processors above which a job of short tasks
+waits for others, and the weight of what is above it against waiting work."""
+
+RESERVE = 0.25
 """Part of a group's processors that lasting tasks leave to short ones, as far
 as another group has room."""
 
@@ -88,6 +105,9 @@
             return Admission((), "no group can run the job",
                              RETRY_NO_GROUP) if usable else Admission((home,))
         return Admission((), "no group has usable workers", RETRY_NO_GROUP)
+    if job.is_lasting and not _has_lasting_room(job, able):
+        return Admission((), "lasting tasks would crowd out short ones",
+                         RETRY_LASTING)
     if job.is_lasting and len(job.steps) == 1:
         return Admission(spread_tasks(job, able))
 
@@ -106,12 +126,22 @@
     return Admission((group,))
 
 
+def _has_lasting_room(job: model.SteppedJob,
+                      loads: dict[str, _load.GroupLoad]) -> bool:
+    capacity = sum(load.capacity_millis for load in loads.values())
+    firm = sum(load.firm_millis for load in loads.values())
+    need = sum(step.count * step.cpu_millis for step in job.steps)
+    return firm + need <= LASTING_LIMIT * capacity
+
+
 def compute_crowding(job: model.SteppedJob, load: _load.GroupLoad) -> float:
     """Returns the demand for what a job needs against the room for it."""
     fillers = [step for step in job.steps if step.is_filler]
     if not fillers:
-        return load.urgent_ms / 1000 + load.firm_millis / max(
-            1, load.capacity_millis)
+        widest = max(step.count * step.cpu_millis for step in job.steps)
+        use = (load.firm_millis + widest) / max(1, load.capacity_millis)
+        return (load.urgent_ms / 1000 + use +
+                FULL_WEIGHT * max(0.0, use - FULL_USE))
     rooms = {row.image: row.millis for row in load.rooms}
     room = min(
         rooms.get(step.image, load.capacity_millis - load.firm_millis // 2)
@@ -141,6 +171,30 @@
     return int(get_waiting_ms(job, load) - BACKLOG_FACTOR * objective)
 
 
+def choose_roomier(job: model.SteppedJob, own: str,
+                   reports: dict[str, GroupReport], now: float) -> str:
+    """Returns a group with room for a job that waits in its own, or nothing."""
+    own_report = reports.get(own)
+    if own_report is None:
+        return ""
+    others = {group: row for group, row in reports.items() if group != own}
+    admission = decide_admission(job, others, own, now)
+    if len(set(admission.assignment)) != 1:
+        return ""
+    group = admission.assignment[0]
+    if group not in others:
+        return ""
+    load = others[group].load
+    if not any(step.is_filler for step in job.steps):
+        largest = max(step.cpu_millis for step in job.steps)
+        is_ahead = (load.urgent_ms * ROOMIER_FACTOR < own_report.load.urgent_ms)
+        return group if is_ahead and load.largest_free >= largest else ""
+    if compute_crowding(job, load) * ROOMIER_FACTOR < compute_crowding(
+            job, own_report.load):
+        return group
+    return ""
+
+
 def spread_tasks(job: model.SteppedJob,
                  loads: dict[str, _load.GroupLoad]) -> tuple[str, ...]:
     """Returns the group of each task of a job with one lasting step.
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -24,6 +24,10 @@
 RANK_DELAY = datetime.timedelta(milliseconds=150)
 """Delay for each member that should take the lead first: several appends."""
 
+AWAY_DELAY = datetime.timedelta(milliseconds=500)
+"""Further delay for members of other domains while one of the group's own can
+take the lead: longer than a read, which shows that it has."""
+
 HOME_DELAY = datetime.timedelta(seconds=2)
 """Time that a member of the group's own domain has been up before it takes
 the lead back from a member of another domain."""
@@ -103,6 +107,9 @@
     if view.node not in order:
         return ""
     delay = order.index(view.node) * RANK_DELAY.total_seconds()
+    if view.members[view.node].record.domain != group and any(
+            usable[name].record.domain == group for name in order):
+        delay += AWAY_DELAY.total_seconds()
     if leader is None:
         waited = now - max(view.started_at, view.store_fresh_since)
         return "group has no leader" if waited >= delay else ""
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -27,6 +27,10 @@
 ORDER_ATTEMPTS = 2
 """Start orders without a reply before the run is stopped instead."""
 
+WAIT_LIMIT = datetime.timedelta(milliseconds=400)
+"""Time without room after which a job of which nothing runs may go to another
+group: a move takes two appends' time."""
+
 STUCK_LIMIT = datetime.timedelta(milliseconds=700)
 """Time without room after which lasting tasks go to another group."""
 
