--- a/src/gentianlead/cli/tests/test_pages.py
+++ b/src/gentianlead/cli/tests/test_pages.py
@@ -59,7 +59,7 @@
 
     def test_alert_rules_name_known_metrics(self) -> None:
         """Guards against alert rules that can never fire."""
-        rules = _read_blocks("operations.md", "yaml")[0]
+        rules = _read_blocks("OPERATIONS.md", "yaml")[0]
         names = set(re.findall(r"gentianlead_\w+", rules))
         known = {spec.name for spec in telemetry.METRIC_SPECS}
         self.assertEqual({name.removesuffix("_bucket") for name in names} -
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -187,7 +187,8 @@
     load = others[group].load
     if not any(step.is_filler for step in job.steps):
         largest = max(step.cpu_millis for step in job.steps)
-        is_ahead = (load.urgent_ms * ROOMIER_FACTOR < own_report.load.urgent_ms)
+        own_ms = own_report.load.urgent_ms
+        is_ahead = load.urgent_ms * ROOMIER_FACTOR < own_ms
         return group if is_ahead and load.largest_free >= largest else ""
     if compute_crowding(job, load) * ROOMIER_FACTOR < compute_crowding(
             job, own_report.load):
--- a/src/gentianlead/dispatch/tests/test_admission.py
+++ b/src/gentianlead/dispatch/tests/test_admission.py
@@ -26,9 +26,9 @@
 
 
 def decide(reports: dict[str, dispatch.GroupReport],
-           **step) -> dispatch.Admission:
+           **fields) -> dispatch.Admission:
     """Decides on a job of one step at a daemon of `n1`."""
-    job = builders.build_job(JOB, builders.build_step(**step), assignment=())
+    job = builders.build_job(JOB, builders.build_step(**fields), assignment=())
     return dispatch.decide_admission(job, reports, "n1", NOW)
 
 
@@ -38,40 +38,30 @@
     def test_choice(self):
         """Guards against work in a group that is full, stale or out."""
         own = build_report()
-        cases = {
-            "own group when all are alike": ({
-                "n1": own,
-                "n2": own
-            }, {}, "n1"),
-            "another one when the own is full": ({
-                "n1": build_report(firm_millis=9_900),
-                "n2": own
-            }, {}, "n2"),
-            "another one when the own is out": ({
-                "n1": build_report(is_usable=False),
-                "n2": own
-            }, {}, "n2"),
-            "another one when the report is old": ({
-                "n1": build_report(age=5.0),
-                "n2": own
-            }, {}, "n2"),
-            "the one with the label": ({
-                "n1": own,
-                "n2": build_report(labels=("b",))
-            }, {
-                "required_label": "b"
-            }, "n2"),
-            "the one with the data": ({
-                "n1": own,
-                "n2": build_report(labels=("r2",))
-            }, {
-                "near_rack": "r2"
-            }, "n2"),
-        }
-        for name, (reports, step, expected) in cases.items():
+        full = build_report(firm_millis=9_900)
+        out = build_report(is_usable=False)
+        old = build_report(age=5.0)
+        other_label = build_report(labels=("b",))
+        other_rack = build_report(labels=("r2",))
+        plain = builders.build_step()
+        labelled = builders.build_step(required_label="b")
+        near = builders.build_step(near_rack="r2")
+        cases = (
+            ("own group when all are alike", own, own, plain, "n1"),
+            ("another one when the own is full", full, own, plain, "n2"),
+            ("another one when the own is out", out, own, plain, "n2"),
+            ("another one when the report is old", old, own, plain, "n2"),
+            ("the one with the label", own, other_label, labelled, "n2"),
+            ("the one with the data", own, other_rack, near, "n2"),
+        )
+        for name, first, second, step, expected in cases:
             with self.subTest(name):
-                self.assertEqual(
-                    decide(reports, **step).assignment, (expected,))
+                job = builders.build_job(JOB, step, assignment=())
+                admission = dispatch.decide_admission(job, {
+                    "n1": first,
+                    "n2": second
+                }, "n1", NOW)
+                self.assertEqual(admission.assignment, (expected,))
 
     def test_load_of_a_burst_of_bundles(self):
         """Load pattern: bundles of an image that most watchers suffer from.
--- a/src/gentianlead/telemetry/_events.py
+++ b/src/gentianlead/telemetry/_events.py
@@ -3,7 +3,7 @@
 Numbers are grouped by area and never reused: 1xx life of the daemon, 2xx log
 and state, 3xx requests and routing, 4xx tasks and leases, 5xx configuration,
 6xx peers. An event of level `warning` or above describes a condition that an
-operator may have to act on; `docs/operations.md` gives its cause and action.
+operator may have to act on; `docs/OPERATIONS.md` gives its cause and action.
 """
 
 import contextlib
--- a/src/gentianlead/telemetry/tests/test_events.py
+++ b/src/gentianlead/telemetry/tests/test_events.py
@@ -42,7 +42,7 @@
 
     def test_every_alarm_has_cause_and_action(self) -> None:
         """Guards against an alarm that an operator cannot look up."""
-        page = (_DOCS / "operations.md").read_text(encoding="utf-8")
+        page = (_DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
         missing = [
             event.name
             for event in telemetry.Event
