--- a/src/gentianlead/tests/test_imports.py
+++ b/src/gentianlead/tests/test_imports.py
@@ -5,7 +5,7 @@
 import unittest
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
-_DECISIONS = ("errors", "leases", "membership", "model", "routing",
+_DECISIONS = ("dispatch", "errors", "leases", "membership", "model", "routing",
               "scheduling", "state")
 _IO_MODULES = frozenset({
     "aiohttp", "aiomisc", "asyncio", "http", "logbook", "os", "pathlib",
@@ -26,6 +26,11 @@
     "adapters": {"errors", "model", "ports"},
     "settings": {"errors"},
     "telemetry": set(),
+    "dispatch": {"errors", "model", "ports"},
+    "platform": {"errors", "model", "ports"},
+    "cluster": {
+        "adapters", "dispatch", "errors", "model", "peers", "platform", "ports"
+    },
     "cli": {"errors", "model"},
 }
 
