--- a/src/gentianlead/peers/tests/test_codec.py
+++ b/src/gentianlead/peers/tests/test_codec.py
@@ -37,6 +37,8 @@
         "k": "v"
     }]),
     (peers.StatusAnswer([1, None, {}]), [1, 12, 7, [1, None, {}]]),
+    (peers.GroupCall("state", b"\x90"), [1, 13, 7, "state", b"\x90"]),
+    (peers.GroupAnswer(b"\xc3"), [1, 14, 7, b"\xc3"]),
 )
 
 
