Give lasting tasks room, admit them at one daemon, order bundles by feasibility

Change: the leader of the first group admits lasting jobs and counts all that were accepted; a worker is kept free of short tasks for a lasting one; tasks leave a draining worker where another has room; watchers are packed, so that whole workers are left to bundles that disturb most images; bundles go beside watchers that they do not disturb; bundles that have begun come first, then the newest ones while some are late; own acceptances are added to the reports of groups.

--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -54,6 +54,8 @@
         self._log = log
         self._notify = notify
         self._submitting: dict[str, asyncio.Task] = {}
+        # Lasting jobs that were accepted here and not read back yet.
+        self._accepting: dict[str, model.SteppedJob] = {}
         # States that are stored but not read back yet.
         self._newer_states: dict[str, model.JobState] = {}
         self._background: set[asyncio.Task] = set()
@@ -110,17 +112,25 @@
             if relayed is not None:
                 return _read_relayed(relayed)
             return _refuse("the store gives no reply", RETRY_STORE)
+        if job.is_lasting and may_relay:
+            relayed = await self._relay_lasting(job, deadline)
+            if relayed is not None:
+                return relayed
         now = self._clock.monotonic()
-        admission = dispatch.decide_admission(job, self.reports, self._domain,
-                                              now)
+        reports = self._count_lasting() if job.is_lasting else self.reports
+        admission = dispatch.decide_admission(job, reports, self._domain, now)
         if not admission.assignment:
             return _refuse(admission.reason, admission.retry_after)
         job = job._replace(assignment=admission.assignment)
+        if job.is_lasting:
+            self._accepting[job.job_id] = job
+        self._add_to_reports(job)
         try:
             offset = await self._writer.append(
                 [dispatch.AcceptedRecord(job, self._incarnation)], deadline)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
+                self._accepting.pop(job.job_id, None)
                 return _refuse(str(error), RETRY_STORE)
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._log.write(
@@ -135,6 +145,62 @@
         self._spawn(self._notify_leader(job, offset))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
+    async def _relay_lasting(
+            self, job: model.SteppedJob,
+            deadline: datetime.timedelta) -> ports.SubmitReply | None:
+        """Asks the daemon that admits lasting jobs; None when there is none.
+
+        Lasting jobs keep what they get, so daemons that admit them side by
+        side, each by reports from before the others' jobs, would fill the
+        workers for minutes. One daemon at a time decides where possible; any
+        other one does so while that one cannot be reached.
+        """
+        leaders = self._reader.table.leaders
+        name = next(
+            (leaders[group].record.node
+             for group in sorted(leaders)
+             if leaders[group].record.incarnation == self._incarnation or
+             leaders[group].record.node in self._peering.list_reachable()), "")
+        own_name = self._incarnation.partition("#")[0]
+        if not name or name == own_name:
+            return None
+        try:
+            reply = await self._peering.call(
+                name, _reports.CALL_SUBMIT,
+                _reports.RelayedSubmission(job, _to_ms(deadline)),
+                _reports.RelayedReply, deadline)
+        except errors.RequestError as error:
+            self._log.write("relay-failed",
+                            subject=_reports.CALL_SUBMIT,
+                            job=job.job_id,
+                            peer=name,
+                            error=str(error),
+                            verdict=error.verdict.value)
+            if error.verdict is errors.Verdict.DID_NOT_RUN:
+                return None
+            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
+        return _read_relayed(reply)
+
+    def _count_lasting(self) -> dict[str, dispatch.GroupReport]:
+        """Returns the reports with all lasting jobs that were accepted."""
+        jobs = self._reader.table.jobs
+        for job_id in [job_id for job_id in self._accepting if job_id in jobs]:
+            del self._accepting[job_id]
+        entries = [(entry.job, entry.assignment)
+                   for entry in jobs.values()
+                   if entry.job.is_lasting and not entry.state.is_final]
+        entries.extend(
+            (job, job.assignment) for job in self._accepting.values())
+        return dispatch.raise_reserved(self.reports,
+                                       dispatch.compute_lasting(entries))
+
+    def _add_to_reports(self, job: model.SteppedJob) -> None:
+        for group in set(job.assignment):
+            report = self.reports.get(group)
+            if report is not None:
+                load = dispatch.add_job(report.load, job, group)
+                self.reports[group] = report._replace(load=load)
+
     def _get_report_age_ms(self, group: str) -> int | None:
         report = self.reports.get(group)
         if report is None:
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -39,6 +39,10 @@
 REPORT_INTERVAL = datetime.timedelta(milliseconds=300)
 """Time between two reports to the other daemons."""
 
+LOAD_AGE = datetime.timedelta(milliseconds=50)
+"""Age up to which the load of a group is used again: dozens of waiting jobs ask
+for it in one plan."""
+
 LOAD_LOG_INTERVAL = datetime.timedelta(seconds=1)
 """Time between two lines about the load of a group."""
 
@@ -83,7 +87,7 @@
                                      None], on_fenced: Callable[[str, str],
                                                                 None],
                  choose_group: Callable[[dispatch.JobRun], str],
-                 choose_refuge: Callable[[dispatch.JobRun], str],
+                 choose_refuge: Callable[[dispatch.JobRun], dispatch.Refuge],
                  interference: dispatch.InterferenceModel):
         self.group = group
         self.epoch = epoch
@@ -109,6 +113,8 @@
         self._flush_wanted = asyncio.Event()
         self._flushed = asyncio.Event()
         self._states: list[_reports.JobStateNotice] = []
+        self._load: dispatch.GroupLoad | None = None
+        self._load_at = 0.0
         self._reported_at = 0.0
         self._load_logged_at = 0.0
         self._beat = 1
@@ -200,6 +206,14 @@
             self.scheduler.is_evacuated = is_evacuated
             self._plan_wanted.set()
 
+    def get_load(self, now: float) -> dispatch.GroupLoad:
+        """Returns how busy the group is, at most `LOAD_AGE` ago."""
+        if (self._load is None or
+                now - self._load_at > LOAD_AGE.total_seconds()):
+            self._load = self.scheduler.compute_load(now)
+            self._load_at = now
+        return self._load
+
     # Loops.
 
     def _may_start(self) -> bool:
@@ -251,9 +265,14 @@
                 self._start_move(job, (), target)
         now = self._clock.monotonic()
         for job, indexes in self.scheduler.list_stuck(now):
-            target = self._choose_refuge(job)
-            if target and len(job.entry.assignment) > 1:
-                self._start_move(job, (indexes[0],), target)
+            refuge = self._choose_refuge(job)
+            if not refuge.group:
+                continue
+            if len(job.entry.assignment) > 1:
+                moved = tuple(indexes[:refuge.tasks])
+                self._start_move(job, moved, refuge.group)
+            elif not job.list_active():
+                self._start_move(job, (), refuge.group)
 
     def _start_move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
                     target: str) -> None:
@@ -294,8 +313,7 @@
         self._log_load(now)
         states, self._states = self._states, []
         self._on_report(
-            _reports.LeaderReport(self.group, self.epoch,
-                                  self.scheduler.compute_load(now),
+            _reports.LeaderReport(self.group, self.epoch, self.get_load(now),
                                   tuple(states),
                                   tuple(self._interference.take_changed())))
 
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -325,7 +325,7 @@
             step.required_label for step in job.job.steps if step.required_label
         }
         now = self._clock.monotonic()
-        load = leader.scheduler.compute_load(now)
+        load = leader.get_load(now)
         if load.is_usable and needed <= set(load.labels):
             if job.job.is_lasting or not job.is_stuck(
                     now, dispatch.WAIT_LIMIT.total_seconds()):
@@ -340,7 +340,7 @@
         admission = dispatch.decide_admission(job.job, reports, own, now)
         return admission.assignment[0] if admission.assignment else ""
 
-    def _choose_refuge(self, job: dispatch.JobRun) -> str:
+    def _choose_refuge(self, job: dispatch.JobRun) -> dispatch.Refuge:
         """Returns a group for a lasting task without room in its own."""
         return dispatch.choose_refuge(job.job, job.entry.assignment,
                                       job.group, self._desk.reports,
--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -1,5 +1,6 @@
 """Tests of acceptance, cancellation and states."""
 
+import asyncio
 import datetime
 import unittest
 
@@ -153,6 +154,52 @@
             errors.ErrorCode.PEER_FAILED, "gone", errors.Verdict.MAY_HAVE_RUN)
         self.assertIs((await self.submit()).outcome, UNKNOWN)
 
+    async def lead(self, node: str) -> None:
+        """Stores a leader of the group and waits until it is known."""
+        self.store.write(
+            dispatch.TOPIC,
+            dispatch.encode_record(
+                dispatch.LeaderRecord("north-1", 64, node, f"{node}#1", 1)))
+        await self.reader.wait_applied(0, DEADLINE)
+
+    def build_lasting_job(self, number: int) -> model.SteppedJob:
+        """Returns a lasting job that takes 30 % of the group."""
+        step = builders.build_step(3, is_lasting=True)
+        return builders.build_job(f"{number:016x}", step, assignment=())
+
+    async def test_burst_of_lasting_jobs(self):
+        """Load pattern: lasting jobs arrive at once, before any report.
+
+        Guards against watchers that hold all processors for minutes, as each
+        is admitted by a report from before the others.
+        """
+        await self.lead("entry-1")
+        replies = await asyncio.gather(
+            *(self.desk.submit(self.build_lasting_job(i), DEADLINE)
+              for i in range(5)))
+        accepted = [reply for reply in replies if reply.outcome is ACCEPTED]
+        self.assertEqual(len(accepted), 2)
+        self.assertGreater(replies[-1].retry_after, datetime.timedelta(0))
+
+    async def test_lasting_jobs_are_admitted_by_one_daemon(self):
+        """Guards against daemons that each admit what fits only once."""
+        await self.lead("entry-2")
+        cases = (
+            (_reports.RelayedReply("refused", "full", 5000), REFUSED),
+            (errors.RequestError(errors.ErrorCode.PEER_FAILED, "gone",
+                                 errors.Verdict.MAY_HAVE_RUN), UNKNOWN),
+            (errors.RequestError(errors.ErrorCode.PEER_FAILED,
+                                 "gone"), ACCEPTED),
+        )
+        for number, (answer, expected) in enumerate(cases):
+            with self.subTest(answer=answer):
+                self.peering.replies[_reports.CALL_SUBMIT] = answer
+                reply = await self.desk.submit(self.build_lasting_job(number),
+                                               DEADLINE)
+                self.assertIs(reply.outcome, expected)
+        self.assertIs((await self.submit()).outcome, ACCEPTED)
+        self.assertEqual(self.peering.calls, [_reports.CALL_SUBMIT] * 3)
+
     async def test_nothing_usable_is_refused_at_once(self):
         """Guards against jobs that wait where nothing can run them."""
         self.desk.apply_report(self.build_report(is_usable=False))
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -2,7 +2,7 @@
 
 import datetime
 import hashlib
-from typing import NamedTuple
+from typing import Iterable, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _load
@@ -41,13 +41,13 @@
 """Part of a group's processors that lasting tasks leave to short ones, as far
 as another group has room."""
 
-MAX_RETRY = datetime.timedelta(seconds=10)
-"""Longest delay that a caller is told."""
-
 BACKLOG_FACTOR = 4.0
 """Multiple of a job's objective that the work ahead of it may take; up to three
 times the objective a late end still counts for the caller."""
 
+MAX_RETRY = datetime.timedelta(seconds=10)
+"""Longest delay that a caller is told."""
+
 
 class GroupReport(NamedTuple):
     """Newest report of a group's leader.
@@ -134,6 +134,42 @@
     return firm + need <= LASTING_LIMIT * capacity
 
 
+def compute_lasting(
+    entries: Iterable[tuple[model.SteppedJob, tuple[str,
+                                                    ...]]]) -> dict[str, int]:
+    """Returns the processors that lasting jobs want, by group.
+
+    Args:
+        entries: Jobs that are not over, with the groups of their tasks.
+    """
+    millis: dict[str, int] = {}
+    for job, assignment in entries:
+        for step in job.steps:
+            if not step.is_lasting:
+                continue
+            share = (step.count
+                     if len(assignment) == 1 else 1) * step.cpu_millis
+            for group in assignment:
+                millis[group] = millis.get(group, 0) + share
+    return millis
+
+
+def raise_reserved(reports: dict[str, GroupReport],
+                   lasting: dict[str, int]) -> dict[str, GroupReport]:
+    """Returns reports that count lasting jobs which their leaders do not yet.
+
+    Args:
+        reports: Newest reports by group.
+        lasting: Processors that accepted lasting jobs want, by group.
+    """
+    return {
+        group:
+            report._replace(load=report.load._replace(
+                firm_millis=max(report.load.firm_millis, lasting.get(group, 0)))
+                           ) for group, report in reports.items()
+    }
+
+
 def compute_crowding(job: model.SteppedJob, load: _load.GroupLoad) -> float:
     """Returns the demand for what a job needs against the room for it."""
     fillers = [step for step in job.steps if step.is_filler]
@@ -222,7 +258,9 @@
             (not step.spread_limit or counts[group] < loads[group].workers *
              step.spread_limit)
         ]
-        group = (roomy or order)[0]
+        # Beyond the reserve all groups share alike.
+        group = (roomy[0] if roomy else max(
+            order, key=lambda name: free[name] / max(1, capacity[name])))
         assignment.append(group)
         counts[group] += 1
         free[group] -= step.cpu_millis
@@ -233,12 +271,31 @@
     return hashlib.blake2b(f"{image}/{group}".encode(), digest_size=8).digest()
 
 
+class Refuge(NamedTuple):
+    """Where lasting tasks without room go.
+
+    Attributes:
+        group: The group, or empty when none has room.
+        tasks: How many of them have room on one worker there, at least one.
+    """
+
+    group: str
+    tasks: int = 1
+
+
 def choose_refuge(job: model.SteppedJob, assignment: tuple[str, ...], own: str,
-                  reports: dict[str, GroupReport], now: float) -> str:
-    """Returns a group for a lasting task that finds no room in its own."""
+                  reports: dict[str, GroupReport], now: float) -> Refuge:
+    """Returns a group for a lasting task that finds no room in its own.
+
+    A group with room now comes first. Without one, a group where short tasks
+    can make room is taken only if the own group has no such worker.
+    """
     step = job.steps[0]
     best = ""
-    best_free = step.cpu_millis
+    best_rank = (False, 0)
+    own_report = reports.get(own)
+    may_wait = (own_report is not None and
+                own_report.load.largest_attainable >= step.cpu_millis)
     for group, report in reports.items():
         load = report.load
         if (group == own or not load.is_usable or
@@ -249,6 +306,14 @@
         if step.spread_limit and assignment.count(
                 group) >= load.workers * step.spread_limit:
             continue
-        if load.largest_free > best_free:
-            best, best_free = group, load.largest_free
-    return best
+        has_room = load.largest_free >= step.cpu_millis
+        if not has_room and (may_wait or
+                             load.largest_attainable < step.cpu_millis):
+            continue
+        rank = (has_room,
+                load.largest_free if has_room else load.largest_attainable)
+        if rank > best_rank:
+            best, best_rank = group, rank
+    if step.spread_limit:
+        return Refuge(best)
+    return Refuge(best, max(1, best_rank[1] // max(1, step.cpu_millis)))
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -47,8 +47,7 @@
         self._stops.plan(orders, now)
         if may_start:
             self._plan_repeats(orders)
-            if not self.is_evacuated:
-                self._starts.plan(orders, now, now_ms)
+            self._starts.plan(orders, now, now_ms)
         self._plan_pace(orders)
         return orders
 
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -34,6 +34,10 @@
 STUCK_LIMIT = datetime.timedelta(milliseconds=700)
 """Time without room after which lasting tasks go to another group."""
 
+RESERVED_LIMIT = datetime.timedelta(milliseconds=1800)
+"""The same for lasting tasks that short ones make room for: most short tasks
+end within that time."""
+
 
 class GroupState:
     """Jobs, workers and runs of a group, as lists and replies tell of them.
@@ -413,7 +417,8 @@
                 continue
             if step_run is None or not step_run.step.is_lasting:
                 continue
+            limit = RESERVED_LIMIT if step_run.reserved else STUCK_LIMIT
             if (step_run.waiting and step_run.stuck_since is not None and
-                    now - step_run.stuck_since >= STUCK_LIMIT.total_seconds()):
+                    now - step_run.stuck_since >= limit.total_seconds()):
                 stuck.append((job, sorted(step_run.waiting)))
         return stuck
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -2,6 +2,7 @@
 
 from typing import Iterable, NamedTuple
 
+from gentianlead import model
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _workers
@@ -28,14 +29,17 @@
         firm_millis: Reserved by runs that do not fill.
         urgent_ms: Waiting work of tasks that fillers give way to, in
             milliseconds of all usable processors.
-        filling_ms: Waiting work of fillers, in milliseconds of the processors
-            that serving tasks leave over.
+        filling_ms: Waiting work of fillers, in milliseconds of `left_over`.
         workers: Number of usable workers.
         largest_free: Most unreserved processors on one worker.
+        largest_attainable: Most processors on one worker that no lasting task
+            has: room for another one once short tasks have ended.
         filling_millis: Processors that waiting and running fillers declare.
         rooms: Processors that fillers find beside the serving tasks, by image
             of the fillers that were seen.
         labels: Labels of usable workers.
+        left_over: Processors that serving tasks leave to fillers, in
+            thousandths.
     """
 
     is_usable: bool
@@ -45,9 +49,11 @@
     filling_ms: int
     workers: int = 0
     largest_free: int = 0
+    largest_attainable: int = 0
     filling_millis: int = 0
     rooms: tuple[ImageRoom, ...] = ()
     labels: tuple[str, ...] = ()
+    left_over: int = 0
 
 
 class GroupSummary(NamedTuple):
@@ -110,7 +116,7 @@
                        interference: _interference.InterferenceModel,
                        is_evacuated: bool, now: float) -> GroupLoad:
     """Returns how busy the group is."""
-    capacity = firm = serving = usable = largest = 0
+    capacity = firm = serving = usable = largest = attainable = 0
     filling = 0
     rooms = dict.fromkeys(interference.list_fillers(), 0)
     labels: set[str] = set()
@@ -123,6 +129,7 @@
             serving += load.serving
             filling += load.filling
             largest = max(largest, worker.entry.cpu_millis - load.firm)
+            attainable = max(attainable, worker.entry.cpu_millis - load.lasting)
             left = worker.entry.cpu_millis - load.firm + load.serving // 2
             for image in rooms:
                 if not any(
@@ -148,6 +155,35 @@
     left_over = max(1, capacity - serving // 2)
     return GroupLoad(is_usable, capacity, firm, int(work[False] / left_over),
                      int((work[True] + work[False]) / left_over), usable,
-                     largest, filling,
+                     largest, attainable, filling,
                      tuple(ImageRoom(*row) for row in sorted(rooms.items())),
-                     tuple(sorted(labels)))
+                     tuple(sorted(labels)), left_over)
+
+
+def add_job(load: GroupLoad, job: model.SteppedJob, group: str) -> GroupLoad:
+    """Returns the load of a group that also has a job just given to it.
+
+    Until the leader's next report, the other jobs of a burst would all go to
+    the group that was the least busy before it.
+    """
+    firm = load.firm_millis
+    urgent = filling = 0.0
+    filling_millis = load.filling_millis
+    for step in job.steps:
+        count = step.count
+        if len(job.assignment) > 1:
+            count = job.assignment.count(group)
+        millis = count * step.cpu_millis
+        if step.is_lasting:
+            firm += millis
+        elif step.is_filler:
+            filling += millis * step.estimate_ms
+            filling_millis += millis
+        else:
+            urgent += millis * step.estimate_ms
+    urgent_ms = int(urgent / max(1, load.left_over))
+    filling_ms = int(filling / max(1, load.left_over))
+    return load._replace(firm_millis=firm,
+                         urgent_ms=load.urgent_ms + urgent_ms,
+                         filling_ms=load.filling_ms + filling_ms + urgent_ms,
+                         filling_millis=filling_millis)
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -20,16 +20,33 @@
 """Score of a worker with serving tasks for a short task, against a whole free
 worker: such a worker is taken unless it is nearly full."""
 
+SHARED_BONUS = 1.0
+"""Score of a worker with serving tasks for another one, against a whole free
+worker: workers without serving tasks are the only place for bundles that
+disturb most images, and run any bundle at full speed."""
+
 IMAGE_BONUS = 1.0
-"""Score of a worker that serves the same image, and loss for each other one:
-as much as a whole worker."""
+"""Score of a worker that serves the same image."""
+
+IMAGE_MALUS = 0.3
+"""Score that a worker loses for each other image that it serves: the fewer
+images, the more bundles may join."""
 
 FILLER_MALUS = 0.1
 """Score that a worker loses for fillers when a serving task is placed."""
 
 SHARING_MALUS = 1.0
-"""Score that a worker loses for serving tasks when a filler is placed: as much
-as all of its processors, so that any other worker with room is taken."""
+"""Score that a worker loses for serving tasks when a filler is placed that they
+suffer from, or may suffer from: as much as all of its processors, so that any
+other worker with room is taken."""
+
+HARMLESS_BONUS = 0.5
+"""Score of a worker whose serving tasks a filler does not disturb: a worker
+without any is left to the fillers that need it."""
+
+HARMLESS_RISE = 0.15
+"""Predicted rise of a tail against its limit up to which a filler counts as
+harmless: within the swing of the tail by its own load."""
 
 SLOW_PENALTY = 4.0
 """Weight of a worker's slowness against free room in the score."""
@@ -54,6 +71,7 @@
         worker: The worker.
         free_cpu: Unreserved processors in thousandths.
         spare_cpu: Processors that fillers can use, in thousandths.
+        attainable_cpu: Processors that no lasting task has, in thousandths.
         free_memory: Memory in MiB.
         free_gpu: Accelerators.
         serving_cpu: Reserved by serving tasks, in thousandths.
@@ -66,6 +84,7 @@
     worker: _workers.WorkerState
     free_cpu: int
     spare_cpu: int
+    attainable_cpu: int
     free_memory: int
     free_gpu: int
     serving_cpu: int
@@ -90,7 +109,8 @@
     load = worker.compute_load()
     used = load.firm - load.serving + int(SERVING_USE * load.serving)
     return Candidate(worker, entry.cpu_millis - load.firm,
-                     entry.cpu_millis - used - load.filling,
+                     entry.cpu_millis - used - load.filling_use,
+                     entry.cpu_millis - load.lasting,
                      entry.memory_mib - load.memory,
                      entry.accelerators - load.accelerators, load.serving,
                      load.filling > 0, frozenset(worker.serving_images), {})
@@ -111,11 +131,41 @@
     return candidate.free_cpu >= step.cpu_millis
 
 
+def take_part(candidate: Candidate, step: model.Step) -> Candidate:
+    """Returns a worker with what it has left beside one more task."""
+    firm = 0 if step.is_filler else step.cpu_millis
+    return candidate._replace(free_cpu=candidate.free_cpu - firm,
+                              spare_cpu=candidate.spare_cpu - step.cpu_millis,
+                              free_memory=candidate.free_memory -
+                              step.memory_mib,
+                              free_gpu=candidate.free_gpu - step.accelerators)
+
+
+def may_fit_later(candidate: Candidate, step: model.Step,
+                  counts: dict[str, int]) -> bool:
+    """Returns whether a lasting task has room once all short tasks have ended.
+
+    Args:
+        candidate: The worker.
+        step: Shape of the task.
+        counts: Tasks of the step by worker, for its spread limit.
+    """
+    entry = candidate.worker.entry
+    if step.required_label and step.required_label not in entry.labels:
+        return False
+    if step.spread_limit and counts.get(entry.worker_id,
+                                        0) >= step.spread_limit:
+        return False
+    return (step.cpu_millis <= candidate.attainable_cpu and
+            step.memory_mib <= entry.memory_mib)
+
+
 class TaskPlacement(abc.ABC):
     """Ranks the workers that have room for a task."""
 
     @abc.abstractmethod
-    def score(self, candidate: Candidate, step: model.Step) -> float:
+    def score(self, candidate: Candidate, step: model.Step,
+              interference: _interference.InterferenceModel) -> float:
         """Returns a score; the highest one is chosen."""
 
 
@@ -126,7 +176,8 @@
     takes nothing from anybody.
     """
 
-    def score(self, candidate: Candidate, step: model.Step) -> float:
+    def score(self, candidate: Candidate, step: model.Step,
+              interference: _interference.InterferenceModel) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.free_cpu / capacity - compute_slowness(candidate)
         if candidate.serving_cpu:
@@ -135,34 +186,48 @@
 
 
 class ServingPlacement(TaskPlacement):
-    """Fills workers that serve the same image already.
+    """Fills workers that serve already, first those with the same image.
 
     A filler may run beside serving tasks only if it disturbs none of their
-    images, so each worker should have few of them.
+    images, so each worker should have few of them, and some workers none.
     """
 
-    def score(self, candidate: Candidate, step: model.Step) -> float:
+    def score(self, candidate: Candidate, step: model.Step,
+              interference: _interference.InterferenceModel) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.serving_cpu / capacity - compute_slowness(candidate)
         images = candidate.serving_images
         if images:
+            score += SHARED_BONUS
             score += IMAGE_BONUS if step.image in images else 0.0
-            score -= IMAGE_BONUS * len(images - {step.image})
+            score -= IMAGE_MALUS * len(images - {step.image})
         if candidate.has_fillers:
             score -= FILLER_MALUS
         return score
 
 
 class FillerPlacement(TaskPlacement):
-    """Chooses most spare processors, away from serving tasks."""
+    """Chooses harmless company first, then workers without serving tasks."""
 
-    def score(self, candidate: Candidate, step: model.Step) -> float:
+    def score(self, candidate: Candidate, step: model.Step,
+              interference: _interference.InterferenceModel) -> float:
         capacity = max(1, candidate.worker.entry.cpu_millis)
         score = candidate.spare_cpu / capacity - compute_slowness(candidate)
-        if candidate.serving_cpu:
-            score -= SHARING_MALUS
-            score -= max(candidate.worker.pressures.values(), default=0.0)
-        return score
+        if not candidate.serving_cpu:
+            return score
+        if _is_harmless(candidate, step, interference):
+            return score + HARMLESS_BONUS
+        score -= SHARING_MALUS
+        return score - max(candidate.worker.pressures.values(), default=0.0)
+
+
+def _is_harmless(candidate: Candidate, step: model.Step,
+                 interference: _interference.InterferenceModel) -> bool:
+    share = step.cpu_millis / max(1, candidate.worker.entry.cpu_millis)
+    return all(
+        interference.is_tried(serving, step.image) and
+        interference.predict(serving, {step.image: share}) <= HARMLESS_RISE
+        for serving in candidate.serving_images)
 
 
 def compute_slowness(candidate: Candidate) -> float:
@@ -219,8 +284,8 @@
         labels = worker.entry.labels
         is_near = ((not step.near_rack or step.near_rack in labels) and
                    (racks is None or racks == labels))
-        rank = (worker.worker_id
-                != avoided, is_near, placement.score(candidate, step))
+        rank = (worker.worker_id != avoided, is_near,
+                placement.score(candidate, step, interference))
         if best_rank is None or rank > best_rank:
             best, best_rank = candidate, rank
     return best
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -75,10 +75,13 @@
         avoided: Workers on which a task failed last, by index.
         stuck_since: Monotonic time since which tasks wait although no worker
             has room; None if they do not.
+        reserved: Worker that short tasks leave to a lasting one of this step,
+            or empty.
     """
 
     __slots__ = ("key", "step", "waiting", "active", "done", "failures",
-                 "failed_runs", "checkpoints", "avoided", "stuck_since")
+                 "failed_runs", "checkpoints", "avoided", "stuck_since",
+                 "reserved")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -91,12 +94,29 @@
         self.checkpoints: dict[int, str] = {}
         self.avoided: dict[int, str] = {}
         self.stuck_since: float | None = None
+        self.reserved = ""
 
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
         return len(self.done) == self.step.count
 
+    def count_by_worker(self) -> dict[str, int]:
+        """Returns the number of runs by worker."""
+        counts: dict[str, int] = {}
+        for run in self.active.values():
+            counts[run.worker_id] = counts.get(run.worker_id, 0) + 1
+        return counts
+
+    def compute_left_ms(self) -> float:
+        """Returns how long the tasks that are not done take side by side."""
+        if self.is_done:
+            return 0.0
+        if self.waiting:
+            return float(self.step.estimate_ms)
+        slowest = min((run.percent for run in self.active.values()), default=0)
+        return self.step.estimate_ms * (100 - slowest) / 100
+
 
 class JobRun:
     """A job that this leader runs.
@@ -211,6 +231,32 @@
             return False
         return self.is_step_ready(step_run)
 
+    def compute_left_ms(self, occurrence: int) -> float:
+        """Returns how long an occurrence takes from now on, with room at once.
+        """
+        lengths: list[float] = []
+        for index, step in enumerate(self.job.steps):
+            before = max((lengths[i] for i in step.depends_on), default=0.0)
+            lengths.append(before +
+                           self.steps[occurrence, index].compute_left_ms())
+        return max(lengths)
+
+    def compute_deadline_ms(self, occurrence: int) -> int:
+        """Returns when the objective wants an occurrence done."""
+        return self.deadline_ms + occurrence * self.job.interval_ms
+
+    def compute_begin_ms(self, occurrence: int) -> int:
+        """Returns the time from which the objective of an occurrence counts."""
+        return (max(self.job.accepted_at_ms, self.job.first_run_ms) +
+                occurrence * self.job.interval_ms)
+
+    def has_begun(self, occurrence: int) -> bool:
+        """Returns whether a task of an occurrence runs or is done."""
+        return any(
+            bool(self.steps[occurrence, index].active or self.steps[occurrence,
+                                                                    index].done)
+            for index in range(len(self.job.steps)))
+
     def is_step_ready(self, step_run: StepRun) -> bool:
         """Returns whether all steps that a step depends on are done."""
         occurrence = step_run.key[0]
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -4,6 +4,7 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _order
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
@@ -15,6 +16,14 @@
 """Times without room after which one filler of a job of which nothing runs is
 placed without spare processors, and at last beside tasks that it disturbs."""
 
+BUSY_DESPERATE_LIMIT = datetime.timedelta(seconds=30)
+"""The second of these times in a group that is mostly reserved: a filler that
+its neighbours suffer from is slowed to a standstill there, so that it only does
+harm."""
+
+BUSY_SHARE = 0.6
+"""Reserved part of a group's processors from which it counts as busy."""
+
 PLAN_MISSES = 24
 """Steps without room after which a planning pass ends."""
 
@@ -27,6 +36,9 @@
         # Shapes of fillers without room in this pass: least processors by
         # service and image.
         self._missed: dict[tuple[str, str], int] = {}
+        # Workers on which short tasks make room for a lasting one.
+        self._reserved: set[str] = set()
+        self._is_busy = False
 
     def plan(self, orders: list[_orders.Order], now: float,
              now_ms: int) -> None:
@@ -34,21 +46,64 @@
         candidates = {
             worker.worker_id: _placement.build_candidate(worker)
             for worker in self._state.workers.values()
-            if worker.can_start(now)
+            if worker.can_start(now) and not self._state.is_evacuated
         }
         if not candidates:
+            self._mark_stuck(now, now_ms)
             return
+        capacity = sum(
+            row.worker.entry.cpu_millis for row in candidates.values())
+        free = sum(row.free_cpu for row in candidates.values())
+        self._is_busy = capacity - free >= BUSY_SHARE * capacity
         misses = 0
         self._missed.clear()
+        self._reserved.clear()
         for job, step_run in self._list_startable(now_ms):
             if misses >= PLAN_MISSES:
                 break
             if self._start_step(job, step_run, candidates, orders, now):
                 step_run.stuck_since = None
+                step_run.reserved = ""
                 continue
             misses += 1
             if step_run.stuck_since is None:
                 step_run.stuck_since = now
+            if step_run.step.is_lasting:
+                self._reserve_worker(job, step_run, candidates)
+
+    def _mark_stuck(self, now: float, now_ms: int) -> None:
+        """Notes that no task finds a worker, so that other groups get them."""
+        for _, step_run in self._list_startable(now_ms):
+            step_run.reserved = ""
+            if step_run.stuck_since is None:
+                step_run.stuck_since = now
+
+    def _reserve_worker(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                        candidates: dict[str, _placement.Candidate]) -> None:
+        """Keeps short tasks off a worker until a lasting task fits there.
+
+        Short tasks of a full group would take each processor as it becomes
+        free, and a lasting task that is wider than they are would never fit.
+        """
+        service = self._find_service(job)
+        counts = step_run.count_by_worker()
+        rows = [
+            row for row in candidates.values()
+            if row.worker.entry.service == service and
+            row.worker.worker_id not in self._reserved and
+            _placement.may_fit_later(row, step_run.step, counts)
+        ]
+        if not rows:
+            step_run.reserved = ""
+            return
+        best = max(rows, key=lambda row: (row.free_cpu, row.worker.worker_id))
+        step_run.reserved = best.worker.worker_id
+        self._reserved.add(best.worker.worker_id)
+
+    def _find_service(self, job: _runs.JobRun) -> str:
+        queue = job.job.queue
+        return self._state.queues.get((queue.host, queue.path_prefix),
+                                      queue).service
 
     def _list_startable(
             self, now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
@@ -59,29 +114,22 @@
                 continue
             for step_run in job.steps.values():
                 if step_run.waiting and job.is_step_due(step_run, now_ms):
-                    step = step_run.step
-                    kind = 0 if step.is_lasting else 2 if step.is_filler else 1
-                    rank = (kind, job.deadline_ms < now_ms, job.deadline_ms,
-                            job.job.job_id, step_run.key)
-                    rows.append((rank, job, step_run))
-        rows.sort(key=lambda row: row[0])
-        return [(job, step_run) for _, job, step_run in rows]
+                    rows.append((job, step_run))
+        return _order.sort_steps(rows, now_ms)
 
     def _start_step(self, job: _runs.JobRun, step_run: _runs.StepRun,
                     candidates: dict[str, _placement.Candidate],
                     orders: list[_orders.Order], now: float) -> bool:
         """Starts what fits of a step; returns whether all tasks started."""
         step = step_run.step
-        queue = job.job.queue
-        service = self._state.queues.get((queue.host, queue.path_prefix),
-                                         queue).service
+        service = self._find_service(job)
+        is_short = not step.is_lasting and not step.is_filler
         rows = [
             candidate for candidate in candidates.values()
-            if candidate.worker.entry.service == service
+            if candidate.worker.entry.service == service and
+            not (is_short and candidate.worker.worker_id in self._reserved)
         ]
-        counts: dict[str, int] = {}
-        for run in step_run.active.values():
-            counts[run.worker_id] = counts.get(run.worker_id, 0) + 1
+        counts = step_run.count_by_worker()
         racks = self._find_rack(step_run)
         if step.is_gang:
             return self._start_gang(job, step_run, rows, counts, candidates,
@@ -120,7 +168,8 @@
         if step_run.stuck_since is None or job.list_active():
             return _placement.Need.NORMAL
         waited = now - step_run.stuck_since
-        if waited >= DESPERATE_LIMIT.total_seconds():
+        limit = BUSY_DESPERATE_LIMIT if self._is_busy else DESPERATE_LIMIT
+        if waited >= limit.total_seconds():
             return _placement.Need.DESPERATE
         if waited >= STARVING_LIMIT.total_seconds():
             return _placement.Need.STARVING
@@ -148,11 +197,7 @@
             if step.is_rack_bound:
                 racks = worker.entry.labels
             counts[worker.worker_id] = counts.get(worker.worker_id, 0) + 1
-            left[worker.worker_id] = row._replace(
-                free_cpu=row.free_cpu - step.cpu_millis,
-                spare_cpu=row.spare_cpu - step.cpu_millis,
-                free_memory=row.free_memory - step.memory_mib,
-                free_gpu=row.free_gpu - step.accelerators)
+            left[worker.worker_id] = _placement.take_part(row, step)
         number = self._take_run(job)
         for index, worker in enumerate(chosen):
             self._start_task(job, step_run, index, worker, number, orders, now)
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -5,7 +5,6 @@
 from gentianlead import model
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _orders
-from gentianlead.dispatch import _pacing
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
 
@@ -25,15 +24,25 @@
 """Pace in percent at and below which a filler with checkpoints goes on
 elsewhere, if a worker has room."""
 
+RESTART_PACE = 15
+RESTART_PERCENT = 30
+"""Pace and progress in percent at and below which a filler without checkpoints
+starts anew elsewhere: at a seventh of its speed the rest takes longer than the
+whole task does at full speed."""
+
 
 class StopPlanner:
     """Plans the stops of a group."""
 
     def __init__(self, state: _group_state.GroupState):
         self._state = state
+        # Workers that may get starts, less what this pass sends there; built
+        # when the first run needs one.
+        self._candidates: dict[str, _placement.Candidate] | None = None
 
     def plan(self, orders: list[_orders.Order], now: float) -> None:
         """Adds the stop orders that are due."""
+        self._candidates = None
         for worker in self._state.workers.values():
             for run in worker.runs.values():
                 reason = self._find_stop_reason(run, now)
@@ -74,24 +83,49 @@
             return "task is done"
         if self._is_stalled(run, now):
             return "no progress"
-        if self._should_leave(run, now):
+        if run.phase is not _runs.RunPhase.RUNNING:
+            return ""
+        if self._is_on_leaving_worker(run) and self._take_room(run, now):
+            return "worker is leaving"
+        if _is_held_back(run) and self._take_room(run, now):
             return "disturbs serving tasks"
         return ""
 
-    def _should_leave(self, run: _runs.Run, now: float) -> bool:
-        """Returns whether a slowed filler can go on elsewhere."""
-        step = run.step
-        if (not step.is_filler or not step.has_checkpoints or
-                run.phase is not _runs.RunPhase.RUNNING or
-                not 0 <= run.pace <= LEAVE_PACE):
+    def _is_on_leaving_worker(self, run: _runs.Run) -> bool:
+        """Returns whether a run ends with its worker unless it is moved."""
+        entry = self._state.workers[run.worker_id].entry
+        if not entry.is_draining:
+            return False
+        if run.step.is_lasting:
+            return True
+        if not run.step.has_checkpoints:
+            return False
+        left_ms = run.step.estimate_ms * (100 - run.percent) / 100
+        return left_ms > (entry.leaves_in_ms or 0)
+
+    def _take_room(self, run: _runs.Run, now: float) -> bool:
+        """Returns whether another worker has room for a run, and takes it."""
+        if self._candidates is None:
+            self._candidates = {
+                worker.worker_id: _placement.build_candidate(worker)
+                for worker in self._state.workers.values()
+                if worker.can_start(now)
+            }
+        job = self._state.jobs[run.task.job_id]
+        step_run = job.get_step(run.task)
+        rows = [
+            row for row in self._candidates.values()
+            if row.worker.worker_id != run.worker_id and row.worker.entry.
+            service == self._state.workers[run.worker_id].entry.service
+        ]
+        chosen = _placement.choose_worker(rows, run.step, "",
+                                          step_run.count_by_worker(), None,
+                                          self._state.interference)
+        if chosen is None:
             return False
-        return any(
-            worker.worker_id != run.worker_id and worker.can_start(now) and
-            _placement.fits(_placement.build_candidate(worker), step,
-                            _placement.Need.NORMAL) and
-            _pacing.may_add(worker, self._state.interference, step.image,
-                            step.cpu_millis)
-            for worker in self._state.workers.values())
+        self._candidates[chosen.worker.worker_id] = _placement.take_part(
+            chosen, run.step)
+        return True
 
     def _is_stalled(self, run: _runs.Run, now: float) -> bool:
         if run.phase is not _runs.RunPhase.RUNNING or run.pace != 100:
@@ -106,3 +140,12 @@
         limit = max(STALL_MIN.total_seconds(),
                     STALL_FACTOR * run.step.estimate_ms / 1000)
         return idle > limit and run.percent < 100
+
+
+def _is_held_back(run: _runs.Run) -> bool:
+    """Returns whether a slowed filler would be done sooner elsewhere."""
+    if not run.step.is_filler or run.pace < 0:
+        return False
+    if run.step.has_checkpoints:
+        return run.pace <= LEAVE_PACE
+    return run.pace <= RESTART_PACE and run.percent <= RESTART_PERCENT
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -44,14 +44,18 @@
     Attributes:
         firm: Processors of all runs but fillers, in thousandths.
         serving: The part of `firm` that serving tasks have.
-        filling: Processors of fillers, in thousandths.
+        lasting: The part of `firm` that lasting tasks have.
+        filling: Processors that fillers declare, in thousandths.
+        filling_use: Processors that fillers use at their present pace.
         memory: Memory in MiB.
         accelerators: Accelerators.
     """
 
     firm: int
     serving: int
+    lasting: int
     filling: int
+    filling_use: int
     memory: int
     accelerators: int
 
@@ -195,15 +199,20 @@
 
     def compute_load(self) -> Load:
         """Returns what the runs take up."""
-        firm = serving = filling = memory = accelerators = 0
+        firm = serving = lasting = filling = memory = accelerators = 0
+        filling_use = 0
         for run in self.runs.values():
             step = run.step
             memory += step.memory_mib
             accelerators += step.accelerators
             if step.is_filler:
                 filling += step.cpu_millis
+                filling_use += step.cpu_millis * self.get_pace(run) // 100
                 continue
             firm += step.cpu_millis
+            if step.is_lasting:
+                lasting += step.cpu_millis
             if step.tail_limit_ms:
                 serving += step.cpu_millis
-        return Load(firm, serving, filling, memory, accelerators)
+        return Load(firm, serving, lasting, filling, filling_use, memory,
+                    accelerators)
--- a/src/gentianlead/dispatch/tests/test_admission.py
+++ b/src/gentianlead/dispatch/tests/test_admission.py
@@ -106,6 +106,36 @@
                         spread_limit=1)
         self.assertEqual(len(set(spread.assignment)), 2)
 
+    def test_watchers_beyond_the_reserve_share_all_groups(self):
+        """Load pattern: watchers arrive when each group is nearly full.
+
+        Guards against a single group that gets more than it has.
+        """
+        reports = {
+            name: build_report(capacity_millis=90_000, firm_millis=firm)
+            for name, firm in (("n1", 70_000), ("n2", 68_000), ("n3", 68_000))
+        }
+        admission = decide(reports, count=6, is_lasting=True, image="x")
+        counts = {name: admission.assignment.count(name) for name in reports}
+        self.assertEqual(counts["n1"], 1)
+        self.assertEqual(sorted(counts.values()), [1, 2, 3])
+
+    def test_burst_before_the_next_report(self):
+        """Load pattern: bundles arrive at once, between two reports.
+
+        Guards against all of them in the group that was the least busy.
+        """
+        load = build_report(left_over=5_000).load
+        step = builders.build_step(4, is_filler=True, estimate_ms=3000)
+        job = builders.build_job(JOB, step, assignment=("n1",))
+        added = dispatch.add_job(load, job, "n1")
+        self.assertEqual(added.filling_ms - load.filling_ms, 2400)
+        self.assertEqual(added.filling_millis, 4_000)
+        watcher = job._replace(steps=(builders.build_step(4, is_lasting=True),),
+                               assignment=("n1", "n2", "n1", "n2"))
+        self.assertEqual(
+            dispatch.add_job(load, watcher, "n1").firm_millis, 2_000)
+
 
 class RefusalTest(unittest.TestCase):
     """When a job is refused."""
--- a/src/gentianlead/dispatch/tests/test_interference.py
+++ b/src/gentianlead/dispatch/tests/test_interference.py
@@ -139,3 +139,52 @@
         self.driver.scheduler.put_job(builders.build_entry(other))
         (apart,) = self.driver.start()
         self.assertEqual((same.worker_id, apart.worker_id), ("w1", "w2"))
+
+    def test_watchers_leave_whole_workers_to_bundles(self):
+        """Load pattern: watchers hold most of a site, bundles disturb them.
+
+        Guards against watchers on every worker, which leave bundles that
+        disturb most images no place at all.
+        """
+        self.driver.add_worker(builders.build_worker("w2"))
+        self._look(20, [], 0)
+        other = builders.build_job("00000000000000ef",
+                                   SERVING._replace(image="other"))
+        self.driver.scheduler.put_job(builders.build_entry(other))
+        (order,) = self.driver.start()
+        self.assertEqual(order.worker_id, "w1")
+
+    def test_harmless_bundles_go_beside_watchers(self):
+        """Load pattern: bundles of harmless and of harmful images at once.
+
+        Guards against harmless ones on the only worker that the others have.
+        """
+        self.driver.add_worker(builders.build_worker("w2"))
+        self.driver.model.merge([
+            dispatch.PairFigure("watch", "bundle", 0.2, 9.0),
+            dispatch.PairFigure("watch", "harmful", 20.0, 9.0)
+        ])
+        self._look(20, [], 0)
+        (harmless,) = self._add_bundle()
+        job = builders.build_job("00000000000000ef",
+                                 FILLER._replace(image="harmful"))
+        self.driver.scheduler.put_job(builders.build_entry(job))
+        (harmful,) = self.driver.start()
+        self.assertEqual((harmless.worker_id, harmful.worker_id), ("w1", "w2"))
+
+    def test_harmful_bundle_waits_in_a_busy_group(self):
+        """Load pattern: all workers full of watchers, a harmful bundle waits.
+
+        Guards against a bundle that is slowed to a standstill beside watchers
+        which it disturbs.
+        """
+        self.driver.scheduler.put_worker(builders.build_worker(cpu_millis=6000))
+        self.driver.model.merge(
+            [dispatch.PairFigure("watch", "bundle", 20.0, 9.0)])
+        for seconds, expected in ((0, 0), (10, 0), (15, 0), (6, 1)):
+            with self.subTest(seconds=seconds):
+                self.driver.now += seconds
+                self._look(20, [], 0)
+                orders = self._add_bundle() if not seconds else (
+                    self.driver.start())
+                self.assertEqual(len(orders), expected)
