--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -50,6 +50,10 @@
 """Longest wait for the reply to an order; a calm worker in another domain
 answers within 10 ms."""
 
+PERMIT_TIMEOUT = datetime.timedelta(seconds=4)
+"""Longest wait for permits: the service takes its time for each worker that is
+named, and for the calls before this one."""
+
 LOOK_ALLOWANCE = datetime.timedelta(milliseconds=700)
 """Time for the reply to a look beyond its wait."""
 
@@ -80,7 +84,8 @@
 
     def __init__(self, group: str, epoch: int, epoch_offset: int,
                  rules: dispatch.GroupRules, identity: tuple[str, str],
-                 workers: ports.LeasedWorkerClient, writer: _topic.TopicWriter,
+                 workers: ports.LeasedWorkerClient,
+                 permits: ports.PermitService, writer: _topic.TopicWriter,
                  clock: ports.Clock, log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics,
                  on_report: Callable[[_reports.LeaderReport],
@@ -98,6 +103,7 @@
         self._lease = rules.lease
         self._node, self._incarnation = identity
         self._workers = workers
+        self._permits = permits
         self._writer = writer
         self._clock = clock
         self._log = log
@@ -247,6 +253,8 @@
                 self._spawn(self._send_start(order))
             elif isinstance(order, dispatch.StopOrder):
                 self._spawn(self._send_stop(order))
+            elif isinstance(order, dispatch.PermitRequest):
+                self._spawn(self._request_permits(order))
             else:
                 self._spawn(self._send_pace(order))
         self._log_ends()
@@ -496,7 +504,7 @@
         began = self._clock.monotonic()
         start = ports.TaskStart(order.task, order.run, order.payload,
                                 worker.extend_lease(began, self._lease),
-                                self.epoch, order.checkpoint)
+                                self.epoch, order.checkpoint, order.permit)
         reply = await self._workers.start(worker.entry, start, ORDER_TIMEOUT)
         now = self._clock.monotonic()
         self._metrics.starts.inc({"outcome": reply.outcome.value})
@@ -515,6 +523,27 @@
         self.scheduler.apply_start_reply(order, reply, now)
         self._plan_wanted.set()
 
+    async def _request_permits(self, order: dispatch.PermitRequest) -> None:
+        sent_at = self._clock.monotonic()
+        answer = None
+        error = ""
+        try:
+            answer = await self._permits.request_permits(
+                order.job_id, order.occurrence, order.step,
+                tuple(order.workers), PERMIT_TIMEOUT)
+        except ports.PermitError as problem:
+            error = str(problem)
+        now = self._clock.monotonic()
+        self._log.write("permits-requested",
+                        job=order.job_id,
+                        step=(order.occurrence, order.step),
+                        asked=len(order.workers),
+                        granted=len(answer.permits) if answer else None,
+                        error=error,
+                        ms=round((now - sent_at) * 1000, 1))
+        self.scheduler.apply_permits(order, answer, sent_at, now)
+        self._plan_wanted.set()
+
     async def _send_stop(self, order: dispatch.StopOrder) -> None:
         is_done = await self._send(
             order, lambda entry: self._workers.stop(
--- a/src/gentianlead/cluster/_main.py
+++ b/src/gentianlead/cluster/_main.py
@@ -38,11 +38,13 @@
     async def run() -> None:
         store = platform.PlatformStore(settings.store_address)
         workers = platform.PlatformWorkers()
-        node = _node.ClusterNode(settings, store, workers, clock,
+        permits = platform.PlatformPermits(settings.advice_address)
+        node = _node.ClusterNode(settings, store, workers, permits, clock,
                                  adapters.SystemRandom(), log, metrics_address)
         try:
             await node.run()
         finally:
+            await permits.close()
             await workers.close()
             await store.close()
 
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -40,7 +40,8 @@
     """A daemon.
 
     Example:
-        >>> node = ClusterNode(settings, store, workers, clock, source, log)
+        >>> node = ClusterNode(settings, store, workers, permits, clock,
+        ...                    source, log)
         >>> await node.run()
     """
 
@@ -48,6 +49,7 @@
                  settings: platform.NodeSettings,
                  store: ports.KeyedStore,
                  workers: ports.LeasedWorkerClient,
+                 permits: ports.PermitService,
                  clock: ports.Clock,
                  random_source: ports.RandomSource,
                  log: _decision_log.DecisionLog,
@@ -55,6 +57,7 @@
         self._settings = settings
         self._store = store
         self._workers = workers
+        self._permits = permits
         self._clock = clock
         self._log = log
         self._metrics_address = metrics_address
@@ -289,10 +292,10 @@
         writer.confirmed_at = self._clock.monotonic()
         leader = _group_leader.GroupLeader(
             group, epoch, offset, rules,
-            (self._settings.node, self._incarnation), self._workers, writer,
-            self._clock, self._log, self._metrics, self._publish_report,
-            self._lose_lead, self._choose_group, self._choose_refuge,
-            self._interference)
+            (self._settings.node, self._incarnation), self._workers,
+            self._permits, writer, self._clock, self._log, self._metrics,
+            self._publish_report, self._lose_lead, self._choose_group,
+            self._choose_refuge, self._interference)
         self._leaders[group] = leader
         for entry in self._reader.table.jobs.values():
             leader.put_job(entry)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -23,6 +23,7 @@
 from gentianlead.dispatch._orders import GroupRules
 from gentianlead.dispatch._orders import Order
 from gentianlead.dispatch._orders import PaceOrder
+from gentianlead.dispatch._orders import PermitRequest
 from gentianlead.dispatch._orders import StartOrder
 from gentianlead.dispatch._orders import StopOrder
 from gentianlead.dispatch._records import AcceptedRecord
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -46,12 +46,12 @@
         orders: list[_orders.Order] = []
         self._stops.plan(orders, now)
         if may_start:
-            self._plan_repeats(orders)
+            self._plan_repeats(orders, now)
             self._starts.plan(orders, now, now_ms)
         self._plan_pace(orders)
         return orders
 
-    def _plan_repeats(self, orders: list[_orders.Order]) -> None:
+    def _plan_repeats(self, orders: list[_orders.Order], now: float) -> None:
         for worker in self.workers.values():
             for run in worker.runs.values():
                 if (run.phase is _runs.RunPhase.UNKNOWN and
@@ -63,9 +63,11 @@
                     run.is_ordered = True
                     run.attempts += 1
                     orders.append(
-                        _orders.StartOrder(worker.worker_id, run.task,
-                                           run.number, job.job.payload,
-                                           run.checkpoint))
+                        _orders.StartOrder(
+                            worker.worker_id, run.task, run.number,
+                            job.job.payload, run.checkpoint,
+                            job.get_step(run.task).permits.find(
+                                worker.worker_id, worker.born_ms, now)))
 
     def _plan_pace(self, orders: list[_orders.Order]) -> None:
         for worker in self.workers.values():
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -337,14 +337,17 @@
             ports.StartOutcome.REBORN: _workers.UNHEALTHY_BACKOFF,
             ports.StartOutcome.UNHEALTHY: _workers.UNHEALTHY_BACKOFF,
             ports.StartOutcome.INVALID: _workers.UNHEALTHY_BACKOFF,
-            ports.StartOutcome.NO_PERMIT: _workers.UNHEALTHY_BACKOFF,
             ports.StartOutcome.FENCED: _workers.UNHEALTHY_BACKOFF,
         }
-        worker.paused_until = max(worker.paused_until,
-                                  now + pauses[outcome].total_seconds())
+        if outcome in pauses:
+            worker.paused_until = max(worker.paused_until,
+                                      now + pauses[outcome].total_seconds())
         worker.runs.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         if job is not None:
+            if outcome is ports.StartOutcome.NO_PERMIT:
+                job.get_step(run.task).permits.drop(worker.worker_id,
+                                                    worker.born_ms)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
             if outcome is ports.StartOutcome.OUTDATED:
                 job.last_run += RUN_NUMBERS_PER_EPOCH
@@ -375,6 +378,15 @@
             run.is_ordered = False
             run.pace = order.percent if is_done else -1
 
+    def apply_permits(self, request: _orders.PermitRequest,
+                      answer: ports.PermitAnswer | None, sent_at: float,
+                      now: float) -> None:
+        """Applies the answer to a request for permits; None for no answer."""
+        job = self.jobs.get(request.job_id)
+        if job is not None:
+            step_run = job.steps[request.occurrence, request.step]
+            step_run.permits.apply_answer(request.workers, answer, sent_at, now)
+
     # Output.
 
     def end_lapsed(self, now: float) -> None:
--- a/src/gentianlead/dispatch/_orders.py
+++ b/src/gentianlead/dispatch/_orders.py
@@ -14,6 +14,7 @@
     run: int
     payload: str
     checkpoint: str
+    permit: str = ""
 
 
 class StopOrder(NamedTuple):
@@ -34,7 +35,23 @@
     percent: int
 
 
-Order = StartOrder | StopOrder | PaceOrder
+class PermitRequest(NamedTuple):
+    """Request for permits to run a step.
+
+    Attributes:
+        job_id: The job.
+        occurrence: Number of the repetition.
+        step: Index of the step.
+        workers: Lifetime of each worker that is asked for, by identifier.
+    """
+
+    job_id: str
+    occurrence: int
+    step: int
+    workers: dict[str, int]
+
+
+Order = StartOrder | StopOrder | PaceOrder | PermitRequest
 
 
 class EndNote(NamedTuple):
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -4,6 +4,7 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _permits
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _table
 
@@ -77,11 +78,12 @@
             has room; None if they do not.
         reserved: Worker that short tasks leave to a lasting one of this step,
             or empty.
+        permits: Workers that may run the step, where its queue needs permits.
     """
 
     __slots__ = ("key", "step", "waiting", "active", "done", "failures",
                  "failed_runs", "checkpoints", "avoided", "stuck_since",
-                 "reserved")
+                 "reserved", "permits")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -95,6 +97,7 @@
         self.avoided: dict[int, str] = {}
         self.stuck_since: float | None = None
         self.reserved = ""
+        self.permits = _permits.PermitBook()
 
     @property
     def is_done(self) -> bool:
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -85,7 +85,7 @@
         Short tasks of a full group would take each processor as it becomes
         free, and a lasting task that is wider than they are would never fit.
         """
-        service = self._find_service(job)
+        service = self._find_queue(job).service
         counts = step_run.count_by_worker()
         rows = [
             row for row in candidates.values()
@@ -100,10 +100,28 @@
         step_run.reserved = best.worker.worker_id
         self._reserved.add(best.worker.worker_id)
 
-    def _find_service(self, job: _runs.JobRun) -> str:
+    def _find_queue(self, job: _runs.JobRun) -> model.Queue:
+        """Returns the queue of a job as the configuration in force has it."""
         queue = job.job.queue
-        return self._state.queues.get((queue.host, queue.path_prefix),
-                                      queue).service
+        return self._state.queues.get((queue.host, queue.path_prefix), queue)
+
+    def _list_permitted(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                        rows: list[_placement.Candidate],
+                        orders: list[_orders.Order],
+                        now: float) -> list[_placement.Candidate]:
+        """Returns the workers that may run a step; asks for the others."""
+        book = step_run.permits
+        lifetimes = {row.worker.worker_id: row.worker.born_ms for row in rows}
+        unknown = book.begin_request(lifetimes.items(), now)
+        if unknown:
+            orders.append(
+                _orders.PermitRequest(
+                    job.job.job_id, *step_run.key,
+                    {worker_id: lifetimes[worker_id] for worker_id in unknown}))
+        return [
+            row for row in rows
+            if book.find(row.worker.worker_id, row.worker.born_ms, now)
+        ]
 
     def _list_startable(
             self, now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
@@ -122,13 +140,16 @@
                     orders: list[_orders.Order], now: float) -> bool:
         """Starts what fits of a step; returns whether all tasks started."""
         step = step_run.step
-        service = self._find_service(job)
+        queue = self._find_queue(job)
+        service = queue.service
         is_short = not step.is_lasting and not step.is_filler
         rows = [
             candidate for candidate in candidates.values()
             if candidate.worker.entry.service == service and
             not (is_short and candidate.worker.worker_id in self._reserved)
         ]
+        if queue.needs_permit:
+            rows = self._list_permitted(job, step_run, rows, orders, now)
         counts = step_run.count_by_worker()
         racks = self._find_rack(step_run)
         if step.is_gang:
@@ -232,8 +253,9 @@
         step_run.active[index] = run
         worker.runs[(task, number)] = run
         orders.append(
-            _orders.StartOrder(worker.worker_id, task, number, job.job.payload,
-                               run.checkpoint))
+            _orders.StartOrder(
+                worker.worker_id, task, number, job.job.payload, run.checkpoint,
+                step_run.permits.find(worker.worker_id, worker.born_ms, now)))
 
     def _choose_checkpoint(self, step_run: _runs.StepRun, index: int) -> str:
         if not step_run.step.is_gang:
--- a/src/gentianlead/platform/__init__.py
+++ b/src/gentianlead/platform/__init__.py
@@ -14,6 +14,7 @@
 from gentianlead.platform._jobs import is_job_id
 from gentianlead.platform._jobs import parse_submission
 from gentianlead.platform._jobs import parse_task
+from gentianlead.platform._permits import PlatformPermits
 from gentianlead.platform._registry import parse_entry
 from gentianlead.platform._registry import REGISTRY_TOPIC
 from gentianlead.platform._settings import NodeSettings
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -297,6 +297,50 @@
                                             TIMEOUT)
 
 
+class PermitsTest(StandInTest):
+    """Client of the advisory service."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.permits = platform.PlatformPermits(self.stand_in.address)
+        self.addAsyncCleanup(self.permits.close)
+
+    async def request(self,
+                      timeout: datetime.timedelta = TIMEOUT
+                     ) -> ports.PermitAnswer:
+        """Asks for two workers."""
+        return await self.permits.request_permits("5c0e7a21d94b36f8", 0, 1,
+                                                  ("w1", "w2"), timeout)
+
+    async def test_request_and_answer(self):
+        """Guards against a step or a worker that the service does not know."""
+        self.answer(200, {"granted": [["w2", "c81e"]], "valid_ms": 3000})
+        self.assertEqual(
+            await self.request(),
+            ports.PermitAnswer({"w2": "c81e"}, datetime.timedelta(seconds=3)))
+        request, body = self.stand_in.requests[0]
+        self.assertEqual(request.path, "/advise")
+        self.assertEqual(json.loads(body), {
+            "step": "5c0e7a21d94b36f8.0.1",
+            "workers": ["w1", "w2"]
+        })
+
+    async def test_failures(self):
+        """Guards against a damaged answer that counts as no permit at all."""
+        cases = ((429, b""), (200, b"{"), (200, b"[]"),
+                 (200, b'{"granted": [["w1"]]}'),
+                 (200, b'{"granted": [[1, "c81e"]]}'),
+                 (200, b'{"granted": [], "valid_ms": "soon"}'))
+        for status, body in cases:
+            with self.subTest(status=status, body=body):
+                self.answer(status, body=body)
+                with self.assertRaises(ports.PermitError):
+                    await self.request()
+        self.stand_in.answers.append(None)
+        with self.assertRaises(ports.PermitError):
+            await self.request(datetime.timedelta(milliseconds=100))
+
+
 class FakeDesk(ports.JobDesk):
     """A desk that answers as a test says.
 
--- a/src/gentianlead/ports/__init__.py
+++ b/src/gentianlead/ports/__init__.py
@@ -19,6 +19,10 @@
 from gentianlead.ports._log import LogBatch
 from gentianlead.ports._log import LogService
 from gentianlead.ports._random import RandomSource
+from gentianlead.ports._permit_service import MAX_WORKERS as MAX_PERMIT_WORKERS
+from gentianlead.ports._permit_service import PermitAnswer
+from gentianlead.ports._permit_service import PermitError
+from gentianlead.ports._permit_service import PermitService
 from gentianlead.ports._store import FencedError
 from gentianlead.ports._store import KeyedBatch
 from gentianlead.ports._store import KeyedRecord
@@ -52,6 +56,10 @@
     "KeyedRecord",
     "KeyedStore",
     "LeasedWorkerClient",
+    "MAX_PERMIT_WORKERS",
+    "PermitAnswer",
+    "PermitError",
+    "PermitService",
     "LogBatch",
     "LogService",
     "Lookup",
