End a move when it is read back by its number; remove old keys of jobs

Seen in the log: four "tasks-moved" of one task between -4.7 s and -3.3 s, no start after that. Ruled out: room (other jobs started in that group), the lease, the worker's report of the end (applied at 6.14 s).

Change: a move carries a number, the topic keeps the last one of each group, and starts go on once that number is read back. A progress record with the same number does not count.

Watchers with a limit for each worker reach every worker anyway, and one task of another image shuts out its bundles.

--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -155,14 +155,8 @@
         workers for minutes. One daemon at a time decides where possible; any
         other one does so while that one cannot be reached.
         """
-        leaders = self._reader.table.leaders
-        name = next(
-            (leaders[group].record.node
-             for group in sorted(leaders)
-             if leaders[group].record.incarnation == self._incarnation or
-             leaders[group].record.node in self._peering.list_reachable()), "")
-        own_name = self._incarnation.partition("#")[0]
-        if not name or name == own_name:
+        name = self._find_coordinator()
+        if not name or self.is_coordinator():
             return None
         try:
             reply = await self._peering.call(
@@ -181,6 +175,24 @@
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         return _read_relayed(reply)
 
+    def _find_coordinator(self) -> str:
+        """Returns the leader of the first group whose leader is reachable."""
+        leaders = self._reader.table.leaders
+        reachable = self._peering.list_reachable()
+        return next(
+            (leaders[group].record.node
+             for group in sorted(leaders)
+             if leaders[group].record.incarnation == self._incarnation or
+             leaders[group].record.node in reachable), "")
+
+    def is_coordinator(self) -> bool:
+        """Returns whether what one daemon does for all is up to this one.
+
+        Two daemons may both hold it for a moment. Each of them then admits
+        lasting jobs, and removals are stored twice without harm.
+        """
+        return self._find_coordinator() == self._incarnation.partition("#")[0]
+
     def _count_lasting(self) -> dict[str, dispatch.GroupReport]:
         """Returns the reports with all lasting jobs that were accepted."""
         jobs = self._reader.table.jobs
@@ -319,6 +331,10 @@
             entry.job.queue.host == queue.host and
             self._look_up(entry.job.job_id).state is model.JobState.QUEUED)
 
+    def forget_job(self, job_id: str) -> None:
+        """Forgets a job whose keys were removed from the topic."""
+        self._newer_states.pop(job_id, None)
+
     # Notices and relays.
 
     def apply_report(self, report: _reports.LeaderReport) -> None:
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -284,18 +284,14 @@
 
     def _start_move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
                     target: str) -> None:
-        job.moving = frozenset(indexes or range(len(job.entry.assignment)))
-        self._spawn(self._move(job, indexes, target))
+        self._spawn(self._move(job, indexes, target, job.begin_move()))
 
     async def _move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
-                    target: str) -> None:
+                    target: str, number: int) -> None:
         job_id = job.job.job_id
-        # Each move has a number of its own in its key.
-        job.last_run += 1
         await self._append([
             job.build_progress(self.group, self.epoch),
-            dispatch.MovedRecord(job_id, self.group, indexes, target,
-                                 job.last_run)
+            dispatch.MovedRecord(job_id, self.group, indexes, target, number)
         ])
         self._log.write("tasks-moved",
                         job=job_id,
--- a/src/gentianlead/cluster/_node.py
+++ b/src/gentianlead/cluster/_node.py
@@ -28,6 +28,10 @@
 MEMBER_LIMIT = datetime.timedelta(seconds=16)
 """Age of a member's record above which it is gone: three intervals."""
 
+RETENTION_INTERVAL = datetime.timedelta(seconds=10)
+"""Time between two removals of jobs that ended long ago: 40 jobs each keep up
+with four a second."""
+
 ACQUIRE_PATIENCE = datetime.timedelta(seconds=1)
 """Longest wait for the append that takes the lead."""
 
@@ -111,6 +115,7 @@
         self._spawn(self._run_follower(platform.REGISTRY_TOPIC))
         self._spawn(self._announce(address))
         self._spawn(self._hold_elections())
+        self._spawn(self._remove_ended_jobs())
         await self._callers.start(settings.caller_address,
                                   settings.ready_address, self._metrics_address)
         await self._stop_wanted.wait()
@@ -181,6 +186,24 @@
                 continue
             await self._clock.sleep(MEMBER_INTERVAL)
 
+    async def _remove_ended_jobs(self) -> None:
+        """Removes what is stored of jobs that ended long ago."""
+        planner = dispatch.RetentionPlanner(self._settings.status_retention)
+        while True:
+            await self._clock.sleep(RETENTION_INTERVAL)
+            keys = planner.list_expired(self._reader.table,
+                                        self._clock.monotonic())
+            if not keys or not self._desk.is_coordinator():
+                continue
+            try:
+                offset = await self._writer.append(keys, RETENTION_INTERVAL)
+            except ports.StoreError as error:
+                self._log.write("keys-not-removed",
+                                keys=len(keys),
+                                error=str(error))
+                continue
+            self._log.write("keys-removed", keys=len(keys), offset=offset)
+
     def _apply_operators(self) -> None:
         configuration = self._operators.configuration
         self._desk.configuration = configuration
@@ -203,6 +226,7 @@
         for job_id in changed:
             entry = table.jobs.get(job_id)
             if entry is None:
+                self._desk.forget_job(job_id)
                 continue
             for leader in self._leaders.values():
                 leader.put_job(entry)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -38,8 +38,11 @@
 from gentianlead.dispatch._records import MovedRecord
 from gentianlead.dispatch._records import ProgressRecord
 from gentianlead.dispatch._records import Record
+from gentianlead.dispatch._records import RemovedKey
 from gentianlead.dispatch._records import TOPIC
 from gentianlead.dispatch._records import WorkersRecord
+from gentianlead.dispatch._retention import RETENTION_MARGIN
+from gentianlead.dispatch._retention import RetentionPlanner
 from gentianlead.dispatch._runs import compute_chain_ms
 from gentianlead.dispatch._runs import compute_deadline_ms
 from gentianlead.dispatch._runs import JobRun
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -416,8 +416,9 @@
     def list_movable(self) -> list[_runs.JobRun]:
         """Returns settled jobs of which nothing runs, for another group."""
         return [
-            job for job in self.jobs.values() if job.is_settled and
-            not job.is_over and not job.moving and not job.list_active()
+            job for job in self.jobs.values()
+            if job.is_settled and not job.is_over and
+            job.move_number is None and not job.list_active()
         ]
 
     def list_stuck(self, now: float) -> list[tuple[_runs.JobRun, list[int]]]:
@@ -425,7 +426,8 @@
         stuck = []
         for job in self.jobs.values():
             step_run = job.steps.get((0, 0))
-            if job.is_over or job.moving or not job.is_settled:
+            if (job.is_over or job.move_number is not None or
+                    not job.is_settled):
                 continue
             if step_run is None or not step_run.step.is_lasting:
                 continue
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -20,17 +20,10 @@
 """Score of a worker with serving tasks for a short task, against a whole free
 worker: such a worker is taken unless it is nearly full."""
 
-SHARED_BONUS = 1.0
-"""Score of a worker with serving tasks for another one, against a whole free
-worker: workers without serving tasks are the only place for bundles that
-disturb most images, and run any bundle at full speed."""
-
 IMAGE_BONUS = 1.0
-"""Score of a worker that serves the same image."""
-
-IMAGE_MALUS = 0.3
-"""Score that a worker loses for each other image that it serves: the fewer
-images, the more bundles may join."""
+"""Score of a worker that serves the same image, and loss for each other one:
+as much as a whole worker. Most bundles disturb some images and not others, so
+that the fewer images a worker serves, the more bundles may join."""
 
 FILLER_MALUS = 0.1
 """Score that a worker loses for fillers when a serving task is placed."""
@@ -186,10 +179,10 @@
 
 
 class ServingPlacement(TaskPlacement):
-    """Fills workers that serve already, first those with the same image.
+    """Fills workers that serve the same image already.
 
     A filler may run beside serving tasks only if it disturbs none of their
-    images, so each worker should have few of them, and some workers none.
+    images, so each worker should have few of them.
     """
 
     def score(self, candidate: Candidate, step: model.Step,
@@ -198,9 +191,8 @@
         score = candidate.serving_cpu / capacity - compute_slowness(candidate)
         images = candidate.serving_images
         if images:
-            score += SHARED_BONUS
             score += IMAGE_BONUS if step.image in images else 0.0
-            score -= IMAGE_MALUS * len(images - {step.image})
+            score -= IMAGE_BONUS * len(images - {step.image})
         if candidate.has_fillers:
             score -= FILLER_MALUS
         return score
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -169,8 +169,18 @@
     workers: tuple[ports.WorkerEntry, ...]
 
 
+class RemovedKey(NamedTuple):
+    """Removes a key from the topic.
+
+    Attributes:
+        key: The key.
+    """
+
+    key: str
+
+
 Record = (AcceptedRecord | CancelledRecord | ProgressRecord | MovedRecord |
-          LeaderRecord | MemberRecord | WorkersRecord)
+          LeaderRecord | MemberRecord | WorkersRecord | RemovedKey)
 
 _KINDS: dict[str, type] = {
     "j": AcceptedRecord,
@@ -185,6 +195,8 @@
 
 def build_key(record: Record) -> str:
     """Returns the key that a record is stored under."""
+    if isinstance(record, RemovedKey):
+        return record.key
     if isinstance(record, AcceptedRecord):
         return f"j/{record.job.job_id}/{record.writer}"
     if isinstance(record, LeaderRecord):
@@ -216,7 +228,8 @@
 
 def encode_record(record: Record) -> ports.KeyedRecord:
     """Returns a record in the form that the store takes."""
-    return ports.KeyedRecord(build_key(record), encode_value(record))
+    value = b"" if isinstance(record, RemovedKey) else encode_value(record)
+    return ports.KeyedRecord(build_key(record), value)
 
 
 def decode_value(data: bytes, kind: type) -> object:
--- /dev/null
+++ b/src/gentianlead/dispatch/_retention.py
@@ -0,0 +1,44 @@
+"""Removal of what is stored of jobs that ended long ago."""
+
+import datetime
+
+from gentianlead.dispatch import _records
+from gentianlead.dispatch import _table
+
+RETENTION_MARGIN = datetime.timedelta(seconds=30)
+"""Time beyond the retention of states: callers may repeat a submission some
+seconds after its answer, and clocks of daemons differ."""
+
+JOBS_AT_ONCE = 40
+"""Jobs whose keys one append removes: about five keys each, the records of one
+append."""
+
+
+class RetentionPlanner:
+    """Finds jobs whose keys can go.
+
+    The time counts from the moment at which this process first saw the end,
+    so that a restart only keeps states longer.
+    """
+
+    def __init__(self, retention: datetime.timedelta):
+        self._retention_s = (retention + RETENTION_MARGIN).total_seconds()
+        self._ended_at: dict[str, float] = {}
+
+    def list_expired(self, table: _table.JobTable,
+                     now: float) -> list[_records.RemovedKey]:
+        """Returns the keys to remove; those of a job go together."""
+        for job_id in [key for key in self._ended_at if key not in table.jobs]:
+            del self._ended_at[job_id]
+        removed: list[_records.RemovedKey] = []
+        jobs = 0
+        for job_id, entry in table.jobs.items():
+            if not entry.state.is_final:
+                continue
+            ended_at = self._ended_at.setdefault(job_id, now)
+            if now - ended_at < self._retention_s or jobs >= JOBS_AT_ONCE:
+                continue
+            jobs += 1
+            removed.extend(
+                _records.RemovedKey(key) for key in sorted(table.keys[job_id]))
+        return removed
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -131,8 +131,9 @@
         state: State that callers are told.
         last_run: Highest number of a run.
         is_settled: Whether no run can exist that this leader does not know.
-        moving: Indexes of tasks that are being given to another group, until
-            the topic shows it; nothing of the job starts meanwhile.
+        move_number: Number of the move by which tasks are being given to
+            another group, until the topic shows it; nothing of the job starts
+            meanwhile. None without such a move.
         is_dirty: Whether progress changed since the last append.
         deadline_ms: Time by which the objective wants the job done, in
             milliseconds since 1970; of its first occurrence.
@@ -145,7 +146,7 @@
         self.state = model.JobState.QUEUED
         self.last_run = entry.last_run
         self.is_settled = is_settled
-        self.moving: frozenset[int] = frozenset()
+        self.move_number: int | None = None
         self.is_dirty = False
         self.deadline_ms = compute_deadline_ms(entry.job)
         for occurrence in range(entry.job.occurrences):
@@ -160,8 +161,11 @@
         """Takes over which tasks the group has, and a cancellation."""
         is_cancelled = self.entry.is_cancelled or entry.is_cancelled
         self.entry = entry._replace(is_cancelled=is_cancelled)
-        if not any(entry.has_task(self.group, index) for index in self.moving):
-            self.moving = frozenset()
+        # Not by the tasks that are left: another group may have given them
+        # back before this group has read its own move.
+        if (self.move_number is not None and
+                entry.moves.get(self.group, 0) >= self.move_number):
+            self.move_number = None
         for step_run in self.steps.values():
             step_run.waiting = {
                 index for index in range(step_run.step.count)
@@ -196,6 +200,12 @@
             if fact.checkpoint:
                 step_run.checkpoints[fact.index] = fact.checkpoint
 
+    def begin_move(self) -> int:
+        """Stops all starts until a move is read back; returns its number."""
+        self.last_run += 1
+        self.move_number = self.last_run
+        return self.last_run
+
     @property
     def job(self) -> model.SteppedJob:
         """The job as it was accepted."""
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -128,7 +128,8 @@
         """Returns steps with waiting tasks, the most urgent first."""
         rows = []
         for job in self._state.jobs.values():
-            if job.is_over or not job.is_settled or job.moving:
+            if job.is_over or not job.is_settled or (job.move_number
+                                                     is not None):
                 continue
             for step_run in job.steps.values():
                 if step_run.waiting and job.is_step_due(step_run, now_ms):
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -20,6 +20,7 @@
         last_run: Highest number of a run before the last move.
         is_cancelled: Whether a caller cancelled it.
         progress: Newest progress by group.
+        moves: Number of the last move that a group made, by group.
     """
 
     job: model.SteppedJob
@@ -29,6 +30,7 @@
     last_run: int = 0
     is_cancelled: bool = False
     progress: Mapping[str, _records.ProgressRecord] = types.MappingProxyType({})
+    moves: Mapping[str, int] = types.MappingProxyType({})
 
     @property
     def state(self) -> model.JobState:
@@ -105,6 +107,7 @@
         workers: Workers on which runs may exist, by group.
         position: Offset of the next record.
         changed: Jobs that changed since the last `take_changed`.
+        keys: All keys of each job that are stored.
     """
 
     def __init__(self) -> None:
@@ -114,6 +117,7 @@
         self.workers: dict[str, tuple[ports.WorkerEntry, ...]] = {}
         self.position = 0
         self.changed: set[str] = set()
+        self.keys: dict[str, set[str]] = {}
         # Records of a job whose acceptance was not read yet: pages of newest
         # records are not in offset order.
         self._early: dict[str, list[tuple[int, _records.Record]]] = {}
@@ -136,8 +140,10 @@
             self.workers[record.group] = record.workers
             self.confirm_leader(record.group, record.epoch, now)
         elif isinstance(record, _records.AcceptedRecord):
+            self._note_key(stored.key)
             self._apply_accepted(stored.offset, record)
         else:
+            self._note_key(stored.key)
             self._apply_to_job(stored.offset, record, now)
 
     def apply_newest(self, batch: ports.KeyedBatch, now: float) -> list[str]:
@@ -151,6 +157,7 @@
         self.members.clear()
         self.workers.clear()
         self._early.clear()
+        self.keys.clear()
         problems = []
         for stored in sorted(batch.records, key=lambda record: record.offset):
             try:
@@ -172,14 +179,26 @@
         if entry is not None and entry.record.epoch == epoch:
             self.leaders[group] = entry._replace(confirmed_at=now)
 
+    def _note_key(self, key: str) -> None:
+        job_id = key.split("/")[1]
+        self.keys.setdefault(job_id, set()).add(key)
+
     def _remove(self, key: str) -> None:
         kind, _, name = key.partition("/")
         job_id = name.partition("/")[0]
         if kind == "n":
             self.members.pop(name, None)
-        elif kind == "j":
+            return
+        keys = self.keys.get(job_id)
+        if keys is not None:
+            keys.discard(key)
+            if not keys:
+                del self.keys[job_id]
+        if kind == "j":
             self.jobs.pop(job_id, None)
             self.changed.add(job_id)
+        else:
+            self._early.pop(job_id, None)
 
     def _apply_leader(self, offset: int, record: _records.LeaderRecord,
                       now: float) -> None:
@@ -230,6 +249,10 @@
         (not record.indexes or index in record.indexes) else group
         for index, group in enumerate(entry.assignment))
     since = {group: entry.since.get(group, offset) for group in assignment}
+    number = max(record.last_run, entry.moves.get(record.origin, 0))
     return entry._replace(assignment=assignment,
                           since=since,
-                          last_run=max(entry.last_run, record.last_run))
+                          last_run=max(entry.last_run, record.last_run),
+                          moves={
+                              **entry.moves, record.origin: number
+                          })
