Bound the wait for one peer; store a lasting job here after a lost reply

Lasting jobs would wait in the same way for the daemon that admits them.

Change: one peer gets at most a second. After a lost reply the next peer is asked, and a lasting job is stored by the daemon itself: two acceptances are one job.

--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -23,6 +23,11 @@
 """Longest wait for an own record to be read back. Without it the leader finds
 the job by its own reading."""
 
+RELAY_PATIENCE = datetime.timedelta(seconds=1)
+"""Longest wait for one peer, which may be frozen: an append to a store that is
+slow by a factor of 60 takes about as long, and a caller's three seconds allow
+for two more tries."""
+
 RELAYS = 2
 """Peers that are asked to store what this daemon cannot."""
 
@@ -105,17 +110,39 @@
     async def _store_job(self, job: model.SteppedJob,
                          deadline: datetime.timedelta,
                          may_relay: bool) -> ports.SubmitReply:
-        if not self._has_store() and may_relay:
-            relayed = await self._relay(
-                _reports.CALL_SUBMIT,
-                _reports.RelayedSubmission(job, _to_ms(deadline)), deadline)
-            if relayed is not None:
-                return _read_relayed(relayed)
+        if not may_relay:
+            return await self._store_here(job, deadline)
+        until = self._clock.monotonic() + deadline.total_seconds()
+        has_store = self._has_store()
+        names = []
+        if not has_store:
+            names = self._choose_relays()
+        elif job.is_lasting and not self.is_coordinator():
+            names = [name for name in (self._find_coordinator(),) if name]
+        relayed = await self._relay(
+            _reports.CALL_SUBMIT,
+            _reports.RelayedSubmission(job, _to_ms(deadline)), deadline, names)
+        is_unknown = (relayed is not None and
+                      relayed.outcome == ports.SubmitOutcome.UNKNOWN.value)
+        if relayed is not None and not (is_unknown and has_store):
+            return _read_relayed(relayed)
+        if not has_store:
             return _refuse("the store gives no reply", RETRY_STORE)
-        if job.is_lasting and may_relay:
-            relayed = await self._relay_lasting(job, deadline)
-            if relayed is not None:
-                return relayed
+        left = datetime.timedelta(seconds=until - self._clock.monotonic())
+        reply = await self._store_here(job, left)
+        # Two acceptances are one job, but a refusal must be certain.
+        if is_unknown and reply.outcome is not ports.SubmitOutcome.ACCEPTED:
+            return _read_relayed(relayed)
+        return reply
+
+    async def _store_here(self, job: model.SteppedJob,
+                          deadline: datetime.timedelta) -> ports.SubmitReply:
+        """Decides on a job and stores it.
+
+        Lasting jobs keep what they get, so daemons that admit them side by
+        side, each by reports from before the others' jobs, would fill the
+        workers for minutes. They are relayed to one daemon where possible.
+        """
         now = self._clock.monotonic()
         reports = self._count_lasting() if job.is_lasting else self.reports
         admission = dispatch.decide_admission(job, reports, self._domain, now)
@@ -145,36 +172,6 @@
         self._spawn(self._notify_leader(job, offset))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
-    async def _relay_lasting(
-            self, job: model.SteppedJob,
-            deadline: datetime.timedelta) -> ports.SubmitReply | None:
-        """Asks the daemon that admits lasting jobs; None when there is none.
-
-        Lasting jobs keep what they get, so daemons that admit them side by
-        side, each by reports from before the others' jobs, would fill the
-        workers for minutes. One daemon at a time decides where possible; any
-        other one does so while that one cannot be reached.
-        """
-        name = self._find_coordinator()
-        if not name or self.is_coordinator():
-            return None
-        try:
-            reply = await self._peering.call(
-                name, _reports.CALL_SUBMIT,
-                _reports.RelayedSubmission(job, _to_ms(deadline)),
-                _reports.RelayedReply, deadline)
-        except errors.RequestError as error:
-            self._log.write("relay-failed",
-                            subject=_reports.CALL_SUBMIT,
-                            job=job.job_id,
-                            peer=name,
-                            error=str(error),
-                            verdict=error.verdict.value)
-            if error.verdict is errors.Verdict.DID_NOT_RUN:
-                return None
-            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
-        return _read_relayed(reply)
-
     def _find_coordinator(self) -> str:
         """Returns the leader of the first group whose leader is reachable."""
         leaders = self._reader.table.leaders
@@ -259,7 +256,7 @@
             relayed = await self._relay(
                 _reports.CALL_CANCEL,
                 _reports.RelayedCancellation(job_id, _to_ms(deadline)),
-                deadline)
+                deadline, self._choose_relays())
             if relayed is not None:
                 return _read_relayed(relayed) if relayed.outcome else None
             return _refuse("the store gives no reply", RETRY_STORE)
@@ -349,24 +346,37 @@
             if known is None or not known.is_final:
                 self._newer_states[notice.job_id] = notice.state
 
-    async def _relay(
-            self, subject: str, argument: object,
-            deadline: datetime.timedelta) -> _reports.RelayedReply | None:
-        """Asks peers to store something; None when none could."""
-        for name in self._choose_relays():
+    async def _relay(self, subject: str, argument: object,
+                     deadline: datetime.timedelta,
+                     names: list[str]) -> _reports.RelayedReply | None:
+        """Asks peers in turn to store something; None when none could.
+
+        After a peer whose reply was lost, only a success of another one is
+        certain.
+        """
+        uncertain = ""
+        for name in names:
             try:
-                return await self._peering.call(name, subject, argument,
-                                                _reports.RelayedReply, deadline)
+                reply = await self._peering.call(name, subject, argument,
+                                                 _reports.RelayedReply,
+                                                 min(deadline, RELAY_PATIENCE))
             except errors.RequestError as error:
                 self._log.write("relay-failed",
                                 subject=subject,
+                                job=argument.job_id,
                                 peer=name,
                                 error=str(error),
                                 verdict=error.verdict.value)
                 if error.verdict is not errors.Verdict.DID_NOT_RUN:
-                    return _reports.RelayedReply(
-                        ports.SubmitOutcome.UNKNOWN.value, str(error), 0)
-        return None
+                    uncertain = str(error)
+                continue
+            if not uncertain or reply.outcome == (
+                    ports.SubmitOutcome.ACCEPTED.value):
+                return reply
+        if not uncertain:
+            return None
+        return _reports.RelayedReply(ports.SubmitOutcome.UNKNOWN.value,
+                                     uncertain, 0)
 
     def _choose_relays(self) -> list[str]:
         leaders = [
--- a/src/gentianlead/cluster/_reports.py
+++ b/src/gentianlead/cluster/_reports.py
@@ -75,6 +75,11 @@
     job: model.SteppedJob
     deadline_ms: int
 
+    @property
+    def job_id(self) -> str:
+        """Identifier of the job."""
+        return self.job.job_id
+
 
 class RelayedCancellation(NamedTuple):
     """A cancellation that the sender cannot store itself.
