Refuse early while the store refuses; test the daemon as processes on stand-ins

The new process test of a store that is away failed first: a caller waited 2.93 s for its refusal. The daemon took the store for reachable until its next own append, and tried the append of the job until the caller's deadline.

Change: an append that is certainly not stored is given up after 0.6 s; the job then goes to a peer that may have the store, or is refused with Retry-After. What may be stored still waits for the whole time, as only its outcome can be told.

--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -19,6 +19,10 @@
 REPLY_MARGIN = datetime.timedelta(milliseconds=150)
 """Part of a caller's time that is left for the way of the reply."""
 
+REFUSE_PATIENCE = datetime.timedelta(milliseconds=600)
+"""Longest wait of a caller while the store refuses: a few tries, a fifth of the
+time that callers wait."""
+
 READ_BACK_PATIENCE = datetime.timedelta(seconds=2)
 """Longest wait for an own record to be read back. Without it the leader finds
 the job by its own reading."""
@@ -110,34 +114,46 @@
     async def _store_job(self, job: model.SteppedJob,
                          deadline: datetime.timedelta,
                          may_relay: bool) -> ports.SubmitReply:
-        if not may_relay:
-            return await self._store_here(job, deadline)
         until = self._clock.monotonic() + deadline.total_seconds()
-        has_store = self._has_store()
-        names = []
-        if not has_store:
-            names = self._choose_relays()
-        elif job.is_lasting and not self.is_coordinator():
-            names = [name for name in (self._find_coordinator(),) if name]
-        relayed = await self._relay(
-            _reports.CALL_SUBMIT,
-            _reports.RelayedSubmission(job, _to_ms(deadline)), deadline, names)
-        is_unknown = (relayed is not None and
-                      relayed.outcome == ports.SubmitOutcome.UNKNOWN.value)
-        if relayed is not None and not (is_unknown and has_store):
-            return _read_relayed(relayed)
-        if not has_store:
-            return _refuse("the store gives no reply", RETRY_STORE)
-        left = datetime.timedelta(seconds=until - self._clock.monotonic())
-        reply = await self._store_here(job, left)
+        uncertain = None
+        if may_relay and job.is_lasting and self._has_store():
+            relayed = await self._relay_submission(job, until, [
+                name for name in (self._find_coordinator(),)
+                if name and not self.is_coordinator()
+            ])
+            if relayed is not None and (relayed.outcome
+                                        is not ports.SubmitOutcome.UNKNOWN):
+                return relayed
+            uncertain = relayed
+        reply = None
+        if self._has_store() or not may_relay:
+            reply = await self._store_here(job, self._get_left(until))
+        if reply is None and may_relay:
+            reply = await self._relay_submission(job, until,
+                                                 self._choose_relays())
+        if reply is None:
+            reply = _refuse("the store gives no reply", RETRY_STORE)
         # Two acceptances are one job, but a refusal must be certain.
-        if is_unknown and reply.outcome is not ports.SubmitOutcome.ACCEPTED:
-            return _read_relayed(relayed)
+        if uncertain and reply.outcome is ports.SubmitOutcome.REFUSED:
+            return uncertain
         return reply
 
-    async def _store_here(self, job: model.SteppedJob,
-                          deadline: datetime.timedelta) -> ports.SubmitReply:
-        """Decides on a job and stores it.
+    def _get_left(self, until: float) -> datetime.timedelta:
+        return datetime.timedelta(seconds=max(0.0, until -
+                                              self._clock.monotonic()))
+
+    async def _relay_submission(self, job: model.SteppedJob, until: float,
+                                names: list[str]) -> ports.SubmitReply | None:
+        left = self._get_left(until)
+        relayed = await self._relay(
+            _reports.CALL_SUBMIT, _reports.RelayedSubmission(job, _to_ms(left)),
+            left, names)
+        return None if relayed is None else _read_relayed(relayed)
+
+    async def _store_here(
+            self, job: model.SteppedJob,
+            deadline: datetime.timedelta) -> (ports.SubmitReply | None):
+        """Decides on a job and stores it; None when the store refuses.
 
         Lasting jobs keep what they get, so daemons that admit them side by
         side, each by reports from before the others' jobs, would fill the
@@ -154,11 +170,15 @@
         self._add_to_reports(job)
         try:
             offset = await self._writer.append(
-                [dispatch.AcceptedRecord(job, self._incarnation)], deadline)
+                [dispatch.AcceptedRecord(job, self._incarnation)], deadline,
+                REFUSE_PATIENCE)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 self._accepting.pop(job.job_id, None)
-                return _refuse(str(error), RETRY_STORE)
+                self._log.write("job-not-stored",
+                                job=job.job_id,
+                                error=str(error))
+                return None
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._log.write(
             "job-accepted",
@@ -266,7 +286,7 @@
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         try:
             await self._writer.append([dispatch.CancelledRecord(job_id)],
-                                      deadline)
+                                      deadline, REFUSE_PATIENCE)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 return _refuse(str(error), RETRY_STORE)
--- a/src/gentianlead/cluster/_topic.py
+++ b/src/gentianlead/cluster/_topic.py
@@ -40,11 +40,13 @@
         records: The records.
         future: Gets the offset of the first record.
         deadline: Monotonic time in seconds after which they are given up.
+        refuse_at: The same while they are certainly not stored.
     """
 
     records: list[ports.KeyedRecord]
     future: asyncio.Future
     deadline: float
+    refuse_at: float
 
 
 class TopicWriter:
@@ -94,10 +96,18 @@
                                      errors.Verdict.DID_NOT_RUN))
         self._queue.clear()
 
-    async def append(self, records: Sequence[dispatch.Record],
-                     patience: datetime.timedelta) -> int:
+    async def append(self,
+                     records: Sequence[dispatch.Record],
+                     patience: datetime.timedelta,
+                     refuse_after: datetime.timedelta | None = None) -> int:
         """Appends records.
 
+        Args:
+            records: The records.
+            patience: Longest wait for the outcome.
+            refuse_after: Longest wait while they are certainly not stored;
+                None for `patience`.
+
         Returns:
             The offset of the first record.
 
@@ -107,10 +117,13 @@
                 still be.
         """
         future = asyncio.get_running_loop().create_future()
+        now = self._clock.monotonic()
+        if refuse_after is None:
+            refuse_after = patience
         self._queue.append(
             _Item([dispatch.encode_record(record) for record in records],
-                  future,
-                  self._clock.monotonic() + patience.total_seconds()))
+                  future, now + patience.total_seconds(),
+                  now + min(patience, refuse_after).total_seconds()))
         self._wake.set()
         return await future
 
@@ -147,12 +160,12 @@
 
     def _expire_waiting(self) -> None:
         now = self._clock.monotonic()
-        late = [item for item in self._queue if item.deadline <= now]
+        late = [item for item in self._queue if item.refuse_at <= now]
         _fail(
             late,
             ports.StoreError("the store did not take it in time",
                              errors.Verdict.DID_NOT_RUN))
-        self._queue = [item for item in self._queue if item.deadline > now]
+        self._queue = [item for item in self._queue if item.refuse_at > now]
 
     async def _append_batch(self, batch: list[_Item]) -> None:
         may_have_run = False
@@ -217,12 +230,12 @@
     def _drop_late(self, batch: list[_Item]) -> list[_Item]:
         """Refuses items of a batch that was certainly not stored."""
         now = self._clock.monotonic()
-        late = [item for item in batch if item.deadline <= now]
+        late = [item for item in batch if item.refuse_at <= now]
         _fail(
             late,
             ports.StoreError("the store did not take it in time",
                              errors.Verdict.DID_NOT_RUN))
-        return [item for item in batch if item.deadline > now]
+        return [item for item in batch if item.refuse_at > now]
 
     def _give_up_late(self, batch: list[_Item]) -> None:
         """Tells callers that the outcome is unknown; the tries go on."""
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -1,6 +1,7 @@
 """Tests of appends to and reads from the job topic."""
 
 import datetime
+import time
 import unittest
 
 from gentianlead import adapters
@@ -61,6 +62,26 @@
         await self.writer.append([build_record(2)], LONG)
         self.assertEqual(len(self.store.records[dispatch.TOPIC]), 1)
 
+    async def test_certain_refusals_come_early(self):
+        """Guards against callers that wait for their deadline in vain.
+
+        What may be stored waits for the whole patience instead.
+        """
+        early = datetime.timedelta(milliseconds=100)
+        for failure, expected in (("refuse", errors.Verdict.DID_NOT_RUN),
+                                  ("drop", errors.Verdict.MAY_HAVE_RUN)):
+            with self.subTest(failure=failure):
+                self.store.failures = [failure] * 20
+                began = time.monotonic()
+                with self.assertRaises(ports.StoreError) as caught:
+                    await self.writer.append([build_record()],
+                                             datetime.timedelta(seconds=0.6),
+                                             early)
+                waited = time.monotonic() - began
+                self.assertIs(caught.exception.verdict, expected)
+                self.assertEqual(waited < 0.5, expected
+                                 is errors.Verdict.DID_NOT_RUN)
+
     async def test_lost_reply_is_never_reported_as_refused(self):
         """Guards against a refusal of a job that is stored."""
         self.store.failures = ["lose"] + ["refuse"] * 5
--- a/standins/_children.py
+++ b/standins/_children.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 import time
-from typing import Any, Self, Sequence
+from typing import Any, Mapping, Self, Sequence
 
 from standins import _endpoint
 from standins import _journal
@@ -73,14 +73,18 @@
                  name: str,
                  command: Sequence[str],
                  directory: pathlib.Path,
-                 does_pipe_output: bool = False):
+                 does_pipe_output: bool = False,
+                 variables: Mapping[str, str] | None = None):
         self.name = name
         self.output_path = directory / f"{name}.log"
         with self.output_path.open("ab") as output:
             self.process = subprocess.Popen(  # pylint: disable=consider-using-with
                 command,
                 cwd=ROOT,
-                env=build_environment(),
+                env={
+                    **build_environment(),
+                    **(variables or {})
+                },
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE if does_pipe_output else output,
                 stderr=output,
--- /dev/null
+++ b/standins/site_workers.py
@@ -0,0 +1,239 @@
+"""Stand-in for the workers of the users' platform.
+
+Each worker runs tasks under a lease and a fence, and notes every run, so that
+a test can check from outside that no task ran twice at the same time.
+"""
+
+import asyncio
+import json
+import time
+from typing import Any, NamedTuple
+
+from aiohttp import web
+
+from standins import _endpoint
+
+_INSTANCE_HEADER = "Gentianlead-Expected-Instance"
+_TICK_S = 0.01
+
+
+class WorkerPlace(NamedTuple):
+    """What a worker says of itself.
+
+    Attributes:
+        worker_id: Identifier.
+        domain: Failure domain.
+        cpu_millis: Processors in thousandths.
+    """
+
+    worker_id: str
+    domain: str
+    cpu_millis: int = 8000
+
+
+class RunNote(NamedTuple):
+    """A run that a worker began.
+
+    Attributes:
+        worker_id: The worker.
+        task: Name of the task.
+        run: Number of the run.
+        began_at: Monotonic time in seconds.
+        ended_at: Monotonic time of its end; infinite while it runs.
+        cause: Word for its end, or empty.
+    """
+
+    worker_id: str
+    task: str
+    run: int
+    began_at: float
+    ended_at: float = float("inf")
+    cause: str = ""
+
+
+class _Run:
+    """A task at work.
+
+    Attributes:
+        note: Index of its note.
+        done_at: Monotonic time at which it is done.
+        began_at: Monotonic time of its start.
+    """
+
+    def __init__(self, note: int, began_at: float, seconds: float):
+        self.note = note
+        self.began_at = began_at
+        self.done_at = began_at + seconds
+
+
+class SiteWorker:
+    """A worker, served on a port of the loopback interface.
+
+    Attributes:
+        place: What it says of itself.
+        address: `host:port`, once it is started.
+        notes: All runs of all workers.
+    """
+
+    def __init__(self, place: WorkerPlace, notes: list[RunNote]):
+        self.place = place
+        self.address = ""
+        self.notes = notes
+        self._born_ms = int(time.time() * 1000)
+        self._fence = 0
+        self._lease_until = 0.0
+        self._running: dict[tuple[str, int], _Run] = {}
+        self._ended: list[list[Any]] = []
+        self._end_number = 0
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+        self._clock: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        app = web.Application()
+        app.router.add_post("/run-start", self._start_run)
+        app.router.add_post("/run-stop", self._stop_run)
+        app.router.add_post("/hold", self._hold)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, _endpoint.HOST, 0)
+        await site.start()
+        port = self._runner.addresses[0][1]
+        self.address = f"{_endpoint.HOST}:{port}"
+        self._clock = asyncio.get_running_loop().create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Stops."""
+        self._clock.cancel()
+        await self._runner.cleanup()
+
+    def build_entry(self, service: str) -> bytes:
+        """Returns the entry of the registry."""
+        return json.dumps({
+            "service": service,
+            "address": self.address,
+            "zone": self.place.domain,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+            "capacity": {
+                "cpu": self.place.cpu_millis,
+                "mem_mb": 64_000
+            },
+            "labels": ["a", "r1"],
+            "born": self._born_ms
+        }).encode()
+
+    async def _tick(self) -> None:
+        while True:
+            now = time.monotonic()
+            for key, run in list(self._running.items()):
+                if now >= run.done_at:
+                    self._end(key, "done", now)
+                elif now >= self._lease_until:
+                    self._end(key, "lapsed", now)
+            await asyncio.sleep(_TICK_S)
+
+    def _end(self, key: tuple[str, int], cause: str, now: float) -> None:
+        run = self._running.pop(key)
+        self.notes[run.note] = self.notes[run.note]._replace(ended_at=now,
+                                                             cause=cause)
+        self._end_number += 1
+        self._ended.append([self._end_number, *key, cause, ""])
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _refuse(self, request: web.Request,
+                document: dict[str, Any]) -> web.Response | None:
+        if request.headers.get(_INSTANCE_HEADER) != self.place.worker_id:
+            return self._answer({}, 421)
+        if document["fencing_token"] < self._fence:
+            return self._answer({"reason": "fence"}, 409)
+        self._fence = document["fencing_token"]
+        return None
+
+    def _extend_lease(self, document: dict[str, Any]) -> None:
+        expires_ms = document.get("expires_ms")
+        if expires_ms is not None:
+            self._lease_until = max(self._lease_until, expires_ms / 1000)
+
+    async def _start_run(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        refusal = self._refuse(request, document)
+        if refusal is not None:
+            return refusal
+        self._extend_lease(document)
+        now = time.monotonic()
+        if now >= self._lease_until:
+            return self._answer({"reason": "late"}, 409)
+        key = document["task"], document["run_id"]
+        if key not in self._running:
+            seconds = json.loads(document["spec"])["seconds"]
+            self.notes.append(RunNote(self.place.worker_id, *key, now))
+            self._running[key] = _Run(len(self.notes) - 1, now, seconds)
+        return self._answer({})
+
+    async def _stop_run(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        refusal = self._refuse(request, document)
+        if refusal is not None:
+            return refusal
+        key = document["task"], document["run_id"]
+        if key in self._running:
+            self._end(key, "stopped", time.monotonic())
+        return self._answer({})
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        refusal = self._refuse(request, document)
+        if refusal is not None:
+            return refusal
+        self._extend_lease(document)
+        self._ended = [
+            row for row in self._ended if row[0] > document["last_seen"]
+        ]
+        wait_s = document.get("wait_ms", 0) / 1000
+        if wait_s and not self._ended:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+        now = time.monotonic()
+        running = [[
+            *key, "",
+            int(100 * (now - run.began_at) / (run.done_at - run.began_at)), None
+        ] for key, run in self._running.items()]
+        return self._answer({
+            "running": running,
+            "finished": list(self._ended),
+            "born": self._born_ms
+        })
+
+    def _answer(self,
+                document: dict[str, Any],
+                status: int = 200) -> web.Response:
+        clock_ms = int(time.monotonic() * 1000)
+        return web.json_response({
+            "clock_ms": clock_ms,
+            **document
+        },
+                                 status=status)
+
+
+def find_double_runs(notes: list[RunNote]) -> list[tuple[RunNote, RunNote]]:
+    """Returns pairs of runs of one task that overlap or follow its end."""
+    pairs = []
+    for i, first in enumerate(notes):
+        for second in notes[i + 1:]:
+            if first.task != second.task:
+                continue
+            overlap = (first.began_at < second.ended_at and
+                       second.began_at < first.ended_at)
+            is_repeated = (first.cause == "done" and
+                           second.began_at >= first.ended_at)
+            if overlap or is_repeated:
+                pairs.append((first, second))
+    return pairs
