--- a/tools/testrun.py
+++ b/tools/testrun.py
@@ -61,7 +61,14 @@
 
 
 def run_here(arguments: list[str]) -> Result:
-    """Runs the named tests in this process."""
+    """Runs the named tests in this process.
+
+    They are looked up from `src`: with the package's own folder on the path,
+    its `platform` package would hide the standard library's module.
+    """
+    if "-s" not in arguments:
+        source = str(_ROOT / "src")
+        arguments = ["-s", source, "-t", source, *arguments]
     nose2.discover(
         argv=["nose2", "--config",
               str(_ROOT / "unittest.cfg"), *arguments],
