--- a/src/gentianlead/cluster/_desk.py
+++ b/src/gentianlead/cluster/_desk.py
@@ -19,9 +19,12 @@
 REPLY_MARGIN = datetime.timedelta(milliseconds=150)
 """Part of a caller's time that is left for the way of the reply."""
 
-REFUSE_PATIENCE = datetime.timedelta(milliseconds=600)
-"""Longest wait of a caller while the store refuses: a few tries, a fifth of the
-time that callers wait."""
+REFUSE_PATIENCE = datetime.timedelta(milliseconds=400)
+"""Time for which a daemon tries again while the store refuses: a few tries."""
+
+RELAYED_REFUSE_PATIENCE = datetime.timedelta(milliseconds=150)
+"""The same for what a peer relays, whose caller has waited already: two tries.
+With both, a caller is refused within a fifth of the time that callers wait."""
 
 READ_BACK_PATIENCE = datetime.timedelta(seconds=2)
 """Longest wait for an own record to be read back. Without it the leader finds
@@ -127,7 +130,9 @@
             uncertain = relayed
         reply = None
         if self._has_store() or not may_relay:
-            reply = await self._store_here(job, self._get_left(until))
+            patience = (REFUSE_PATIENCE
+                        if may_relay else RELAYED_REFUSE_PATIENCE)
+            reply = await self._store_here(job, self._get_left(until), patience)
         if reply is None and may_relay:
             reply = await self._relay_submission(job, until,
                                                  self._choose_relays())
@@ -151,8 +156,8 @@
         return None if relayed is None else _read_relayed(relayed)
 
     async def _store_here(
-            self, job: model.SteppedJob,
-            deadline: datetime.timedelta) -> (ports.SubmitReply | None):
+            self, job: model.SteppedJob, deadline: datetime.timedelta,
+            refuse_after: datetime.timedelta) -> (ports.SubmitReply | None):
         """Decides on a job and stores it; None when the store refuses.
 
         Lasting jobs keep what they get, so daemons that admit them side by
@@ -171,7 +176,7 @@
         try:
             offset = await self._writer.append(
                 [dispatch.AcceptedRecord(job, self._incarnation)], deadline,
-                REFUSE_PATIENCE)
+                refuse_after)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 self._accepting.pop(job.job_id, None)
--- a/src/gentianlead/dispatch/_order.py
+++ b/src/gentianlead/dispatch/_order.py
@@ -48,8 +48,8 @@
 def sort_steps(rows: list[Row], now_ms: int) -> list[Row]:
     """Returns steps with waiting tasks, the most urgent first.
 
-    Among bundles that can still meet their objective, those that have begun
-    come first, by deadline. While some are late, the newest of the others
+    Among jobs of fillers that can still meet their objective, those that have
+    begun come first, by deadline. While some are late, the newest of the others
     follow: each of them has its whole slack left, so that those that get
     workers meet their objective. Otherwise the earliest deadline goes first.
     """
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -22,8 +22,8 @@
 
 IMAGE_BONUS = 1.0
 """Score of a worker that serves the same image, and loss for each other one:
-as much as a whole worker. Most bundles disturb some images and not others, so
-that the fewer images a worker serves, the more bundles may join."""
+as much as a whole worker. Most fillers disturb some images and not others, so
+that the fewer images a worker serves, the more fillers may join."""
 
 FILLER_MALUS = 0.1
 """Score that a worker loses for fillers when a serving task is placed."""
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from standins import _endpoint
+from standins import _app_server
 
 _LENGTH = struct.Struct(">I")
 _HEAD = struct.Struct(">QQ")
@@ -83,12 +83,7 @@
         app.router.add_post("/log-append", self._append)
         app.router.add_get("/log-read", self._read)
         app.router.add_get("/log-newest", self._read_newest)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, _endpoint.HOST, 0)
-        await site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f"{_endpoint.HOST}:{port}"
+        self._runner, self.address = await _app_server.start_app(app)
 
     async def stop(self) -> None:
         """Stops."""
--- a/standins/site_workers.py
+++ b/standins/site_workers.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from standins import _endpoint
+from standins import _app_server
 
 _INSTANCE_HEADER = "Gentianlead-Expected-Instance"
 _TICK_S = 0.01
@@ -95,12 +95,7 @@
         app.router.add_post("/run-start", self._start_run)
         app.router.add_post("/run-stop", self._stop_run)
         app.router.add_post("/hold", self._hold)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, _endpoint.HOST, 0)
-        await site.start()
-        port = self._runner.addresses[0][1]
-        self.address = f"{_endpoint.HOST}:{port}"
+        self._runner, self.address = await _app_server.start_app(app)
         self._clock = asyncio.get_running_loop().create_task(self._tick())
 
     async def stop(self) -> None:
@@ -147,24 +142,22 @@
 
     def _refuse(self, request: web.Request,
                 document: dict[str, Any]) -> web.Response | None:
+        """Checks an order and takes over its lease; returns a refusal."""
         if request.headers.get(_INSTANCE_HEADER) != self.place.worker_id:
             return self._answer({}, 421)
         if document["fencing_token"] < self._fence:
             return self._answer({"reason": "fence"}, 409)
         self._fence = document["fencing_token"]
+        # Stops carry no end of the lease.
+        expires_ms = document.get("expires_ms", 0)
+        self._lease_until = max(self._lease_until, expires_ms / 1000)
         return None
 
-    def _extend_lease(self, document: dict[str, Any]) -> None:
-        expires_ms = document.get("expires_ms")
-        if expires_ms is not None:
-            self._lease_until = max(self._lease_until, expires_ms / 1000)
-
     async def _start_run(self, request: web.Request) -> web.Response:
         document = await request.json()
         refusal = self._refuse(request, document)
         if refusal is not None:
             return refusal
-        self._extend_lease(document)
         now = time.monotonic()
         if now >= self._lease_until:
             return self._answer({"reason": "late"}, 409)
@@ -190,7 +183,6 @@
         refusal = self._refuse(request, document)
         if refusal is not None:
             return refusal
-        self._extend_lease(document)
         self._ended = [
             row for row in self._ended if row[0] > document["last_seen"]
         ]
