Count each failed run once, in whatever order workers list the ends

All daemons lost power; their successor read the ends from the workers, which still listed them. It kept only the highest number of a failed run, and ignored lower ones that another worker listed after it: the task was started a fourth time. Ruled out: a failure that no worker listed any more (none was acknowledged).

Change: all numbers of failed runs are kept and stored, so that each counts once. Failures of lasting tasks have no limit and are not stored any more.

Test: three workers list the ends, the last one first. It failed on the former code (state queued instead of failed).

--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -39,6 +39,7 @@
 from gentianlead.dispatch._records import ProgressRecord
 from gentianlead.dispatch._records import Record
 from gentianlead.dispatch._records import RemovedKey
+from gentianlead.dispatch._records import TaskFact
 from gentianlead.dispatch._records import TOPIC
 from gentianlead.dispatch._records import WorkersRecord
 from gentianlead.dispatch._retention import RETENTION_MARGIN
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -32,14 +32,14 @@
         filling_ms: Waiting work of fillers, in milliseconds of `left_over`.
         workers: Number of usable workers.
         largest_free: Most unreserved processors on one worker.
-        largest_attainable: Most processors on one worker that no lasting task
-            has: room for another one once short tasks have ended.
         filling_millis: Processors that waiting and running fillers declare.
         rooms: Processors that fillers find beside the serving tasks, by image
             of the fillers that were seen.
         labels: Labels of usable workers.
         left_over: Processors that serving tasks leave to fillers, in
             thousandths.
+        largest_attainable: Most processors on one worker that no lasting task
+            has: room for another one once short tasks have ended.
     """
 
     is_usable: bool
@@ -49,11 +49,11 @@
     filling_ms: int
     workers: int = 0
     largest_free: int = 0
-    largest_attainable: int = 0
     filling_millis: int = 0
     rooms: tuple[ImageRoom, ...] = ()
     labels: tuple[str, ...] = ()
     left_over: int = 0
+    largest_attainable: int = 0
 
 
 class GroupSummary(NamedTuple):
@@ -155,9 +155,9 @@
     left_over = max(1, capacity - serving // 2)
     return GroupLoad(is_usable, capacity, firm, int(work[False] / left_over),
                      int((work[True] + work[False]) / left_over), usable,
-                     largest, attainable, filling,
+                     largest, filling,
                      tuple(ImageRoom(*row) for row in sorted(rooms.items())),
-                     tuple(sorted(labels)), left_over)
+                     tuple(sorted(labels)), left_over, attainable)
 
 
 def add_job(load: GroupLoad, job: model.SteppedJob, group: str) -> GroupLoad:
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -63,8 +63,11 @@
         index: Index of the task.
         failures: Runs that failed.
         checkpoint: Newest checkpoint, or empty.
-        failed_run: Number of the last run that is counted as failed. A worker
-            lists its end until it is acknowledged, also to a new leader.
+        failed_run: Highest number of a run that is counted as failed; records
+            of older daemons have it alone.
+        failed_runs: Numbers of all runs that are counted as failed. Workers
+            list their ends until they are acknowledged, also to a new leader,
+            and in no common order.
     """
 
     occurrence: int
@@ -73,6 +76,7 @@
     failures: int
     checkpoint: str
     failed_run: int = 0
+    failed_runs: tuple[int, ...] = ()
 
 
 class ProgressRecord(NamedTuple):
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -71,7 +71,8 @@
         active: Runs by index of the task.
         done: Indexes of tasks that are done.
         failures: Failed runs by index.
-        failed_runs: Number of the last failed run by index.
+        failed_runs: Numbers of the failed runs by index; not of lasting tasks,
+            whose failures have no limit.
         checkpoints: Newest checkpoints by index.
         avoided: Workers on which a task failed last, by index.
         stuck_since: Monotonic time since which tasks wait although no worker
@@ -92,7 +93,7 @@
         self.active: dict[int, Run] = {}
         self.done: set[int] = set()
         self.failures: dict[int, int] = {}
-        self.failed_runs: dict[int, int] = {}
+        self.failed_runs: dict[int, set[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.avoided: dict[int, str] = {}
         self.stuck_since: float | None = None
@@ -195,8 +196,8 @@
             if fact.failures:
                 step_run.failures[fact.index] = max(
                     fact.failures, step_run.failures.get(fact.index, 0))
-                step_run.failed_runs[fact.index] = max(
-                    fact.failed_run, step_run.failed_runs.get(fact.index, 0))
+                step_run.failed_runs.setdefault(fact.index, set()).update(
+                    fact.failed_runs, (fact.failed_run,))
             if fact.checkpoint:
                 step_run.checkpoints[fact.index] = fact.checkpoint
 
@@ -289,11 +290,13 @@
                     _records.StepDone(occurrence, index, format(mask, "x")))
             for i in sorted((set(step_run.failures) |
                              set(step_run.checkpoints)) - step_run.done):
+                failed = step_run.failed_runs.get(i, ())
                 facts.append(
                     _records.TaskFact(occurrence, index, i,
                                       step_run.failures.get(i, 0),
                                       step_run.checkpoints.get(i, ""),
-                                      step_run.failed_runs.get(i, 0)))
+                                      max(failed, default=0),
+                                      tuple(sorted(failed))))
         return _records.ProgressRecord(self.job.job_id, group, epoch,
                                        self.state, self.last_run, tuple(done),
                                        tuple(facts))
@@ -324,14 +327,16 @@
         """Counts a failed run, once."""
         step_run = self.get_step(task)
         index = task.index
-        if (step_run is None or index in step_run.done or
-                number <= step_run.failed_runs.get(index, 0)):
+        if (step_run is None or step_run.step.is_lasting or
+                index in step_run.done):
             return
-        step_run.failed_runs[index] = number
+        counted = step_run.failed_runs.setdefault(index, set())
+        if number in counted:
+            return
+        counted.add(number)
         step_run.failures[index] = step_run.failures.get(index, 0) + 1
         self.is_dirty = True
-        limit = self.job.queue.max_attempts
-        if not step_run.step.is_lasting and step_run.failures[index] >= limit:
+        if step_run.failures[index] >= self.job.queue.max_attempts:
             self.set_state(model.JobState.FAILED)
 
     def mark_done_elsewhere(self, task: model.TaskKey) -> None:
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -134,6 +134,51 @@
         driver.scheduler.put_job(entry._replace(progress={"north-1": older}))
         self.assertEqual(driver.plan_starts(), [])
 
+    def test_failures_that_a_former_leader_could_not_store(self):
+        """Guards against one more attempt than the queue allows.
+
+        The former leader saw three failures while the store was away. Workers
+        list them to its successor, the last one first.
+        """
+        driver = builders.GroupDriver()
+        driver.scheduler.put_job(
+            builders.build_entry(builders.build_job(JOB), offset=40))
+        task = model.TaskKey(JOB, 0, 0, 0)
+        for name in ("w1", "w2", "w3"):
+            driver.scheduler.put_recorded_worker(builders.build_worker(name),
+                                                 driver.now)
+        for name, run in (("w1", 9), ("w2", 7), ("w3", 8)):
+            ended = ports.EndedTask(1, task, run, ports.EndCause.FAILED, "")
+            driver.look(name, ended=(ended,))
+        self.assertEqual(driver.plan_starts(), [])
+        job = driver.scheduler.jobs[JOB]
+        self.assertIs(job.state, model.JobState.FAILED)
+        (progress,) = driver.scheduler.take_dirty()
+        self.assertEqual(progress.tasks[0].failed_runs, (7, 8, 9))
+
+    def test_stored_failure_is_counted_once(self):
+        """Guards against a job that fails after too few attempts."""
+        fact = dispatch.TaskFact(0, 0, 0, 1, "", 7, (7,))
+        progress = dispatch.ProgressRecord(JOB,
+                                           "north-1",
+                                           1,
+                                           model.JobState.RUNNING,
+                                           7,
+                                           tasks=(fact,))
+        entry = builders.build_entry(builders.build_job(JOB), offset=40)
+        for newer in (progress,
+                      progress._replace(tasks=(fact._replace(
+                          failed_runs=()),))):
+            with self.subTest(fact=newer.tasks[0]):
+                driver = builders.GroupDriver(builders.build_worker())
+                driver.scheduler.put_job(
+                    entry._replace(progress={"north-1": newer}))
+                ended = ports.EndedTask(1, model.TaskKey(JOB, 0, 0, 0), 7,
+                                        ports.EndCause.FAILED, "")
+                driver.look(ended=(ended,))
+                step_run = driver.scheduler.jobs[JOB].steps[0, 0]
+                self.assertEqual(step_run.failures, {0: 1})
+
     def test_stranger_of_a_running_task_is_stopped(self):
         """Guards against an order carried out late beside a newer run."""
         driver = builders.GroupDriver(builders.build_worker())
