Log and count failed loads of topics

Their logs say nothing about the reads: topic-lost is written only after a successful read, and no metric counts loads.

A failed load now writes topic-load-failed, at most once a second for a topic, with the number of failures so far, the error, its verdict and the duration of the attempt. The error of a call that timed out names the bytes of the body that arrived, and that of a full read the records of the pages before. Loaded topics report keys, bytes, duration and failures. The counter gentianlead_topic_loads_total has both outcomes by topic.

Only logs and metrics change. The three tests fail on the code before: there are no such lines and no such counter.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -9,6 +9,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _topic_load
 
 APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
 """Longest wait for the reply to one append call; after it the call is repeated.
@@ -344,6 +345,8 @@
         self._log = log
         self._metrics = metrics
         self._on_jobs_changed = on_jobs_changed
+        self._load_reporter = _topic_load.TopicLoadReporter(
+            dispatch.JOB_TOPIC, clock, log, metrics)
         self._read_requested = asyncio.Event()
         self._records_applied = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
@@ -394,6 +397,8 @@
                 else:
                     await self._read_newest_records(started_at)
             except ports.StoreError as error:
+                if not self.is_loaded:
+                    self._load_reporter.report_failure(error, started_at)
                 self._handle_read_failure(error)
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
@@ -417,9 +422,7 @@
         for problem in problems:
             self._log.write("record-unreadable", problem=problem)
         self.is_loaded = True
-        self._log.write("topic-loaded",
-                        keys=len(batch.records),
-                        position=self.job_table.position)
+        self._load_reporter.report_success(batch, sent_at)
         self._handle_read_success("newest", sent_at, True)
 
     async def _read_new_records(self, sent_at: float) -> None:
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -23,6 +23,8 @@
         run_ends: Number of runs that ended, by cause.
         store_calls: Number of calls to the store, by operation and outcome.
             Appends that claim a leadership are not counted.
+        topic_loads: Number of attempts to read the newest record of every key
+            of a topic, by topic and outcome (`ok` or `failed`).
         store_call_seconds: Duration of calls to the store in seconds, by
             operation. Only the appends counted in `store_calls` are measured.
         status_requests: Number of status requests to workers, by outcome (`ok`
@@ -48,6 +50,8 @@
         self.run_ends = self._add_counter("run_ends_total", "Ends of runs")
         self.store_calls = self._add_counter("store_calls_total",
                                              "Calls to the store")
+        self.topic_loads = self._add_counter(
+            "topic_loads_total", "Attempts to load all keys of a topic")
         self.store_call_seconds = self._add_histogram(
             "store_call_seconds", "Duration of calls to the store")
         self.status_requests = self._add_counter("worker_looks_total",
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -9,6 +9,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _topic_load
 
 OPERATOR_LONG_POLL_WAIT = datetime.timedelta(seconds=1)
 """How long the store may hold a read of the operators' topic until new records
@@ -55,6 +56,8 @@
         self._metrics = metrics
         self._on_record = on_record
         self._on_loaded = on_loaded
+        self._load_reporter = _topic_load.TopicLoadReporter(
+            topic, clock, log, metrics)
         self._next_offset = 0
         self._is_store_reachable = True
 
@@ -63,20 +66,23 @@
         while True:
             sent_at = self._clock.monotonic()
             try:
-                await self._read()
+                await self._read(sent_at)
                 self.fresh_as_of = sent_at
                 self._handle_read_result(True, "")
                 await self._clock.sleep(self._read_interval)
             except ports.StoreError as error:
+                if not self.is_loaded:
+                    self._load_reporter.report_failure(error, sent_at)
                 self._handle_read_result(False, str(error))
                 await self._clock.sleep(RETRY_INTERVAL)
 
-    async def _read(self) -> None:
+    async def _read(self, sent_at: float) -> None:
         if not self.is_loaded:
             batch = await self._store.read_newest(self._topic)
             self._deliver_records(batch.records)
             self._next_offset = batch.end_offset
             self.is_loaded = True
+            self._load_reporter.report_success(batch, sent_at)
             self._on_loaded(
                 {record.key for record in batch.records if record.value})
             return
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -3,7 +3,7 @@
 import asyncio
 import datetime
 import os
-from typing import Sequence
+from typing import Any, Sequence
 
 from gentianlead import adapters
 from gentianlead import errors
@@ -109,3 +109,23 @@
     """Returns a decision log that writes to the null device."""
     return _decision_log.DecisionLog("entry-1", adapters.SystemClock(),
                                      os.open(os.devnull, os.O_WRONLY))
+
+
+class RecordingLog(_decision_log.DecisionLog):
+    """Decision log that keeps its lines in memory.
+
+    Attributes:
+        lines: Event and fields of each line, in order.
+    """
+
+    def __init__(self) -> None:
+        super().__init__("entry-1", adapters.SystemClock(),
+                         os.open(os.devnull, os.O_WRONLY))
+        self.lines: list[tuple[str, dict[str, Any]]] = []
+
+    def write(self, event: str, **fields: Any) -> None:
+        self.lines.append((event, fields))
+
+    def list_fields(self, event: str) -> list[dict[str, Any]]:
+        """Returns the fields of all lines of an event."""
+        return [fields for name, fields in self.lines if name == event]
--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -0,0 +1,108 @@
+"""Tests of loads: full reads of the newest records of a topic."""
+
+import asyncio
+import datetime
+import unittest
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import errors
+from gentianlead import ports
+from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _metrics
+from gentianlead.cluster import _platform_topics
+from gentianlead.cluster import _topic_load
+from gentianlead.cluster.tests import fakes
+
+OBSERVED_TIME = datetime.timedelta(milliseconds=500)
+LONG_TIMEOUT = datetime.timedelta(seconds=5)
+
+
+class LoadReportTest(unittest.IsolatedAsyncioTestCase):
+    """Tests what the log and the metrics show while loads fail."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.store.is_down = True
+        self.log = fakes.RecordingLog()
+        self.metrics = _metrics.ClusterMetrics()
+        self.clock = adapters.SystemClock()
+
+    def assert_failures_reported(self, topic: str) -> None:
+        """Checks for one log line and at least two counted failures."""
+        lines = self.log.list_fields("topic-load-failed")
+        self.assertEqual([(line["topic"], line["error"]) for line in lines],
+                         [(topic, "refused")])
+        failure_count = self.metrics.topic_loads.get({
+            "topic": topic,
+            "outcome": "failed"
+        })
+        self.assertGreaterEqual(failure_count, 2)
+
+    async def test_failed_loads_of_job_topic_are_reported(self):
+        """Guards against a daemon that refuses all callers and logs no cause.
+
+        `topic-lost` is logged only after a successful read.
+        """
+        reader = _job_topic.JobTopicReader(self.store, self.clock, self.log,
+                                           self.metrics, lambda job_ids: None)
+        self.addAsyncCleanup(reader.stop)
+        reader.start()
+        await asyncio.sleep(OBSERVED_TIME.total_seconds())
+        self.assert_failures_reported(dispatch.JOB_TOPIC)
+        self.store.is_down = False
+        self.assertTrue(await reader.wait_until_applied(-1, LONG_TIMEOUT))
+        loaded_line = self.log.list_fields("topic-loaded")[0]
+        self.assertGreaterEqual(loaded_line["failures"], 2)
+
+    async def test_failed_loads_of_platform_topic_are_reported(self):
+        """Guards against a registry that stays unread without a log line."""
+        reader = _platform_topics.PlatformTopicReader("keyed.servers",
+                                                      datetime.timedelta(0),
+                                                      datetime.timedelta(0),
+                                                      self.store, self.clock,
+                                                      self.log, self.metrics,
+                                                      lambda record: None,
+                                                      lambda keys: None)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(OBSERVED_TIME.total_seconds()):
+                await reader.run()
+        self.assert_failures_reported("keyed.servers")
+
+
+class ManualClock(ports.Clock):
+    """Clock that a test advances.
+
+    Attributes:
+        seconds: Monotonic time.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> datetime.datetime:
+        return datetime.datetime.fromtimestamp(self.seconds, datetime.UTC)
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        self.seconds += duration.total_seconds()
+
+
+class LoadReporterTest(unittest.TestCase):
+    """Tests the rate limit of the lines of failed loads."""
+
+    def test_rate_of_failure_lines_is_bounded(self):
+        """Guards against a log that is flooded while the store refuses."""
+        clock = ManualClock()
+        log = fakes.RecordingLog()
+        reporter = _topic_load.TopicLoadReporter("jobs", clock, log,
+                                                 _metrics.ClusterMetrics())
+        error = ports.StoreError("refused", errors.Verdict.DID_NOT_RUN)
+        for _ in range(100):
+            reporter.report_failure(error, clock.monotonic())
+            clock.seconds += 0.0625
+        lines = log.list_fields("topic-load-failed")
+        self.assertEqual([line["failures"] for line in lines],
+                         [1, 17, 33, 49, 65, 81, 97])
--- a/src/gentianlead/platform/_http.py
+++ b/src/gentianlead/platform/_http.py
@@ -82,6 +82,7 @@
                              path=path,
                              query=query or {})
         session = self._get_session()
+        reply_body = bytearray()
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 async with session.request(method,
@@ -89,15 +90,18 @@
                                            data=body,
                                            headers=headers,
                                            allow_redirects=False) as reply:
-                    return HttpReply(reply.status, await reply.read())
+                    async for chunk in reply.content.iter_any():
+                        reply_body += chunk
+                    return HttpReply(reply.status, bytes(reply_body))
         except _NOT_CONNECTED_ERRORS as error:
             raise HttpCallError(f"{self.address}: {error}",
                                 errors.Verdict.DID_NOT_RUN) from error
         except TimeoutError as error:
             self._stop_reusing_session(session)
             raise HttpCallError(
-                f"{self.address}: no reply within "
-                f"{timeout.total_seconds():.2f} s",
+                f"{self.address}: no complete reply within "
+                f"{timeout.total_seconds():.2f} s, received "
+                f"{len(reply_body)} bytes of its body",
                 errors.Verdict.MAY_HAVE_RUN) from error
         except (aiohttp.ClientError, OSError, RuntimeError) as error:
             # aiohttp raises `RuntimeError` if the session was closed meanwhile.
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -155,8 +155,13 @@
             if after_key:
                 # The wire name misleads: the page starts after this key.
                 query["depends_on"] = after_key
-            reply = await self._call("GET", "/log-newest", READ_REPLY_ALLOWANCE,
-                                     None, query)
+            try:
+                reply = await self._call("GET", "/log-newest",
+                                         READ_REPLY_ALLOWANCE, None, query)
+            except ports.StoreError as error:
+                raise ports.StoreError(
+                    f"{error}, after {len(records)} records of earlier pages",
+                    error.verdict) from error
             if reply.status != 200:
                 raise _build_store_error(reply)
             try:
