Reproduce a daemon on a slow link that never loads the job topic

The stand-in for the store gets a link with a rate that all replies share, and can reset the connection in the middle of a page. A reader whose pages take 1.3 s each, longer than the 0.9 s of a whole read, does not load 1,100 jobs within 15 s:

--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -7,15 +7,19 @@
 from gentianlead import adapters
 from gentianlead import dispatch
 from gentianlead import errors
+from gentianlead import platform
 from gentianlead import ports
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _platform_topics
 from gentianlead.cluster import _topic_load
 from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch.tests import builders
+from standins import site_store
 
 OBSERVED_TIME = datetime.timedelta(milliseconds=500)
 LONG_TIMEOUT = datetime.timedelta(seconds=5)
+LOAD_TIMEOUT = datetime.timedelta(seconds=15)
 
 
 class LoadReportTest(unittest.IsolatedAsyncioTestCase):
@@ -106,3 +110,43 @@
         lines = log.list_fields("topic-load-failed")
         self.assertEqual([line["failures"] for line in lines],
                          [1, 17, 33, 49, 65, 81, 97])
+
+
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Tests loads over a link on which one page takes 1.3 s.
+
+    This is longer than the store may stay silent (0.9 s).
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.site_store = site_store.SiteStore()
+        await self.site_store.start()
+        self.addAsyncCleanup(self.site_store.stop)
+        self.store = platform.PlatformStore(self.site_store.address)
+        self.addAsyncCleanup(self.store.close)
+        self.reader = _job_topic.JobTopicReader(self.store,
+                                                adapters.SystemClock(),
+                                                fakes.RecordingLog(),
+                                                _metrics.ClusterMetrics(),
+                                                lambda job_ids: None)
+        self.addAsyncCleanup(self.reader.stop)
+
+    def write_jobs(self, count: int) -> None:
+        """Stores accepted jobs and sets the rate of the link."""
+        for number in range(count):
+            stored = dispatch.encode_record(
+                dispatch.AcceptedRecord(builders.build_job(f"{number:016x}"),
+                                        "a#1"))
+            self.site_store.write("keyed.jobs", stored.key, stored.value)
+        item_bytes = len(stored.key) + 4 * len(stored.value) // 3 + 45
+        self.site_store.link_bytes_per_s = 500 * item_bytes / 1.3
+
+    async def test_topic_is_loaded_although_pages_are_slow(self):
+        """Guards against a daemon on a slow link that never loads the topic.
+
+        A fixed time limit for a whole page fails each attempt alike.
+        """
+        self.write_jobs(1100)
+        self.reader.start()
+        self.assertTrue(await self.reader.wait_until_applied(-1, LOAD_TIMEOUT))
+        self.assertEqual(len(self.reader.job_table.jobs), 1100)
--- a/standins/site_store.py
+++ b/standins/site_store.py
@@ -1,11 +1,12 @@
 """Stand-in for the store of the users' platform, in memory.
 
 It keeps keyed topics with one partition, and refuses all calls while it is
-down.
+down. The link over which it sends its replies can be slow or break.
 """
 
 import asyncio
 import base64
+import json
 import struct
 from typing import NamedTuple
 
@@ -16,6 +17,7 @@
 _LENGTH = struct.Struct(">I")
 _HEAD = struct.Struct(">QQ")
 _PAGE = 500
+_CHUNK_BYTES = 4096
 
 
 class _Record(NamedTuple):
@@ -69,11 +71,20 @@
     Attributes:
         address: `host:port`, once it is started.
         is_down: Whether all calls are refused.
+        link_bytes_per_s: Rate at which the bodies of all replies together are
+            sent; 0 for no limit.
+        broken_pages: Numbers of the pages of newest records, counted from 1
+            over all topics, whose connection is reset in the middle.
+        page_starts: Topic and key after which each requested page starts.
     """
 
     def __init__(self) -> None:
         self.address = ""
         self.is_down = False
+        self.link_bytes_per_s = 0.0
+        self.broken_pages: set[int] = set()
+        self.page_starts: list[tuple[str, str]] = []
+        self._link_free_at = 0.0
         self._topics: dict[str, _Topic] = {}
         self._runner: web.AppRunner | None = None
 
@@ -125,7 +136,7 @@
             "end_offset": len(topic.records)
         })
 
-    async def _read(self, request: web.Request) -> web.Response:
+    async def _read(self, request: web.Request) -> web.StreamResponse:
         if self.is_down:
             return web.Response(status=503)
         topic = self._get_topic(request.query["topic"])
@@ -141,24 +152,52 @@
             return web.Response(status=503)
         body = [_HEAD.pack(len(topic.records), 0)]
         body += [_encode_record(record) for record in topic.records[start:]]
-        return web.Response(body=b"".join(body))
+        return await self._send_body(request, b"".join(body))
 
-    async def _read_newest(self, request: web.Request) -> web.Response:
+    async def _read_newest(self, request: web.Request) -> web.StreamResponse:
         if self.is_down:
             return web.Response(status=503)
         topic = self._get_topic(request.query["topic"])
         after = request.query.get("depends_on", "")
+        self.page_starts.append((request.query["topic"], after))
+        is_broken = len(self.page_starts) in self.broken_pages
         rows = [row for row in topic.list_newest() if row[1].key > after]
         items = [{
             "key": record.key,
             "value": base64.b64encode(record.value).decode(),
             "offset": offset
         } for offset, record in rows[:_PAGE]]
-        return web.json_response({
+        body = json.dumps({
             "items": items,
             "has_more": len(rows) > _PAGE,
             "end_offset": len(topic.records)
-        })
+        }).encode()
+        return await self._send_body(request, body, is_broken)
+
+    async def _send_body(self,
+                         request: web.Request,
+                         body: bytes,
+                         is_broken: bool = False) -> web.StreamResponse:
+        """Sends a body at the rate of the link, or resets after half of it."""
+        response = web.StreamResponse()
+        response.content_length = len(body)
+        await response.prepare(request)
+        end = len(body) // 2 if is_broken else len(body)
+        loop = asyncio.get_running_loop()
+        for start in range(0, end, _CHUNK_BYTES):
+            chunk = body[start:min(end, start + _CHUNK_BYTES)]
+            if self.link_bytes_per_s:
+                self._link_free_at = max(
+                    self._link_free_at,
+                    loop.time()) + len(chunk) / self.link_bytes_per_s
+                await asyncio.sleep(self._link_free_at - loop.time())
+            try:
+                await response.write(chunk)
+            except ConnectionResetError:
+                return response
+        if is_broken and request.transport is not None:
+            request.transport.abort()
+        return response
 
 
 def _encode_record(record: _Record) -> bytes:
