Bound reads of the store by their progress, not by their size

Callers got no answer about accepted jobs after the loss of all machines of a grown site: 31 of 41 daemons never loaded the job topic. Exactly the ten daemons with a link of 100 Mbit/s loaded it; the others have 5 Mbit/s, where a page of newest records of 1 MB takes 1.6 s. A read had 0.9 s for the whole reply, so each attempt failed alike, for as long as the daemon ran. It is a fixed time limit on a transfer of unbounded size, with retries that make no progress.

Ruled out: a lasting refusal or an unreadable record (the errors are timeouts), a reader that hangs (an attempt follows about each second).

The time limit of a read now covers the head of the reply and each further piece of the body; the whole body may take 15 s. Other calls keep their limit on the whole reply. A session that is replaced after a timeout stays open until its last call has ended: it was closed after three seconds, which would break longer transfers each time another call times out. Reads of new records ask for 256 KiB, so that a reader on a slow link sees soon that it is up to date.

--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -61,7 +61,7 @@
 
     async def test_failed_loads_of_platform_topic_are_reported(self):
         """Guards against a registry that stays unread without a log line."""
-        reader = _platform_topics.PlatformTopicReader("keyed.servers",
+        reader = _platform_topics.PlatformTopicReader(platform.REGISTRY_TOPIC,
                                                       datetime.timedelta(0),
                                                       datetime.timedelta(0),
                                                       self.store, self.clock,
@@ -71,7 +71,7 @@
         with self.assertRaises(TimeoutError):
             async with asyncio.timeout(OBSERVED_TIME.total_seconds()):
                 await reader.run()
-        self.assert_failures_reported("keyed.servers")
+        self.assert_failures_reported(platform.REGISTRY_TOPIC)
 
 
 class ManualClock(ports.Clock):
--- a/src/gentianlead/platform/_http.py
+++ b/src/gentianlead/platform/_http.py
@@ -9,6 +9,10 @@
 
 from gentianlead import errors
 
+MAX_TRANSFER_TIME = datetime.timedelta(seconds=15)
+"""Longest transfer of the body of a reply that is bound by its progress. A page
+of newest records, about 1.4 MB as encoded, takes it at 0.75 Mbit/s."""
+
 _NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError,)
 
 
@@ -41,7 +45,8 @@
 
     An open connection can stop delivering data for good while new connections
     to the same address work. After a call times out, new calls therefore use a
-    new session, and none of the connections open at that time is used again.
+    new session, and none of the connections open at that time is used again
+    once the calls in progress on them have ended.
 
     Attributes:
         address: `host:port` of the server.
@@ -51,93 +56,123 @@
         self.address = address
         self._max_connections = max_connections
         self._session: aiohttp.ClientSession | None = None
-        self._close_tasks_by_session: dict[aiohttp.ClientSession,
-                                           asyncio.Task] = {}
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=self._max_connections,
-                                               keepalive_timeout=60,
-                                               enable_cleanup_closed=False),
-                cookie_jar=aiohttp.DummyCookieJar(),
-                auto_decompress=False)
-        return self._session
-
-    async def call(self,
-                   method: str,
-                   path: str,
-                   timeout: datetime.timedelta,
-                   body: bytes | None = None,
-                   query: Mapping[str, str | int] | None = None,
-                   headers: Mapping[str, str] | None = None) -> HttpReply:
+        # Number of calls in progress, by session.
+        self._call_counts: dict[aiohttp.ClientSession, int] = {}
+        self._close_tasks: set[asyncio.Task] = set()
+
+    async def call(
+            self,
+            method: str,
+            path: str,
+            timeout: datetime.timedelta,
+            body: bytes | None = None,
+            query: Mapping[str, str | int] | None = None,
+            headers: Mapping[str, str] | None = None,
+            progress_timeout: datetime.timedelta | None = None) -> HttpReply:
         """Sends a request and waits for the complete reply.
 
+        Args:
+            method: HTTP method.
+            path: Path of the request.
+            timeout: Longest wait for the complete reply. With
+                `progress_timeout`, longest wait for the head of the reply.
+            body: Body of the request.
+            query: Parameters in the query of the request.
+            headers: Additional headers of the request.
+            progress_timeout: Longest wait for the next bytes of the body after
+                the head. The body then takes at most `MAX_TRANSFER_TIME` in
+                all, so that a large one can arrive over a slow link.
+
         Raises:
-            HttpCallError: No complete reply was received within the timeout,
-                or the connection failed.
+            HttpCallError: No complete reply was received within these times, or
+                the connection failed.
         """
         url = yarl.URL.build(scheme="http",
                              authority=self.address,
                              path=path,
                              query=query or {})
-        session = self._get_session()
+        loop = asyncio.get_running_loop()
+        sent_at = loop.time()
+        session = self._enter_session()
         reply_body = bytearray()
         try:
-            async with asyncio.timeout(timeout.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()) as time_limit:
                 async with session.request(method,
                                            url,
                                            data=body,
                                            headers=headers,
                                            allow_redirects=False) as reply:
-                    async for chunk in reply.content.iter_any():
-                        reply_body += chunk
+                    await _receive_body(reply, reply_body, time_limit,
+                                        progress_timeout)
                     return HttpReply(reply.status, bytes(reply_body))
         except _NOT_CONNECTED_ERRORS as error:
             raise HttpCallError(f"{self.address}: {error}",
                                 errors.Verdict.DID_NOT_RUN) from error
         except TimeoutError as error:
-            self._stop_reusing_session(session)
+            if self._session is session:
+                self._session = None
             raise HttpCallError(
-                f"{self.address}: no complete reply within "
-                f"{timeout.total_seconds():.2f} s, received "
+                f"{self.address}: no complete reply after "
+                f"{loop.time() - sent_at:.2f} s, received "
                 f"{len(reply_body)} bytes of its body",
                 errors.Verdict.MAY_HAVE_RUN) from error
         except (aiohttp.ClientError, OSError, RuntimeError) as error:
             # aiohttp raises `RuntimeError` if the session was closed meanwhile.
             raise HttpCallError(f"{self.address}: {error!r:.120}",
                                 errors.Verdict.MAY_HAVE_RUN) from error
+        finally:
+            self._leave_session(session)
 
-    def _stop_reusing_session(self, session: aiohttp.ClientSession) -> None:
-        """Lets new calls use another session, and closes this one later."""
-        if self._session is not session:
-            return
-        self._session = None
-        # Calls in progress on other connections of the session may still get
-        # their replies.
-        close_task = asyncio.get_running_loop().create_task(
-            self._close_after_delay(session))
-        self._close_tasks_by_session[session] = close_task
+    def _enter_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=self._max_connections,
+                                               keepalive_timeout=60,
+                                               enable_cleanup_closed=False),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                auto_decompress=False)
+            self._call_counts[self._session] = 0
+        self._call_counts[self._session] += 1
+        return self._session
 
-    async def _close_after_delay(self, session: aiohttp.ClientSession) -> None:
-        await asyncio.sleep(_SESSION_CLOSE_DELAY_SECONDS)
-        del self._close_tasks_by_session[session]
-        await session.close()
+    def _leave_session(self, session: aiohttp.ClientSession) -> None:
+        """Ends a call; closes a replaced session after its last call.
+
+        A transfer over a slow link takes longer than the interval at which
+        other calls may time out, so a replaced session stays open for it.
+        """
+        self._call_counts[session] -= 1
+        if session is self._session or self._call_counts[session] > 0:
+            return
+        del self._call_counts[session]
+        close_task = asyncio.get_running_loop().create_task(session.close())
+        self._close_tasks.add(close_task)
+        close_task.add_done_callback(self._close_tasks.discard)
 
     async def close(self) -> None:
-        """Closes all connections."""
-        sessions = list(self._close_tasks_by_session)
-        for close_task in self._close_tasks_by_session.values():
-            close_task.cancel()
-        self._close_tasks_by_session.clear()
-        if self._session is not None:
-            sessions.append(self._session)
-            self._session = None
-        for session in sessions:
+        """Closes all connections; calls in progress fail."""
+        self._session = None
+        for session in list(self._call_counts):
             await session.close()
+        if self._close_tasks:
+            await asyncio.wait(self._close_tasks)
 
 
-_SESSION_CLOSE_DELAY_SECONDS = 3.0
-"""Delay before the session of a timed-out call is closed. It
-covers the longest call: a status request, which a worker may hold for two
-seconds, and the time allowed for its reply."""
+async def _receive_body(reply: aiohttp.ClientResponse, reply_body: bytearray,
+                        time_limit: asyncio.Timeout,
+                        progress_timeout: datetime.timedelta | None) -> None:
+    """Appends the body of a reply to `reply_body`.
+
+    With `progress_timeout`, each piece that arrives extends `time_limit`.
+    """
+    loop = asyncio.get_running_loop()
+    transfer_ends_at = loop.time() + MAX_TRANSFER_TIME.total_seconds()
+    while True:
+        if progress_timeout is not None:
+            time_limit.reschedule(
+                min(loop.time() + progress_timeout.total_seconds(),
+                    transfer_ends_at))
+        chunk = await reply.content.readany()
+        if not chunk:
+            return
+        reply_body += chunk
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -19,13 +19,15 @@
 few for concurrent appends and other reads."""
 
 READ_REPLY_ALLOWANCE = datetime.timedelta(milliseconds=900)
-"""Timeout of a read, in addition to the time for which the store may hold the
-reply. A store under normal load replies within 15 ms, and one that is slowed
-down by a factor of 60 within 0.3 s."""
+"""Timeout for the head of a reply to a read, in addition to the time for which
+the store may hold the reply, and for each further piece of the body. A store
+under normal load replies within 15 ms, and one that is slowed down by a factor
+of 60 within 0.3 s. The whole body has no such limit: a page of 1 MB takes 1.6 s
+over a link of 5 Mbit/s."""
 
-MAX_READ_KIB = 1024
-"""Maximum size of the records in a reply to a read, in KiB; the default of the
-platform."""
+MAX_READ_KIB = 256
+"""Maximum size of the records in a reply to a read, in KiB. It takes 0.4 s over
+a link of 5 Mbit/s, so a reader there learns soon that it is up to date."""
 
 _RECORD_LENGTH_FORMAT = struct.Struct(">I")
 _READ_REPLY_HEADER_FORMAT = struct.Struct(">QQ")
@@ -129,7 +131,8 @@
         if wait_ms:
             query["wait_ms"] = wait_ms
         reply = await self._call("GET", "/log-read",
-                                 wait + READ_REPLY_ALLOWANCE, None, query)
+                                 wait + READ_REPLY_ALLOWANCE, None, query,
+                                 READ_REPLY_ALLOWANCE)
         if reply.status == _STATUS_OFFSET_EXPIRED:
             return None
         if reply.status != 200:
@@ -157,7 +160,8 @@
                 query["depends_on"] = after_key
             try:
                 reply = await self._call("GET", "/log-newest",
-                                         READ_REPLY_ALLOWANCE, None, query)
+                                         READ_REPLY_ALLOWANCE, None, query,
+                                         READ_REPLY_ALLOWANCE)
             except ports.StoreError as error:
                 raise ports.StoreError(
                     f"{error}, after {len(records)} records of earlier pages",
@@ -185,11 +189,22 @@
         """Closes all connections."""
         await self._endpoint.close()
 
-    async def _call(self, method: str, path: str, timeout: datetime.timedelta,
-                    body: bytes | None,
-                    query: dict[str, str | int]) -> _http.HttpReply:
+    async def _call(
+            self,
+            method: str,
+            path: str,
+            timeout: datetime.timedelta,
+            body: bytes | None,
+            query: dict[str, str | int],
+            progress_timeout: datetime.timedelta | None = None
+    ) -> _http.HttpReply:
         try:
-            return await self._endpoint.call(method, path, timeout, body, query)
+            return await self._endpoint.call(method,
+                                             path,
+                                             timeout,
+                                             body,
+                                             query,
+                                             progress_timeout=progress_timeout)
         except _http.HttpCallError as error:
             raise ports.StoreError(str(error), error.verdict) from error
 
--- /dev/null
+++ b/src/gentianlead/platform/tests/test_http.py
@@ -0,0 +1,118 @@
+"""Tests of the time limits and sessions of the HTTP client."""
+
+import asyncio
+import datetime
+import time
+import unittest
+
+from aiohttp import web
+
+from gentianlead import errors
+from gentianlead.platform import _http
+
+TIMEOUT = datetime.timedelta(milliseconds=300)
+PIECE = b"x" * 1000
+
+
+class PiecewiseServer:
+    """HTTP server that sends bodies in pieces of 1,000 bytes.
+
+    A path `/PIECES/INTERVAL_MS` gets that many pieces at that interval. The
+    path `/stall` gets the head and one of two pieces, `/silence` no reply.
+
+    Attributes:
+        address: `host:port` of the server; empty before it is started.
+    """
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        self._runner = web.ServerRunner(web.Server(self._serve),
+                                        shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        self.address = f"127.0.0.1:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Stops the server."""
+        await self._runner.cleanup()
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/silence":
+            await asyncio.sleep(30)
+        is_stalled = request.path == "/stall"
+        piece_count, interval_ms = ((2, 0) if is_stalled else map(
+            int,
+            request.path.strip("/").split("/")))
+        response = web.StreamResponse()
+        response.content_length = piece_count * len(PIECE)
+        await response.prepare(request)
+        for _ in range(1 if is_stalled else piece_count):
+            await asyncio.sleep(interval_ms / 1000)
+            try:
+                await response.write(PIECE)
+            except ConnectionResetError:
+                return response
+        if is_stalled:
+            await asyncio.sleep(30)
+        return response
+
+
+class ProgressTimeoutTest(unittest.IsolatedAsyncioTestCase):
+    """Tests calls whose time limit depends on the progress of the body."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = PiecewiseServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.endpoint = _http.HttpEndpoint(self.server.address, 4)
+        self.addAsyncCleanup(self.endpoint.close)
+
+    async def test_slow_body_is_received_completely(self):
+        """Guards against a time limit that large bodies on slow links exceed.
+
+        The body takes 0.75 s, its pieces 0.15 s each.
+        """
+        reply = await self.endpoint.call("GET",
+                                         "/5/150",
+                                         TIMEOUT,
+                                         progress_timeout=TIMEOUT)
+        self.assertEqual(reply.body, PIECE * 5)
+
+    async def test_stalled_body_fails_early(self):
+        """Guards against a long wait on a connection that has stalled."""
+        for path in ("/stall", "/silence"):
+            with self.subTest(path):
+                started_at = time.monotonic()
+                with self.assertRaises(_http.HttpCallError) as caught:
+                    await self.endpoint.call("GET",
+                                             path,
+                                             TIMEOUT,
+                                             progress_timeout=TIMEOUT)
+                self.assertLess(time.monotonic() - started_at, 1.5)
+                self.assertIs(caught.exception.verdict,
+                              errors.Verdict.MAY_HAVE_RUN)
+
+    async def test_time_limit_covers_the_body_without_progress_timeout(self):
+        """Guards against orders to workers that exceed their time limit."""
+        with self.assertRaises(_http.HttpCallError):
+            await self.endpoint.call("GET", "/5/150", TIMEOUT)
+
+    async def test_timeout_of_another_call_keeps_a_transfer(self):
+        """Guards against transfers that fail because another call timed out.
+
+        The transfer takes 4 s and goes on 3.7 s after the other call.
+        """
+        transfer = asyncio.create_task(
+            self.endpoint.call("GET",
+                               "/40/100",
+                               TIMEOUT,
+                               progress_timeout=TIMEOUT))
+        with self.assertRaises(_http.HttpCallError):
+            await self.endpoint.call("GET", "/silence", TIMEOUT)
+        reply = await transfer
+        self.assertEqual(len(reply.body), 40 * len(PIECE))
