--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -0,0 +1,235 @@
+"""Tests of loads: full reads of the newest records of a topic."""
+
+import asyncio
+import datetime
+import unittest
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _metrics
+from gentianlead.cluster import _platform_topics
+from gentianlead.cluster import _topic_load
+from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch.tests import builders
+from standins import site_store
+
+OBSERVED_TIME = datetime.timedelta(milliseconds=500)
+LONG_TIMEOUT = datetime.timedelta(seconds=5)
+LOAD_TIMEOUT = datetime.timedelta(seconds=15)
+
+
+class LoadReportTest(unittest.IsolatedAsyncioTestCase):
+    """Tests what the log and the metrics show while loads fail."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.store.is_down = True
+        self.log = fakes.RecordingLog()
+        self.metrics = _metrics.ClusterMetrics()
+        self.clock = adapters.SystemClock()
+
+    def assert_failures_reported(self, topic: str) -> None:
+        """Checks for one log line and at least two counted failures."""
+        lines = self.log.list_fields("topic-load-failed")
+        self.assertEqual([(line["topic"], line["error"]) for line in lines],
+                         [(topic, "refused")])
+        failure_count = self.metrics.topic_loads.get({
+            "topic": topic,
+            "outcome": "failed"
+        })
+        self.assertGreaterEqual(failure_count, 2)
+
+    async def test_failed_loads_of_job_topic_are_reported(self):
+        """Guards against a daemon that refuses all callers and logs no cause.
+
+        `topic-lost` is logged only after a successful read.
+        """
+        reader = _job_topic.JobTopicReader(self.store, self.clock, self.log,
+                                           self.metrics, lambda job_ids: None)
+        self.addAsyncCleanup(reader.stop)
+        reader.start()
+        await asyncio.sleep(OBSERVED_TIME.total_seconds())
+        self.assert_failures_reported(dispatch.JOB_TOPIC)
+        self.store.is_down = False
+        self.assertTrue(await reader.wait_until_applied(-1, LONG_TIMEOUT))
+        loaded_line = self.log.list_fields("topic-loaded")[0]
+        self.assertGreaterEqual(loaded_line["failures"], 2)
+
+    async def test_failed_loads_of_platform_topic_are_reported(self):
+        """Guards against a registry that stays unread without a log line."""
+        reader = _platform_topics.PlatformTopicReader(platform.REGISTRY_TOPIC,
+                                                      datetime.timedelta(0),
+                                                      datetime.timedelta(0),
+                                                      self.store, self.clock,
+                                                      self.log, self.metrics,
+                                                      lambda record: None,
+                                                      lambda keys: None)
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(OBSERVED_TIME.total_seconds()):
+                await reader.run()
+        self.assert_failures_reported(platform.REGISTRY_TOPIC)
+
+
+class ManualClock(ports.Clock):
+    """Clock that a test advances.
+
+    Attributes:
+        seconds: Monotonic time.
+    """
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> datetime.datetime:
+        return datetime.datetime.fromtimestamp(self.seconds, datetime.UTC)
+
+    def monotonic(self) -> float:
+        return self.seconds
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        self.seconds += duration.total_seconds()
+
+
+class TopicLoaderTest(unittest.IsolatedAsyncioTestCase):
+    """Tests loads of several pages that fail, or during which records come."""
+
+    async def asyncSetUp(self) -> None:
+        self.clock = ManualClock()
+        self.log = fakes.RecordingLog()
+        self.store = fakes.FakeStore()
+        self.store.page_size = 2
+        self.loader = _topic_load.TopicLoader("jobs", self.store,
+                                              self.clock, self.log,
+                                              _metrics.ClusterMetrics())
+
+    def write(self, *keys: str, value: bytes = b"v") -> None:
+        """Stores a record for each key."""
+        self.store.write("jobs",
+                         *(ports.KeyedRecord(key, value) for key in keys))
+
+    async def test_load_continues_after_the_pages_that_arrived(self):
+        """Guards against a load that begins anew after each failed page.
+
+        On a link that breaks often, such a load never ends.
+        """
+        self.write("a", "b", "c", "d", "e")
+        self.store.failed_pages = {2, 4}
+        for _ in range(2):
+            with self.assertRaises(ports.StoreError):
+                await self.loader.load()
+        loaded_topic = await self.loader.load()
+        self.assertEqual([record.key for record in loaded_topic.batch.records],
+                         ["a", "b", "c", "d", "e"])
+        self.assertEqual(self.store.page_starts, ["", "b", "b", "d", "d"])
+
+    async def test_records_appended_during_a_load_are_included(self):
+        """Guards against changes that are lost between two pages.
+
+        A key that changes, one that is removed and one that is added lie before
+        the second page, which is read after a failure.
+        """
+        self.write("a", "b", "c", "d")
+        self.store.failed_pages = {2}
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.write("a", value=b"new")
+        self.write("b", value=b"")
+        self.write("aa")
+        loaded_topic = await self.loader.load()
+        self.assertEqual(
+            {
+                record.key: record.value
+                for record in loaded_topic.batch.records
+                if record.value
+            }, {
+                "a": b"new",
+                "aa": b"v",
+                "c": b"v",
+                "d": b"v"
+            })
+        self.assertEqual(loaded_topic.batch.end_offset, 7)
+
+    async def test_load_begins_anew_if_unread_records_were_deleted(self):
+        """Guards against a load that lacks changes the store has deleted."""
+        self.write("a", "b", "c")
+        self.store.failed_pages = {2}
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.write("a", value=b"new")
+        self.store.first_offsets["jobs"] = 4
+        loaded_topic = await self.loader.load()
+        self.assertEqual(loaded_topic.batch.records[-1].value, b"new")
+        self.assertEqual(self.store.page_starts, ["", "b", "b", "", "b"])
+
+    async def test_next_load_reads_all_pages_again(self):
+        """Guards against a second load that returns records of the first."""
+        self.write("a", "b", "c")
+        await self.loader.load()
+        self.write("a", value=b"new")
+        loaded_topic = await self.loader.load()
+        self.assertEqual(loaded_topic.batch.records[-1].value, b"new")
+
+    async def test_rate_of_failure_lines_is_bounded(self):
+        """Guards against a log that is flooded while the store refuses."""
+        self.store.is_down = True
+        for _ in range(100):
+            with self.assertRaises(ports.StoreError):
+                await self.loader.load()
+            self.clock.seconds += 0.0625
+        lines = self.log.list_fields("topic-load-failed")
+        self.assertEqual([line["failures"] for line in lines],
+                         [1, 17, 33, 49, 65, 81, 97])
+
+
+class SlowLinkTest(unittest.IsolatedAsyncioTestCase):
+    """Tests loads over a link on which one page takes 1.3 s.
+
+    This is longer than the store may stay silent (0.9 s).
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.site_store = site_store.SiteStore()
+        await self.site_store.start()
+        self.addAsyncCleanup(self.site_store.stop)
+        self.store = platform.PlatformStore(self.site_store.address)
+        self.addAsyncCleanup(self.store.close)
+        self.reader = _job_topic.JobTopicReader(self.store,
+                                                adapters.SystemClock(),
+                                                fakes.RecordingLog(),
+                                                _metrics.ClusterMetrics(),
+                                                lambda job_ids: None)
+        self.addAsyncCleanup(self.reader.stop)
+
+    def write_jobs(self, count: int) -> None:
+        """Stores accepted jobs and sets the rate of the link."""
+        for number in range(count):
+            stored = dispatch.encode_record(
+                dispatch.AcceptedRecord(builders.build_job(f"{number:016x}"),
+                                        "a#1"))
+            self.site_store.write("keyed.jobs", stored.key, stored.value)
+        item_bytes = len(stored.key) + 4 * len(stored.value) // 3 + 45
+        self.site_store.link_bytes_per_s = 500 * item_bytes / 1.3
+
+    async def test_topic_is_loaded_although_pages_are_slow(self):
+        """Guards against a daemon on a slow link that never loads the topic.
+
+        A fixed time limit for a whole page fails each attempt alike.
+        """
+        self.write_jobs(1100)
+        self.reader.start()
+        self.assertTrue(await self.reader.wait_until_applied(-1, LOAD_TIMEOUT))
+        self.assertEqual(len(self.reader.job_table.jobs), 1100)
+
+    async def test_topic_is_loaded_although_connections_break(self):
+        """Guards against a load that begins anew with each broken connection.
+        """
+        self.write_jobs(1100)
+        self.site_store.link_bytes_per_s *= 4
+        self.site_store.broken_pages = {2, 3, 5}
+        self.reader.start()
+        self.assertTrue(await self.reader.wait_until_applied(-1, LOAD_TIMEOUT))
+        self.assertEqual(len(self.reader.job_table.jobs), 1100)
+        self.assertEqual(len(self.site_store.page_starts), 6)
