Remove the keys of ended jobs as fast as jobs end

One removal covers the keys of 40 jobs and was followed by a pause of ten seconds, so at most four jobs a second were removed. Where more jobs end, the job topic grows for as long as the system runs, and with it the time that a daemon needs to start: on a link of 5 Mbit/s, each megabyte of the topic takes over two seconds, and until then the daemon refuses its callers.

Removals now follow each other without a pause until no key is left to remove. Each one waits until it is read back, because the planner would list the same keys again. The loop leaves the daemon's module.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -10,6 +10,7 @@
 from gentianlead import platform
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _job_removal
 from gentianlead.cluster import _job_service
 from gentianlead.cluster import _group_leader
 from gentianlead.cluster import _metrics
@@ -31,11 +32,6 @@
 stops connecting to the peer. The age is the time since this daemon read the
 record. The limit is three times `MEMBER_RECORD_INTERVAL` plus one second."""
 
-JOB_REMOVAL_INTERVAL = datetime.timedelta(seconds=10)
-"""Time between two removals of the stored keys of ended jobs whose retention is
-over. One removal covers at most 40 jobs, which keeps up with four ended jobs
-a second."""
-
 ACQUIRE_LEADERSHIP_TIMEOUT = datetime.timedelta(seconds=1)
 """Longest wait for the append of the record that claims the leadership of a
 group, and again for this record to be read back from the job topic."""
@@ -95,6 +91,9 @@
         self._job_service = _job_service.SteppedJobService(
             settings.domain, self._incarnation, self._topic_reader,
             self._topic_writer, self._peering, clock, log, self._send_to_leader)
+        self._job_remover = _job_removal.EndedJobRemover(
+            settings.status_retention, self._topic_reader, self._topic_writer,
+            self._job_service.is_coordinator, clock, log)
         self._operator_state = _platform_topics.OperatorState(
             log, self._apply_operator_state)
         self._worker_registry = _platform_topics.WorkerRegistry(
@@ -128,7 +127,7 @@
         self._spawn(self._follow_topic(platform.REGISTRY_TOPIC))
         self._spawn(self._announce_membership(peer_address))
         self._spawn(self._run_elections())
-        self._spawn(self._remove_ended_jobs())
+        self._spawn(self._job_remover.run())
         await self._caller_server.start(settings.caller_address,
                                         settings.ready_address,
                                         self._metrics_address)
@@ -181,8 +180,8 @@
                             error=_decision_log.format_error(task.exception()))
 
     # Reading of the operators' topic and the worker registry, appends of this
-    # daemon's member record, removal of the stored keys of ended jobs, and
-    # handling of changes that were read from the topics.
+    # daemon's member record, and handling of changes that were read from the
+    # topics.
 
     async def _follow_topic(self, topic: str) -> None:
         is_operator_topic = topic == platform.OPERATOR_TOPIC
@@ -213,32 +212,6 @@
                 continue
             await self._clock.sleep(MEMBER_RECORD_INTERVAL)
 
-    async def _remove_ended_jobs(self) -> None:
-        """Removes the stored keys of ended jobs whose retention is over.
-
-        Only the coordinator does so (see `SteppedJobService.is_coordinator`).
-        A removal that fails is repeated after `JOB_REMOVAL_INTERVAL`.
-        """
-        retention_planner = dispatch.RetentionPlanner(
-            self._settings.status_retention)
-        while True:
-            await self._clock.sleep(JOB_REMOVAL_INTERVAL)
-            expired_keys = retention_planner.list_expired_keys(
-                self._topic_reader.job_table, self._clock.monotonic())
-            if not expired_keys or not self._job_service.is_coordinator():
-                continue
-            try:
-                offset = await self._topic_writer.append(
-                    expired_keys, JOB_REMOVAL_INTERVAL)
-            except ports.StoreError as error:
-                self._log.write("keys-not-removed",
-                                keys=len(expired_keys),
-                                error=str(error))
-                continue
-            self._log.write("keys-removed",
-                            keys=len(expired_keys),
-                            offset=offset)
-
     def _apply_operator_state(self) -> None:
         configuration = self._operator_state.configuration
         self._job_service.configuration = configuration
