Reproduce a load whose table goes back to an earlier state

The pages of a load may hold records beyond its end offset: each page is followed by one read of new records, and its reply has a limited size. The reader then reads on from the end offset and applies older records of the same keys after the newer ones.

FAIL: test_loaded_records_precede_the_end_offset AssertionError: Lists differ: [KeyedRecord(key='b', value=b'newest', offset=5)] != []

The in-memory store gets a limit on the records in a reply.

--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -23,6 +23,8 @@
         first_offsets: Lowest offset that `read` still accepts, by topic, as if
             the store had deleted the records below it.
         append_calls: Number of calls of `append` so far.
+        max_read_records: Maximum number of records in a reply of `read`; 0 for
+            no limit.
         page_size: Number of keys in a page of newest records.
         page_starts: The key after which each page requested so far starts.
         failed_pages: Numbers of the requested pages, counted from 1, that get
@@ -35,6 +37,7 @@
         self.is_down = False
         self.first_offsets: dict[str, int] = {}
         self.append_calls = 0
+        self.max_read_records = 0
         self.page_size = 500
         self.page_starts: list[str] = []
         self.failed_pages: set[int] = set()
@@ -97,8 +100,9 @@
                 pass
             self._raise_if_down()
         stored_records = self.records.get(topic, [])
+        end = start + (self.max_read_records or len(stored_records))
         return ports.KeyedBatch(len(stored_records),
-                                tuple(stored_records[start:]))
+                                tuple(stored_records[start:end]))
 
     async def read_newest_page(self, topic: str,
                                after_key: str) -> ports.NewestPage:
--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -164,6 +164,27 @@
         self.assertEqual(loaded_topic.batch.records[-1].value, b"new")
         self.assertEqual(self.store.page_starts, ["", "b", "b", "", "b"])
 
+    async def test_loaded_records_precede_the_end_offset(self):
+        """Guards against a table whose jobs go back to an earlier state.
+
+        Records from the end offset on are read again after the load. If the
+        load includes a record beyond it, older records of its key follow.
+        """
+        self.store.page_size = 1
+        self.store.max_read_records = 2
+        self.write("a", "b")
+        self.store.failed_pages = {2}
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.write("b", "b", "b", value=b"older")
+        self.write("b", value=b"newest")
+        loaded_topic = await self.loader.load()
+        end_offset = loaded_topic.batch.end_offset
+        self.assertEqual([
+            record for record in loaded_topic.batch.records
+            if record.offset >= end_offset
+        ], [])
+
     async def test_next_load_reads_all_pages_again(self):
         """Guards against a second load that returns records of the first."""
         self.write("a", "b", "c")
