Reproduce a live leader that is replaced during a slow read

A leader counts as silent 2.5 s after its last record was read, if all reads succeeded since. A read that is bound by its progress may take 16.9 s and counts as successful meanwhile, so the daemon that receives its reply replaces leaders whose records are on the way to it.

FAIL: test_leader_is_not_replaced_during_a_slow_read AssertionError: Items in the first set but not the second: 'entry-2'

--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_slow_reads.py
@@ -0,0 +1,107 @@
+"""Tests of elections while reads of the job topic take long."""
+
+import asyncio
+import datetime
+import unittest
+from typing import Sequence
+from unittest import mock
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.cluster import _daemon
+from gentianlead.cluster.tests import fakes
+
+GROUP = "north-1"
+
+
+class SlowReadStore(ports.KeyedStore):
+    """Store of one daemon with a slow link, backed by a shared store.
+
+    Attributes:
+        transfer_time: Time that the records in a reply to a read of the job
+            topic take to arrive.
+    """
+
+    def __init__(self, shared_store: fakes.FakeStore):
+        self.transfer_time = datetime.timedelta(0)
+        self._shared_store = shared_store
+
+    async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
+                     producer: ports.Producer, sequence: int,
+                     timeout: datetime.timedelta) -> int:
+        return await self._shared_store.append(topic, records, producer,
+                                               sequence, timeout)
+
+    async def read(self, topic: str, start: int,
+                   wait: datetime.timedelta) -> ports.KeyedBatch | None:
+        batch = await self._shared_store.read(topic, start, wait)
+        if topic == dispatch.JOB_TOPIC and batch is not None and batch.records:
+            await asyncio.sleep(self.transfer_time.total_seconds())
+        return batch
+
+    async def read_newest_page(self, topic: str,
+                               after_key: str) -> ports.NewestPage:
+        return await self._shared_store.read_newest_page(topic, after_key)
+
+
+class SlowReadElectionTest(unittest.IsolatedAsyncioTestCase):
+    """Tests elections with daemons whose reads of the job topic take long.
+
+    Such reads succeed. They bring up to 512 KiB over a link that is slow or
+    that other transfers use, too.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.shared_store = fakes.FakeStore()
+
+    def start_daemon(self, node: str, store: ports.KeyedStore) -> None:
+        """Starts a daemon in the domain of the only group."""
+        settings = platform.DaemonSettings(node, GROUP, (GROUP,), "127.0.0.1:0",
+                                           "127.0.0.1:0", "127.0.0.1", (0, 0),
+                                           "", 100.0, "", "",
+                                           datetime.timedelta(seconds=6),
+                                           datetime.timedelta(seconds=1),
+                                           datetime.timedelta(seconds=120),
+                                           datetime.timedelta(seconds=6))
+        daemon = _daemon.ClusterDaemon(
+            settings, store, mock.create_autospec(ports.LeasedWorkerClient),
+            mock.create_autospec(ports.PermitService), adapters.SystemClock(),
+            adapters.SystemRandom(), fakes.RecordingLog())
+        run_task = asyncio.create_task(daemon.run())
+        self.addCleanup(run_task.cancel)
+
+    def list_leader_records(self) -> list[dispatch.LeaderRecord]:
+        """Returns all stored leader records of the group, oldest first."""
+        return [
+            dispatch.decode_record(stored)
+            for stored in self.shared_store.records.get(dispatch.JOB_TOPIC, ())
+            if stored.key == f"g/{GROUP}"
+        ]
+
+    async def wait_for_leader(self, time_limit: datetime.timedelta) -> None:
+        """Waits until a leader has written a heartbeat.
+
+        Raises:
+            TimeoutError: None did so within the time limit.
+        """
+        async with asyncio.timeout(time_limit.total_seconds()):
+            while not any(record.heartbeat_number > 1
+                          for record in self.list_leader_records()):
+                await asyncio.sleep(0.05)
+
+    async def test_leader_is_not_replaced_during_a_slow_read(self):
+        """Guards against a live leader that counts as silent.
+
+        Its records are in the reply that a peer is still receiving.
+        """
+        self.start_daemon("entry-1", self.shared_store)
+        await self.wait_for_leader(datetime.timedelta(seconds=5))
+        slow_store = SlowReadStore(self.shared_store)
+        self.start_daemon("entry-2", slow_store)
+        await asyncio.sleep(3)
+        slow_store.transfer_time = datetime.timedelta(seconds=4)
+        await asyncio.sleep(4.5)
+        self.assertEqual({record.node for record in self.list_leader_records()},
+                         {"entry-1"})
