End a load at or after all of its records

Found in a review of the reads. A page of a load may hold records appended after the first page, and one read of new records after it has a limited size, so the end offset of the load could lie before some of its records. The reader then read on from there and applied older records after newer ones of the same key: in a trial a job was shown as completed, 0.3 s later as running, then as completed again.

After each page, new records are now read up to the end that the topic has at that moment.

--- a/src/gentianlead/cluster/_topic_load.py
+++ b/src/gentianlead/cluster/_topic_load.py
@@ -118,25 +118,33 @@
         return page.has_more
 
     async def _read_new_records(self) -> bool:
-        """Reads records appended since the first page or the last such read.
+        """Reads up to the end that the topic has when this begins.
+
+        The pages that arrived hold no records beyond this end. The end offset
+        of the load must not be before any of its records: records from there on
+        are read again, and an older one of a key would follow a newer one.
 
         Returns:
-            False if the store has deleted some of them, so that the pages read
-            so far may lack changes.
+            False if the store has deleted some of the records appended since
+            the first page, so that the pages read so far may lack changes.
         """
-        sent_at = self._clock.monotonic()
-        batch = await self._store.read(self._topic, self._position,
-                                       datetime.timedelta(0))
-        if batch is None:
-            self._log.write("topic-expired",
-                            topic=self._topic,
-                            position=self._position)
-            return False
-        self._keep_newest(batch.records)
-        if batch.records:
-            self._position = batch.records[-1].offset + 1
-        if self._position >= batch.end_offset:
-            self._fresh_as_of = sent_at
+        known_end: int | None = None
+        while known_end is None or self._position < known_end:
+            sent_at = self._clock.monotonic()
+            batch = await self._store.read(self._topic, self._position,
+                                           datetime.timedelta(0))
+            if batch is None:
+                self._log.write("topic-expired",
+                                topic=self._topic,
+                                position=self._position)
+                return False
+            self._keep_newest(batch.records)
+            if batch.records:
+                self._position = batch.records[-1].offset + 1
+            if self._position >= batch.end_offset:
+                self._fresh_as_of = sent_at
+            if known_end is None:
+                known_end = batch.end_offset
         return True
 
     def _keep_newest(self, records: Sequence[ports.KeyedRecord]) -> None:
