Do not take a leader for silent while a read of the topic takes long

Found in a review of the reads. A leader counts as silent 2.5 s after its last record was read, unless reads fail. Since reads are bound by their progress, one may last many seconds and counted as successful meanwhile, although the records of live leaders may be in its reply. A daemon on a slow or busy link then replaced leaders that it could reach: one takeover costs the group's jobs seconds without starts.

While a read of new records takes longer than 1.9 s, the limit at which it failed before, the topic does not count as readable, and after it the wait for a recovered store applies.

Freshness of the table as the condition was tried on paper and dropped: with a store that is slow by a factor of 60 and no live leader, its age passes the limit between two good reads again and again, and a dead leader would not be replaced.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -41,6 +41,11 @@
 long-poll wait, the store client's allowance for the reply (900 ms) and the read
 interval."""
 
+OVERDUE_READ_LIMIT = datetime.timedelta(milliseconds=1900)
+"""Duration of a read of new records from which on the topic does not count as
+readable: the long-poll wait and 900 ms for the store. A longer read transfers
+many records, also those by which leaders show that they are alive."""
+
 
 class _PendingAppend(NamedTuple):
     """Request to append records that the store has not confirmed yet.
@@ -328,8 +333,6 @@
             records, until the next read of the newest records.
         fresh_as_of: Monotonic time in seconds at which the last read that
             reached the end of the topic was sent; None before the first.
-        readable_since: Monotonic time in seconds since which all reads
-            succeeded; None while reads fail and before the first read.
     """
 
     def __init__(self, store: ports.KeyedStore, clock: ports.Clock,
@@ -339,7 +342,8 @@
         self.job_table = dispatch.JobTable()
         self.is_loaded = False
         self.fresh_as_of: float | None = None
-        self.readable_since: float | None = None
+        self._readable_since: float | None = None
+        self._read_sent_at: float | None = None
         self._store = store
         self._clock = clock
         self._log = log
@@ -351,6 +355,20 @@
         self._records_applied = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
 
+    @property
+    def readable_since(self) -> float | None:
+        """Monotonic time in seconds since which all reads succeeded.
+
+        None while reads fail, while a read takes longer than
+        `OVERDUE_READ_LIMIT`, and before the first read.
+        """
+        return None if self._is_read_overdue() else self._readable_since
+
+    def _is_read_overdue(self) -> bool:
+        return (self._read_sent_at is not None and
+                self._clock.monotonic() - self._read_sent_at
+                > OVERDUE_READ_LIMIT.total_seconds())
+
     def start(self) -> None:
         """Starts the loop that reads the topic."""
         self._loop_task = asyncio.get_running_loop().create_task(
@@ -431,8 +449,14 @@
         A reply has a limited size, so more records may be left.
         """
         start_offset = self.job_table.position
-        batch = await self._store.read(dispatch.JOB_TOPIC, start_offset,
-                                       LONG_POLL_WAIT)
+        self._read_sent_at = sent_at
+        try:
+            batch = await self._store.read(dispatch.JOB_TOPIC, start_offset,
+                                           LONG_POLL_WAIT)
+            if self._is_read_overdue():
+                self._readable_since = None
+        finally:
+            self._read_sent_at = None
         if batch is None:
             self._log.write("topic-expired", position=start_offset)
             self.is_loaded = False
@@ -456,8 +480,8 @@
         self._metrics.store_calls.inc({"operation": operation, "outcome": "ok"})
         if is_at_end:
             self.fresh_as_of = sent_at
-        if self.readable_since is None:
-            self.readable_since = now
+        if self._readable_since is None:
+            self._readable_since = now
             self._log.write("topic-regained", position=self.job_table.position)
         changed_job_ids = self.job_table.take_changed_jobs()
         self._records_applied.set()
@@ -468,8 +492,8 @@
             "operation": "read",
             "outcome": "failed"
         })
-        if self.readable_since is not None:
-            self.readable_since = None
+        if self._readable_since is not None:
+            self._readable_since = None
             self._log.write("topic-lost",
                             position=self.job_table.position,
                             error=str(error))
