Divide appends to the job topic so that a slow link can transfer each call

Found by reading, not seen on a deployment: a daemon or a leader on a slow link stops storing anything, and its callers wait. The largest records are those of jobs (5 KB with a payload of 4,000 bytes) and of progress (39 KB for a job of five steps of 80 tasks with checkpoints and failures), and a leader passed the progress of all changed jobs as one request. A call that does not fit is repeated with the same records and sequence number, and each repetition starts from nothing.

What was sent under a sequence number is repeated unchanged, as before.

With a link of 100 KB/s and the former code (158 KB, in one request and in 20):

ERROR: test_many_records_pass_through_a_slow_link StoreError: the outcome of the append is unknown ERROR: test_waiting_appends_do_not_share_an_oversized_call StoreError: the outcome of the append is unknown

Now both pass, with three calls. Tests of cluster.test_topic and cluster.test_desk: 27 passed.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -74,9 +74,6 @@
 """Longest wait for reported run ends to be stored, so that the next status
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
-PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
-"""Timeout of appends that should repeat until they are stored or fenced."""
-
 
 class GroupLeader:
     """Carries out the scheduler's decisions for one group.
@@ -342,7 +339,7 @@
 
     async def _store_records(self, records: list[dispatch.Record]) -> None:
         try:
-            await self._topic_writer.append(records, PERSISTENT_APPEND_TIMEOUT)
+            await self._topic_writer.append_each(records)
         except ports.ProducerFencedError:
             self._abandon_leadership("the store has a higher epoch")
             raise asyncio.CancelledError() from None
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import datetime
-from typing import Callable, NamedTuple, Sequence
+from typing import Callable, Sequence
 
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import ports
+from gentianlead.cluster import _append_queue
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 
@@ -15,6 +16,9 @@
 A store that is slow by a factor of 60 completes a queue of a few appends in
 this time."""
 
+PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
+"""Timeout of appends that should repeat until they are stored or fenced."""
+
 RETRY_INTERVAL = datetime.timedelta(milliseconds=80)
 """Pause between a failed call to the store and its repetition. Ten daemons that
 repeat calls make about 120 calls a second, a fifth of the store's limit."""
@@ -29,11 +33,6 @@
 waits for a record. Urgent changes reach the other daemons earlier, on peer
 streams."""
 
-MAX_BATCH_RECORDS = 200
-"""Number of records from which on no further append request is added to a call
-to the store. The last request that is added may raise the call above this
-number. Calls with job records thus stay below the store's limits."""
-
 FRESHNESS_LIMIT = datetime.timedelta(milliseconds=2200)
 """Age above which the table counts as stale. The age is the time since the last
 read that reached the end of the topic was sent. The limit is the sum of the
@@ -41,26 +40,6 @@
 interval."""
 
 
-class _PendingAppend(NamedTuple):
-    """Request to append records that the store has not confirmed yet.
-
-    Attributes:
-        records: The records to append.
-        future: Receives the offset of the first record (-1 if it is unknown),
-            or the error.
-        give_up_at: Monotonic time in seconds after which the caller gets an
-            error although the records may be stored.
-        refuse_at: Monotonic time in seconds after which the request is dropped
-            and the caller gets an error, if the records are certainly not
-            stored.
-    """
-
-    records: list[ports.KeyedRecord]
-    future: asyncio.Future
-    give_up_at: float
-    refuse_at: float
-
-
 class JobTopicWriter:
     """Appends records to the job topic in batches, each record at most once.
 
@@ -90,7 +69,7 @@
         self._log = log
         self._metrics = metrics
         self._next_sequence = first_sequence
-        self._queued_appends: list[_PendingAppend] = []
+        self._queue = _append_queue.AppendQueue(clock)
         self._append_queued = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
 
@@ -108,12 +87,9 @@
         if self._loop_task is not None:
             self._loop_task.cancel()
             await asyncio.wait([self._loop_task])
-        for pending in self._queued_appends:
-            if not pending.future.done():
-                pending.future.set_exception(
-                    ports.StoreError("the writer of the job topic was stopped",
-                                     errors.Verdict.DID_NOT_RUN))
-        self._queued_appends.clear()
+        self._queue.fail_all(
+            ports.StoreError("the writer of the job topic was stopped",
+                             errors.Verdict.DID_NOT_RUN))
 
     async def append(self,
                      records: Sequence[dispatch.Record],
@@ -138,65 +114,63 @@
             StoreError: The records were not stored in time, or the writer was
                 stopped; the verdict says whether they may be stored.
         """
-        future = asyncio.get_running_loop().create_future()
-        now = self._clock.monotonic()
         if refusal_timeout is None:
             refusal_timeout = timeout
-        self._queued_appends.append(
-            _PendingAppend(
-                [dispatch.encode_record(record) for record in records], future,
-                now + timeout.total_seconds(),
+        return await self._enqueue(records, timeout, refusal_timeout)
+
+    async def append_each(self, records: Sequence[dispatch.Record]) -> None:
+        """Appends records in order that need not be stored all at once.
+
+        Unlike `append`, this divides many records between calls to the store,
+        so that each call is small enough for a slow link. The calls are
+        repeated until the store has the records, or the writer is stopped.
+
+        Raises:
+            ProducerFencedError: A producer of the same name has a higher epoch.
+            StoreError: The writer was stopped.
+        """
+        await asyncio.gather(*[
+            self._enqueue([record], PERSISTENT_APPEND_TIMEOUT,
+                          PERSISTENT_APPEND_TIMEOUT) for record in records
+        ])
+
+    def _enqueue(self, records: Sequence[dispatch.Record],
+                 timeout: datetime.timedelta,
+                 refusal_timeout: datetime.timedelta) -> asyncio.Future:
+        future = asyncio.get_running_loop().create_future()
+        now = self._clock.monotonic()
+        encoded_records = [dispatch.encode_record(record) for record in records]
+        self._queue.add(
+            _append_queue.PendingAppend(
+                encoded_records, _append_queue.count_bytes(encoded_records),
+                future, now + timeout.total_seconds(),
                 now + min(timeout, refusal_timeout).total_seconds()))
         self._append_queued.set()
-        return await future
+        return future
 
     async def _append_forever(self) -> None:
         while True:
             self._append_queued.clear()
-            self._refuse_expired_in_queue()
-            if not self._queued_appends:
+            self._queue.refuse_expired()
+            if not self._queue:
                 await self._append_queued.wait()
                 continue
-            batch = self._take_batch()
+            batch = self._queue.take_batch()
             try:
                 await self._append_batch(batch)
             except ports.ProducerFencedError as error:
-                _fail_appends(batch, error)
-                _fail_appends(self._queued_appends, error)
-                self._queued_appends.clear()
+                _append_queue.fail_appends(batch, error)
+                self._queue.fail_all(error)
                 return
             except asyncio.CancelledError:
-                _fail_appends(
+                _append_queue.fail_appends(
                     batch,
                     ports.StoreError("the writer of the job topic was stopped",
                                      errors.Verdict.MAY_HAVE_RUN))
                 raise
 
-    def _take_batch(self) -> list[_PendingAppend]:
-        batch: list[_PendingAppend] = []
-        record_count = 0
-        while self._queued_appends and record_count < MAX_BATCH_RECORDS:
-            pending = self._queued_appends.pop(0)
-            batch.append(pending)
-            record_count += len(pending.records)
-        return batch
-
-    def _refuse_expired_in_queue(self) -> None:
-        now = self._clock.monotonic()
-        expired_appends = [
-            pending for pending in self._queued_appends
-            if pending.refuse_at <= now
-        ]
-        _fail_appends(
-            expired_appends,
-            ports.StoreError("the store did not accept the records in time",
-                             errors.Verdict.DID_NOT_RUN))
-        self._queued_appends = [
-            pending for pending in self._queued_appends
-            if pending.refuse_at > now
-        ]
-
-    async def _append_batch(self, batch: list[_PendingAppend]) -> None:
+    async def _append_batch(self,
+                            batch: list[_append_queue.PendingAppend]) -> None:
         may_be_stored = False
         while True:
             records = [
@@ -226,11 +200,14 @@
                 may_be_stored |= error.verdict is not errors.Verdict.DID_NOT_RUN
                 self._handle_store_failure(error)
                 if not may_be_stored:
-                    batch = self._refuse_expired_in_batch(batch)
+                    batch = _append_queue.refuse_expired(
+                        batch, self._clock.monotonic())
                     if not batch:
                         return
                 else:
-                    self._report_unknown_outcomes(batch)
+                    # The records stay in the batch, whose call is repeated.
+                    _append_queue.report_unknown_outcomes(
+                        batch, self._clock.monotonic())
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
             self._next_sequence += 1
@@ -262,36 +239,6 @@
                                                      self._clock.monotonic() -
                                                      started_at)
 
-    def _refuse_expired_in_batch(
-            self, batch: list[_PendingAppend]) -> list[_PendingAppend]:
-        """Fails the requests of a batch whose `refuse_at` has passed.
-
-        May be called only if the records of the batch are certainly not stored.
-
-        Returns:
-            The other requests of the batch.
-        """
-        now = self._clock.monotonic()
-        expired_appends = [
-            pending for pending in batch if pending.refuse_at <= now
-        ]
-        _fail_appends(
-            expired_appends,
-            ports.StoreError("the store did not accept the records in time",
-                             errors.Verdict.DID_NOT_RUN))
-        return [pending for pending in batch if pending.refuse_at > now]
-
-    def _report_unknown_outcomes(self, batch: list[_PendingAppend]) -> None:
-        """Reports an unknown outcome to callers whose `give_up_at` has passed.
-
-        Their records stay in the batch, whose call to the store is repeated.
-        """
-        now = self._clock.monotonic()
-        _fail_appends(
-            [pending for pending in batch if pending.give_up_at <= now],
-            ports.StoreError("the outcome of the append is unknown",
-                             errors.Verdict.MAY_HAVE_RUN))
-
     def _handle_store_failure(self, error: ports.StoreError) -> None:
         if self.last_call_succeeded:
             self.last_call_succeeded = False
@@ -306,16 +253,6 @@
             self._log.write("store-regained", producer=self._producer.name)
 
 
-def _fail_appends(appends: list[_PendingAppend],
-                  error: ports.StoreError) -> None:
-    for pending in appends:
-        if not pending.future.done():
-            pending.future.set_exception(error)
-            # Marks the error as retrieved; asyncio logs a warning otherwise if
-            # the caller no longer waits.
-            pending.future.exception()
-
-
 class JobTopicReader:
     """Keeps a job table up to date by reading the job topic.
 
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -22,6 +22,9 @@
         first_offsets: Lowest offset that `read` still accepts, by topic, as if
             the store had deleted the records below it.
         append_calls: Number of calls of `append` so far.
+        bytes_per_s: Rate in bytes per second at which an append reaches the
+            store. If its timeout passes before, it is not stored and gets no
+            reply.
     """
 
     def __init__(self) -> None:
@@ -30,6 +33,7 @@
         self.is_down = False
         self.first_offsets: dict[str, int] = {}
         self.append_calls = 0
+        self.bytes_per_s = float("inf")
         self._last_appends: dict[str, tuple[int, int, int]] = {}
         self._records_added = asyncio.Event()
 
@@ -53,7 +57,11 @@
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
         self.append_calls += 1
-        await asyncio.sleep(0)
+        transfer_s = sum(
+            len(record.value) for record in records) / self.bytes_per_s
+        await asyncio.sleep(min(transfer_s, timeout.total_seconds()))
+        if transfer_s > timeout.total_seconds():
+            raise ports.StoreError("no reply", errors.Verdict.MAY_HAVE_RUN)
         failure = self.failures.pop(0) if self.failures else ""
         if self.is_down or failure == "refuse":
             raise ports.StoreError("refused", errors.Verdict.DID_NOT_RUN)
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -1,5 +1,6 @@
 """Tests of the writer and the reader of the job topic."""
 
+import asyncio
 import datetime
 import time
 import unittest
@@ -25,6 +26,13 @@
                                  heartbeat_number)
 
 
+def build_large_record(index: int) -> dispatch.WorkersRecord:
+    """Returns a record of about 8 KB; its key depends on the index."""
+    entry = ports.WorkerEntry("w" * 30, "service", "10.0.0.1:80", "north-1",
+                              False, 32_000, 65_536, 0, frozenset({"large"}))
+    return dispatch.WorkersRecord(f"group-{index}", 64, (entry,) * 100)
+
+
 class WriterTest(unittest.IsolatedAsyncioTestCase):
     """Tests appends with and without failed store calls, and fencing."""
 
@@ -123,6 +131,34 @@
         self.assertEqual(offsets, list(range(20)))
         self.assertLessEqual(self.store.append_calls, 20)
 
+    async def test_many_records_pass_through_a_slow_link(self):
+        """Checks that records are stored which one call cannot take in time.
+
+        The 20 records of one request have 158 KB, and the link transfers 100 KB
+        a second. Guards against a call with all records that is repeated for
+        ever, because each repetition ends at the time limit of a call.
+        """
+        self.store.bytes_per_s = 100_000
+        records = [build_large_record(index) for index in range(20)]
+        await self.writer.append_each(records)
+        self.assertEqual(
+            [record.key for record in self.store.records[dispatch.JOB_TOPIC]],
+            [f"w/group-{index}" for index in range(20)])
+
+    async def test_waiting_appends_do_not_share_an_oversized_call(self):
+        """Checks that appends which wait at the same time are divided by size.
+
+        Guards against a call to the store that grows with the number of waiting
+        appends until a slow link cannot transfer it in time.
+        """
+        self.store.bytes_per_s = 100_000
+        await asyncio.gather(*[
+            self.writer.append([build_large_record(index)], LONG_TIMEOUT)
+            for index in range(20)
+        ])
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 20)
+        self.assertLessEqual(self.store.append_calls, 4)
+
     async def test_former_writer_is_fenced(self):
         """Checks that an append fails once a writer of a higher epoch appended.
 
