Fail appends in time that wait behind a repeated call to the store

Found by a test, not seen on a deployment. Callers whose append waited while the writer repeated another call got no reply at all: the daemon answered neither that a job is stored nor that it is not.

The writer has one call to the store at a time and looked for waiting requests whose time is over only between two batches. A batch whose outcome is unknown is repeated until the store tells, so while this lasted nobody looked. Callers in a call were told only at its end, up to 0.9 s late.

The writer now looks every 50 ms while a call lasts, and after each failed call. A waiting request is certainly not stored and fails as such; one in a call fails with an unknown outcome.

With the former code:

ERROR: test_callers_get_an_error_while_a_call_lasts TimeoutError (both callers should be answered within 0.6 s; none after 3 s) ERROR: test_waiting_append_is_refused_behind_a_repeated_call (failure='drop') ERROR: test_waiting_append_is_refused_behind_a_repeated_call (failure='refuse') TimeoutError (not answered 1 s after a timeout of 0.15 s)

Now they pass. Tests of cluster.test_topic and cluster.test_desk: 29 passed.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -19,6 +19,10 @@
 PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
 """Timeout of appends that should repeat until they are stored or fenced."""
 
+EXPIRY_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Time between two checks, while a call to the store lasts, for requests whose
+time is over."""
+
 RETRY_INTERVAL = datetime.timedelta(milliseconds=80)
 """Pause between a failed call to the store and its repetition. Ten daemons that
 repeat calls make about 120 calls a second, a fifth of the store's limit."""
@@ -173,12 +177,9 @@
                             batch: list[_append_queue.PendingAppend]) -> None:
         may_be_stored = False
         while True:
-            records = [
-                record for pending in batch for record in pending.records
-            ]
             sent_at = self._clock.monotonic()
             try:
-                offset = await self._append_once(records)
+                offset = await self._send_batch(batch)
             except ports.SequenceError as error:
                 if error.expected == self._next_sequence + 1 and may_be_stored:
                     # An earlier call stored the records. Its reply with their
@@ -208,6 +209,7 @@
                     # The records stay in the batch, whose call is repeated.
                     _append_queue.report_unknown_outcomes(
                         batch, self._clock.monotonic())
+                self._queue.refuse_expired()
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
             self._next_sequence += 1
@@ -220,6 +222,26 @@
                     offset += len(pending.records)
             return
 
+    async def _send_batch(self,
+                          batch: list[_append_queue.PendingAppend]) -> int:
+        """Sends a batch once and returns the offset of its first record.
+
+        Meanwhile it fails the requests in the batch and in the queue whose time
+        is over.
+        """
+        records = [record for pending in batch for record in pending.records]
+        call = asyncio.get_running_loop().create_task(
+            self._append_once(records))
+        try:
+            while not (await asyncio.wait(
+                [call], timeout=EXPIRY_CHECK_INTERVAL.total_seconds()))[0]:
+                _append_queue.report_unknown_outcomes(batch,
+                                                      self._clock.monotonic())
+                self._queue.refuse_expired()
+            return call.result()
+        finally:
+            call.cancel()
+
     async def _append_once(self, records: list[ports.KeyedRecord]) -> int:
         started_at = self._clock.monotonic()
         outcome = "failed"
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -159,6 +159,51 @@
         self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 20)
         self.assertLessEqual(self.store.append_calls, 4)
 
+    async def test_waiting_append_is_refused_behind_a_repeated_call(self):
+        """Checks that a waiting append ends in time while another is repeated.
+
+        Guards against callers that get no reply at all, because the writer
+        repeats the call of another request whose outcome is unknown.
+        """
+        for failure in ("drop", "refuse"):
+            with self.subTest(failure=failure):
+                self.store.failures = [failure] * 30
+                first_append = asyncio.create_task(
+                    self.writer.append([build_record()], LONG_TIMEOUT))
+                await asyncio.sleep(0.02)
+                async with asyncio.timeout(1):
+                    with self.assertRaises(ports.StoreError) as caught:
+                        await self.writer.append([build_record(2)],
+                                                 SHORT_TIMEOUT)
+                self.assertIs(caught.exception.verdict,
+                              errors.Verdict.DID_NOT_RUN)
+                self.store.failures = []
+                await first_append
+
+    async def test_callers_get_an_error_while_a_call_lasts(self):
+        """Checks that callers do not wait for the end of a call to the store.
+
+        Of two appends with a timeout of 0.15 s, one is in a call that lasts
+        0.9 s and the other in the queue. Guards against callers that wait
+        longer than they asked for.
+        """
+        self.store.bytes_per_s = 1
+        started_at = time.monotonic()
+        async with asyncio.timeout(3):
+            results = await asyncio.gather(self.writer.append([build_record()],
+                                                              SHORT_TIMEOUT),
+                                           self.append_later(),
+                                           return_exceptions=True)
+        self.assertLess(time.monotonic() - started_at, 0.6)
+        self.assertEqual(
+            [result.verdict for result in results],
+            [errors.Verdict.MAY_HAVE_RUN, errors.Verdict.DID_NOT_RUN])
+
+    async def append_later(self) -> int:
+        """Appends a record after the writer has begun a call without it."""
+        await asyncio.sleep(0.02)
+        return await self.writer.append([build_record(2)], SHORT_TIMEOUT)
+
     async def test_former_writer_is_fenced(self):
         """Checks that an append fails once a writer of a higher epoch appended.
 
