Give append calls the time that the transfer of their records takes

Found by reading, not seen on a deployment: on a link that other traffic of the machine shares, a daemon can stop storing anything for good, and its log has a single line, "store-lost". A call has 0.9 s for everything, the transfer included. 64 KB need 0.1 s on an idle link of 5 Mbit/s, but more than 0.9 s on a tenth of it, and a single record may have up to 256 KB. The repetition had the same limit and the same records.

The limit is now 0.9 s and the time for the transfer at a tenth of 5 Mbit/s. The second part doubles after each call without a reply, up to 16 times, and is halved after each success; no call gets more than 5 s. A call with less than 1 KB still ends within 1.2 s, so a dead connection is found as soon as before. `append-repeated` is logged after 2, 4, 8 and so on failures with the size of the call, and gentianlead_append_repetitions_total counts them all.

What long calls mean for a leader: its start permission lasts 4 s from the start of the last successful call, so it has gaps once calls last more than 2 s. Other daemons replace a leader after 2.5 s without a record (1.3 s if they cannot reach it). The limit of 64 KB a call keeps calls below 2 s down to 0.3 Mbit/s.

With a link of 30 KB/s, a record of 60 KB and the former code:

ERROR: test_one_large_record_passes_through_a_slow_link TimeoutError (after 8 s) FAIL: test_long_repetition_is_logged_rarely AssertionError: Lists differ: [] != [(2, 7927), (4, 7927), (8, 7927), ...

Now the record is stored by the second call. Tests of cluster.test_topic and cluster.test_desk: 32 passed.

--- a/src/gentianlead/cluster/_append_queue.py
+++ b/src/gentianlead/cluster/_append_queue.py
@@ -1,6 +1,7 @@
 """Append requests for the job topic, and their division into store calls."""
 
 import asyncio
+import datetime
 from typing import NamedTuple, Sequence
 
 from gentianlead import errors
@@ -16,6 +17,22 @@
 takes 0.1 s on a link of 5 Mbit/s and 1 s on a tenth of it, so that a call does
 not last longer than other daemons wait for a sign of life of a leader."""
 
+APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
+"""Longest wait for the reply to an append call, without the time for the
+transfer of its records; after it the call is repeated. A store that is slow by
+a factor of 60 completes a queue of a few appends in this time."""
+
+MAX_APPEND_TIMEOUT = datetime.timedelta(seconds=5)
+"""Longest wait for the reply to an append call of any size. It covers the
+largest record that the store accepts at a tenth of a link of 5 Mbit/s."""
+
+EXPECTED_BYTES_PER_S = 62_500
+"""Rate for which the first call allows: a tenth of a link of 5 Mbit/s."""
+
+MAX_DOUBLINGS = 4
+"""How often the time for the transfer may double. Calls with less than 1 KB
+thus end within 1.2 s, so that a dead connection is still found soon."""
+
 _RECORD_OVERHEAD_BYTES = 5
 """Bytes that the encoding for the store adds to the key and the value of a
 record: their lengths."""
@@ -86,6 +103,33 @@
         self._appends.clear()
 
 
+class CallLimit:
+    """Time limit of append calls, which follows the rate of a slow link.
+
+    The time for the transfer doubles after each call that got no reply, and is
+    halved after each call that succeeded. A repeated call thus gets the time
+    that it needs, instead of ending at the same point each time.
+    """
+
+    def __init__(self) -> None:
+        self._doublings = 0
+
+    def compute_timeout(self, byte_count: int) -> datetime.timedelta:
+        """Returns the time limit of a call with `byte_count` bytes of records.
+        """
+        transfer_s = byte_count / EXPECTED_BYTES_PER_S * 2**self._doublings
+        return min(MAX_APPEND_TIMEOUT,
+                   APPEND_TIMEOUT + datetime.timedelta(seconds=transfer_s))
+
+    def lengthen(self) -> None:
+        """Allows more time for transfers, after a call without a reply."""
+        self._doublings = min(MAX_DOUBLINGS, self._doublings + 1)
+
+    def shorten(self) -> None:
+        """Allows less time for transfers, after a call that succeeded."""
+        self._doublings = max(0, self._doublings - 1)
+
+
 def count_bytes(records: Sequence[ports.KeyedRecord]) -> int:
     """Returns the encoded size of records in a call to the store, in bytes."""
     return sum(
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import itertools
 from typing import Callable, Sequence
 
 from gentianlead import dispatch
@@ -11,11 +12,6 @@
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 
-APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
-"""Longest wait for the reply to one append call; after it the call is repeated.
-A store that is slow by a factor of 60 completes a queue of a few appends in
-this time."""
-
 PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
 """Timeout of appends that should repeat until they are stored or fenced."""
 
@@ -74,6 +70,7 @@
         self._metrics = metrics
         self._next_sequence = first_sequence
         self._queue = _append_queue.AppendQueue(clock)
+        self._call_limit = _append_queue.CallLimit()
         self._append_queued = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
 
@@ -176,7 +173,8 @@
     async def _append_batch(self,
                             batch: list[_append_queue.PendingAppend]) -> None:
         may_be_stored = False
-        while True:
+        first_sent_at = self._clock.monotonic()
+        for attempt_number in itertools.count(1):
             sent_at = self._clock.monotonic()
             try:
                 offset = await self._send_batch(batch)
@@ -199,7 +197,11 @@
                 raise
             except ports.StoreError as error:
                 may_be_stored |= error.verdict is not errors.Verdict.DID_NOT_RUN
+                if error.verdict is not errors.Verdict.DID_NOT_RUN:
+                    self._call_limit.lengthen()
                 self._handle_store_failure(error)
+                self._report_repetition(batch, attempt_number, first_sent_at,
+                                        error)
                 if not may_be_stored:
                     batch = _append_queue.refuse_expired(
                         batch, self._clock.monotonic())
@@ -214,6 +216,7 @@
                 continue
             self._next_sequence += 1
             self.last_success_sent_at = sent_at
+            self._call_limit.shorten()
             self._handle_store_success()
             for pending in batch:
                 if not pending.future.done():
@@ -230,8 +233,10 @@
         is over.
         """
         records = [record for pending in batch for record in pending.records]
+        byte_count = sum(pending.byte_count for pending in batch)
         call = asyncio.get_running_loop().create_task(
-            self._append_once(records))
+            self._append_once(records,
+                              self._call_limit.compute_timeout(byte_count)))
         try:
             while not (await asyncio.wait(
                 [call], timeout=EXPIRY_CHECK_INTERVAL.total_seconds()))[0]:
@@ -242,14 +247,14 @@
         finally:
             call.cancel()
 
-    async def _append_once(self, records: list[ports.KeyedRecord]) -> int:
+    async def _append_once(self, records: list[ports.KeyedRecord],
+                           timeout: datetime.timedelta) -> int:
         started_at = self._clock.monotonic()
         outcome = "failed"
         try:
             offset = await self._store.append(dispatch.JOB_TOPIC, records,
                                               self._producer,
-                                              self._next_sequence,
-                                              APPEND_TIMEOUT)
+                                              self._next_sequence, timeout)
             outcome = "ok"
             return offset
         finally:
@@ -269,6 +274,31 @@
                             error=str(error),
                             verdict=error.verdict.value)
 
+    def _report_repetition(self, batch: list[_append_queue.PendingAppend],
+                           failure_count: int, first_sent_at: float,
+                           error: ports.StoreError) -> None:
+        """Counts a failed call that is repeated, and logs some of them.
+
+        Of the failures of one batch, the second, fourth, eighth and so on are
+        logged, so that a call that is repeated for long does not fill the log.
+        """
+        self._metrics.append_repetitions.inc({"verdict": error.verdict.value})
+        if failure_count == 1 or failure_count & (failure_count - 1):
+            return
+        byte_count = sum(pending.byte_count for pending in batch)
+        self._log.write(
+            "append-repeated",
+            producer=self._producer.name,
+            sequence=self._next_sequence,
+            failures=failure_count,
+            records=sum(len(pending.records) for pending in batch),
+            bytes=byte_count,
+            next_timeout_s=round(
+                self._call_limit.compute_timeout(byte_count).total_seconds(),
+                2),
+            seconds=round(self._clock.monotonic() - first_sent_at, 2),
+            error=str(error))
+
     def _handle_store_success(self) -> None:
         if not self.last_call_succeeded:
             self.last_call_succeeded = True
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -25,6 +25,8 @@
             Appends that claim a leadership are not counted.
         store_call_seconds: Duration of calls to the store in seconds, by
             operation. Only the appends counted in `store_calls` are measured.
+        append_repetitions: Number of failed append calls that were repeated, by
+            verdict on whether the call may have been carried out.
         status_requests: Number of status requests to workers, by outcome (`ok`
             or `failed`). A request that a worker refuses for a stale fencing
             token, or whose worker was replaced, is not counted.
@@ -50,6 +52,8 @@
                                              "Calls to the store")
         self.store_call_seconds = self._add_histogram(
             "store_call_seconds", "Duration of calls to the store")
+        self.append_repetitions = self._add_counter(
+            "append_repetitions_total", "Repeated appends to the store")
         self.status_requests = self._add_counter("worker_looks_total",
                                                  "Looks at workers")
         self.leadership_changes = self._add_counter(
