Count the start permission from the first call that may have stored an append

No case was seen. A leader may start runs for 4 s after it sent its last successful append, and its successor waits from its own leader record on until that time and all leases are over. The time was that of the call that got the reply. The store replies to a repeated call as to the first one, and the writer also takes a refused sequence number for success, so such a reply need not show that no other leader has appended since the first call. An append that was repeated for 5 s on a slow link could thus extend the permission of a former leader by these 5 s beyond the wait of its successor.

The permission now counts from the first call that may have stored the records. After an outage of calls without replies it is thus valid again only with the append that follows, at most 0.5 s later.

With the former code, in all three cases:

FAIL: test_start_permission_counts_from_the_first_call (failures=['lose']) AssertionError: 1 != 0 (failures=['drop', 'lose']): 2 != 0; (failures=['refuse', 'lose']): 2 != 1

Tests of cluster.test_topic and cluster.test_desk: 33 passed.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -49,7 +49,8 @@
 
     Attributes:
         last_success_sent_at: Monotonic time in seconds at which the last
-            successful append was sent; None before the first.
+            successful append was sent; None before the first. For an append
+            that was repeated, this is the first call that may have stored it.
         last_call_succeeded: Whether the last call to the store succeeded; True
             before the first.
     """
@@ -173,7 +174,7 @@
     async def _append_batch(self,
                             batch: list[_append_queue.PendingAppend]) -> None:
         may_be_stored = False
-        first_sent_at = self._clock.monotonic()
+        stored_at_earliest = first_sent_at = self._clock.monotonic()
         for attempt_number in itertools.count(1):
             sent_at = self._clock.monotonic()
             try:
@@ -196,9 +197,11 @@
             except ports.ProducerFencedError:
                 raise
             except ports.StoreError as error:
-                may_be_stored |= error.verdict is not errors.Verdict.DID_NOT_RUN
                 if error.verdict is not errors.Verdict.DID_NOT_RUN:
                     self._call_limit.lengthen()
+                    if not may_be_stored:
+                        stored_at_earliest = sent_at
+                    may_be_stored = True
                 self._handle_store_failure(error)
                 self._report_repetition(batch, attempt_number, first_sent_at,
                                         error)
@@ -215,7 +218,10 @@
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
             self._next_sequence += 1
-            self.last_success_sent_at = sent_at
+            # The store replies to a repeated call as to the first one, also if
+            # a leader of a higher epoch has appended in between.
+            self.last_success_sent_at = (stored_at_earliest
+                                         if may_be_stored else sent_at)
             self._call_limit.shorten()
             self._handle_store_success()
             for pending in batch:
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import os
+import time
 from typing import Sequence
 
 from gentianlead import adapters
@@ -22,6 +23,7 @@
         first_offsets: Lowest offset that `read` still accepts, by topic, as if
             the store had deleted the records below it.
         append_calls: Number of calls of `append` so far.
+        append_called_at: Monotonic time in seconds of each call of `append`.
         bytes_per_s: Rate in bytes per second at which an append reaches the
             store. If its timeout passes before, it is not stored and gets no
             reply.
@@ -33,6 +35,7 @@
         self.is_down = False
         self.first_offsets: dict[str, int] = {}
         self.append_calls = 0
+        self.append_called_at: list[float] = []
         self.bytes_per_s = float("inf")
         self._last_appends: dict[str, tuple[int, int, int]] = {}
         self._records_added = asyncio.Event()
@@ -57,6 +60,7 @@
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
         self.append_calls += 1
+        self.append_called_at.append(time.monotonic())
         transfer_s = sum(
             len(record.value) for record in records) / self.bytes_per_s
         await asyncio.sleep(min(transfer_s, timeout.total_seconds()))
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -294,6 +294,27 @@
             await self.writer.append([build_record()], SHORT_TIMEOUT)
         self.assertEqual(self.writer.last_success_sent_at, last_success_sent_at)
 
+    async def test_start_permission_counts_from_the_first_call(self):
+        """Checks which call sets `last_success_sent_at` of a repeated append.
+
+        It must be the first one that may have stored the records, and not a
+        call that was refused before. The store replies to a repetition as to
+        the first call, so the reply does not show that no other leader has
+        appended since. Guards against a start permission that a former leader
+        extends after its successor has begun to wait for its end.
+        """
+        cases = ((["lose"], 0), (["drop", "lose"], 0), (["refuse", "lose"], 1))
+        for failures, call_index in cases:
+            with self.subTest(failures=failures):
+                self.store.failures = list(failures)
+                self.store.append_called_at.clear()
+                await self.writer.append([build_record()], LONG_TIMEOUT)
+                # The store receives a call just after the writer sends it.
+                received_calls = sum(
+                    received_at < self.writer.last_success_sent_at
+                    for received_at in self.store.append_called_at)
+                self.assertEqual(received_calls, call_index)
+
 
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
     """Tests that the reader keeps its job table up to date and sees outages."""
