Fail a record that the store can never accept alone, with its size

Found by reading, not seen on a deployment: one record above the limits of the store stops all appends of its writer for good. Callers of a daemon get no answer any more; a leader without appends is replaced, and its successor has the same record to store.

The store accepts 262,144 bytes a record and 2,097,152 bytes a call (`record_bytes` and `call_bytes` of the settings, which were not read). Its answer to a larger append was taken for an unknown outcome, so the call was repeated with the same records. The sizes that sites have are far below: 39 KB for the progress of a job of five steps of 80 tasks. The limits for submissions (10,000 tasks a step) allow 992 KB of progress and 134 KB and more for a job that lists a group for each task. A key of more than 255 bytes raised a ValueError in the encoder, which ended the writer.

The client of the store now checks sizes before it sends, and takes 400 and 413 for lasting rejections. The writer sends the requests of a rejected call one by one and fails only the one at fault, certainly not stored, with the key, the size and the limit. A rejected job is refused with this reason and not relayed. A rejected progress record is stored without checkpoints, so that done tasks are not lost; if that is too large too, it is left out and the leader goes on. `append-rejected` is logged at the first, second, fourth and so on rejection of a writer, and gentianlead_rejected_appends_total counts them.

With the former code:

ERROR: test_rejected_record_fails_alone: TimeoutError (after 2 s) ERROR: test_rejected_progress_is_stored_without_checkpoints: TimeoutError FAIL: test_job_that_the_store_rejects_is_refused AssertionError: 'the store does not reply' != 'too large' ERROR: test_rejected_appends (status=413) StoreError: status 413: b'{"reason": "size"}' ERROR: test_oversized_records_are_not_sent ValueError: bytes must be in range(0, 256)

--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -214,6 +214,9 @@
             offset = await self._topic_writer.append(
                 [dispatch.AcceptedRecord(job, self._incarnation)], timeout,
                 refusal_timeout)
+        except ports.RecordsRejectedError as error:
+            self._unread_long_running_jobs.pop(job.job_id, None)
+            return _build_refusal(str(error), STORE_RETRY_DELAY)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 self._unread_long_running_jobs.pop(job.job_id, None)
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -71,6 +71,7 @@
         self._metrics = metrics
         self._next_sequence = first_sequence
         self._queue = _append_queue.AppendQueue(clock)
+        self._rejection_count = 0
         self._call_limit = _append_queue.CallLimit()
         self._append_queued = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
@@ -127,14 +128,40 @@
         so that each call is small enough for a slow link. The calls are
         repeated until the store has the records, or the writer is stopped.
 
+        If the store rejects a progress record as too large, the record is
+        stored without checkpoints; if that is rejected too, it is left out.
+
         Raises:
+            RecordsRejectedError: The store rejected a record of another type.
             ProducerFencedError: A producer of the same name has a higher epoch.
             StoreError: The writer was stopped.
         """
-        await asyncio.gather(*[
+        results = await asyncio.gather(*[
             self._enqueue([record], PERSISTENT_APPEND_TIMEOUT,
                           PERSISTENT_APPEND_TIMEOUT) for record in records
-        ])
+        ],
+                                       return_exceptions=True)
+        for record, result in zip(records, results):
+            if isinstance(result, ports.RecordsRejectedError) and isinstance(
+                    record, dispatch.ProgressRecord):
+                await self._append_without_checkpoints(record)
+            elif isinstance(result, BaseException):
+                raise result
+
+    async def _append_without_checkpoints(
+            self, record: dispatch.ProgressRecord) -> None:
+        failed_tasks = tuple(
+            task._replace(checkpoint="")
+            for task in record.unfinished_tasks
+            if task.failures)
+        try:
+            await self._enqueue(
+                [record._replace(unfinished_tasks=failed_tasks)],
+                PERSISTENT_APPEND_TIMEOUT, PERSISTENT_APPEND_TIMEOUT)
+        except ports.RecordsRejectedError:
+            # `append-rejected` has been logged. The tasks of the job run again
+            # if the leader changes before a smaller record is stored.
+            pass
 
     def _enqueue(self, records: Sequence[dispatch.Record],
                  timeout: datetime.timedelta,
@@ -185,17 +212,13 @@
                     # offset was lost.
                     offset = -1
                 else:
-                    self._log.write("append-sequence-repaired",
-                                    producer=self._producer.name,
-                                    sent=self._next_sequence,
-                                    expected=error.expected)
-                    if error.expected < 0:
-                        raise ports.ProducerFencedError(
-                            str(error), errors.Verdict.MAY_HAVE_RUN)
-                    self._next_sequence = error.expected
+                    self._repair_sequence(error)
                     continue
             except ports.ProducerFencedError:
                 raise
+            except ports.RecordsRejectedError as error:
+                await self._handle_rejection(batch, error)
+                return
             except ports.StoreError as error:
                 if error.verdict is not errors.Verdict.DID_NOT_RUN:
                     self._call_limit.lengthen()
@@ -231,6 +254,33 @@
                     offset += len(pending.records)
             return
 
+    def _repair_sequence(self, error: ports.SequenceError) -> None:
+        self._log.write("append-sequence-repaired",
+                        producer=self._producer.name,
+                        sent=self._next_sequence,
+                        expected=error.expected)
+        if error.expected < 0:
+            raise ports.ProducerFencedError(str(error),
+                                            errors.Verdict.MAY_HAVE_RUN)
+        self._next_sequence = error.expected
+
+    async def _handle_rejection(self, batch: list[_append_queue.PendingAppend],
+                                error: ports.RecordsRejectedError) -> None:
+        """Fails a rejected request, or sends those of a rejected batch alone.
+        """
+        if len(batch) > 1:
+            for pending in batch:
+                await self._append_batch([pending])
+            return
+        self._metrics.rejected_appends.inc({})
+        self._rejection_count += 1
+        if not self._rejection_count & (self._rejection_count - 1):
+            self._log.write("append-rejected",
+                            producer=self._producer.name,
+                            rejections=self._rejection_count,
+                            error=str(error))
+        _append_queue.fail_appends(batch, error)
+
     async def _send_batch(self,
                           batch: list[_append_queue.PendingAppend]) -> int:
         """Sends a batch once and returns the offset of its first record.
--- a/src/gentianlead/cluster/_main.py
+++ b/src/gentianlead/cluster/_main.py
@@ -39,7 +39,8 @@
     metrics_address = os.environ.get(METRICS_ADDRESS_VARIABLE, "")
 
     async def run_daemon() -> None:
-        store = platform.PlatformStore(settings.store_address)
+        store = platform.PlatformStore(settings.store_address,
+                                       settings.store_limits)
         worker_client = platform.PlatformWorkerClient()
         permit_service = platform.PlatformPermitService(
             settings.advisory_address)
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -27,6 +27,8 @@
             operation. Only the appends counted in `store_calls` are measured.
         append_repetitions: Number of failed append calls that were repeated, by
             verdict on whether the call may have been carried out.
+        rejected_appends: Number of append requests that the store rejected for
+            good, such as those with a record that is too large.
         status_requests: Number of status requests to workers, by outcome (`ok`
             or `failed`). A request that a worker refuses for a stale fencing
             token, or whose worker was replaced, is not counted.
@@ -54,6 +56,8 @@
             "store_call_seconds", "Duration of calls to the store")
         self.append_repetitions = self._add_counter(
             "append_repetitions_total", "Repeated appends to the store")
+        self.rejected_appends = self._add_counter(
+            "rejected_appends_total", "Appends that the store rejected")
         self.status_requests = self._add_counter("worker_looks_total",
                                                  "Looks at workers")
         self.leadership_changes = self._add_counter(
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -24,6 +24,7 @@
             the store had deleted the records below it.
         append_calls: Number of calls of `append` so far.
         append_called_at: Monotonic time in seconds of each call of `append`.
+        record_bytes: Size of a value above which an append is rejected.
         bytes_per_s: Rate in bytes per second at which an append reaches the
             store. If its timeout passes before, it is not stored and gets no
             reply.
@@ -36,6 +37,7 @@
         self.first_offsets: dict[str, int] = {}
         self.append_calls = 0
         self.append_called_at: list[float] = []
+        self.record_bytes = 262_144
         self.bytes_per_s = float("inf")
         self._last_appends: dict[str, tuple[int, int, int]] = {}
         self._records_added = asyncio.Event()
@@ -61,6 +63,9 @@
                      timeout: datetime.timedelta) -> int:
         self.append_calls += 1
         self.append_called_at.append(time.monotonic())
+        if any(len(record.value) > self.record_bytes for record in records):
+            raise ports.RecordsRejectedError("too large",
+                                             errors.Verdict.DID_NOT_RUN)
         transfer_s = sum(
             len(record.value) for record in records) / self.bytes_per_s
         await asyncio.sleep(min(transfer_s, timeout.total_seconds()))
--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -134,6 +134,18 @@
         self.assertIs((await self.submit()).outcome, ACCEPTED)
         self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 1)
 
+    async def test_job_that_the_store_rejects_is_refused(self):
+        """Checks the reply for a job whose record is too large for the store.
+
+        Guards against a caller that waits until its deadline or is told that
+        the store does not reply, and against peers that try the same job.
+        """
+        self.store.record_bytes = 10
+        reply = await self.submit()
+        self.assertIs(reply.outcome, REFUSED)
+        self.assertEqual(reply.reason, "too large")
+        self.assertEqual(self.peering.called_subjects, [])
+
     async def test_outcomes_while_the_store_fails(self):
         """Checks the outcome of a submission whose append calls fail.
 
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -17,6 +17,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch import _records
 from gentianlead.dispatch.tests import builders
 
 SHORT_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -263,6 +264,53 @@
         await asyncio.sleep(0.02)
         return await self.writer.append([build_record(2)], SHORT_TIMEOUT)
 
+    async def test_rejected_record_fails_alone(self):
+        """Checks that a record that the store rejects does not block others.
+
+        It shares a call with other records. Guards against a call that is
+        repeated for ever although the store can never accept it.
+        """
+        self.store.record_bytes = 5_000
+        async with asyncio.timeout(2):
+            results = await asyncio.gather(*[
+                self.writer.append([build_large_record(index, worker_count)],
+                                   LONG_TIMEOUT)
+                for index, worker_count in enumerate((10, 100, 20))
+            ],
+                                           return_exceptions=True)
+        self.assertEqual((results[0], results[2]), (0, 1))
+        self.assertIsInstance(results[1], ports.RecordsRejectedError)
+        self.assertIs(results[1].verdict, errors.Verdict.DID_NOT_RUN)
+        self.assertEqual(self.metrics.rejected_appends.get({}), 1)
+
+    async def test_rejected_progress_is_stored_without_checkpoints(self):
+        """Checks what is stored of progress with too many checkpoints.
+
+        The done tasks and the failures must be stored. Guards against a leader
+        that fails because of one job, and against done tasks that run again.
+        """
+        self.store.record_bytes = 5_000
+        done_tasks = (_records.DoneTasks(0, 0, "ff"),)
+        unfinished_tasks = tuple(
+            _records.TaskProgress(0, 1, index, index % 2, "0" * 16)
+            for index in range(300))
+        record = dispatch.ProgressRecord(JOB_ID, "north-1", 64,
+                                         model.JobState.RUNNING, 7, done_tasks,
+                                         unfinished_tasks)
+        async with asyncio.timeout(2):
+            await self.writer.append_each([record, build_record()])
+        stored_records = {
+            stored.key: dispatch.decode_record(stored)
+            for stored in self.store.records[dispatch.JOB_TOPIC]
+        }
+        self.assertEqual(stored_records.keys(),
+                         {f"p/{JOB_ID}/north-1", "n/entry-1"})
+        progress = stored_records[f"p/{JOB_ID}/north-1"]
+        self.assertEqual(progress.done_tasks, done_tasks)
+        self.assertEqual([(task.index, task.failures, task.checkpoint)
+                          for task in progress.unfinished_tasks],
+                         [(index, 1, "") for index in range(1, 300, 2)])
+
     async def test_former_writer_is_fenced(self):
         """Checks that an append fails once a writer of a higher epoch appended.
 
--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from gentianlead import errors
+from gentianlead.platform import _store
 
 SETTINGS_PATH_VARIABLE = "GENTIANLEAD_NODE_FILE"
 """Environment variable with the path of the settings file."""
@@ -36,6 +37,7 @@
         store_address: `host:port` of the store.
         store_writes_per_s: Limit of the store on appends per second, for all
             daemons together.
+        store_limits: Sizes that the store accepts.
         advisory_address: `host:port` of the advisory service, or empty.
         vm_service_address: `host:port` of the VM service, or empty.
         max_lease: Maximum duration of a worker's lease.
@@ -54,6 +56,7 @@
     peer_ports: tuple[int, int]
     store_address: str
     store_writes_per_s: float
+    store_limits: _store.StoreLimits
     advisory_address: str
     vm_service_address: str
     max_lease: datetime.timedelta
@@ -100,6 +103,12 @@
             peer_ports=(int(first_port), int(last_port)),
             store_address=str(document["platform"]["address"]),
             store_writes_per_s=float(document["platform"]["writes_per_s"]),
+            store_limits=_store.StoreLimits(
+                int(document["platform"].get(
+                    "record_bytes",
+                    _store.StoreLimits().record_bytes)),
+                int(document["platform"].get("call_bytes",
+                                             _store.StoreLimits().call_bytes))),
             advisory_address=str(document.get("advice") or ""),
             vm_service_address=str(vm_service.get("address") or ""),
             max_lease=datetime.timedelta(milliseconds=bounds["hold_max_ms"]),
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -4,7 +4,7 @@
 import datetime
 import json
 import struct
-from typing import Any, Sequence
+from typing import Any, NamedTuple, Sequence
 
 from gentianlead import errors
 from gentianlead import ports
@@ -30,9 +30,23 @@
 _RECORD_LENGTH_FORMAT = struct.Struct(">I")
 _READ_REPLY_HEADER_FORMAT = struct.Struct(">QQ")
 _STATUS_OFFSET_EXPIRED = 410
+_MAX_KEY_BYTES = 255
+_REJECTION_STATUSES = frozenset({400, 413})
 _REFUSAL_STATUSES = frozenset({429, 503, 507})
 
 
+class StoreLimits(NamedTuple):
+    """Sizes that the store accepts; the defaults are those of the platform.
+
+    Attributes:
+        record_bytes: Maximum size of a record with its key, in bytes.
+        call_bytes: Maximum size of the records of one append, in bytes.
+    """
+
+    record_bytes: int = 262_144
+    call_bytes: int = 2_097_152
+
+
 def encode_records(records: Sequence[ports.KeyedRecord]) -> bytes:
     """Encodes records for an append to a keyed topic.
 
@@ -89,14 +103,17 @@
     partition, number 0.
     """
 
-    def __init__(self, address: str):
+    def __init__(self, address: str, limits: StoreLimits = StoreLimits()):
+        self._limits = limits
         self._endpoint = _http.HttpEndpoint(address, MAX_CONNECTIONS)
 
     async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
+        self._check_sizes(records)
+        body = encode_records(records)
         reply = await self._call(
-            "POST", "/log-append", timeout, encode_records(records), {
+            "POST", "/log-append", timeout, body, {
                 "topic": _add_topic_prefix(topic),
                 "part": 0,
                 "producer": producer.name,
@@ -115,8 +132,32 @@
             raise ports.SequenceError(
                 f"sequence number {sequence} refused, expected {expected}",
                 expected if isinstance(expected, int) else -1)
+        if reply.status in _REJECTION_STATUSES:
+            raise ports.RecordsRejectedError(
+                f"append of {len(records)} records with {len(body)} bytes, "
+                f"first key {records[0].key!r}: status {reply.status}: "
+                f"{reply.body[:80]!r}", errors.Verdict.DID_NOT_RUN)
         raise _build_store_error(reply)
 
+    def _check_sizes(self, records: Sequence[ports.KeyedRecord]) -> None:
+        call_bytes = 0
+        for record in records:
+            key_bytes = len(record.key.encode())
+            record_bytes = 1 + key_bytes + len(record.value)
+            call_bytes += _RECORD_LENGTH_FORMAT.size + record_bytes
+            if (key_bytes > _MAX_KEY_BYTES or
+                    record_bytes > self._limits.record_bytes):
+                raise ports.RecordsRejectedError(
+                    f"record {record.key[:80]!r} has {record_bytes} bytes, "
+                    f"{key_bytes} of them in its key; the store accepts "
+                    f"{self._limits.record_bytes} and {_MAX_KEY_BYTES}",
+                    errors.Verdict.DID_NOT_RUN)
+        if call_bytes > self._limits.call_bytes:
+            raise ports.RecordsRejectedError(
+                f"append of {len(records)} records has {call_bytes} bytes; the "
+                f"store accepts {self._limits.call_bytes}",
+                errors.Verdict.DID_NOT_RUN)
+
     async def read(self, topic: str, start: int,
                    wait: datetime.timedelta) -> ports.KeyedBatch | None:
         query: dict[str, str | int] = {
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -124,6 +124,38 @@
                     await self.append()
                 self.assertIs(caught.exception.verdict, verdict)
 
+    async def test_rejected_appends(self):
+        """Guards against repetitions of an append that can never succeed."""
+        for status in (400, 413):
+            with self.subTest(status=status):
+                self.add_reply(status, {"reason": "size"})
+                with self.assertRaisesRegex(ports.RecordsRejectedError,
+                                            f"status {status}") as caught:
+                    await self.append()
+                self.assertIs(caught.exception.verdict,
+                              errors.Verdict.DID_NOT_RUN)
+
+    async def test_oversized_records_are_not_sent(self):
+        """Guards against records above the limits of the store.
+
+        A record of exactly the maximum size must be sent.
+        """
+        store = platform.PlatformStore(self.stub_server.address,
+                                       platform.StoreLimits(100, 250))
+        self.addAsyncCleanup(store.close)
+        producer = ports.Producer("n/1", 1)
+        largest_record = ports.KeyedRecord("k", b"v" * 98)
+        cases = (([ports.KeyedRecord("k" * 9, b"v" * 91)], "has 101 bytes"),
+                 ([ports.KeyedRecord("k" * 256, b"")], "257 bytes, 256 of"),
+                 ([largest_record] * 3, "3 records has 312 bytes"))
+        for records, message in cases:
+            with self.subTest(message), self.assertRaisesRegex(
+                    ports.RecordsRejectedError, message):
+                await store.append("jobs", records, producer, 1, TIMEOUT)
+        self.assertEqual(self.stub_server.requests, [])
+        self.add_reply(200, {"offset": 1})
+        await store.append("jobs", [largest_record], producer, 1, TIMEOUT)
+
     async def test_append_without_reply_may_have_run(self):
         """Guards against a timeout that is reported as certainly not stored."""
         self.stub_server.replies.append(None)
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -42,6 +42,7 @@
 [platform]
 address = "10.200.1.7:8169"
 writes_per_s = 600
+record_bytes = 1000
 """
 
 
@@ -286,6 +287,7 @@
         self.assertEqual(settings.domains, ("north-1", "north-2"))
         self.assertEqual(settings.max_lease.total_seconds(), 6)
         self.assertEqual(settings.stop_limit.total_seconds(), 0.9)
+        self.assertEqual(settings.store_limits, (1000, 2_097_152))
 
     def test_missing_setting_is_named(self):
         """Guards against a daemon that starts without a required setting."""
--- a/src/gentianlead/ports/__init__.py
+++ b/src/gentianlead/ports/__init__.py
@@ -32,6 +32,7 @@
 from gentianlead.ports._store import KeyedRecord
 from gentianlead.ports._store import KeyedStore
 from gentianlead.ports._store import Producer
+from gentianlead.ports._store import RecordsRejectedError
 from gentianlead.ports._store import SequenceError
 from gentianlead.ports._store import StoreError
 from gentianlead.ports._target import HttpResponse
@@ -53,6 +54,7 @@
     "EndCause",
     "EndedRun",
     "ProducerFencedError",
+    "RecordsRejectedError",
     "StaleFencingTokenError",
     "WorkerReplacedError",
     "JobService",
--- a/src/gentianlead/ports/_store.py
+++ b/src/gentianlead/ports/_store.py
@@ -63,6 +63,13 @@
         self.verdict = verdict
 
 
+class RecordsRejectedError(StoreError):
+    """The store never accepts these records, for example if they are too large.
+
+    A repetition with the same records is useless.
+    """
+
+
 class ProducerFencedError(StoreError):
     """The store refused an append because it knows a higher producer epoch."""
 
@@ -94,6 +101,8 @@
             The offset of the first record.
 
         Raises:
+            RecordsRejectedError: The records are too large, or the store
+                rejects them for another lasting reason.
             ProducerFencedError: The epoch of the producer is no longer the
                 highest.
             SequenceError: The sequence number does not follow the last one.
