Send leader reports to each peer one at a time

Found by reading, not seen on a deployment: on a slow link, reports of a leader queue up in front of everything else that the machine sends: status calls to workers, appends and heartbeats.

A leader sent a report to every reachable daemon each 0.3 s, and one more at each end of a job, whether the previous one had arrived or not. A call waits 0.7 s for its reply, but the bytes stay in the buffer of the connection, which takes 32 MB; the receiver gets old loads as new ones. A report has 466 bytes with ten images and no news, and 2,128 bytes with 20 changed pairs of images and five states (frames measured with the encoder). To a hundred daemons, these are 1.2 and 5.7 Mbit/s, the latter more than a link of 5 Mbit/s.

A peer now gets its next report after it has replied to the previous one. What was published meanwhile is merged: the newest load, and all states and estimates.

100 reports to two peers that do not reply, with the former code:

FAIL: test_peer_gets_one_report_at_a_time AssertionError: 200 != 2 FAIL: test_nothing_is_kept_for_an_unreachable_peer AssertionError: 4 != 2 FAIL: test_reports_of_two_groups_are_kept_apart AssertionError: 3 != 1

Now two calls, and one more with the merged content after a reply. Tests of cluster.test_reports: 4 passed.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -17,6 +17,7 @@
 from gentianlead.cluster import _peering
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _report_sender
 
 ELECTION_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which this daemon checks which groups it should start to lead."""
@@ -92,6 +93,8 @@
             self._metrics)
         self._peering = _peering.Peering(self._incarnation, settings.domain,
                                          clock, random_source)
+        self._report_sender = _report_sender.ReportSender(
+            self._peering, log, self._metrics)
         self._job_service = _job_service.SteppedJobService(
             settings.domain, self._incarnation, self._topic_reader,
             self._topic_writer, self._peering, clock, log, self._send_to_leader)
@@ -157,6 +160,7 @@
             self._log.write("stop-limit-reached")
         for task in list(self._background_tasks):
             task.cancel()
+        self._report_sender.close()
         await self._topic_reader.stop()
         await self._topic_writer.stop()
         await self._peering.close()
@@ -454,10 +458,7 @@
     def _publish_leader_report(self,
                                report: _peer_messages.LeaderReport) -> None:
         self._job_service.apply_leader_report(report)
-        for peer_name in self._peering.list_reachable_daemons():
-            self._spawn(
-                self._send_notice(peer_name, _peer_messages.NOTICE_REPORT,
-                                  report))
+        self._report_sender.publish(report)
 
     async def _send_notice(self, peer_name: str, subject: str,
                            notice: object) -> None:
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -29,6 +29,9 @@
             verdict on whether the call may have been carried out.
         rejected_appends: Number of append requests that the store rejected for
             good, such as those with a record that is too large.
+        leader_reports: Number of reports to peers by outcome: `ok` or `failed`
+            for those that were sent, `merged` for those that were combined with
+            a later one because the peer had not replied yet.
         status_requests: Number of status requests to workers, by outcome (`ok`
             or `failed`). A request that a worker refuses for a stale fencing
             token, or whose worker was replaced, is not counted.
@@ -58,6 +61,8 @@
             "append_repetitions_total", "Repeated appends to the store")
         self.rejected_appends = self._add_counter(
             "rejected_appends_total", "Appends that the store rejected")
+        self.leader_reports = self._add_counter("leader_reports_total",
+                                                "Reports of leaders to peers")
         self.status_requests = self._add_counter("worker_looks_total",
                                                  "Looks at workers")
         self.leadership_changes = self._add_counter(
--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_reports.py
@@ -0,0 +1,142 @@
+"""Tests of the reports that leaders send to the other daemons."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import errors
+from gentianlead import model
+from gentianlead import platform
+from gentianlead.cluster import _daemon
+from gentianlead.cluster import _peer_messages
+from gentianlead.cluster.tests import fakes
+from gentianlead.platform.tests import test_formats
+
+
+class SlowPeering:
+    """Connections to two peers that reply when the test lets them.
+
+    Attributes:
+        handlers: Call handlers that the daemon registers; unused.
+        calls: Peer, message and reply of each call so far. The test completes
+            the reply.
+        reachable_names: Names of the reachable peers.
+    """
+
+    def __init__(self) -> None:
+        self.handlers: dict = {}
+        self.calls: list[tuple[str, object, asyncio.Future]] = []
+        self.reachable_names = frozenset({"entry-2", "entry-3"})
+
+    def list_reachable_daemons(self) -> frozenset[str]:
+        """Returns the names of the reachable peers."""
+        return self.reachable_names
+
+    async def call(self, daemon_name: str, subject: str, request: object, *_:
+                   object) -> object:
+        """Records a call and returns its reply once the test has set it."""
+        del subject
+        reply = asyncio.get_running_loop().create_future()
+        self.calls.append((daemon_name, request, reply))
+        return await reply
+
+    def list_calls(self, daemon_name: str) -> list[tuple]:
+        """Returns the message and the reply of the calls to one peer."""
+        return [call[1:] for call in self.calls if call[0] == daemon_name]
+
+
+class ReportTest(unittest.IsolatedAsyncioTestCase):
+    """Tests the reports that a daemon sends while a peer is slow."""
+
+    async def asyncSetUp(self) -> None:
+        self.peering = SlowPeering()
+        with mock.patch("gentianlead.cluster._peering.Peering",
+                        return_value=self.peering):
+            daemon = _daemon.ClusterDaemon(
+                platform.parse_settings(test_formats.SETTINGS_TEXT),
+                fakes.FakeStore(), None, None, adapters.SystemClock(),
+                adapters.SystemRandom(), fakes.build_log())
+        # pylint: disable-next=protected-access
+        self.publish = daemon._publish_leader_report
+
+    def build_report(self,
+                     number: int,
+                     group: str = "north-1") -> _peer_messages.LeaderReport:
+        """Returns a report with a load, one job and one pair by a number."""
+        load = dispatch.GroupLoad(True, 10_000, 0, number, 0)
+        estimate = dispatch.InterferenceEstimate("previews", f"b{number % 2}",
+                                                 0.5, float(number))
+        return _peer_messages.LeaderReport(
+            group, 64, load, (_peer_messages.JobStateNotice(
+                f"{number % 3}", model.JobState.RUNNING),), (estimate,))
+
+    async def wait_for_calls(self) -> None:
+        """Lets the tasks run that send reports."""
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def test_peer_gets_one_report_at_a_time(self):
+        """Checks the reports to a peer that has not replied to the first one.
+
+        After its reply, it must get one report with the newest load and all
+        states and estimates. Guards against reports that queue up behind a slow
+        link and reach the peers late, with everything else behind them.
+        """
+        for number in range(100):
+            self.publish(self.build_report(number))
+            await self.wait_for_calls()
+        self.assertEqual(len(self.peering.calls), 2)
+        ((first_report, reply),) = self.peering.list_calls("entry-2")
+        self.assertEqual(first_report, self.build_report(0))
+        reply.set_result(True)
+        await self.wait_for_calls()
+        merged_report = self.peering.list_calls("entry-2")[1][0]
+        self.assertEqual(merged_report.load, self.build_report(99).load)
+        self.assertEqual({notice.job_id for notice in merged_report.states},
+                         {"0", "1", "2"})
+        self.assertEqual(
+            {(estimate.best_effort_image, estimate.observed_s)
+             for estimate in merged_report.interference_pairs}, {("b0", 98.0),
+                                                                 ("b1", 99.0)})
+        self.assertEqual(len(self.peering.list_calls("entry-3")), 1)
+
+    async def test_reports_of_two_groups_are_kept_apart(self):
+        """Guards against the load of one group in the report of another."""
+        for number, group in enumerate(("north-1", "north-1", "north-2")):
+            self.publish(self.build_report(number, group))
+            await self.wait_for_calls()
+        for index in range(3):
+            calls = self.peering.list_calls("entry-2")
+            self.assertEqual(len(calls), index + 1)
+            calls[-1][1].set_result(True)
+            await self.wait_for_calls()
+        self.assertEqual([(report.group, report.load.short_backlog_ms)
+                          for report, _ in self.peering.list_calls("entry-2")],
+                         [("north-1", 0), ("north-1", 1), ("north-2", 2)])
+
+    async def test_reports_go_on_after_a_failure(self):
+        """Guards against a peer that gets no reports after a failed one."""
+        self.publish(self.build_report(0))
+        await self.wait_for_calls()
+        self.peering.list_calls("entry-2")[0][1].set_exception(
+            errors.RequestError(errors.ErrorCode.PEER_FAILED, "no reply"))
+        await self.wait_for_calls()
+        self.publish(self.build_report(1))
+        await self.wait_for_calls()
+        self.assertEqual(
+            [report for report, _ in self.peering.list_calls("entry-2")],
+            [self.build_report(0), self.build_report(1)])
+
+    async def test_nothing_is_kept_for_an_unreachable_peer(self):
+        """Guards against old reports that a peer gets after it was away."""
+        self.publish(self.build_report(0))
+        await self.wait_for_calls()
+        self.publish(self.build_report(1))
+        self.peering.reachable_names = frozenset()
+        self.publish(self.build_report(2))
+        for _, _, reply in self.peering.calls:
+            reply.set_result(True)
+        await self.wait_for_calls()
+        self.assertEqual(len(self.peering.calls), 2)
