Poll at most 32 unreachable workers at the same time

Found by reading, not seen on a deployment. A leader on a slow link that took over a large group could fail to reach most of its workers for good. Their leases ended, and their tasks were started elsewhere or, if all workers were affected, not at all.

A new leader polls all workers at once. Their first replies come at once and list all runs and up to 500 ends: 0.5 KB with four runs, 4.5 KB with 40, 61 KB with 40 and 500 ends. Each poll has 0.7 s, in which 437 KB pass a link of 5 Mbit/s. A reply that is too late still takes its time on the link, and 0.15 s later the worker is polled again. With 250 workers and 2.1 KB each, the polls bring more bytes a second than the link takes, and the late replies fill it for ever.

At most 32 workers that are not reachable are now polled at the same time, so replies of up to 13 KB arrive in time. Polls of reachable workers, most of which wait at the worker, are not limited. A group of up to 32 workers is polled as before. In a larger one whose workers are all dead, a round takes 0.7 s for each 32 workers instead of 0.85 s in all. The constants of the polls and the choice of their wait move to a module of their own.

250 workers with first replies of 8 KB over a link of 5 Mbit/s, former code:

FAIL: test_all_workers_are_reached_over_a_slow_link AssertionError: 55 != 250 (after 20 s)

Now all are reached after 3.4 s; the transfer alone takes 3.2 s.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -11,6 +11,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _status_polls
 
 MAX_LEASE = datetime.timedelta(milliseconds=5500)
 """Longest lease of a worker. It is long enough for runs to survive the loss of
@@ -57,19 +58,6 @@
 """Longest wait for a reply about permits. The advisory service needs time for
 each worker in a request and for the requests queued before it."""
 
-STATUS_REPLY_ALLOWANCE = datetime.timedelta(milliseconds=700)
-"""Time for a status reply beyond the time that the worker may hold it back."""
-
-STATUS_WAIT_IDLE = datetime.timedelta(milliseconds=1500)
-STATUS_WAIT_BUSY = datetime.timedelta(milliseconds=1000)
-STATUS_WAIT_SHARED = datetime.timedelta(milliseconds=400)
-"""How long a worker may hold back its status reply until a run ends: without
-runs, with runs, and with best-effort tasks beside latency-critical ones. The
-last wait is short because workers measure tail latency in periods of 0.5 s."""
-
-STATUS_RETRY_DELAY = datetime.timedelta(milliseconds=150)
-"""Pause between a failed status request and the next one to the worker."""
-
 ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Longest wait for reported run ends to be stored, so that the next status
 request acknowledges them. After a timeout it acknowledges only stored ones."""
@@ -121,6 +109,8 @@
         self._choose_fallback_group = choose_fallback_group
         self._unreachable_worker_ids: set[str] = set()
         self._background_tasks: set[asyncio.Task] = set()
+        self._unreachable_poll_slots = asyncio.Semaphore(
+            _status_polls.MAX_UNREACHABLE_POLLS)
         self._status_pollers: dict[str, asyncio.Task] = {}
         self._plan_requested = asyncio.Event()
         self._flush_requested = asyncio.Event()
@@ -412,7 +402,11 @@
             if worker is None:
                 return
             try:
-                await self._request_status(worker)
+                if worker.is_reachable:
+                    await self._request_status(worker)
+                else:
+                    async with self._unreachable_poll_slots:
+                        await self._request_status(worker)
             except ports.StaleFencingTokenError as error:
                 self._log.write("fenced",
                                 group=self.group,
@@ -433,7 +427,7 @@
                 return
             except errors.WorkerError as error:
                 self._apply_no_reply(worker, str(error))
-                await self._clock.sleep(STATUS_RETRY_DELAY)
+                await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
             if worker.last_applied_end_number > worker.last_stored_end_number:
                 self._flush_requested.set()
@@ -451,10 +445,11 @@
         # an unreachable worker is therefore not renewed until it replies.
         if worker.born_ms and worker.is_reachable and self._is_start_allowed():
             expires_at_ms = worker.extend_lease(sent_at, self._lease_length)
-        status_wait = self._choose_wait(worker)
+        status_wait = _status_polls.choose_wait(worker)
         status = await self._worker_client.poll_status(
             worker.entry, self.epoch, worker.last_stored_end_number,
-            expires_at_ms, status_wait, status_wait + STATUS_REPLY_ALLOWANCE)
+            expires_at_ms, status_wait,
+            status_wait + _status_polls.STATUS_REPLY_ALLOWANCE)
         self._metrics.status_requests.inc({"outcome": "ok"})
         self._unreachable_worker_ids.discard(worker.worker_id)
         if not worker.is_reachable:
@@ -479,18 +474,6 @@
                 paces=worker.throttles)
         self._plan_requested.set()
 
-    def _choose_wait(self, worker: dispatch.WorkerState) -> datetime.timedelta:
-        if (not worker.is_reachable or not worker.born_ms or
-                worker.last_applied_end_number > worker.last_stored_end_number):
-            return datetime.timedelta(0)
-        steps = [run.step for run in worker.runs.values()]
-        if not steps:
-            return STATUS_WAIT_IDLE
-        if any(step.is_best_effort for step in steps) and any(
-                step.tail_latency_limit_ms for step in steps):
-            return STATUS_WAIT_SHARED
-        return STATUS_WAIT_BUSY
-
     def _apply_no_reply(self, worker: dispatch.WorkerState, error: str) -> None:
         self._metrics.status_requests.inc({"outcome": "failed"})
         worker_id = worker.worker_id
--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -0,0 +1,106 @@
+"""Tests of the status polls of a leader whose link is slow."""
+
+import asyncio
+import datetime
+import unittest
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import errors
+from gentianlead import model
+from gentianlead import ports
+from gentianlead.cluster import _group_leader
+from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _metrics
+from gentianlead.cluster.tests import fakes
+
+BYTES_PER_S = 625_000
+"""Rate of a link of 5 Mbit/s."""
+
+WORKER_COUNT = 250
+
+
+class SlowLinkWorkerClient(ports.LeasedWorkerClient):
+    """Workers whose replies share one slow link, in the order of the requests.
+
+    A reply that comes too late still takes its time on the link. The first
+    reply of a worker that arrives is long, all later ones are empty.
+
+    Attributes:
+        reached_ids: Workers of which a reply has arrived.
+    """
+
+    def __init__(self, first_reply_bytes: int) -> None:
+        self.reached_ids: set[str] = set()
+        self._first_reply_bytes = first_reply_bytes
+        self._link_free_at = 0.0
+
+    async def poll_status(self, entry: ports.WorkerEntry, fence_token: int,
+                          acknowledged_number: int, expires_at_ms: int | None,
+                          wait: datetime.timedelta,
+                          timeout: datetime.timedelta) -> ports.WorkerStatus:
+        await asyncio.sleep(wait.total_seconds())
+        if entry.worker_id not in self.reached_ids:
+            now = asyncio.get_running_loop().time()
+            self._link_free_at = (max(now, self._link_free_at) +
+                                  self._first_reply_bytes / BYTES_PER_S)
+            delay_s = self._link_free_at - now
+            await asyncio.sleep(min(delay_s, timeout.total_seconds()))
+            if delay_s > timeout.total_seconds():
+                raise errors.WorkerError("no reply",
+                                         errors.Verdict.MAY_HAVE_RUN)
+            self.reached_ids.add(entry.worker_id)
+        return ports.WorkerStatus(1, 1, (), ())
+
+    async def start(self, entry: ports.WorkerEntry,
+                    order: ports.LeasedStartOrder,
+                    timeout: datetime.timedelta) -> ports.StartReply:
+        raise NotImplementedError()
+
+    async def stop(self, entry: ports.WorkerEntry, task: model.TaskKey,
+                   run: int, fence_token: int,
+                   timeout: datetime.timedelta) -> None:
+        raise NotImplementedError()
+
+    async def set_throttle(self, entry: ports.WorkerEntry, task: model.TaskKey,
+                           run: int, percent: int, fence_token: int,
+                           timeout: datetime.timedelta) -> None:
+        raise NotImplementedError()
+
+
+class StatusPollTest(unittest.IsolatedAsyncioTestCase):
+    """Tests the first polls of a leader that takes over a large group."""
+
+    async def test_all_workers_are_reached_over_a_slow_link(self):
+        """Checks that a leader reaches 250 workers that list many runs.
+
+        Their first replies have 8 KB each, which takes 3.2 s in all. Guards
+        against polls of all workers at the same time that end before the
+        replies arrive, while the late replies fill the link for the next polls.
+        """
+        clock = adapters.SystemClock()
+        log = fakes.build_log()
+        metrics = _metrics.ClusterMetrics()
+        worker_client = SlowLinkWorkerClient(8_000)
+        writer = _job_topic.JobTopicWriter(fakes.FakeStore(),
+                                           ports.Producer("g/north-1", 64),
+                                           clock, log, metrics)
+        one_second = datetime.timedelta(seconds=1)
+        leader = _group_leader.GroupLeader(
+            "north-1", 64, 0,
+            dispatch.GroupTimings(one_second, one_second, one_second),
+            ("entry-1", "entry-1#1"), worker_client, None, writer, clock, log,
+            metrics, lambda report: None, lambda group, reason: None,
+            lambda job: "", lambda job: None, dispatch.InterferenceModel())
+        leader.start()
+        self.addAsyncCleanup(leader.stop)
+        for index in range(WORKER_COUNT):
+            leader.put_worker(
+                ports.WorkerEntry(f"w{index}", "service", f"10.0.0.{index}:80",
+                                  "north-1", False, 32_000, 65_536, 0,
+                                  frozenset()))
+        started_at = clock.monotonic()
+        while (len(worker_client.reached_ids) < WORKER_COUNT and
+               clock.monotonic() - started_at < 20):
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(worker_client.reached_ids), WORKER_COUNT)
