--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import datetime
-from typing import Callable, NamedTuple, Sequence
+import itertools
+from typing import Callable, Sequence
 
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import ports
+from gentianlead.cluster import _append_queue
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _topic_load
 
-APPEND_TIMEOUT = datetime.timedelta(milliseconds=900)
-"""Longest wait for the reply to one append call; after it the call is repeated.
-A store that is slow by a factor of 60 completes a queue of a few appends in
-this time."""
+PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
+"""Timeout of appends that should repeat until they are stored or fenced."""
+
+EXPIRY_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Time between two checks, while a call to the store lasts, for requests whose
+time is over."""
 
 RETRY_INTERVAL = datetime.timedelta(milliseconds=80)
 """Pause between a failed call to the store and its repetition. Ten daemons that
@@ -30,11 +34,6 @@
 waits for a record. Urgent changes reach the other daemons earlier, on peer
 streams."""
 
-MAX_BATCH_RECORDS = 200
-"""Number of records from which on no further append request is added to a call
-to the store. The last request that is added may raise the call above this
-number. Calls with job records thus stay below the store's limits."""
-
 FRESHNESS_LIMIT = datetime.timedelta(milliseconds=2200)
 """Age above which the table counts as stale. The age is the time since the last
 read that reached the end of the topic was sent. The limit is the sum of the
@@ -47,26 +46,6 @@
 many records, also those by which leaders show that they are alive."""
 
 
-class _PendingAppend(NamedTuple):
-    """Request to append records that the store has not confirmed yet.
-
-    Attributes:
-        records: The records to append.
-        future: Receives the offset of the first record (-1 if it is unknown),
-            or the error.
-        give_up_at: Monotonic time in seconds after which the caller gets an
-            error although the records may be stored.
-        refuse_at: Monotonic time in seconds after which the request is dropped
-            and the caller gets an error, if the records are certainly not
-            stored.
-    """
-
-    records: list[ports.KeyedRecord]
-    future: asyncio.Future
-    give_up_at: float
-    refuse_at: float
-
-
 class JobTopicWriter:
     """Appends records to the job topic in batches, each record at most once.
 
@@ -76,7 +55,8 @@
 
     Attributes:
         last_success_sent_at: Monotonic time in seconds at which the last
-            successful append was sent; None before the first.
+            successful append was sent; None before the first. For an append
+            that was repeated, this is the first call that may have stored it.
         last_call_succeeded: Whether the last call to the store succeeded; True
             before the first.
     """
@@ -96,7 +76,9 @@
         self._log = log
         self._metrics = metrics
         self._next_sequence = first_sequence
-        self._queued_appends: list[_PendingAppend] = []
+        self._queue = _append_queue.AppendQueue(clock)
+        self._rejection_count = 0
+        self._call_limit = _append_queue.CallLimit()
         self._append_queued = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
 
@@ -114,12 +96,9 @@
         if self._loop_task is not None:
             self._loop_task.cancel()
             await asyncio.wait([self._loop_task])
-        for pending in self._queued_appends:
-            if not pending.future.done():
-                pending.future.set_exception(
-                    ports.StoreError("the writer of the job topic was stopped",
-                                     errors.Verdict.DID_NOT_RUN))
-        self._queued_appends.clear()
+        self._queue.fail_all(
+            ports.StoreError("the writer of the job topic was stopped",
+                             errors.Verdict.DID_NOT_RUN))
 
     async def append(self,
                      records: Sequence[dispatch.Record],
@@ -144,103 +123,135 @@
             StoreError: The records were not stored in time, or the writer was
                 stopped; the verdict says whether they may be stored.
         """
-        future = asyncio.get_running_loop().create_future()
-        now = self._clock.monotonic()
         if refusal_timeout is None:
             refusal_timeout = timeout
-        self._queued_appends.append(
-            _PendingAppend(
-                [dispatch.encode_record(record) for record in records], future,
-                now + timeout.total_seconds(),
+        return await self._enqueue(records, timeout, refusal_timeout)
+
+    async def append_each(self, records: Sequence[dispatch.Record]) -> None:
+        """Appends records in order that need not be stored all at once.
+
+        Unlike `append`, this divides many records between calls to the store,
+        so that each call is small enough for a slow link. The calls are
+        repeated until the store has the records, or the writer is stopped.
+
+        If the store rejects a progress record as too large, the record is
+        stored without checkpoints; if that is rejected too, it is left out.
+
+        Raises:
+            RecordsRejectedError: The store rejected a record of another type.
+            ProducerFencedError: A producer of the same name has a higher epoch.
+            StoreError: The writer was stopped.
+        """
+        results = await asyncio.gather(*[
+            self._enqueue([record], PERSISTENT_APPEND_TIMEOUT,
+                          PERSISTENT_APPEND_TIMEOUT) for record in records
+        ],
+                                       return_exceptions=True)
+        for record, result in zip(records, results):
+            if isinstance(result, ports.RecordsRejectedError) and isinstance(
+                    record, dispatch.ProgressRecord):
+                await self._append_without_checkpoints(record)
+            elif isinstance(result, BaseException):
+                raise result
+
+    async def _append_without_checkpoints(
+            self, record: dispatch.ProgressRecord) -> None:
+        failed_tasks = tuple(
+            task._replace(checkpoint="")
+            for task in record.unfinished_tasks
+            if task.failures)
+        try:
+            await self._enqueue(
+                [record._replace(unfinished_tasks=failed_tasks)],
+                PERSISTENT_APPEND_TIMEOUT, PERSISTENT_APPEND_TIMEOUT)
+        except ports.RecordsRejectedError:
+            # `append-rejected` has been logged. The tasks of the job run again
+            # if the leader changes before a smaller record is stored.
+            pass
+
+    def _enqueue(self, records: Sequence[dispatch.Record],
+                 timeout: datetime.timedelta,
+                 refusal_timeout: datetime.timedelta) -> asyncio.Future:
+        future = asyncio.get_running_loop().create_future()
+        now = self._clock.monotonic()
+        encoded_records = [dispatch.encode_record(record) for record in records]
+        self._queue.add(
+            _append_queue.PendingAppend(
+                encoded_records, _append_queue.count_bytes(encoded_records),
+                future, now + timeout.total_seconds(),
                 now + min(timeout, refusal_timeout).total_seconds()))
         self._append_queued.set()
-        return await future
+        return future
 
     async def _append_forever(self) -> None:
         while True:
             self._append_queued.clear()
-            self._refuse_expired_in_queue()
-            if not self._queued_appends:
+            self._queue.refuse_expired()
+            if not self._queue:
                 await self._append_queued.wait()
                 continue
-            batch = self._take_batch()
+            batch = self._queue.take_batch()
             try:
                 await self._append_batch(batch)
             except ports.ProducerFencedError as error:
-                _fail_appends(batch, error)
-                _fail_appends(self._queued_appends, error)
-                self._queued_appends.clear()
+                _append_queue.fail_appends(batch, error)
+                self._queue.fail_all(error)
                 return
             except asyncio.CancelledError:
-                _fail_appends(
+                _append_queue.fail_appends(
                     batch,
                     ports.StoreError("the writer of the job topic was stopped",
                                      errors.Verdict.MAY_HAVE_RUN))
                 raise
 
-    def _take_batch(self) -> list[_PendingAppend]:
-        batch: list[_PendingAppend] = []
-        record_count = 0
-        while self._queued_appends and record_count < MAX_BATCH_RECORDS:
-            pending = self._queued_appends.pop(0)
-            batch.append(pending)
-            record_count += len(pending.records)
-        return batch
-
-    def _refuse_expired_in_queue(self) -> None:
-        now = self._clock.monotonic()
-        expired_appends = [
-            pending for pending in self._queued_appends
-            if pending.refuse_at <= now
-        ]
-        _fail_appends(
-            expired_appends,
-            ports.StoreError("the store did not accept the records in time",
-                             errors.Verdict.DID_NOT_RUN))
-        self._queued_appends = [
-            pending for pending in self._queued_appends
-            if pending.refuse_at > now
-        ]
-
-    async def _append_batch(self, batch: list[_PendingAppend]) -> None:
+    async def _append_batch(self,
+                            batch: list[_append_queue.PendingAppend]) -> None:
         may_be_stored = False
-        while True:
-            records = [
-                record for pending in batch for record in pending.records
-            ]
+        stored_at_earliest = first_sent_at = self._clock.monotonic()
+        for attempt_number in itertools.count(1):
             sent_at = self._clock.monotonic()
             try:
-                offset = await self._append_once(records)
+                offset = await self._send_batch(batch)
             except ports.SequenceError as error:
                 if error.expected == self._next_sequence + 1 and may_be_stored:
                     # An earlier call stored the records. Its reply with their
                     # offset was lost.
                     offset = -1
                 else:
-                    self._log.write("append-sequence-repaired",
-                                    producer=self._producer.name,
-                                    sent=self._next_sequence,
-                                    expected=error.expected)
-                    if error.expected < 0:
-                        raise ports.ProducerFencedError(
-                            str(error), errors.Verdict.MAY_HAVE_RUN)
-                    self._next_sequence = error.expected
+                    self._repair_sequence(error)
                     continue
             except ports.ProducerFencedError:
                 raise
+            except ports.RecordsRejectedError as error:
+                await self._handle_rejection(batch, error)
+                return
             except ports.StoreError as error:
-                may_be_stored |= error.verdict is not errors.Verdict.DID_NOT_RUN
+                if error.verdict is not errors.Verdict.DID_NOT_RUN:
+                    self._call_limit.lengthen()
+                    if not may_be_stored:
+                        stored_at_earliest = sent_at
+                    may_be_stored = True
                 self._handle_store_failure(error)
+                self._report_repetition(batch, attempt_number, first_sent_at,
+                                        error)
                 if not may_be_stored:
-                    batch = self._refuse_expired_in_batch(batch)
+                    batch = _append_queue.refuse_expired(
+                        batch, self._clock.monotonic())
                     if not batch:
                         return
                 else:
-                    self._report_unknown_outcomes(batch)
+                    # The records stay in the batch, whose call is repeated.
+                    _append_queue.report_unknown_outcomes(
+                        batch, self._clock.monotonic())
+                self._queue.refuse_expired()
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
             self._next_sequence += 1
-            self.last_success_sent_at = sent_at
+            # The store replies to a repeated call as to the first one, also if
+            # a leader of a higher epoch has appended in between.
+            self.last_success_sent_at = (stored_at_earliest
+                                         if may_be_stored else sent_at)
+            self._call_limit.shorten()
             self._handle_store_success()
             for pending in batch:
                 if not pending.future.done():
@@ -249,14 +260,63 @@
                     offset += len(pending.records)
             return
 
-    async def _append_once(self, records: list[ports.KeyedRecord]) -> int:
+    def _repair_sequence(self, error: ports.SequenceError) -> None:
+        self._log.write("append-sequence-repaired",
+                        producer=self._producer.name,
+                        sent=self._next_sequence,
+                        expected=error.expected)
+        if error.expected < 0:
+            raise ports.ProducerFencedError(str(error),
+                                            errors.Verdict.MAY_HAVE_RUN)
+        self._next_sequence = error.expected
+
+    async def _handle_rejection(self, batch: list[_append_queue.PendingAppend],
+                                error: ports.RecordsRejectedError) -> None:
+        """Fails a rejected request, or sends those of a rejected batch alone.
+        """
+        if len(batch) > 1:
+            for pending in batch:
+                await self._append_batch([pending])
+            return
+        self._metrics.rejected_appends.inc({})
+        self._rejection_count += 1
+        if not self._rejection_count & (self._rejection_count - 1):
+            self._log.write("append-rejected",
+                            producer=self._producer.name,
+                            rejections=self._rejection_count,
+                            error=str(error))
+        _append_queue.fail_appends(batch, error)
+
+    async def _send_batch(self,
+                          batch: list[_append_queue.PendingAppend]) -> int:
+        """Sends a batch once and returns the offset of its first record.
+
+        Meanwhile it fails the requests in the batch and in the queue whose time
+        is over.
+        """
+        records = [record for pending in batch for record in pending.records]
+        byte_count = sum(pending.byte_count for pending in batch)
+        call = asyncio.get_running_loop().create_task(
+            self._append_once(records,
+                              self._call_limit.compute_timeout(byte_count)))
+        try:
+            while not (await asyncio.wait(
+                [call], timeout=EXPIRY_CHECK_INTERVAL.total_seconds()))[0]:
+                _append_queue.report_unknown_outcomes(batch,
+                                                      self._clock.monotonic())
+                self._queue.refuse_expired()
+            return call.result()
+        finally:
+            call.cancel()
+
+    async def _append_once(self, records: list[ports.KeyedRecord],
+                           timeout: datetime.timedelta) -> int:
         started_at = self._clock.monotonic()
         outcome = "failed"
         try:
             offset = await self._store.append(dispatch.JOB_TOPIC, records,
                                               self._producer,
-                                              self._next_sequence,
-                                              APPEND_TIMEOUT)
+                                              self._next_sequence, timeout)
             outcome = "ok"
             return offset
         finally:
@@ -268,36 +328,6 @@
                                                      self._clock.monotonic() -
                                                      started_at)
 
-    def _refuse_expired_in_batch(
-            self, batch: list[_PendingAppend]) -> list[_PendingAppend]:
-        """Fails the requests of a batch whose `refuse_at` has passed.
-
-        May be called only if the records of the batch are certainly not stored.
-
-        Returns:
-            The other requests of the batch.
-        """
-        now = self._clock.monotonic()
-        expired_appends = [
-            pending for pending in batch if pending.refuse_at <= now
-        ]
-        _fail_appends(
-            expired_appends,
-            ports.StoreError("the store did not accept the records in time",
-                             errors.Verdict.DID_NOT_RUN))
-        return [pending for pending in batch if pending.refuse_at > now]
-
-    def _report_unknown_outcomes(self, batch: list[_PendingAppend]) -> None:
-        """Reports an unknown outcome to callers whose `give_up_at` has passed.
-
-        Their records stay in the batch, whose call to the store is repeated.
-        """
-        now = self._clock.monotonic()
-        _fail_appends(
-            [pending for pending in batch if pending.give_up_at <= now],
-            ports.StoreError("the outcome of the append is unknown",
-                             errors.Verdict.MAY_HAVE_RUN))
-
     def _handle_store_failure(self, error: ports.StoreError) -> None:
         if self.last_call_succeeded:
             self.last_call_succeeded = False
@@ -306,22 +336,37 @@
                             error=str(error),
                             verdict=error.verdict.value)
 
+    def _report_repetition(self, batch: list[_append_queue.PendingAppend],
+                           failure_count: int, first_sent_at: float,
+                           error: ports.StoreError) -> None:
+        """Counts a failed call that is repeated, and logs some of them.
+
+        Of the failures of one batch, the second, fourth, eighth and so on are
+        logged, so that a call that is repeated for long does not fill the log.
+        """
+        self._metrics.append_repetitions.inc({"verdict": error.verdict.value})
+        if failure_count == 1 or failure_count & (failure_count - 1):
+            return
+        byte_count = sum(pending.byte_count for pending in batch)
+        self._log.write(
+            "append-repeated",
+            producer=self._producer.name,
+            sequence=self._next_sequence,
+            failures=failure_count,
+            records=sum(len(pending.records) for pending in batch),
+            bytes=byte_count,
+            next_timeout_s=round(
+                self._call_limit.compute_timeout(byte_count).total_seconds(),
+                2),
+            seconds=round(self._clock.monotonic() - first_sent_at, 2),
+            error=str(error))
+
     def _handle_store_success(self) -> None:
         if not self.last_call_succeeded:
             self.last_call_succeeded = True
             self._log.write("store-regained", producer=self._producer.name)
 
 
-def _fail_appends(appends: list[_PendingAppend],
-                  error: ports.StoreError) -> None:
-    for pending in appends:
-        if not pending.future.done():
-            pending.future.set_exception(error)
-            # Marks the error as retrieved; asyncio logs a warning otherwise if
-            # the caller no longer waits.
-            pending.future.exception()
-
-
 class JobTopicReader:
     """Keeps a job table up to date by reading the job topic.
 
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import os
+import time
 from typing import Any, Sequence
 
 from gentianlead import adapters
@@ -29,6 +30,11 @@
         page_starts: The key after which each page requested so far starts.
         failed_pages: Numbers of the requested pages, counted from 1, that get
             no reply.
+        append_called_at: Monotonic time in seconds of each call of `append`.
+        record_bytes: Size of a value above which an append is rejected.
+        bytes_per_s: Rate in bytes per second at which an append reaches the
+            store. If its timeout passes before, it is not stored and gets no
+            reply.
     """
 
     def __init__(self) -> None:
@@ -41,6 +47,9 @@
         self.page_size = 500
         self.page_starts: list[str] = []
         self.failed_pages: set[int] = set()
+        self.append_called_at: list[float] = []
+        self.record_bytes = 262_144
+        self.bytes_per_s = float("inf")
         self._last_appends: dict[str, tuple[int, int, int]] = {}
         self._records_added = asyncio.Event()
 
@@ -64,7 +73,15 @@
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
         self.append_calls += 1
-        await asyncio.sleep(0)
+        self.append_called_at.append(time.monotonic())
+        if any(len(record.value) > self.record_bytes for record in records):
+            raise ports.RecordsRejectedError("too large",
+                                             errors.Verdict.DID_NOT_RUN)
+        transfer_s = sum(
+            len(record.value) for record in records) / self.bytes_per_s
+        await asyncio.sleep(min(transfer_s, timeout.total_seconds()))
+        if transfer_s > timeout.total_seconds():
+            raise ports.StoreError("no reply", errors.Verdict.MAY_HAVE_RUN)
         failure = self.failures.pop(0) if self.failures else ""
         if self.is_down or failure == "refuse":
             raise ports.StoreError("refused", errors.Verdict.DID_NOT_RUN)
--- a/src/gentianlead/cluster/tests/test_slow_reads.py
+++ b/src/gentianlead/cluster/tests/test_slow_reads.py
@@ -58,13 +58,23 @@
 
     def start_daemon(self, node: str, store: ports.KeyedStore) -> None:
         """Starts a daemon in the domain of the only group."""
-        settings = platform.DaemonSettings(node, GROUP, (GROUP,), "127.0.0.1:0",
-                                           "127.0.0.1:0", "127.0.0.1", (0, 0),
-                                           "", 100.0, "", "",
-                                           datetime.timedelta(seconds=6),
-                                           datetime.timedelta(seconds=1),
-                                           datetime.timedelta(seconds=120),
-                                           datetime.timedelta(seconds=6))
+        settings = platform.DaemonSettings(
+            node=node,
+            domain=GROUP,
+            domains=(GROUP,),
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peer_host="127.0.0.1",
+            peer_ports=(0, 0),
+            store_address="",
+            store_writes_per_s=100.0,
+            store_limits=platform.StoreLimits(),
+            advisory_address="",
+            vm_service_address="",
+            max_lease=datetime.timedelta(seconds=6),
+            stop_limit=datetime.timedelta(seconds=1),
+            status_retention=datetime.timedelta(seconds=120),
+            stop_grace=datetime.timedelta(seconds=6))
         daemon = _daemon.ClusterDaemon(
             settings, store, mock.create_autospec(ports.LeasedWorkerClient),
             mock.create_autospec(ports.PermitService), adapters.SystemClock(),
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -1,6 +1,9 @@
 """Tests of the writer and the reader of the job topic."""
 
+import asyncio
 import datetime
+import json
+import os
 import time
 import unittest
 
@@ -9,9 +12,12 @@
 from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.cluster import _append_queue
+from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch import _records
 from gentianlead.dispatch.tests import builders
 
 SHORT_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -25,6 +31,14 @@
                                  heartbeat_number)
 
 
+def build_large_record(index: int,
+                       worker_count: int = 100) -> dispatch.WorkersRecord:
+    """Returns a record of 79 bytes a worker; its key depends on the index."""
+    entry = ports.WorkerEntry("w" * 30, "service", "10.0.0.1:80", "north-1",
+                              False, 32_000, 65_536, 0, frozenset({"large"}))
+    return dispatch.WorkersRecord(f"group-{index}", 64, (entry,) * worker_count)
+
+
 class WriterTest(unittest.IsolatedAsyncioTestCase):
     """Tests appends with and without failed store calls, and fencing."""
 
@@ -123,6 +137,180 @@
         self.assertEqual(offsets, list(range(20)))
         self.assertLessEqual(self.store.append_calls, 20)
 
+    async def test_many_records_pass_through_a_slow_link(self):
+        """Checks that records are stored which one call cannot take in time.
+
+        The 20 records of one request have 158 KB, and the link transfers 100 KB
+        a second. Guards against a call with all records that is repeated for
+        ever, because each repetition ends at the time limit of a call.
+        """
+        self.store.bytes_per_s = 100_000
+        records = [build_large_record(index) for index in range(20)]
+        await self.writer.append_each(records)
+        self.assertEqual(
+            [record.key for record in self.store.records[dispatch.JOB_TOPIC]],
+            [f"w/group-{index}" for index in range(20)])
+
+    async def test_waiting_appends_do_not_share_an_oversized_call(self):
+        """Checks that appends which wait at the same time are divided by size.
+
+        Guards against a call to the store that grows with the number of waiting
+        appends until a slow link cannot transfer it in time.
+        """
+        self.store.bytes_per_s = 100_000
+        await asyncio.gather(*[
+            self.writer.append([build_large_record(index)], LONG_TIMEOUT)
+            for index in range(20)
+        ])
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 20)
+        self.assertLessEqual(self.store.append_calls, 4)
+
+    async def test_one_large_record_passes_through_a_slow_link(self):
+        """Checks that a record is stored whose transfer takes 2 s.
+
+        Guards against a time limit that covers the transfer and is the same for
+        each repetition, so that no repetition succeeds.
+        """
+        self.store.bytes_per_s = 30_000
+        async with asyncio.timeout(8):
+            await self.writer.append_each([build_large_record(0, 760)])
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 1)
+
+    async def test_small_calls_still_end_soon(self):
+        """Checks that a call without a reply ends early for a small record.
+
+        Guards against a time limit that grows with each repetition until a dead
+        connection is found late.
+        """
+        call_limit = _append_queue.CallLimit()
+        for _ in range(100):
+            call_limit.lengthen()
+        self.assertLess(call_limit.compute_timeout(1000).total_seconds(), 1.25)
+        self.assertLessEqual(
+            call_limit.compute_timeout(10**7).total_seconds(), 5.0)
+
+    async def test_long_repetition_is_logged_rarely(self):
+        """Checks the log lines and the counter of a call that fails 20 times.
+
+        The log must show the size of the call after 2, 4, 8 and 16 failures.
+        Guards against a call that is repeated for ever without a trace in the
+        log, and against a line for each repetition.
+        """
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, read_end)
+        self.addCleanup(os.close, write_end)
+        writer = _job_topic.JobTopicWriter(
+            self.store, ports.Producer("n/2", 1), adapters.SystemClock(),
+            _decision_log.DecisionLog("entry-1", adapters.SystemClock(),
+                                      write_end), self.metrics)
+        writer.start()
+        self.addAsyncCleanup(writer.stop)
+        self.store.failures = ["drop"] * 20
+        await writer.append([build_large_record(0)], LONG_TIMEOUT)
+        lines = [
+            json.loads(line)
+            for line in os.read(read_end, 1 << 16).decode().splitlines()
+        ]
+        self.assertEqual([(line["failures"], line["bytes"])
+                          for line in lines
+                          if line["event"] == "append-repeated"],
+                         [(count, 7927) for count in (2, 4, 8, 16)])
+        self.assertEqual(
+            self.metrics.append_repetitions.get({"verdict": "may-have-run"}),
+            20)
+
+    async def test_waiting_append_is_refused_behind_a_repeated_call(self):
+        """Checks that a waiting append ends in time while another is repeated.
+
+        Guards against callers that get no reply at all, because the writer
+        repeats the call of another request whose outcome is unknown.
+        """
+        for failure in ("drop", "refuse"):
+            with self.subTest(failure=failure):
+                self.store.failures = [failure] * 30
+                first_append = asyncio.create_task(
+                    self.writer.append([build_record()], LONG_TIMEOUT))
+                await asyncio.sleep(0.02)
+                async with asyncio.timeout(1):
+                    with self.assertRaises(ports.StoreError) as caught:
+                        await self.writer.append([build_record(2)],
+                                                 SHORT_TIMEOUT)
+                self.assertIs(caught.exception.verdict,
+                              errors.Verdict.DID_NOT_RUN)
+                self.store.failures = []
+                await first_append
+
+    async def test_callers_get_an_error_while_a_call_lasts(self):
+        """Checks that callers do not wait for the end of a call to the store.
+
+        Of two appends with a timeout of 0.15 s, one is in a call that lasts
+        0.9 s and the other in the queue. Guards against callers that wait
+        longer than they asked for.
+        """
+        self.store.bytes_per_s = 1
+        started_at = time.monotonic()
+        async with asyncio.timeout(3):
+            results = await asyncio.gather(self.writer.append([build_record()],
+                                                              SHORT_TIMEOUT),
+                                           self.append_later(),
+                                           return_exceptions=True)
+        self.assertLess(time.monotonic() - started_at, 0.6)
+        self.assertEqual(
+            [result.verdict for result in results],
+            [errors.Verdict.MAY_HAVE_RUN, errors.Verdict.DID_NOT_RUN])
+
+    async def append_later(self) -> int:
+        """Appends a record after the writer has begun a call without it."""
+        await asyncio.sleep(0.02)
+        return await self.writer.append([build_record(2)], SHORT_TIMEOUT)
+
+    async def test_rejected_record_fails_alone(self):
+        """Checks that a record that the store rejects does not block others.
+
+        It shares a call with other records. Guards against a call that is
+        repeated for ever although the store can never accept it.
+        """
+        self.store.record_bytes = 5_000
+        async with asyncio.timeout(2):
+            results = await asyncio.gather(*[
+                self.writer.append([build_large_record(index, worker_count)],
+                                   LONG_TIMEOUT)
+                for index, worker_count in enumerate((10, 100, 20))
+            ],
+                                           return_exceptions=True)
+        self.assertEqual((results[0], results[2]), (0, 1))
+        self.assertIsInstance(results[1], ports.RecordsRejectedError)
+        self.assertIs(results[1].verdict, errors.Verdict.DID_NOT_RUN)
+        self.assertEqual(self.metrics.rejected_appends.get({}), 1)
+
+    async def test_rejected_progress_is_stored_without_checkpoints(self):
+        """Checks what is stored of progress with too many checkpoints.
+
+        The done tasks and the failures must be stored. Guards against a leader
+        that fails because of one job, and against done tasks that run again.
+        """
+        self.store.record_bytes = 5_000
+        done_tasks = (_records.DoneTasks(0, 0, "ff"),)
+        unfinished_tasks = tuple(
+            _records.TaskProgress(0, 1, index, index % 2, "0" * 16)
+            for index in range(300))
+        record = dispatch.ProgressRecord(JOB_ID, "north-1", 64,
+                                         model.JobState.RUNNING, 7, done_tasks,
+                                         unfinished_tasks)
+        async with asyncio.timeout(2):
+            await self.writer.append_each([record, build_record()])
+        stored_records = {
+            stored.key: dispatch.decode_record(stored)
+            for stored in self.store.records[dispatch.JOB_TOPIC]
+        }
+        self.assertEqual(stored_records.keys(),
+                         {f"p/{JOB_ID}/north-1", "n/entry-1"})
+        progress = stored_records[f"p/{JOB_ID}/north-1"]
+        self.assertEqual(progress.done_tasks, done_tasks)
+        self.assertEqual([(task.index, task.failures, task.checkpoint)
+                          for task in progress.unfinished_tasks],
+                         [(index, 1, "") for index in range(1, 300, 2)])
+
     async def test_former_writer_is_fenced(self):
         """Checks that an append fails once a writer of a higher epoch appended.
 
@@ -154,6 +342,27 @@
             await self.writer.append([build_record()], SHORT_TIMEOUT)
         self.assertEqual(self.writer.last_success_sent_at, last_success_sent_at)
 
+    async def test_start_permission_counts_from_the_first_call(self):
+        """Checks which call sets `last_success_sent_at` of a repeated append.
+
+        It must be the first one that may have stored the records, and not a
+        call that was refused before. The store replies to a repetition as to
+        the first call, so the reply does not show that no other leader has
+        appended since. Guards against a start permission that a former leader
+        extends after its successor has begun to wait for its end.
+        """
+        cases = ((["lose"], 0), (["drop", "lose"], 0), (["refuse", "lose"], 1))
+        for failures, call_index in cases:
+            with self.subTest(failures=failures):
+                self.store.failures = list(failures)
+                self.store.append_called_at.clear()
+                await self.writer.append([build_record()], LONG_TIMEOUT)
+                # The store receives a call just after the writer sends it.
+                received_calls = sum(
+                    received_at < self.writer.last_success_sent_at
+                    for received_at in self.store.append_called_at)
+                self.assertEqual(received_calls, call_index)
+
 
 class ReaderTest(unittest.IsolatedAsyncioTestCase):
     """Tests that the reader keeps its job table up to date and sees outages."""
--- a/src/gentianlead/ports/__init__.py
+++ b/src/gentianlead/ports/__init__.py
@@ -33,6 +33,7 @@
 from gentianlead.ports._store import KeyedStore
 from gentianlead.ports._store import NewestPage
 from gentianlead.ports._store import Producer
+from gentianlead.ports._store import RecordsRejectedError
 from gentianlead.ports._store import SequenceError
 from gentianlead.ports._store import StoreError
 from gentianlead.ports._target import HttpResponse
@@ -54,6 +55,7 @@
     "EndCause",
     "EndedRun",
     "ProducerFencedError",
+    "RecordsRejectedError",
     "StaleFencingTokenError",
     "WorkerReplacedError",
     "JobService",
