Test the limit on slow bodies and the close of replaced sessions

No test failed without MAX_TRANSFER_TIME, without a new session after a timeout, or if a call that fails did not leave its session.

--- a/src/gentianlead/platform/tests/test_http.py
+++ b/src/gentianlead/platform/tests/test_http.py
@@ -4,6 +4,7 @@
 import datetime
 import time
 import unittest
+from unittest import mock
 
 from aiohttp import web
 
@@ -26,12 +27,11 @@
 
     def __init__(self) -> None:
         self.address = ""
-        self._runner: web.ServerRunner | None = None
+        self._server = web.Server(self._serve)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
 
     async def start(self) -> None:
         """Listens on a free port."""
-        self._runner = web.ServerRunner(web.Server(self._serve),
-                                        shutdown_timeout=0.1)
         await self._runner.setup()
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
@@ -41,6 +41,11 @@
         """Stops the server."""
         await self._runner.cleanup()
 
+    def count_connections(self) -> int:
+        """Returns the number of open connections."""
+        return sum(connection.transport is not None
+                   for connection in self._server.connections)
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/silence":
             await asyncio.sleep(30)
@@ -116,3 +121,27 @@
             await self.endpoint.call("GET", "/silence", TIMEOUT)
         reply = await transfer
         self.assertEqual(len(reply.body), 40 * len(PIECE))
+
+    async def test_slow_body_has_a_time_limit(self):
+        """Guards against a read that a server prolongs without end."""
+        with mock.patch.object(_http, "MAX_TRANSFER_TIME",
+                               datetime.timedelta(seconds=0.5)):
+            with self.assertRaises(_http.HttpCallError):
+                await self.endpoint.call("GET",
+                                         "/20/100",
+                                         TIMEOUT,
+                                         progress_timeout=TIMEOUT)
+
+    async def test_idle_connections_are_closed_after_a_timeout(self):
+        """Guards against calls over connections that have gone silent.
+
+        All connections may have when one has. They also must not pile up.
+        """
+        await asyncio.gather(
+            *(self.endpoint.call("GET", "/2/50", TIMEOUT) for _ in range(3)))
+        self.assertEqual(self.server.count_connections(), 3)
+        with self.assertRaises(_http.HttpCallError):
+            await self.endpoint.call("GET", "/silence", TIMEOUT)
+        async with asyncio.timeout(2):
+            while self.server.count_connections():
+                await asyncio.sleep(0.02)
