Test that a reader catches up without pauses

No test failed if the reader of the job topic paused after a reply that did not reach the end of the topic. The test fails with such a pause.

--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -1,5 +1,6 @@
 """Tests of the writer and the reader of the job topic."""
 
+import asyncio
 import datetime
 import time
 import unittest
@@ -189,6 +190,21 @@
         self.assertEqual(len(self.reader.job_table.jobs), 2)
         self.assertTrue(self.reader.is_fresh())
 
+    async def test_replies_of_limited_size_follow_without_pauses(self):
+        """Guards against a daemon that never catches up with a full topic.
+
+        With a pause after each of the 20 reads they would take six seconds.
+        """
+        self.write_job()
+        self.reader.start()
+        await self.reader.wait_until_applied(0, LONG_TIMEOUT)
+        self.store.max_read_records = 1
+        for number in range(20):
+            self.write_job(f"{number:016x}")
+        async with asyncio.timeout(2):
+            while len(self.reader.job_table.jobs) < 21:
+                await asyncio.sleep(0.02)
+
     async def test_expired_position_leads_to_a_full_read(self):
         """Checks that a full read follows if the store deleted unread records.
 
