--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -185,6 +185,55 @@
             if record.offset >= end_offset
         ], [])
 
+    async def test_no_record_before_the_end_offset_is_missing(self):
+        """Guards against changes that a reply of limited size leaves out."""
+        self.store.max_read_records = 1
+        self.write("a", "b", "c")
+        self.store.failed_pages = {2}
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.write("aa", "b", "a", value=b"new")
+        batch = (await self.loader.load()).batch
+        loaded_offsets = {record.key: record.offset for record in batch.records}
+        self.assertEqual([
+            record for record in self.store.records["jobs"][:batch.end_offset]
+            if loaded_offsets.get(record.key, -1) < record.offset
+        ], [])
+
+    async def test_records_are_read_before_the_store_deletes_them(self):
+        """Guards against a long load that begins anew again and again.
+
+        The record added after the first page is deleted before the last page.
+        """
+        self.store.page_size = 1
+        self.store.failed_pages = {2, 4}
+        self.write("a", "b", "c")
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.write("a", value=b"new")
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.store.first_offsets["jobs"] = 4
+        await self.loader.load()
+        self.assertEqual(self.store.page_starts, ["", "a", "a", "b", "b"])
+
+    async def test_load_is_fresh_as_of_its_last_read(self):
+        """Guards against a daemon that counts as stale after a long load.
+
+        A load of one page is fresh as of the time at which it was sent.
+        """
+        self.write("a", "b", "c")
+        self.store.failed_pages = {2}
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.clock.seconds += 10
+        for page_size in (2, 500):
+            with self.subTest(page_size=page_size):
+                self.store.page_size = page_size
+                loaded_topic = await self.loader.load()
+                self.assertEqual(loaded_topic.fresh_as_of, self.clock.seconds)
+                self.clock.seconds += 10
+
     async def test_next_load_reads_all_pages_again(self):
         """Guards against a second load that returns records of the first."""
         self.write("a", "b", "c")
@@ -192,6 +241,7 @@
         self.write("a", value=b"new")
         loaded_topic = await self.loader.load()
         self.assertEqual(loaded_topic.batch.records[-1].value, b"new")
+        self.assertEqual(self.store.page_starts, ["", "b", "", "b"])
 
     async def test_rate_of_failure_lines_is_bounded(self):
         """Guards against a log that is flooded while the store refuses."""
@@ -254,3 +304,15 @@
         self.assertTrue(await self.reader.wait_until_applied(-1, LOAD_TIMEOUT))
         self.assertEqual(len(self.reader.job_table.jobs), 1100)
         self.assertEqual(len(self.site_store.page_starts), 6)
+
+    async def test_new_records_are_read_although_they_are_slow(self):
+        """Guards against a loaded daemon that falls behind for good.
+
+        The records added take almost three seconds. The store may stay silent
+        for 1.9 s, one of them to wait for records.
+        """
+        self.reader.start()
+        self.assertTrue(await self.reader.wait_until_applied(-1, LOAD_TIMEOUT))
+        self.write_jobs(500)
+        self.site_store.link_bytes_per_s /= 3
+        self.assertTrue(await self.reader.wait_until_applied(499, LOAD_TIMEOUT))
