End each attempt of a load, and give the next one more time

Found in a review of the reads, not seen on a deployment. A page that was refused for a lasting reason was requested again with the same key for ever.

Each of these now ends the attempt with an error, so that the pause between attempts, the counter and topic-load-failed apply. Pages are discarded when the same call would fail again. The wait grows with each call that gets no reply, to 5 s; refused calls do not count, so that a silent store is still noticed.

The tests of a page that does not advance and of the growing wait fail on the code before: the first never ends, the second gets 0.9 s each time. The test of deleted records now expects the error and the load after it.

--- a/src/gentianlead/cluster/_topic_load.py
+++ b/src/gentianlead/cluster/_topic_load.py
@@ -3,6 +3,7 @@
 import datetime
 from typing import NamedTuple, Sequence
 
+from gentianlead import errors
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
@@ -11,6 +12,15 @@
 """Shortest time between two `topic-load-failed` lines of a topic. A load that
 the store refuses is continued up to twelve times a second."""
 
+FIRST_REPLY_TIMEOUT = datetime.timedelta(milliseconds=900)
+"""Longest wait for the store to begin its reply with a page, in the first
+attempt. A store that is slow by a factor of 60 begins it within 0.3 s."""
+
+MAX_REPLY_TIMEOUT = datetime.timedelta(seconds=5)
+"""Upper bound of the wait, which grows with each call of a load that gets no
+reply: a store whose bandwidth many daemons share may need longer than the first
+wait."""
+
 
 class LoadedTopic(NamedTuple):
     """The records of a topic after a load.
@@ -29,11 +39,14 @@
 class TopicLoader:
     """Loads one topic page by page, and reports failures.
 
-    Pages that arrived are kept when a later read fails, so that each attempt
-    makes progress over a slow or unreliable link. If there are several pages,
+    Pages that arrived are kept when a call gets no complete reply or is refused
+    for now, so that each attempt makes progress over a slow or unreliable link. If there are several pages,
     the records appended meanwhile are read after each of them: the store may
     delete these records before the last page has arrived.
 
+    A reply that the same call would get again ends the attempt, and the next
+    one begins with the first page.
+
     A daemon that has not loaded the job topic refuses its callers, so the log
     names the reason why a load fails.
 
@@ -52,6 +65,7 @@
         self._metrics = metrics
         self._started_at: float | None = None
         self._failure_count = 0
+        self._unanswered_count = 0
         self._failure_logged_at: float | None = None
         self._page_count = 0
         self._after_key = ""
@@ -75,6 +89,11 @@
                 pass
         except ports.StoreError as error:
             self._report_failure(error, attempted_at)
+            if error.verdict is errors.Verdict.RAN:
+                # The same call would get the same unusable reply.
+                self._discard_pages()
+            elif error.verdict is errors.Verdict.MAY_HAVE_RUN:
+                self._unanswered_count += 1
             raise
         loaded_topic = LoadedTopic(
             ports.KeyedBatch(
@@ -86,6 +105,7 @@
         self._report_success(loaded_topic.batch)
         self._started_at = None
         self._failure_count = 0
+        self._unanswered_count = 0
         self._failure_logged_at = None
         self._discard_pages()
         return loaded_topic
@@ -102,7 +122,14 @@
             Whether there are more pages.
         """
         sent_at = self._clock.monotonic()
-        page = await self._store.read_newest_page(self._topic, self._after_key)
+        reply_timeout = min(MAX_REPLY_TIMEOUT,
+                            FIRST_REPLY_TIMEOUT * (1 + self._unanswered_count))
+        page = await self._store.read_newest_page(self._topic, self._after_key,
+                                                  reply_timeout)
+        if page.has_more and page.records[-1].key <= self._after_key:
+            raise ports.StoreError(
+                f"the page after key {self._after_key!r} ends with key "
+                f"{page.records[-1].key!r}", errors.Verdict.RAN)
         if self._page_count == 0:
             self._position = page.end_offset
             self._fresh_as_of = sent_at
@@ -110,23 +137,21 @@
         self._page_count += 1
         if page.records:
             self._after_key = page.records[-1].key
-        if self._page_count == 1 and not page.has_more:
-            return False
-        if not await self._read_new_records():
-            self._discard_pages()
-            return True
+        if self._page_count > 1 or page.has_more:
+            await self._read_new_records()
         return page.has_more
 
-    async def _read_new_records(self) -> bool:
+    async def _read_new_records(self) -> None:
         """Reads up to the end that the topic has when this begins.
 
         The pages that arrived hold no records beyond this end. The end offset
         of the load must not be before any of its records: records from there on
         are read again, and an older one of a key would follow a newer one.
 
-        Returns:
-            False if the store has deleted some of the records appended since
-            the first page, so that the pages read so far may lack changes.
+        Raises:
+            StoreError: A read failed, or the store has deleted some of the
+                records appended since the first page, so that the pages read so
+                far may lack changes.
         """
         known_end: int | None = None
         while known_end is None or self._position < known_end:
@@ -137,7 +162,9 @@
                 self._log.write("topic-expired",
                                 topic=self._topic,
                                 position=self._position)
-                return False
+                raise ports.StoreError(
+                    f"records from offset {self._position} on were deleted "
+                    "during the load", errors.Verdict.RAN)
             self._keep_newest(batch.records)
             if batch.records:
                 self._position = batch.records[-1].offset + 1
@@ -145,7 +172,6 @@
                 self._fresh_as_of = sent_at
             if known_end is None:
                 known_end = batch.end_offset
-        return True
 
     def _keep_newest(self, records: Sequence[ports.KeyedRecord]) -> None:
         for record in records:
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -28,6 +28,8 @@
             no limit.
         page_size: Number of keys in a page of newest records.
         page_starts: The key after which each page requested so far starts.
+        reply_timeouts: Longest wait for the begin of the reply, of each request
+            of a page so far.
         failed_pages: Numbers of the requested pages, counted from 1, that get
             no reply.
         append_called_at: Monotonic time in seconds of each call of `append`.
@@ -46,6 +48,7 @@
         self.max_read_records = 0
         self.page_size = 500
         self.page_starts: list[str] = []
+        self.reply_timeouts: list[datetime.timedelta] = []
         self.failed_pages: set[int] = set()
         self.append_called_at: list[float] = []
         self.record_bytes = 262_144
@@ -121,9 +124,11 @@
         return ports.KeyedBatch(len(stored_records),
                                 tuple(stored_records[start:end]))
 
-    async def read_newest_page(self, topic: str,
-                               after_key: str) -> ports.NewestPage:
+    async def read_newest_page(
+            self, topic: str, after_key: str,
+            reply_timeout: datetime.timedelta) -> ports.NewestPage:
         await asyncio.sleep(0)
+        self.reply_timeouts.append(reply_timeout)
         self._raise_if_down()
         self.page_starts.append(after_key)
         if len(self.page_starts) in self.failed_pages:
--- a/src/gentianlead/cluster/tests/test_slow_reads.py
+++ b/src/gentianlead/cluster/tests/test_slow_reads.py
@@ -41,9 +41,11 @@
             await asyncio.sleep(self.transfer_time.total_seconds())
         return batch
 
-    async def read_newest_page(self, topic: str,
-                               after_key: str) -> ports.NewestPage:
-        return await self._shared_store.read_newest_page(topic, after_key)
+    async def read_newest_page(
+            self, topic: str, after_key: str,
+            reply_timeout: datetime.timedelta) -> ports.NewestPage:
+        return await self._shared_store.read_newest_page(
+            topic, after_key, reply_timeout)
 
 
 class SlowReadElectionTest(unittest.IsolatedAsyncioTestCase):
--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
@@ -18,6 +19,7 @@
 
 OBSERVED_TIME = datetime.timedelta(milliseconds=500)
 LONG_TIMEOUT = datetime.timedelta(seconds=5)
+ANY_TIMEOUT = datetime.timedelta(seconds=1)
 LOAD_TIMEOUT = datetime.timedelta(seconds=15)
 
 
@@ -160,10 +162,45 @@
             await self.loader.load()
         self.write("a", value=b"new")
         self.store.first_offsets["jobs"] = 4
+        with self.assertRaisesRegex(ports.StoreError, "deleted"):
+            await self.loader.load()
         loaded_topic = await self.loader.load()
         self.assertEqual(loaded_topic.batch.records[-1].value, b"new")
         self.assertEqual(self.store.page_starts, ["", "b", "b", "", "b"])
 
+    async def test_load_ends_if_a_page_does_not_advance(self):
+        """Guards against a load that requests the same page without a pause."""
+        self.write("a", "b", "c")
+        await self.store.read_newest_page("jobs", "", ANY_TIMEOUT)
+        first_page = await self.store.read_newest_page("jobs", "", ANY_TIMEOUT)
+        self.store.read_newest_page = mock.AsyncMock(return_value=first_page)
+        for _ in range(2):
+            with self.assertRaisesRegex(ports.StoreError, "ends with key 'b'"):
+                await self.loader.load()
+        self.assertEqual([
+            call.args[1] for call in self.store.read_newest_page.await_args_list
+        ], ["", "b"] * 2)
+
+    async def test_reply_timeout_grows_with_calls_without_reply(self):
+        """Guards against a limit that a store under load never meets.
+
+        Refused calls do not count: a silent store is then noticed late.
+        """
+        self.write("a", "b", "c")
+        self.store.is_down = True
+        with self.assertRaises(ports.StoreError):
+            await self.loader.load()
+        self.store.is_down = False
+        self.store.failed_pages = set(range(1, 8))
+        for _ in range(7):
+            with self.assertRaises(ports.StoreError):
+                await self.loader.load()
+        await self.loader.load()
+        await self.loader.load()
+        self.assertEqual(
+            [timeout.total_seconds() for timeout in self.store.reply_timeouts],
+            [0.9, 0.9, 1.8, 2.7, 3.6, 4.5, 5, 5, 5, 5, 0.9, 0.9])
+
     async def test_loaded_records_precede_the_end_offset(self):
         """Guards against a table whose jobs go back to an earlier state.
 
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -188,8 +188,9 @@
                                    errors.Verdict.RAN) from error
         return ports.KeyedBatch(end_offset, tuple(records))
 
-    async def read_newest_page(self, topic: str,
-                               after_key: str) -> ports.NewestPage:
+    async def read_newest_page(
+            self, topic: str, after_key: str,
+            reply_timeout: datetime.timedelta) -> ports.NewestPage:
         query: dict[str, str | int] = {
             "topic": _add_topic_prefix(topic),
             "part": 0
@@ -197,10 +198,14 @@
         if after_key:
             # The wire name misleads: the page starts after this key.
             query["depends_on"] = after_key
-        reply = await self._call("GET", "/log-newest", READ_REPLY_ALLOWANCE,
-                                 None, query, READ_REPLY_ALLOWANCE)
+        reply = await self._call("GET", "/log-newest", reply_timeout, None,
+                                 query, READ_REPLY_ALLOWANCE)
         if reply.status != 200:
-            raise _build_store_error(reply)
+            error = _build_store_error(reply)
+            if error.verdict is errors.Verdict.MAY_HAVE_RUN:
+                # A read has no effect, so only the repetition matters.
+                error.verdict = errors.Verdict.RAN
+            raise error
         try:
             document = _decode_json_object(reply)
             records = tuple(
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -203,7 +203,8 @@
                         "end_offset": 6
                     })
                 self.assertEqual(
-                    await self.store.read_newest_page("jobs", after_key),
+                    await self.store.read_newest_page("jobs", after_key,
+                                                      SHORT_TIMEOUT),
                     ports.NewestPage((ports.KeyedRecord("b", b"v", 3),), 6,
                                      has_more))
                 query = self.stub_server.requests[-1][0].query
@@ -221,7 +222,7 @@
         for body in (b"", b"[]", b'{"items":[5],"end_offset":1}', b"{"):
             with self.subTest(body), self.assertRaises(ports.StoreError):
                 self.add_reply(200, body=body)
-                await self.store.read_newest_page("jobs", "")
+                await self.store.read_newest_page("jobs", "", SHORT_TIMEOUT)
 
 
 class WorkersTest(StubServerTestCase):
--- a/src/gentianlead/ports/_store.py
+++ b/src/gentianlead/ports/_store.py
@@ -143,7 +143,8 @@
         """
 
     @abc.abstractmethod
-    async def read_newest_page(self, topic: str, after_key: str) -> NewestPage:
+    async def read_newest_page(self, topic: str, after_key: str,
+                               reply_timeout: datetime.timedelta) -> NewestPage:
         """Reads the newest records of the keys that follow a key.
 
         The pages of a topic do not show one state: each shows the newest
@@ -152,7 +153,9 @@
         Args:
             topic: Name of the topic.
             after_key: Last key of the page before; empty for the first page.
+            reply_timeout: Longest wait for the begin of the reply.
 
         Raises:
-            StoreError: The call failed or the reply is not usable.
+            StoreError: The call failed or the reply is not usable. The verdict
+                is RAN if the same call would probably fail again.
         """
