--- a/src/gentianlead/cluster/_topic_load.py
+++ b/src/gentianlead/cluster/_topic_load.py
@@ -40,9 +40,10 @@
     """Loads one topic page by page, and reports failures.
 
     Pages that arrived are kept when a call gets no complete reply or is refused
-    for now, so that each attempt makes progress over a slow or unreliable link. If there are several pages,
-    the records appended meanwhile are read after each of them: the store may
-    delete these records before the last page has arrived.
+    for now, so that each attempt makes progress over a slow or unreliable link.
+    If there are several pages, the records appended meanwhile are read after
+    each of them: the store may delete these records before the last page has
+    arrived.
 
     A reply that the same call would get again ends the attempt, and the next
     one begins with the first page.
--- a/src/gentianlead/cluster/tests/test_slow_reads.py
+++ b/src/gentianlead/cluster/tests/test_slow_reads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import time
 import unittest
 from typing import Sequence
 from unittest import mock
@@ -22,15 +23,20 @@
     Attributes:
         transfer_time: Time that the records in a reply to a read of the job
             topic take to arrive.
+        claimed_at: Monotonic time in seconds of the first append of a leader
+            record; None before it.
     """
 
     def __init__(self, shared_store: fakes.FakeStore):
         self.transfer_time = datetime.timedelta(0)
+        self.claimed_at: float | None = None
         self._shared_store = shared_store
 
     async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
+        if self.claimed_at is None and records[0].key == f"g/{GROUP}":
+            self.claimed_at = time.monotonic()
         return await self._shared_store.append(topic, records, producer,
                                                sequence, timeout)
 
@@ -58,7 +64,8 @@
     async def asyncSetUp(self) -> None:
         self.shared_store = fakes.FakeStore()
 
-    def start_daemon(self, node: str, store: ports.KeyedStore) -> None:
+    def start_daemon(self, node: str,
+                     store: ports.KeyedStore) -> _daemon.ClusterDaemon:
         """Starts a daemon in the domain of the only group."""
         settings = platform.DaemonSettings(
             node=node,
@@ -83,6 +90,7 @@
             adapters.SystemRandom(), fakes.RecordingLog())
         run_task = asyncio.create_task(daemon.run())
         self.addCleanup(run_task.cancel)
+        return daemon
 
     def list_leader_records(self) -> list[dispatch.LeaderRecord]:
         """Returns all stored leader records of the group, oldest first."""
@@ -117,3 +125,19 @@
         await asyncio.sleep(4.5)
         self.assertEqual({record.node for record in self.list_leader_records()},
                          {"entry-1"})
+
+    async def test_start_permission_counts_from_the_claim(self):
+        """Guards against a former leader that starts runs for too long.
+
+        Its successor waits for the start permission from its own claim on. The
+        claim is read back after 0.6 s.
+        """
+        store = SlowReadStore(self.shared_store)
+        store.transfer_time = datetime.timedelta(seconds=0.6)
+        daemon = self.start_daemon("entry-1", store)
+        # pylint: disable=protected-access
+        async with asyncio.timeout(10):
+            while GROUP not in daemon._leaders:
+                await asyncio.sleep(0)
+        writer = daemon._leaders[GROUP]._topic_writer
+        self.assertLessEqual(writer.last_success_sent_at, store.claimed_at)
