Decide on moves of jobs in dispatch

The choice of the group to which a waiting job moves was part of the daemon and could be tested only with processes. It is now a function of the job, the load of its own group and the load reports. No change of behaviour.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -274,8 +274,7 @@
             member.seen_at <= MAX_MEMBER_RECORD_AGE.total_seconds()
         })
 
-    # Leader elections, start and end of leaderships, and the choice of the
-    # group to which a leader that runs in this daemon moves a job or tasks.
+    # Leader elections, start and end of leaderships.
 
     async def _run_elections(self) -> None:
         while True:
@@ -378,8 +377,7 @@
             (self._settings.node, self._incarnation), self._worker_client,
             self._permit_service, leader_topic_writer, self._clock, self._log,
             self._metrics, self._publish_leader_report, self._stop_leading,
-            self._choose_new_group, self._choose_fallback_group,
-            self._interference)
+            lambda: self._job_service.load_reports, self._interference)
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
             leader.put_job(job_entry)
@@ -403,51 +401,6 @@
                         reason=loss_reason)
         self._spawn(leader.stop())
 
-    def _choose_new_group(self, job: dispatch.JobRun) -> str:
-        """Returns the group to which a whole job should move.
-
-        If the job's own group is unusable or lacks a label that the job needs,
-        any group that can take the job is chosen. Otherwise only a less loaded
-        group is chosen, and only if the job is not long-running and one of its
-        steps has lacked capacity for `JOB_MOVE_DELAY`.
-
-        The job stays if the result is empty or its own group.
-        """
-        own_group = job.group
-        leader = self._leaders.get(own_group)
-        if leader is None:
-            return ""
-        needed_labels = {
-            step.required_label for step in job.job.steps if step.required_label
-        }
-        now = self._clock.monotonic()
-        own_load = leader.get_load(now)
-        if own_load.is_usable and needed_labels <= set(own_load.labels):
-            if job.job.is_long_running or not job.has_unplaced_tasks(
-                    now, dispatch.JOB_MOVE_DELAY.total_seconds()):
-                return ""
-            return dispatch.choose_less_loaded_group(
-                job.job, own_group, self._job_service.load_reports, now)
-        other_reports = {
-            group: report
-            for group, report in self._job_service.load_reports.items()
-            if group != own_group
-        }
-        admission = dispatch.decide_admission(job.job, other_reports, own_group,
-                                              now)
-        return admission.assignment[0] if admission.assignment else ""
-
-    def _choose_fallback_group(self,
-                               job: dispatch.JobRun) -> dispatch.FallbackGroup:
-        """Returns another group for long-running tasks that lack capacity.
-
-        The name of the returned group is empty if no other group can take them.
-        """
-        return dispatch.choose_fallback_group(job.job, job.entry.assignment,
-                                              job.group,
-                                              self._job_service.load_reports,
-                                              self._clock.monotonic())
-
     # Sending and serving of notices between daemons: new and cancelled jobs for
     # the leader of a group, and reports of leaders to all daemons.
 
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -8,6 +8,7 @@
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _job_moves
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
@@ -99,9 +100,8 @@
                  metrics: _metrics.ClusterMetrics,
                  on_report: Callable[[_peer_messages.LeaderReport], None],
                  on_leadership_lost: Callable[[str, str], None],
-                 choose_new_group: Callable[[dispatch.JobRun], str],
-                 choose_fallback_group: Callable[[dispatch.JobRun],
-                                                 dispatch.FallbackGroup],
+                 get_load_reports: Callable[[], dict[str,
+                                                     dispatch.GroupReport]],
                  interference: dispatch.InterferenceModel):
         self.group = group
         self.epoch = epoch
@@ -120,8 +120,9 @@
         self._metrics = metrics
         self._on_report = on_report
         self._on_leadership_lost = on_leadership_lost
-        self._choose_new_group = choose_new_group
-        self._choose_fallback_group = choose_fallback_group
+        self._job_mover = _job_moves.JobMover(self.scheduler, clock, log,
+                                              self.get_load, get_load_reports,
+                                              self._store_records, self._spawn)
         self._unreachable_worker_ids: set[str] = set()
         self._background_tasks: set[asyncio.Task] = set()
         self._status_pollers: dict[str, asyncio.Task] = {}
@@ -252,7 +253,8 @@
     def _run_planning_pass(self) -> None:
         now = self._clock.monotonic()
         now_ms = int(self._clock.now().timestamp() * 1000)
-        self._start_moves()
+        if self._is_start_allowed():
+            self._job_mover.start_moves()
         for worker_id in self.scheduler.drop_removed_workers(now):
             self._log.write("worker-gone", group=self.group, worker=worker_id)
             poller = self._status_pollers.pop(worker_id, None)
@@ -274,43 +276,6 @@
         if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
             self._send_report(now)
 
-    def _start_moves(self) -> None:
-        """Starts moves to other groups if the start permission is valid."""
-        if not self._is_start_allowed():
-            return
-        for job in self.scheduler.list_movable_jobs():
-            new_group = self._choose_new_group(job)
-            if new_group and new_group != self.group:
-                self._start_one_move(job, (), new_group)
-        now = self._clock.monotonic()
-        for job, indexes in self.scheduler.list_unplaced_tasks(now):
-            fallback_group = self._choose_fallback_group(job)
-            if not fallback_group.group:
-                continue
-            if len(job.entry.assignment) > 1:
-                moved_indexes = tuple(indexes[:fallback_group.max_tasks])
-                self._start_one_move(job, moved_indexes, fallback_group.group)
-            elif not job.list_active_runs():
-                self._start_one_move(job, (), fallback_group.group)
-
-    def _start_one_move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
-                        new_group: str) -> None:
-        self._spawn(self._store_move(job, indexes, new_group, job.begin_move()))
-
-    async def _store_move(self, job: dispatch.JobRun, indexes: tuple[int, ...],
-                          new_group: str, move_number: int) -> None:
-        job_id = job.job.job_id
-        await self._store_records([
-            job.build_progress(self.group, self.epoch),
-            dispatch.MovedRecord(job_id, self.group, indexes, new_group,
-                                 move_number)
-        ])
-        self._log.write("tasks-moved",
-                        job=job_id,
-                        group=self.group,
-                        indexes=indexes,
-                        to=new_group)
-
     def _log_run_ends(self) -> None:
         ended_runs = self.scheduler.ended_runs
         self.scheduler.ended_runs = []
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -12,7 +12,6 @@
 
 from gentianlead.dispatch._admission import Admission
 from gentianlead.dispatch._admission import choose_fallback_group
-from gentianlead.dispatch._admission import choose_less_loaded_group
 from gentianlead.dispatch._admission import sum_long_running_cpu
 from gentianlead.dispatch._admission import decide_admission
 from gentianlead.dispatch._admission import GroupReport
@@ -23,12 +22,14 @@
 from gentianlead.dispatch._election import ElectionView
 from gentianlead.dispatch._election import find_reason_to_lead
 from gentianlead.dispatch._group import GroupScheduler
-from gentianlead.dispatch._group_state import JOB_MOVE_DELAY
 from gentianlead.dispatch._interference import InterferenceModel
 from gentianlead.dispatch._interference import InterferenceEstimate
 from gentianlead.dispatch._load import add_job_to_load
 from gentianlead.dispatch._load import GroupLoad
 from gentianlead.dispatch._load import ImageCapacity
+from gentianlead.dispatch._moves import JOB_MOVE_DELAY
+from gentianlead.dispatch._moves import plan_moves
+from gentianlead.dispatch._moves import PlannedMove
 from gentianlead.dispatch._orders import AppliedRunEnd
 from gentianlead.dispatch._orders import GroupTimings
 from gentianlead.dispatch._orders import Order
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -29,10 +29,6 @@
 because of `MAX_LONG_RUNNING_RESERVED_SHARE`. Such jobs run for tens of seconds,
 so one of them ends about every five seconds in a full site."""
 
-LESS_LOADED_FACTOR = 1.5
-"""A waiting job moves to another group only if the load there, multiplied by
-this factor, is still below the load of the job's own group."""
-
 NO_GROUP_RETRY_DELAY = datetime.timedelta(seconds=1)
 """Delay after which a caller may retry when no group can take a job: a new
 leader takes over a group in about this time."""
@@ -289,44 +285,6 @@
     return int(get_backlog_ms(job, load) - MAX_BACKLOG_FACTOR * objective_ms)
 
 
-def choose_less_loaded_group(job: model.SteppedJob, own_group: str,
-                             reports: dict[str,
-                                           GroupReport], now: float) -> str:
-    """Returns a group to which a waiting job should move, or an empty string.
-
-    The only candidate is the group that `decide_admission` chooses among the
-    other groups. It must be less loaded than the own group by
-    `LESS_LOADED_FACTOR`. The load score is compared for a job with best-effort
-    steps. For any other job the backlog of short tasks is compared, and one
-    worker of the candidate must also have enough free CPU for the job's largest
-    task.
-    """
-    own_report = reports.get(own_group)
-    if own_report is None:
-        return ""
-    other_reports = {
-        group: report for group, report in reports.items() if group != own_group
-    }
-    admission = decide_admission(job, other_reports, own_group, now)
-    if len(set(admission.assignment)) != 1:
-        return ""
-    group = admission.assignment[0]
-    if group not in other_reports:
-        return ""
-    load = other_reports[group].load
-    if not any(step.is_best_effort for step in job.steps):
-        largest_task_cpu_millis = max(step.cpu_millis for step in job.steps)
-        own_backlog_ms = own_report.load.short_backlog_ms
-        is_less_loaded = (load.short_backlog_ms * LESS_LOADED_FACTOR
-                          < own_backlog_ms)
-        return (group if is_less_loaded and
-                load.largest_free_cpu_millis >= largest_task_cpu_millis else "")
-    if compute_load_score(job, load) * LESS_LOADED_FACTOR < compute_load_score(
-            job, own_report.load):
-        return group
-    return ""
-
-
 def spread_tasks(job: model.SteppedJob,
                  loads: dict[str, _load.GroupLoad]) -> tuple[str, ...]:
     """Returns the group of each task of a job whose only step is long-running.
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -35,11 +35,6 @@
 """Number of start orders for one run, all without a conclusive reply, after
 which the run is stopped."""
 
-JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
-"""Time without capacity after which a job without active runs may move to a
-less loaded group as a whole, if it is not long-running. A move takes as long as
-two appends."""
-
 TASK_MOVE_DELAY = datetime.timedelta(milliseconds=700)
 """Time without capacity after which waiting long-running tasks should move to
 another group."""
