Count a waiting job's demand once when groups are compared

What callers saw: a job moved from group to group and did not start, also while all groups were equal and had nothing else to do.

Cause: a waiting job was part of the load of its own group, and its widest step was added on top for the comparison. The other group was charged for the job once. Any group with waiting jobs thus looked more loaded than it was, for each of them, and the same held for the next group after a move. The backlog of short tasks had the same fault: the job's work counted in its own group only.

Change: the own group's present load, which includes the job, is compared with the other group's load plus the job's demand there.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -241,18 +241,32 @@
         return (load.short_backlog_ms / 1000 + reserved_share +
                 HIGH_RESERVED_WEIGHT *
                 max(0.0, reserved_share - HIGH_RESERVED_SHARE))
+    widest_step_cpu_millis = max(
+        step.count * step.cpu_millis for step in best_effort_steps)
+    return (load.best_effort_cpu_millis +
+            widest_step_cpu_millis) / compute_best_effort_capacity(job, load)
+
+
+def compute_best_effort_capacity(job: model.SteppedJob,
+                                 load: _load.GroupLoad) -> int:
+    """Returns the CPU that best-effort tasks of a job's images can use.
+
+    It is the lowest value of all images of the job's best-effort steps, in
+    thousandths of a core and at least 1. An image that was not observed beside
+    latency-critical tasks counts as able to use half of the reserved CPU.
+    """
     cpu_millis_by_image = {
         capacity.image: capacity.cpu_millis
         for capacity in load.image_capacities
     }
-    best_effort_capacity_cpu_millis = min(
-        cpu_millis_by_image.get(
-            step.image, load.capacity_cpu_millis -
-            load.reserved_cpu_millis // 2) for step in best_effort_steps)
-    widest_step_cpu_millis = max(
-        step.count * step.cpu_millis for step in best_effort_steps)
-    return (load.best_effort_cpu_millis + widest_step_cpu_millis) / max(
-        1, best_effort_capacity_cpu_millis)
+    return max(
+        1,
+        min(
+            cpu_millis_by_image.get(
+                step.image, load.capacity_cpu_millis -
+                load.reserved_cpu_millis // 2)
+            for step in job.steps
+            if step.is_best_effort))
 
 
 def get_backlog_ms(job: model.SteppedJob, load: _load.GroupLoad) -> int:
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -111,6 +111,24 @@
     waiting_filling: int
 
 
+class JobDemand(NamedTuple):
+    """Part of a group's load that comes from one job that has not ended.
+
+    Work is CPU in thousandths of a core times estimated milliseconds.
+
+    Attributes:
+        short_work: Work of unfinished short tasks; a running one counts half.
+        best_effort_work: Work of unfinished best-effort tasks, likewise.
+        waiting_best_effort_cpu_millis: CPU in thousandths of a core that
+            best-effort tasks declare which wait although all steps on which
+            they depend are done.
+    """
+
+    short_work: int
+    best_effort_work: int
+    waiting_best_effort_cpu_millis: int
+
+
 def summarize_group(workers: Iterable[_workers.WorkerState],
                     jobs: Iterable[_runs.JobRun], now: float) -> GroupSummary:
     """Summarizes the workers and jobs of a group for the log."""
@@ -141,6 +159,41 @@
         best_effort_use_cpu_millis, *waiting_counts)
 
 
+def compute_job_demand(job: _runs.JobRun) -> JobDemand:
+    """Computes the part of a group's load that comes from a job.
+
+    Long-running tasks and, for a job with a start time, all repetitions but the
+    first one are left out.
+    """
+    short_work = best_effort_work = best_effort_cpu_millis = 0
+    for step_run in job.steps.values():
+        step = step_run.step
+        if step.is_long_running or (step_run.key[0] and job.job.has_start_time):
+            continue
+        waiting_count = len(step_run.waiting_indexes)
+        work = ((2 * waiting_count + len(step_run.active_runs)) *
+                step.cpu_millis * step.estimate_ms // 2)
+        if not step.is_best_effort:
+            short_work += work
+            continue
+        best_effort_work += work
+        if waiting_count and job.is_step_ready(step_run):
+            best_effort_cpu_millis += waiting_count * step.cpu_millis
+    return JobDemand(short_work, best_effort_work, best_effort_cpu_millis)
+
+
+def add_demand_to_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
+    """Returns the load of a group increased by the demand of a job."""
+    capacity_cpu_millis = max(1, load.best_effort_capacity_cpu_millis)
+    return load._replace(
+        short_backlog_ms=load.short_backlog_ms +
+        demand.short_work // capacity_cpu_millis,
+        total_backlog_ms=load.total_backlog_ms +
+        (demand.short_work + demand.best_effort_work) // capacity_cpu_millis,
+        best_effort_cpu_millis=load.best_effort_cpu_millis +
+        demand.waiting_best_effort_cpu_millis)
+
+
 def compute_group_load(workers: Iterable[_workers.WorkerState],
                        jobs: Iterable[_runs.JobRun],
                        interference: _interference.InterferenceModel,
@@ -177,32 +230,21 @@
                         worker.latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
             labels |= worker.entry.labels
-    work_by_is_best_effort = {True: 0.0, False: 0.0}
+    short_work = best_effort_work = 0
     for job in jobs:
-        if job.has_ended:
-            continue
-        for step_run in job.steps.values():
-            step = step_run.step
-            if step.is_long_running:
-                continue
-            weighted_tasks = len(
-                step_run.waiting_indexes) + 0.5 * len(step_run.active_runs)
-            if weighted_tasks and (step_run.key[0] == 0 or
-                                   not job.job.has_start_time):
-                if step.is_best_effort and job.is_step_ready(step_run):
-                    best_effort_cpu_millis += len(
-                        step_run.waiting_indexes) * step.cpu_millis
-                work_by_is_best_effort[step.is_best_effort] += (
-                    weighted_tasks * step.cpu_millis * step.estimate_ms)
+        if not job.has_ended:
+            demand = compute_job_demand(job)
+            short_work += demand.short_work
+            best_effort_work += demand.best_effort_work
+            best_effort_cpu_millis += demand.waiting_best_effort_cpu_millis
     is_usable = capacity_cpu_millis > 0 and not is_evacuated
     best_effort_capacity_cpu_millis = max(
         1, capacity_cpu_millis - latency_critical_cpu_millis // 2)
     return GroupLoad(
         is_usable, capacity_cpu_millis, reserved_cpu_millis,
-        int(work_by_is_best_effort[False] / best_effort_capacity_cpu_millis),
-        int((work_by_is_best_effort[True] + work_by_is_best_effort[False]) /
-            best_effort_capacity_cpu_millis), worker_count,
-        largest_free_cpu_millis, best_effort_cpu_millis,
+        short_work // best_effort_capacity_cpu_millis,
+        (short_work + best_effort_work) // best_effort_capacity_cpu_millis,
+        worker_count, largest_free_cpu_millis, best_effort_cpu_millis,
         tuple(
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -96,7 +96,7 @@
         if job.job.is_long_running or not job.has_unplaced_tasks(
                 now, JOB_MOVE_DELAY.total_seconds()):
             return ""
-        return _choose_less_loaded_group(job.job, job.group, reports, now)
+        return _choose_less_loaded_group(job, own_load, reports, now)
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
     }
@@ -106,40 +106,47 @@
     return group if group != job.group else ""
 
 
-def _choose_less_loaded_group(job: model.SteppedJob, own_group: str,
+def _choose_less_loaded_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                               reports: dict[str, _admission.GroupReport],
                               now: float) -> str:
     """Returns a group to which a waiting job should move, or an empty string.
 
     The only candidate is the group that `decide_admission` chooses among the
-    other groups. It must be less loaded than the own group by
-    `LESS_LOADED_FACTOR`. The load score is compared for a job with best-effort
-    steps. For any other job the backlog of short tasks is compared, and one
-    worker of the candidate must also have enough free CPU for the job's largest
-    task.
+    other groups. With the job's demand, it must be less loaded than the own
+    group, whose load includes this demand, by `LESS_LOADED_FACTOR`. For a job
+    without best-effort steps, one worker of the candidate must also have enough
+    free CPU for the job's largest task.
     """
-    own_report = reports.get(own_group)
-    if own_report is None:
-        return ""
     other_reports = {
-        group: report for group, report in reports.items() if group != own_group
+        group: report for group, report in reports.items() if group != job.group
     }
-    admission = _admission.decide_admission(job, other_reports, own_group, now)
+    admission = _admission.decide_admission(job.job, other_reports, job.group,
+                                            now)
     if len(set(admission.assignment)) != 1:
         return ""
     group = admission.assignment[0]
     if group not in other_reports:
         return ""
-    load = other_reports[group].load
-    if not any(step.is_best_effort for step in job.steps):
-        largest_task_cpu_millis = max(step.cpu_millis for step in job.steps)
-        own_backlog_ms = own_report.load.short_backlog_ms
-        is_less_loaded = (load.short_backlog_ms * LESS_LOADED_FACTOR
-                          < own_backlog_ms)
-        return (group if is_less_loaded and
-                load.largest_free_cpu_millis >= largest_task_cpu_millis else "")
-    if _admission.compute_load_score(
-            job, load) * LESS_LOADED_FACTOR < _admission.compute_load_score(
-                job, own_report.load):
-        return group
-    return ""
+    load = _load.add_demand_to_load(other_reports[group].load,
+                                    _load.compute_job_demand(job))
+    if _compute_move_score(job.job, load) * LESS_LOADED_FACTOR >= (
+            _compute_move_score(job.job, own_load)):
+        return ""
+    if not any(step.is_best_effort for step in job.job.steps):
+        largest_task_cpu_millis = max(step.cpu_millis for step in job.job.steps)
+        if load.largest_free_cpu_millis < largest_task_cpu_millis:
+            return ""
+    return group
+
+
+def _compute_move_score(job: model.SteppedJob, load: _load.GroupLoad) -> float:
+    """Returns how loaded the group of a waiting job is; lower is better.
+
+    `load` includes the job's demand. The score is the CPU that best-effort
+    tasks declare, divided by the CPU that those of the job's images can use; or
+    for a job without best-effort steps the backlog of short tasks in seconds.
+    """
+    if any(step.is_best_effort for step in job.steps):
+        return (load.best_effort_cpu_millis /
+                _admission.compute_best_effort_capacity(job, load))
+    return load.short_backlog_ms / 1000
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -91,12 +91,15 @@
         now: Simulated monotonic time in seconds.
     """
 
-    def __init__(self, *workers: ports.WorkerEntry, now: float = 100.0):
+    def __init__(self,
+                 *workers: ports.WorkerEntry,
+                 now: float = 100.0,
+                 group: str = "north-1"):
         timings = dispatch.GroupTimings(LEASE, TAKEOVER_WAIT, STOP_LIMIT)
         self.now = now
         self.interference = dispatch.InterferenceModel()
-        self.scheduler = dispatch.GroupScheduler("north-1", EPOCH, timings, now,
-                                                 50, self.interference)
+        self.scheduler = dispatch.GroupScheduler(group, EPOCH, timings, now, 50,
+                                                 self.interference)
         for worker in workers:
             self.add_worker(worker)
 
