Let the waiting time of a job travel with its moves

What callers saw: a best-effort job that was moved every second or two did not start at all, although a job without runs may start a task regardless of spare CPU after 2 s, and regardless of interference after 8 s.

Cause: the time counted from the first failed placement in the present group, so each move began it anew.

Change: a move carries the time for which the job lacked capacity in all its groups, and the number of its moves since it last started a task. Both end with a start. They are durations and counts, so clocks need not agree; records without them stay readable. The line `tasks-moved` shows both, and why the job moved: the scores that were compared and the age of the load report.

--- a/src/gentianlead/cluster/_job_moves.py
+++ b/src/gentianlead/cluster/_job_moves.py
@@ -34,15 +34,18 @@
             self._spawn(self._store_move(move))
 
     async def _store_move(self, move: dispatch.PlannedMove) -> None:
-        job_id = move.job.job.job_id
         group = self._scheduler.group
-        await self._store_records([
-            move.job.build_progress(group, self._scheduler.epoch),
-            dispatch.MovedRecord(job_id, group, move.indexes, move.group,
-                                 move.number)
-        ])
+        record = move.record
+        await self._store_records(
+            [move.job.build_progress(group, self._scheduler.epoch), record])
         self._log.write("tasks-moved",
-                        job=job_id,
+                        job=record.job_id,
                         group=group,
-                        indexes=move.indexes,
-                        to=move.group)
+                        indexes=record.task_indexes,
+                        to=record.destination_group,
+                        reason=move.choice.reason.value,
+                        waited_ms=record.waited_ms,
+                        moves_without_start=record.moves_without_start,
+                        own_score=round(move.choice.own_score, 3),
+                        new_score=round(move.choice.new_score, 3),
+                        report_age_ms=int(1000 * move.report_age_s))
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -288,7 +288,7 @@
         step_run.active_runs[active_run.task.index] = run
         worker.runs[(active_run.task, active_run.run)] = run
         job.last_run_number = max(job.last_run_number, active_run.run)
-        job.set_state(model.JobState.RUNNING)
+        job.mark_started()
         return run
 
     def _end_vanished_runs(self, worker: _workers.WorkerState,
@@ -388,7 +388,7 @@
                 run.progressed_at = now
             job = self.jobs.get(order.task.job_id)
             if job is not None:
-                job.set_state(model.JobState.RUNNING)
+                job.mark_started()
             return
         if run.phase is _runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -1,12 +1,14 @@
 """Moves of waiting jobs: which job leaves its group, and for which group."""
 
 import datetime
+import enum
 from typing import Callable, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _admission
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _load
+from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
 
 JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
@@ -19,20 +21,55 @@
 this factor, is still below the load of the job's own group."""
 
 
+class MoveReason(enum.Enum):
+    """Why tasks leave their group.
+
+    Attributes:
+        GROUP_UNUSABLE: The group has no usable workers, is evacuated, or lacks
+            a label that the job needs.
+        LESS_LOADED: A job waits, and another group is less loaded.
+        NO_CAPACITY: Long-running tasks do not fit on any worker of the group.
+    """
+
+    GROUP_UNUSABLE = "group-unusable"
+    LESS_LOADED = "less-loaded"
+    NO_CAPACITY = "no-capacity"
+
+
+class MoveChoice(NamedTuple):
+    """Group to which a job should move, and what decided.
+
+    Attributes:
+        group: The group; empty if the job stays.
+        reason: Why the job moves.
+        own_score: Score of the job's own group by `_compute_move_score`; 0
+            unless the reason is `LESS_LOADED`.
+        new_score: Score of the chosen group, likewise.
+    """
+
+    group: str
+    reason: MoveReason = MoveReason.LESS_LOADED
+    own_score: float = 0.0
+    new_score: float = 0.0
+
+
+_STAY = MoveChoice("")
+
+
 class PlannedMove(NamedTuple):
     """Move of tasks to another group that has begun but is not stored.
 
     Attributes:
         job: The job; none of its tasks starts until the topic shows the move.
-        indexes: Indexes of the moved tasks; empty if the whole job moves.
-        group: Group that receives the tasks.
-        number: Run number that identifies the move.
+        record: The record to store.
+        choice: The chosen group, and what decided.
+        report_age_s: Age in seconds of the load report of the chosen group.
     """
 
     job: _runs.JobRun
-    indexes: tuple[int, ...]
-    group: str
-    number: int
+    record: _records.MovedRecord
+    choice: MoveChoice
+    report_age_s: float
 
 
 def plan_moves(state: _group_state.GroupState,
@@ -52,9 +89,9 @@
     """
     moves = []
     for job in state.list_movable_jobs():
-        group = _choose_new_group(job, get_own_load(), reports, now)
-        if group:
-            moves.append(PlannedMove(job, (), group, job.begin_move()))
+        choice = _choose_new_group(job, get_own_load(), reports, now)
+        if choice.group:
+            moves.append(_begin_move(job, (), choice, reports, now))
     for job, indexes in state.list_unplaced_tasks(now):
         fallback_group = _admission.choose_fallback_group(
             job.job, job.entry.assignment, job.group, reports, now)
@@ -65,15 +102,29 @@
             moved_indexes = (tuple(indexes[:fallback_group.max_tasks])
                              if is_spread else ())
             moves.append(
-                PlannedMove(job, moved_indexes, fallback_group.group,
-                            job.begin_move()))
+                _begin_move(
+                    job, moved_indexes,
+                    MoveChoice(fallback_group.group, MoveReason.NO_CAPACITY),
+                    reports, now))
     return moves
 
 
+def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...], choice: MoveChoice,
+                reports: dict[str, _admission.GroupReport],
+                now: float) -> PlannedMove:
+    report = reports.get(choice.group)
+    report_age_s = now - report.reported_at if report is not None else 0.0
+    record = _records.MovedRecord(job.job.job_id, job.group, indexes,
+                                  choice.group, job.begin_move(),
+                                  int(1000 * job.compute_waited_s(now)),
+                                  job.moves_without_start + 1)
+    return PlannedMove(job, record, choice, report_age_s)
+
+
 def _choose_new_group(job: _runs.JobRun, own_load: _load.GroupLoad,
-                      reports: dict[str,
-                                    _admission.GroupReport], now: float) -> str:
-    """Returns the group to which a whole job should move.
+                      reports: dict[str, _admission.GroupReport],
+                      now: float) -> MoveChoice:
+    """Chooses the group to which a whole job should move.
 
     If the job's own group is unusable or lacks a label that the job needs, any
     group that can take the job is chosen. Otherwise only a less loaded group is
@@ -85,9 +136,6 @@
         own_load: Present load of the job's own group.
         reports: Newest load reports by group.
         now: Present monotonic time in seconds.
-
-    Returns:
-        The group, or an empty string if the job stays.
     """
     needed_labels = {
         step.required_label for step in job.job.steps if step.required_label
@@ -95,7 +143,7 @@
     if own_load.is_usable and needed_labels <= set(own_load.labels):
         if job.job.is_long_running or not job.has_unplaced_tasks(
                 now, JOB_MOVE_DELAY.total_seconds()):
-            return ""
+            return _STAY
         return _choose_less_loaded_group(job, own_load, reports, now)
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
@@ -103,13 +151,14 @@
     admission = _admission.decide_admission(job.job, other_reports, job.group,
                                             now)
     group = admission.assignment[0] if admission.assignment else ""
-    return group if group != job.group else ""
+    return (MoveChoice(group, MoveReason.GROUP_UNUSABLE)
+            if group != job.group else _STAY)
 
 
 def _choose_less_loaded_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                               reports: dict[str, _admission.GroupReport],
-                              now: float) -> str:
-    """Returns a group to which a waiting job should move, or an empty string.
+                              now: float) -> MoveChoice:
+    """Chooses a less loaded group for a waiting job, if there is one.
 
     The only candidate is the group that `decide_admission` chooses among the
     other groups. With the job's demand, it must be less loaded than the own
@@ -123,20 +172,21 @@
     admission = _admission.decide_admission(job.job, other_reports, job.group,
                                             now)
     if len(set(admission.assignment)) != 1:
-        return ""
+        return _STAY
     group = admission.assignment[0]
     if group not in other_reports:
-        return ""
+        return _STAY
     load = _load.add_demand_to_load(other_reports[group].load,
                                     _load.compute_job_demand(job))
-    if _compute_move_score(job.job, load) * LESS_LOADED_FACTOR >= (
-            _compute_move_score(job.job, own_load)):
-        return ""
+    own_score = _compute_move_score(job.job, own_load)
+    new_score = _compute_move_score(job.job, load)
+    if new_score * LESS_LOADED_FACTOR >= own_score:
+        return _STAY
     if not any(step.is_best_effort for step in job.job.steps):
         largest_task_cpu_millis = max(step.cpu_millis for step in job.job.steps)
         if load.largest_free_cpu_millis < largest_task_cpu_millis:
-            return ""
-    return group
+            return _STAY
+    return MoveChoice(group, MoveReason.LESS_LOADED, own_score, new_score)
 
 
 def _compute_move_score(job: model.SteppedJob, load: _load.GroupLoad) -> float:
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -126,6 +126,12 @@
         move_number: Run number of the job that the source group took for this
             move and gives to no run. It identifies the move, and later runs of
             the job have higher numbers.
+        waited_ms: Time in milliseconds for which the job has lacked capacity,
+            in all its groups, since it last started a task. A duration needs no
+            common clock. Like the next field, it is 0 in records of older
+            daemons.
+        moves_without_start: Number of moves of the whole job since it last
+            started a task, with this one.
     """
 
     job_id: str
@@ -133,6 +139,8 @@
     task_indexes: tuple[int, ...]
     destination_group: str
     move_number: int
+    waited_ms: int = 0
+    moves_without_start: int = 0
 
 
 class LeaderRecord(NamedTuple):
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -172,6 +172,10 @@
         pending_move_number: Number of a move of tasks to another group that the
             topic does not show yet; no task of the job starts meanwhile. None
             without such a move.
+        waited_before_s: Time in seconds for which the job lacked capacity in
+            its former groups; 0 once it starts a task here.
+        moves_without_start: Number of moves of the whole job since it last
+            started a task in any group.
         is_dirty: Whether the progress changed since `take_dirty_progress` last
             built a record of it to be stored.
         deadline_ms: Time by which the first occurrence should be done according
@@ -186,6 +190,8 @@
         self.last_run_number = entry.last_run_number
         self.is_reconciled = is_reconciled
         self.pending_move_number: int | None = None
+        self.waited_before_s = entry.waited_ms / 1000
+        self.moves_without_start = entry.moves_without_start
         self.is_dirty = False
         self.deadline_ms = compute_deadline_ms(entry.job)
         for occurrence in range(entry.job.occurrences):
@@ -211,6 +217,7 @@
                 entry.last_move_numbers.get(self.group,
                                             0) >= self.pending_move_number):
             self.pending_move_number = None
+            self.moves_without_start = entry.moves_without_start
         for step_run in self.steps.values():
             step_run.waiting_indexes = {
                 index for index in range(step_run.step.count)
@@ -283,6 +290,25 @@
             now - step_run.unplaced_since >= min_unplaced_s
             for step_run in self.steps.values())
 
+    def compute_waited_s(self, now: float) -> float:
+        """Returns for how long the job has lacked capacity, in seconds.
+
+        The time counts in all groups, since the job last started a task in a
+        former group or since a step of it first lacked capacity in this one.
+        """
+        return self.waited_before_s + max(
+            (now - step_run.unplaced_since
+             for step_run in self.steps.values()
+             if step_run.waiting_indexes and step_run.unplaced_since is not None
+            ),
+            default=0.0)
+
+    def mark_started(self) -> None:
+        """Marks the job as running, and ends a wait that began elsewhere."""
+        self.set_state(model.JobState.RUNNING)
+        self.waited_before_s = 0.0
+        self.moves_without_start = 0
+
     def list_active_runs(self) -> list[Run]:
         """Returns all runs that have not certainly ended."""
         return [
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -234,9 +234,11 @@
 
     def _choose_relaxation(self, job: _runs.JobRun, step_run: _runs.StepRun,
                            now: float) -> _placement.Relaxation:
-        if step_run.unplaced_since is None or job.list_active_runs():
+        if job.list_active_runs():
             return _placement.Relaxation.NORMAL
-        waited_s = now - step_run.unplaced_since
+        waited_s = job.waited_before_s
+        if step_run.unplaced_since is not None:
+            waited_s += now - step_run.unplaced_since
         interference_delay = (BUSY_IGNORE_INTERFERENCE_DELAY
                               if self._is_busy else IGNORE_INTERFERENCE_DELAY)
         if waited_s >= interference_delay.total_seconds():
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -27,6 +27,9 @@
         progress_by_group: Newest progress record of each group, by group.
         last_move_numbers: Highest `MovedRecord.move_number` of the moves of
             tasks out of a group, by that group.
+        waited_ms: `MovedRecord.waited_ms` of the last move of the whole job; 0
+            once a progress record shows a later run.
+        moves_without_start: `MovedRecord.moves_without_start`, likewise.
     """
 
     job: model.SteppedJob
@@ -38,6 +41,8 @@
     progress_by_group: Mapping[
         str, _records.ProgressRecord] = types.MappingProxyType({})
     last_move_numbers: Mapping[str, int] = types.MappingProxyType({})
+    waited_ms: int = 0
+    moves_without_start: int = 0
 
     @property
     def state(self) -> model.JobState:
@@ -263,15 +268,22 @@
         elif isinstance(record, _records.MovedRecord):
             entry = _apply_move(entry, offset, record)
         elif isinstance(record, _records.ProgressRecord):
-            entry = entry._replace(progress_by_group={
-                **entry.progress_by_group, record.group: record
-            },
-                                   last_run_number=max(entry.last_run_number,
-                                                       record.last_run_number))
+            entry = _apply_progress(entry, record)
         self.jobs[record.job_id] = entry
         self.changed_jobs.add(record.job_id)
 
 
+def _apply_progress(entry: JobEntry,
+                    record: _records.ProgressRecord) -> JobEntry:
+    if record.last_run_number > entry.last_run_number:
+        entry = entry._replace(last_run_number=record.last_run_number,
+                               waited_ms=0,
+                               moves_without_start=0)
+    return entry._replace(progress_by_group={
+        **entry.progress_by_group, record.group: record
+    })
+
+
 def _apply_move(entry: JobEntry, offset: int,
                 record: _records.MovedRecord) -> JobEntry:
     assignment = tuple(
@@ -284,6 +296,9 @@
     }
     move_number = max(record.move_number,
                       entry.last_move_numbers.get(record.source_group, 0))
+    if not record.task_indexes:
+        entry = entry._replace(waited_ms=record.waited_ms,
+                               moves_without_start=record.moves_without_start)
     return entry._replace(assignment=assignment,
                           assignment_offsets=assignment_offsets,
                           last_run_number=max(entry.last_run_number,
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -6,12 +6,30 @@
 from gentianlead import model
 from gentianlead.dispatch.tests import builders
 
+JOB_ID = "00000000000000aa"
 GROUPS = ("n1", "n2", "n3")
 TICK_S = 0.05
 REPORT_INTERVAL_S = 0.3
 READ_DELAY_S = 0.1
 
 
+class JobTopic:
+    """Applies records to a table, each at the next offset.
+
+    Attributes:
+        table: The table.
+    """
+
+    def __init__(self) -> None:
+        self.table = dispatch.JobTable()
+
+    def add(self, *records: dispatch.Record) -> None:
+        """Appends records."""
+        for record in records:
+            stored = dispatch.encode_record(record)
+            self.table.apply(stored._replace(offset=self.table.position), 1.0)
+
+
 class SiteModel:
     """Simulates groups of one worker each that move jobs to each other.
 
@@ -37,7 +55,7 @@
         }
         self.moves: list[tuple[float, dispatch.MovedRecord]] = []
         self.starts: list[tuple[float, dispatch.StartOrder]] = []
-        self._table = dispatch.JobTable()
+        self._topic = JobTopic()
         self._appended: list[tuple[float, dispatch.Record]] = []
         self._reports: dict[str, dispatch.GroupReport] = {}
         self._active_runs: dict[str, list] = {group: [] for group in GROUPS}
@@ -68,12 +86,10 @@
 
     def _read_records(self) -> None:
         while self._appended and self._appended[0][0] <= self.now:
-            stored = dispatch.encode_record(self._appended.pop(0)[1])
-            self._table.apply(stored._replace(offset=self._table.position),
-                              self.now)
-        for job_id in self._table.take_changed_jobs():
+            self._topic.add(self._appended.pop(0)[1])
+        for job_id in self._topic.table.take_changed_jobs():
             for driver in self.drivers.values():
-                driver.scheduler.put_job(self._table.jobs[job_id])
+                driver.scheduler.put_job(self._topic.table.jobs[job_id])
 
     def _report(self, group: str, driver: builders.GroupDriver) -> None:
         self._reports[group] = dispatch.GroupReport(
@@ -85,10 +101,8 @@
         for move in dispatch.plan_moves(
                 scheduler, lambda: scheduler.compute_load(self.now),
                 self._reports, self.now):
-            record = dispatch.MovedRecord(move.job.job.job_id, group,
-                                          move.indexes, move.group, move.number)
-            self.moves.append((self.now, record))
-            self._append(record)
+            self.moves.append((self.now, move.record))
+            self._append(move.record)
         for order in driver.start_all():
             self.starts.append((self.now, order))
             self._active_runs[group].append(builders.build_active_run(order))
@@ -108,11 +122,113 @@
         for is_best_effort in (True, False):
             with self.subTest(is_best_effort=is_best_effort):
                 site = SiteModel()
-                job_id = "00000000000000aa"
                 site.accept(
-                    "n1", job_id,
+                    "n1", JOB_ID,
                     builders.build_step(2,
                                         is_best_effort=is_best_effort,
                                         memory_mib=20_000))
                 site.run(10.0)
-                self.assertEqual(site.count_moves(job_id), 0)
+                self.assertEqual(site.count_moves(JOB_ID), 0)
+
+
+class BusySiteTest(unittest.TestCase):
+    """Tests of many best-effort jobs that wait in one of three busy groups.
+
+    The tasks of other jobs leave no spare CPU in any group, and do not end.
+    """
+
+    def setUp(self):
+        self.site = SiteModel()
+        for number, group in enumerate(GROUPS):
+            self.site.accept(group, f"{number:016x}",
+                             builders.build_step(10, is_best_effort=True))
+        self.site.run(1.0)
+        self.job_ids = [f"{number:016x}" for number in range(16, 28)]
+        for job_id in self.job_ids:
+            self.site.accept("n1", job_id,
+                             builders.build_step(2, is_best_effort=True))
+        self.accepted_at = self.site.now
+
+    def test_moved_jobs_start_after_their_whole_wait(self):
+        """Checks that moved jobs start when they have waited 2 s in all groups.
+
+        A job without runs may then ignore the lack of spare CPU. Guards against
+        jobs that lose their waiting time with each move and never start.
+        """
+        self.site.run(3.0)
+        started_ids = {
+            order.task.job_id
+            for started_at, order in self.site.starts
+            if started_at > self.accepted_at
+        }
+        self.assertEqual(started_ids, set(self.job_ids))
+
+
+class WaitingTimeTest(unittest.TestCase):
+    """Tests of the waiting time of jobs that were moved."""
+
+    def test_waiting_time_counts_in_all_groups(self):
+        """Checks that a moved job starts when it has waited long enough in all.
+
+        Other best-effort tasks leave no spare CPU on the worker. The job waited
+        1.5 s in its former group, and starts 0.6 s after its move, because it
+        may ignore the lack of spare CPU after 2 s. Guards against a job that
+        loses its waiting time with each move, so that it never starts.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job("00000000000000bb",
+                                   builders.build_step(10,
+                                                       is_best_effort=True))))
+        self.assertEqual(len(driver.start_all()), 10)
+        topic = JobTopic()
+        job = builders.build_job(JOB_ID,
+                                 builders.build_step(is_best_effort=True),
+                                 assignment=("north-2",))
+        topic.add(
+            dispatch.AcceptedRecord(job, "a#1"),
+            dispatch.ProgressRecord(JOB_ID, "north-2", 64,
+                                    model.JobState.QUEUED, 1),
+            dispatch.MovedRecord(JOB_ID, "north-2", (), "north-1", 1, 1500, 1))
+        driver.scheduler.put_job(topic.table.jobs[JOB_ID])
+        self.assertEqual(driver.plan_starts(), [])
+        driver.now += 0.4
+        self.assertEqual(driver.plan_starts(), [])
+        driver.now += 0.2
+        self.assertEqual([order.task.job_id for order in driver.start_all()],
+                         [JOB_ID])
+
+    def test_start_ends_the_waiting_time(self):
+        """Checks that the waiting time of a moved job ends with its first run.
+
+        A later progress record shows that a task has started. Guards against a
+        job that ignores interference for ever because it once waited.
+        """
+        topic = JobTopic()
+        job = builders.build_job(JOB_ID, assignment=("north-2",))
+        topic.add(
+            dispatch.AcceptedRecord(job, "a#1"),
+            dispatch.MovedRecord(JOB_ID, "north-2", (), "north-1", 1, 1500, 1))
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(topic.table.jobs[JOB_ID])
+        job_run = driver.scheduler.jobs[JOB_ID]
+        self.assertEqual(job_run.compute_waited_s(driver.now), 1.5)
+        self.assertEqual(job_run.moves_without_start, 1)
+        driver.start_all()
+        self.assertEqual(job_run.compute_waited_s(driver.now), 0.0)
+        self.assertEqual(job_run.moves_without_start, 0)
+        topic.add(job_run.build_progress("north-1", builders.EPOCH))
+        self.assertEqual(topic.table.jobs[JOB_ID].waited_ms, 0)
+        self.assertEqual(topic.table.jobs[JOB_ID].moves_without_start, 0)
+
+    def test_record_without_waiting_time_is_readable(self):
+        """Checks that a move that an older daemon stored still takes effect.
+
+        Guards against a topic that cannot be read after an upgrade.
+        """
+        record = dispatch.MovedRecord(JOB_ID, "north-2", (), "north-1", 1)
+        stored = dispatch.encode_record(record)
+        fields = dispatch.decode_value(stored.value, list)
+        old_stored = stored._replace(value=dispatch.encode_value(fields[:5]))
+        self.assertEqual(dispatch.decode_record(old_stored), record)
