Count moves in the loads of both groups from their begin

What callers saw: all jobs that waited in a group moved to the same other group, and back again with the next load reports, while none of them started.

Cause: each job was compared by the same loads. Moves that had begun since the last report were missing in the load of the destination, and still part of the load of the source.

The new test failed before; of 3 groups with equal other load, one got all jobs:

test_jobs_spread_over_the_less_loaded_groups AssertionError: 3 not less than or equal to 1

Change: a job with a pending move does not count in its group any more. At the destination, its demand is added to each load report that arrives before the destination's leader can have read the move.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -253,8 +253,8 @@
     def _run_planning_pass(self) -> None:
         now = self._clock.monotonic()
         now_ms = int(self._clock.now().timestamp() * 1000)
-        if self._is_start_allowed():
-            self._job_mover.start_moves()
+        if self._is_start_allowed() and self._job_mover.start_moves():
+            self._cached_load = None
         for worker_id in self.scheduler.drop_removed_workers(now):
             self._log.write("worker-gone", group=self.group, worker=worker_id)
             poller = self._status_pollers.pop(worker_id, None)
--- a/src/gentianlead/cluster/_job_moves.py
+++ b/src/gentianlead/cluster/_job_moves.py
@@ -25,13 +25,18 @@
         self._store_records = store_records
         self._spawn = spawn
 
-    def start_moves(self) -> None:
-        """Starts moves to other groups; the start permission must be valid."""
+    def start_moves(self) -> bool:
+        """Starts moves to other groups; the start permission must be valid.
+
+        Returns:
+            Whether any move has begun, which changes the load of the group.
+        """
         now = self._clock.monotonic()
-        for move in dispatch.plan_moves(self._scheduler,
-                                        lambda: self._get_load(now),
-                                        self._get_load_reports(), now):
+        moves = self._scheduler.plan_moves(lambda: self._get_load(now),
+                                           self._get_load_reports(), now)
+        for move in moves:
             self._spawn(self._store_move(move))
+        return bool(moves)
 
     async def _store_move(self, move: dispatch.PlannedMove) -> None:
         group = self._scheduler.group
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -28,7 +28,6 @@
 from gentianlead.dispatch._load import GroupLoad
 from gentianlead.dispatch._load import ImageCapacity
 from gentianlead.dispatch._moves import JOB_MOVE_DELAY
-from gentianlead.dispatch._moves import plan_moves
 from gentianlead.dispatch._moves import PlannedMove
 from gentianlead.dispatch._orders import AppliedRunEnd
 from gentianlead.dispatch._orders import GroupTimings
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -5,9 +5,13 @@
 each order.
 """
 
+from typing import Callable
+
+from gentianlead.dispatch import _admission
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _load
+from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _runs
@@ -33,6 +37,7 @@
                          interference)
         self._start_planner = _starting.StartPlanner(self)
         self._stop_planner = _stopping.StopPlanner(self)
+        self._move_planner = _moves.MovePlanner(self)
 
     def plan(self, now: float, now_ms: int,
              may_start: bool) -> list[_orders.Order]:
@@ -57,6 +62,15 @@
         self._plan_throttles(orders)
         return orders
 
+    def plan_moves(self, get_own_load: Callable[[], _load.GroupLoad],
+                   reports: dict[str, _admission.GroupReport],
+                   now: float) -> list[_moves.PlannedMove]:
+        """Begins the moves of jobs and tasks that should leave the group now.
+
+        The caller has to store them. See `MovePlanner.plan`.
+        """
+        return self._move_planner.plan(get_own_load, reports, now)
+
     def _plan_start_retries(self, orders: list[_orders.Order],
                             now: float) -> None:
         for worker in self.workers.values():
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -194,11 +194,19 @@
         demand.waiting_best_effort_cpu_millis)
 
 
+def subtract_demand_from_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
+    """Returns the load of a group without the demand of one of its jobs."""
+    return add_demand_to_load(load, JobDemand(*(-value for value in demand)))
+
+
 def compute_group_load(workers: Iterable[_workers.WorkerState],
                        jobs: Iterable[_runs.JobRun],
                        interference: _interference.InterferenceModel,
                        is_evacuated: bool, now: float) -> GroupLoad:
-    """Computes the load of a group from its workers and jobs."""
+    """Computes the load of a group from its workers and jobs.
+
+    A job with a pending move does not count: its destination does the work.
+    """
     capacity_cpu_millis = reserved_cpu_millis = \
         latency_critical_cpu_millis = worker_count = \
         largest_free_cpu_millis = largest_reclaimable_cpu_millis = 0
@@ -232,7 +240,7 @@
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
-        if not job.has_ended:
+        if not job.has_ended and job.pending_move_number is None:
             demand = compute_job_demand(job)
             short_work += demand.short_work
             best_effort_work += demand.best_effort_work
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -20,6 +20,11 @@
 """A waiting job moves to another group only if the load there, multiplied by
 this factor, is still below the load of the job's own group."""
 
+MOVE_REPORT_DELAY = datetime.timedelta(milliseconds=150)
+"""A load report that arrives at least this long after a move has begun includes
+the moved job: the time covers the append, the read by the destination's leader
+and the age of the load in its report."""
+
 
 class MoveReason(enum.Enum):
     """Why tasks leave their group.
@@ -72,41 +77,96 @@
     report_age_s: float
 
 
-def plan_moves(state: _group_state.GroupState,
-               get_own_load: Callable[[], _load.GroupLoad],
-               reports: dict[str, _admission.GroupReport],
-               now: float) -> list[PlannedMove]:
-    """Begins the moves of jobs and tasks that should leave a group now.
+class _RecentMove(NamedTuple):
+    """Move that the load reports of its destination may not include yet.
 
-    Args:
-        state: State of the group.
-        get_own_load: Returns the present load of the group.
-        reports: Newest load reports by group.
-        now: Present monotonic time in seconds.
+    Attributes:
+        group: Destination.
+        demand: Demand of the moved job.
+        begun_at: Monotonic time in seconds at which the move began.
+    """
 
-    Returns:
-        The moves, which the caller has to store.
+    group: str
+    demand: _load.JobDemand
+    begun_at: float
+
+
+class MovePlanner:
+    """Plans the moves of jobs and tasks out of a group.
+
+    A move counts in the load of both groups from its begin. Otherwise all jobs
+    that wait in a group would move to the one that had the least load in the
+    last reports, and back again with the next ones.
     """
-    moves = []
-    for job in state.list_movable_jobs():
-        choice = _choose_new_group(job, get_own_load(), reports, now)
-        if choice.group:
-            moves.append(_begin_move(job, (), choice, reports, now))
-    for job, indexes in state.list_unplaced_tasks(now):
-        fallback_group = _admission.choose_fallback_group(
-            job.job, job.entry.assignment, job.group, reports, now)
-        if not fallback_group.group:
-            continue
-        is_spread = len(job.entry.assignment) > 1
-        if is_spread or not job.list_active_runs():
-            moved_indexes = (tuple(indexes[:fallback_group.max_tasks])
-                             if is_spread else ())
-            moves.append(
-                _begin_move(
-                    job, moved_indexes,
-                    MoveChoice(fallback_group.group, MoveReason.NO_CAPACITY),
-                    reports, now))
-    return moves
+
+    def __init__(self, state: _group_state.GroupState):
+        self._state = state
+        self._recent_moves: list[_RecentMove] = []
+
+    def plan(self, get_own_load: Callable[[], _load.GroupLoad],
+             reports: dict[str, _admission.GroupReport],
+             now: float) -> list[PlannedMove]:
+        """Begins the moves of jobs and tasks that should leave the group now.
+
+        Args:
+            get_own_load: Returns the present load of the group.
+            reports: Newest load reports by group.
+            now: Present monotonic time in seconds.
+
+        Returns:
+            The moves, which the caller has to store.
+        """
+        reports = self._include_recent_moves(reports, now)
+        moves = []
+        own_load = None
+        for job in self._state.list_movable_jobs():
+            if own_load is None:
+                own_load = get_own_load()
+            choice = _choose_new_group(job, own_load, reports, now)
+            if choice.group:
+                demand = _load.compute_job_demand(job)
+                moves.append(_begin_move(job, (), choice, reports, now))
+                self._recent_moves.append(_RecentMove(choice.group, demand,
+                                                      now))
+                own_load = _load.subtract_demand_from_load(own_load, demand)
+                _add_demand_to_report(reports, choice.group, demand)
+        for job, indexes in self._state.list_unplaced_tasks(now):
+            fallback_group = _admission.choose_fallback_group(
+                job.job, job.entry.assignment, job.group, reports, now)
+            if not fallback_group.group:
+                continue
+            is_spread = len(job.entry.assignment) > 1
+            if is_spread or not job.list_active_runs():
+                moved_indexes = (tuple(indexes[:fallback_group.max_tasks])
+                                 if is_spread else ())
+                moves.append(
+                    _begin_move(
+                        job, moved_indexes,
+                        MoveChoice(fallback_group.group,
+                                   MoveReason.NO_CAPACITY), reports, now))
+        return moves
+
+    def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
+                              now: float) -> dict[str, _admission.GroupReport]:
+        """Returns the reports with all moves that they may not include."""
+        self._recent_moves = [
+            move for move in self._recent_moves
+            if now - move.begun_at <= _admission.MAX_REPORT_AGE.total_seconds()
+            and move.group in reports and reports[move.group].reported_at <
+            move.begun_at + MOVE_REPORT_DELAY.total_seconds()
+        ]
+        reports = dict(reports)
+        for move in self._recent_moves:
+            _add_demand_to_report(reports, move.group, move.demand)
+        return reports
+
+
+def _add_demand_to_report(reports: dict[str, _admission.GroupReport],
+                          group: str, demand: _load.JobDemand) -> None:
+    report = reports.get(group)
+    if report is not None:
+        reports[group] = report._replace(
+            load=_load.add_demand_to_load(report.load, demand))
 
 
 def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...], choice: MoveChoice,
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -98,9 +98,9 @@
     def _run_planning_pass(self, group: str,
                            driver: builders.GroupDriver) -> None:
         scheduler = driver.scheduler
-        for move in dispatch.plan_moves(
-                scheduler, lambda: scheduler.compute_load(self.now),
-                self._reports, self.now):
+        for move in scheduler.plan_moves(
+                lambda: scheduler.compute_load(self.now), self._reports,
+                self.now):
             self.moves.append((self.now, move.record))
             self._append(move.record)
         for order in driver.start_all():
@@ -163,6 +163,26 @@
         }
         self.assertEqual(started_ids, set(self.job_ids))
 
+    def test_jobs_spread_over_the_less_loaded_groups(self):
+        """Checks that jobs move at most once, and to both other groups.
+
+        No group gets all of them. Guards against leaders that send all waiting
+        jobs to the group that had the least load in the last report.
+        """
+        self.site.run(1.9)
+        for job_id in self.job_ids:
+            self.assertLessEqual(self.site.count_moves(job_id), 1)
+        move_counts = {
+            group:
+                sum(1
+                    for _, move in self.site.moves
+                    if move.destination_group == group) for group in GROUPS
+        }
+        self.assertEqual(move_counts["n1"], 0)
+        for group in ("n2", "n3"):
+            self.assertGreaterEqual(move_counts[group], 2)
+            self.assertLessEqual(move_counts[group], 5)
+
 
 class WaitingTimeTest(unittest.TestCase):
     """Tests of the waiting time of jobs that were moved."""
