Move waiting best-effort jobs to groups that can start their tasks

What callers saw: a best-effort job had nothing running while another group could have started its tasks at once, and jobs moved to groups that could not start them either.

Cause: only loads were compared. They count the CPU that tasks declare, and not what decides about a start: spare CPU, throttles and predicted latencies. The CPU that an image can use may even be 0 in both groups; the one with less declared CPU then looked less loaded.

A waiting job moves to the group with the most such room if its task fits there and not in its own group. If there is none, loads are compared as before, but only with a group in which the job's images can use the CPU of its largest task.

The new tests failed before:

test_job_moves_where_its_tasks_may_start AssertionError: Lists differ: [] != ['north-2'] test_job_stays_if_its_image_cannot_run_elsewhere AssertionError: Lists differ: [PlannedMove(...)] != []

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -9,6 +9,7 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _workers
 
@@ -28,6 +29,19 @@
     cpu_millis: int
 
 
+class ImageRoom(NamedTuple):
+    """Largest best-effort task of an image that may start in a group at once.
+
+    Attributes:
+        image: Image of the task; empty for all images without an estimate.
+        cpu_millis: CPU of the largest task that the rules of placement allow on
+            any worker, in thousandths of a core.
+    """
+
+    image: str
+    cpu_millis: int
+
+
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
 
@@ -60,6 +74,8 @@
         largest_reclaimable_cpu_millis: Most CPU on one usable worker that no
             long-running task reserves; it is free once the short tasks of the
             worker have ended.
+        image_rooms: Room for best-effort tasks of each image with an estimate,
+            and of those without.
     """
 
     is_usable: bool
@@ -74,6 +90,7 @@
     labels: tuple[str, ...] = ()
     best_effort_capacity_cpu_millis: int = 0
     largest_reclaimable_cpu_millis: int = 0
+    image_rooms: tuple[ImageRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -159,6 +176,12 @@
         best_effort_use_cpu_millis, *waiting_counts)
 
 
+def get_image_room(load: GroupLoad, image: str) -> int:
+    """Returns the room for best-effort tasks of an image; see `ImageRoom`."""
+    rooms = {room.image: room.cpu_millis for room in load.image_rooms}
+    return max(0, rooms.get(image, rooms.get("", 0)))
+
+
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
     """Computes the part of a group's load that comes from a job.
 
@@ -191,12 +214,21 @@
         total_backlog_ms=load.total_backlog_ms +
         (demand.short_work + demand.best_effort_work) // capacity_cpu_millis,
         best_effort_cpu_millis=load.best_effort_cpu_millis +
-        demand.waiting_best_effort_cpu_millis)
+        demand.waiting_best_effort_cpu_millis,
+        image_rooms=tuple(
+            room._replace(cpu_millis=room.cpu_millis -
+                          demand.waiting_best_effort_cpu_millis)
+            for room in load.image_rooms))
 
 
 def subtract_demand_from_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
-    """Returns the load of a group without the demand of one of its jobs."""
-    return add_demand_to_load(load, JobDemand(*(-value for value in demand)))
+    """Returns the load of a group without the demand of one of its jobs.
+
+    The room stays as it is, as waiting tasks do not take any.
+    """
+    negative_demand = JobDemand(*(-value for value in demand))
+    return add_demand_to_load(
+        load, negative_demand)._replace(image_rooms=load.image_rooms)
 
 
 def compute_group_load(workers: Iterable[_workers.WorkerState],
@@ -212,6 +244,7 @@
         largest_free_cpu_millis = largest_reclaimable_cpu_millis = 0
     best_effort_cpu_millis = 0
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
+    image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
     for worker in workers:
         if worker.can_receive_starts(now):
@@ -237,6 +270,12 @@
                         for latency_critical_image in
                         worker.latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
+            candidate = _placement.build_candidate(worker)
+            for image in image_rooms:
+                image_rooms[image] = max(
+                    image_rooms[image],
+                    _placement.compute_best_effort_room(candidate, image,
+                                                        interference))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
@@ -256,7 +295,8 @@
         tuple(
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
-        largest_reclaimable_cpu_millis)
+        largest_reclaimable_cpu_millis,
+        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -32,11 +32,14 @@
     Attributes:
         GROUP_UNUSABLE: The group has no usable workers, is evacuated, or lacks
             a label that the job needs.
+        FREE_ROOM: Best-effort tasks wait, and some could start in another group
+            at once.
         LESS_LOADED: A job waits, and another group is less loaded.
         NO_CAPACITY: Long-running tasks do not fit on any worker of the group.
     """
 
     GROUP_UNUSABLE = "group-unusable"
+    FREE_ROOM = "free-room"
     LESS_LOADED = "less-loaded"
     NO_CAPACITY = "no-capacity"
 
@@ -47,8 +50,9 @@
     Attributes:
         group: The group; empty if the job stays.
         reason: Why the job moves.
-        own_score: Score of the job's own group by `_compute_move_score`; 0
-            unless the reason is `LESS_LOADED`.
+        own_score: Score of the job's own group by `_compute_move_score` if the
+            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`,
+            else 0.
         new_score: Score of the chosen group, likewise.
     """
 
@@ -204,7 +208,9 @@
         if job.job.is_long_running or not job.has_unplaced_tasks(
                 now, JOB_MOVE_DELAY.total_seconds()):
             return _STAY
-        return _choose_less_loaded_group(job, own_load, reports, now)
+        choice = _choose_group_with_room(job, own_load, reports, now)
+        return (choice if choice.group else _choose_less_loaded_group(
+            job, own_load, reports, now))
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
     }
@@ -215,6 +221,42 @@
             if group != job.group else _STAY)
 
 
+def _choose_group_with_room(job: _runs.JobRun, own_load: _load.GroupLoad,
+                            reports: dict[str, _admission.GroupReport],
+                            now: float) -> MoveChoice:
+    """Chooses a group in which a task of a waiting best-effort step fits.
+
+    A group is a candidate if it is usable, has a recent load report and all
+    labels that the job requires, and has room for a task of the step. The one
+    with the most room is chosen. The job stays if its own group has room for
+    the task, as something else then keeps the step from starting.
+    """
+    step = next(
+        (step_run.step
+         for step_run in job.steps.values()
+         if step_run.step.is_best_effort and step_run.waiting_indexes and
+         step_run.unplaced_since is not None), None)
+    if step is None:
+        return _STAY
+    needed_labels = {
+        step.required_label for step in job.job.steps if step.required_label
+    }
+    own_room_cpu_millis = _load.get_image_room(own_load, step.image)
+    rooms = {
+        group: _load.get_image_room(report.load, step.image)
+        for group, report in reports.items()
+        if group != job.group and report.load.is_usable and
+        needed_labels <= set(report.load.labels) and now -
+        report.reported_at <= _admission.MAX_REPORT_AGE.total_seconds()
+    }
+    group = max(rooms, key=rooms.__getitem__, default="")
+    if (not group or rooms[group] < step.cpu_millis or
+            own_room_cpu_millis >= step.cpu_millis):
+        return _STAY
+    return MoveChoice(group, MoveReason.FREE_ROOM, own_room_cpu_millis / 1000,
+                      rooms[group] / 1000)
+
+
 def _choose_less_loaded_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                               reports: dict[str, _admission.GroupReport],
                               now: float) -> MoveChoice:
@@ -222,9 +264,9 @@
 
     The only candidate is the group that `decide_admission` chooses among the
     other groups. With the job's demand, it must be less loaded than the own
-    group, whose load includes this demand, by `LESS_LOADED_FACTOR`. For a job
-    without best-effort steps, one worker of the candidate must also have enough
-    free CPU for the job's largest task.
+    group, whose load includes this demand, by `LESS_LOADED_FACTOR`. It must
+    also have CPU for the job's largest task: CPU that the best-effort tasks of
+    the job can use, or for a job without such tasks free CPU on one worker.
     """
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
@@ -240,6 +282,10 @@
                                     _load.compute_job_demand(job))
     own_score = _compute_move_score(job.job, own_load)
     new_score = _compute_move_score(job.job, load)
+    if any(step.is_best_effort and step.cpu_millis >
+           _admission.compute_best_effort_capacity(job.job, load)
+           for step in job.job.steps):
+        return _STAY
     if new_score * LESS_LOADED_FACTOR >= own_score:
         return _STAY
     if not any(step.is_best_effort for step in job.job.steps):
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -164,6 +164,23 @@
     return candidate.free_cpu_millis >= step.cpu_millis
 
 
+def compute_best_effort_room(
+        candidate: Candidate, image: str,
+        interference: _interference.InterferenceModel) -> int:
+    """Returns the CPU of the largest task of an image that may start at once.
+
+    It is in thousandths of a core, and 0 if no task of the image may start on
+    the worker without a `Relaxation`.
+    """
+    return max(
+        0,
+        int(
+            min(
+                candidate.spare_cpu_millis / MIN_SPARE_CPU_SHARE,
+                _throttling.compute_addable_cpu(candidate.worker, interference,
+                                                image))))
+
+
 def subtract_task(candidate: Candidate, step: model.Step) -> Candidate:
     """Returns a copy of a candidate, less the capacity that a new task takes.
     """
--- a/src/gentianlead/dispatch/_throttling.py
+++ b/src/gentianlead/dispatch/_throttling.py
@@ -5,6 +5,8 @@
 best-effort task may run.
 """
 
+import math
+
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _workers
 
@@ -211,14 +213,25 @@
     stay at or below `SAFE_LATENCY_RATIO`. While its image was not observed long
     enough beside each latency-critical image, only one task of it is allowed.
     """
+    return cpu_millis <= compute_addable_cpu(worker, interference, image)
+
+
+def compute_addable_cpu(worker: _workers.WorkerState,
+                        interference: _interference.InterferenceModel,
+                        image: str) -> float:
+    """Returns the CPU of the largest task that `may_add_best_effort` allows.
+
+    The result is in thousandths of a core, infinite if interference sets no
+    limit, and negative if no task may join.
+    """
     if not worker.latency_critical_images:
-        return True
+        return math.inf
     if worker.throttles.get(image, 100) < 100:
-        return False
+        return -1.0
     capacity_cpu_millis = max(1, worker.entry.cpu_millis)
     # Share of the worker's CPU that best-effort runs declare, by image, for
-    # runs without CPU use in the last status report, and for the new task.
-    unreported_shares = {}
+    # runs without CPU use in the last status report.
+    unreported_shares: dict[str, float] = {}
     same_image_run_count = 0
     for run in worker.runs.values():
         if run.step.is_best_effort:
@@ -228,14 +241,19 @@
                 unreported_shares[run.step.image] = (
                     unreported_shares.get(run.step.image, 0.0) +
                     run.step.cpu_millis / capacity_cpu_millis)
-    unreported_shares[image] = unreported_shares.get(
-        image, 0.0) + cpu_millis / capacity_cpu_millis
+    addable_share = math.inf
     for latency_critical_image in worker.latency_critical_images:
         if not interference.is_observed(latency_critical_image,
                                         image) and same_image_run_count:
-            return False
-        latency_ratio = worker.latency_ratios.get(latency_critical_image, 0.0)
-        if latency_ratio + interference.predict(
-                latency_critical_image, unreported_shares) > SAFE_LATENCY_RATIO:
-            return False
-    return True
+            return -1.0
+        margin = (
+            SAFE_LATENCY_RATIO -
+            worker.latency_ratios.get(latency_critical_image, 0.0) -
+            interference.predict(latency_critical_image, unreported_shares))
+        coefficient = interference.get_coefficient(latency_critical_image,
+                                                   image)
+        if margin < 0:
+            return -1.0
+        if coefficient > 0:
+            addable_share = min(addable_share, margin / coefficient)
+    return addable_share * capacity_cpu_millis
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -184,6 +184,98 @@
             self.assertLessEqual(move_counts[group], 5)
 
 
+class RoomTest(unittest.TestCase):
+    """Tests of a best-effort job that no worker of its group may run.
+
+    The only worker has a latency-critical task whose latency is near its limit,
+    and nothing else.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job(
+                    "00000000000000cc",
+                    builders.build_step(is_long_running=True,
+                                        tail_latency_limit_ms=20,
+                                        image="web"))))
+        (self.service_order,) = self.driver.start_all()
+        self.apply_latency()
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job(
+                    JOB_ID,
+                    builders.build_step(2, is_best_effort=True,
+                                        image="batch"))))
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.now += 0.5
+        self.apply_latency()
+
+    def apply_latency(self) -> None:
+        """Reports a latency of 17 ms, with a limit of 20 ms."""
+        self.driver.apply_status(
+            running=(builders.build_active_run(self.service_order, 100, 17),))
+
+    def plan_moves(self, running_count: int) -> list[str]:
+        """Plans moves while another group runs some best-effort tasks.
+
+        Returns:
+            Destinations of the moves.
+        """
+        other_driver = builders.GroupDriver(builders.build_worker(),
+                                            now=self.driver.now)
+        other_driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job(
+                    "00000000000000bb",
+                    builders.build_step(running_count, is_best_effort=True))))
+        self.assertEqual(len(other_driver.start_all()), running_count)
+        scheduler = self.driver.scheduler
+        report = dispatch.GroupReport(
+            other_driver.scheduler.compute_load(self.driver.now),
+            self.driver.now)
+        moves = scheduler.plan_moves(
+            lambda: scheduler.compute_load(self.driver.now),
+            {"north-2": report}, self.driver.now)
+        return [move.choice.group for move in moves]
+
+    def test_job_moves_where_its_tasks_may_start(self):
+        """Checks that the job moves to a more loaded group that has room.
+
+        Guards against a job that waits in a group with little load, although
+        its tasks would start at once in another one.
+        """
+        self.assertEqual(self.plan_moves(8), ["north-2"])
+
+    def test_job_stays_if_there_is_no_room_elsewhere(self):
+        """Checks that the job stays while the other group has no spare CPU.
+
+        Guards against moves to groups where the job has to wait, too.
+        """
+        self.assertEqual(self.plan_moves(10), [])
+
+    def test_job_stays_if_its_image_cannot_run_elsewhere(self):
+        """Checks that the job stays if its image interferes in the other group.
+
+        That group has less load, but no worker on which the image may run.
+        Guards against moves between groups of which none can run the job.
+        """
+        scheduler = self.driver.scheduler
+        load = scheduler.compute_load(self.driver.now)
+        loads = [
+            load._replace(best_effort_cpu_millis=cpu_millis,
+                          image_capacities=(dispatch.ImageCapacity("batch",
+                                                                   0),))
+            for cpu_millis in (50_000, 5_000)
+        ]
+        moves = scheduler.plan_moves(
+            lambda: loads[0],
+            {"north-2": dispatch.GroupReport(loads[1], self.driver.now)},
+            self.driver.now)
+        self.assertEqual(moves, [])
+
+
 class WaitingTimeTest(unittest.TestCase):
     """Tests of the waiting time of jobs that were moved."""
 
