Double the delay of a move with each move without a start

What callers saw: waiting jobs went on moving at a high rate while all groups were busy. Each move adds a key to the job topic.

Cause: a job waited 0.4 s in each group, however many groups had not placed it.

Change: the delay doubles with each move of the job since it last started a task, from 0.4 to 6.4 s. Jobs still leave an unusable or evacuated group, or one that lacks a label, at once. The new test failed before for 1, 3 and 20 moves:

test_delay_grows_with_each_move_without_a_start (move_count=1) AssertionError: Lists differ: [PlannedMove(...)] != []

--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -14,7 +14,12 @@
 JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
 """Time without capacity after which a job without active runs may move to a
 less loaded group as a whole, if it is not long-running. A move takes as long as
-two appends."""
+two appends. The delay doubles with each move since the job last started a task,
+up to `MAX_JOB_MOVE_DELAY`: the groups to which the job moved did not place it
+either, and each move adds a key to the topic."""
+
+MAX_JOB_MOVE_DELAY = datetime.timedelta(milliseconds=6400)
+"""Upper bound of the delay that grows from `JOB_MOVE_DELAY`."""
 
 LESS_LOADED_FACTOR = 1.5
 """A waiting job moves to another group only if the load there, multiplied by
@@ -185,6 +190,12 @@
     return PlannedMove(job, record, choice, report_age_s)
 
 
+def compute_move_delay(moves_without_start: int) -> datetime.timedelta:
+    """Returns how long a job must lack capacity in a group before it moves."""
+    return min(MAX_JOB_MOVE_DELAY,
+               JOB_MOVE_DELAY * 2**min(moves_without_start, 10))
+
+
 def _choose_new_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                       reports: dict[str, _admission.GroupReport],
                       now: float) -> MoveChoice:
@@ -193,7 +204,7 @@
     If the job's own group is unusable or lacks a label that the job needs, any
     group that can take the job is chosen. Otherwise only a less loaded group is
     chosen, and only if the job is not long-running and one of its steps has
-    lacked capacity for `JOB_MOVE_DELAY`.
+    lacked capacity for `compute_move_delay`.
 
     Args:
         job: A job that may move: see `GroupState.list_movable_jobs`.
@@ -206,7 +217,8 @@
     }
     if own_load.is_usable and needed_labels <= set(own_load.labels):
         if job.job.is_long_running or not job.has_unplaced_tasks(
-                now, JOB_MOVE_DELAY.total_seconds()):
+                now,
+                compute_move_delay(job.moves_without_start).total_seconds()):
             return _STAY
         choice = _choose_group_with_room(job, own_load, reports, now)
         return (choice if choice.group else _choose_less_loaded_group(
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -344,3 +344,42 @@
         fields = dispatch.decode_value(stored.value, list)
         old_stored = stored._replace(value=dispatch.encode_value(fields[:5]))
         self.assertEqual(dispatch.decode_record(old_stored), record)
+
+
+class MoveDelayTest(unittest.TestCase):
+    """Tests of how long a job stays in a group before it may move."""
+
+    def test_delay_grows_with_each_move_without_a_start(self):
+        """Checks that a job that was moved stays longer in each next group.
+
+        Guards against a job that goes on moving at a high rate, because the
+        loads of the groups change faster than it can be placed.
+        """
+        for move_count, delay_s in ((0, 0.4), (1, 0.8), (3, 3.2), (20, 6.4)):
+            with self.subTest(move_count=move_count):
+                driver = builders.GroupDriver(builders.build_worker())
+                entry = builders.build_job_entry(
+                    builders.build_job(JOB_ID,
+                                       builders.build_step(memory_mib=20_000)))
+                driver.scheduler.put_job(
+                    entry._replace(moves_without_start=move_count))
+                driver.plan()
+                free_load = driver.scheduler.compute_load(
+                    driver.now)._replace(short_backlog_ms=0)
+                self.assertEqual(self.plan_moves(driver, free_load), [])
+                driver.now += delay_s - 0.05
+                driver.apply_status()
+                self.assertEqual(self.plan_moves(driver, free_load), [])
+                driver.now += 0.1
+                driver.apply_status()
+                self.assertEqual(len(self.plan_moves(driver, free_load)), 1)
+
+    def plan_moves(
+            self, driver: builders.GroupDriver,
+            other_load: dispatch.GroupLoad) -> list[dispatch.PlannedMove]:
+        """Plans moves of a group that has a long backlog."""
+        own_load = driver.scheduler.compute_load(driver.now)
+        return driver.scheduler.plan_moves(
+            lambda: own_load._replace(short_backlog_ms=10_000),
+            {"north-2": dispatch.GroupReport(other_load, driver.now)},
+            driver.now)
