Compute the load of a group without repeated work for each image

The room for best-effort tasks made the load of a group several times as costly. A leader computes it for each report and, while jobs wait, up to every 50 ms; on a third of a core it would have done little else.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -11,6 +11,7 @@
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _workers
 
 
@@ -263,19 +264,24 @@
             best_effort_usable_cpu_millis = (
                 worker.entry.cpu_millis - load.reserved_cpu_millis +
                 load.latency_critical_cpu_millis // 2)
+            latency_critical_images = worker.latency_critical_images
             for image in image_capacities:
                 if not any(
                         interference.is_interfering(latency_critical_image,
                                                     image)
-                        for latency_critical_image in
-                        worker.latency_critical_images):
+                        for latency_critical_image in latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
             candidate = _placement.build_candidate(worker)
-            for image in image_rooms:
-                image_rooms[image] = max(
-                    image_rooms[image],
-                    _placement.compute_best_effort_room(candidate, image,
-                                                        interference))
+            margins = _throttling.compute_latency_margins(worker, interference)
+            spare_room_cpu_millis = _placement.compute_spare_room(candidate)
+            for image, room_cpu_millis in image_rooms.items():
+                # Interference only lowers the room, so it needs no look if the
+                # spare CPU is not above the room on another worker.
+                if spare_room_cpu_millis > room_cpu_millis:
+                    image_rooms[image] = max(
+                        room_cpu_millis,
+                        _placement.compute_best_effort_room(
+                            candidate, image, interference, margins))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -164,9 +164,17 @@
     return candidate.free_cpu_millis >= step.cpu_millis
 
 
-def compute_best_effort_room(
-        candidate: Candidate, image: str,
-        interference: _interference.InterferenceModel) -> int:
+def compute_spare_room(candidate: Candidate) -> int:
+    """Returns the CPU of the largest best-effort task by spare CPU alone.
+
+    It is in thousandths of a core.
+    """
+    return max(0, int(candidate.spare_cpu_millis / MIN_SPARE_CPU_SHARE))
+
+
+def compute_best_effort_room(candidate: Candidate, image: str,
+                             interference: _interference.InterferenceModel,
+                             margins: _throttling.LatencyMargins) -> int:
     """Returns the CPU of the largest task of an image that may start at once.
 
     It is in thousandths of a core, and 0 if no task of the image may start on
@@ -176,9 +184,9 @@
         0,
         int(
             min(
-                candidate.spare_cpu_millis / MIN_SPARE_CPU_SHARE,
+                compute_spare_room(candidate),
                 _throttling.compute_addable_cpu(candidate.worker, interference,
-                                                image))))
+                                                image, margins))))
 
 
 def subtract_task(candidate: Candidate, step: model.Step) -> Candidate:
--- a/src/gentianlead/dispatch/_throttling.py
+++ b/src/gentianlead/dispatch/_throttling.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from typing import NamedTuple
 
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _workers
@@ -213,47 +214,82 @@
     stay at or below `SAFE_LATENCY_RATIO`. While its image was not observed long
     enough beside each latency-critical image, only one task of it is allowed.
     """
-    return cpu_millis <= compute_addable_cpu(worker, interference, image)
+    if not worker.latency_critical_images:
+        return True
+    margins = compute_latency_margins(worker, interference)
+    return cpu_millis <= compute_addable_cpu(worker, interference, image,
+                                             margins)
 
 
-def compute_addable_cpu(worker: _workers.WorkerState,
-                        interference: _interference.InterferenceModel,
-                        image: str) -> float:
-    """Returns the CPU of the largest task that `may_add_best_effort` allows.
+class LatencyMargins(NamedTuple):
+    """What limits the best-effort tasks that may join the tasks of a worker.
 
-    The result is in thousandths of a core, infinite if interference sets no
-    limit, and negative if no task may join.
+    Attributes:
+        margins: Latency ratio by which each latency-critical image of the
+            worker may still rise; negative if it is already too high.
+        best_effort_counts: Number of best-effort runs by image.
+    """
+
+    margins: dict[str, float]
+    best_effort_counts: dict[str, int]
+
+
+def compute_latency_margins(
+        worker: _workers.WorkerState,
+        interference: _interference.InterferenceModel) -> LatencyMargins:
+    """Computes what is the same for all images that may join a worker.
+
+    The load of a group asks this for dozens of images on each worker.
     """
-    if not worker.latency_critical_images:
-        return math.inf
-    if worker.throttles.get(image, 100) < 100:
-        return -1.0
     capacity_cpu_millis = max(1, worker.entry.cpu_millis)
     # Share of the worker's CPU that best-effort runs declare, by image, for
     # runs without CPU use in the last status report.
     unreported_shares: dict[str, float] = {}
-    same_image_run_count = 0
+    best_effort_counts: dict[str, int] = {}
     for run in worker.runs.values():
         if run.step.is_best_effort:
-            if run.step.image == image:
-                same_image_run_count += 1
+            image = run.step.image
+            best_effort_counts[image] = best_effort_counts.get(image, 0) + 1
             if not run.latency_ms_or_cpu_millis:
-                unreported_shares[run.step.image] = (
-                    unreported_shares.get(run.step.image, 0.0) +
+                unreported_shares[image] = (
+                    unreported_shares.get(image, 0.0) +
                     run.step.cpu_millis / capacity_cpu_millis)
-    addable_share = math.inf
-    for latency_critical_image in worker.latency_critical_images:
-        if not interference.is_observed(latency_critical_image,
-                                        image) and same_image_run_count:
-            return -1.0
-        margin = (
+    margins = {
+        latency_critical_image:
             SAFE_LATENCY_RATIO -
             worker.latency_ratios.get(latency_critical_image, 0.0) -
-            interference.predict(latency_critical_image, unreported_shares))
+            interference.predict(latency_critical_image, unreported_shares)
+        for latency_critical_image in worker.latency_critical_images
+    }
+    return LatencyMargins(margins, best_effort_counts)
+
+
+def compute_addable_cpu(worker: _workers.WorkerState,
+                        interference: _interference.InterferenceModel,
+                        image: str, margins: LatencyMargins) -> float:
+    """Returns the CPU of the largest task that `may_add_best_effort` allows.
+
+    The result is in thousandths of a core, infinite if interference sets no
+    limit, and negative if no task may join.
+
+    Args:
+        worker: The worker.
+        interference: Estimated interference between images.
+        image: Image of the task.
+        margins: Result of `compute_latency_margins` for the worker.
+    """
+    if not margins.margins:
+        return math.inf
+    if worker.throttles.get(image, 100) < 100:
+        return -1.0
+    has_same_image = image in margins.best_effort_counts
+    addable_share = math.inf
+    for latency_critical_image, margin in margins.margins.items():
+        if margin < 0 or (has_same_image and not interference.is_observed(
+                latency_critical_image, image)):
+            return -1.0
         coefficient = interference.get_coefficient(latency_critical_image,
                                                    image)
-        if margin < 0:
-            return -1.0
         if coefficient > 0:
             addable_share = min(addable_share, margin / coefficient)
-    return addable_share * capacity_cpu_millis
+    return addable_share * max(1, worker.entry.cpu_millis)
