--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -35,11 +35,6 @@
 """Number of start orders for one run, all without a conclusive reply, after
 which the run is stopped."""
 
-JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
-"""Time without capacity after which a job without active runs may move to a
-less loaded group as a whole, if it is not long-running. A move takes as long as
-two appends."""
-
 TASK_MOVE_DELAY = datetime.timedelta(milliseconds=700)
 """Time without capacity after which waiting long-running tasks should move to
 another group."""
@@ -293,7 +288,7 @@
         step_run.active_runs[active_run.task.index] = run
         worker.runs[(active_run.task, active_run.run)] = run
         job.last_run_number = max(job.last_run_number, active_run.run)
-        job.set_state(model.JobState.RUNNING)
+        job.mark_started()
         return run
 
     def _end_vanished_runs(self, worker: _workers.WorkerState,
@@ -393,7 +388,7 @@
                 run.progressed_at = now
             job = self.jobs.get(order.task.job_id)
             if job is not None:
-                job.set_state(model.JobState.RUNNING)
+                job.mark_started()
             return
         if run.phase is _runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -9,7 +9,9 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _workers
 
 
@@ -28,6 +30,19 @@
     cpu_millis: int
 
 
+class ImageRoom(NamedTuple):
+    """Largest best-effort task of an image that may start in a group at once.
+
+    Attributes:
+        image: Image of the task; empty for all images without an estimate.
+        cpu_millis: CPU of the largest task that the rules of placement allow on
+            any worker, in thousandths of a core.
+    """
+
+    image: str
+    cpu_millis: int
+
+
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
 
@@ -60,6 +75,8 @@
         largest_reclaimable_cpu_millis: Most CPU on one usable worker that no
             long-running task reserves; it is free once the short tasks of the
             worker have ended.
+        image_rooms: Room for best-effort tasks of each image with an estimate,
+            and of those without.
     """
 
     is_usable: bool
@@ -74,6 +91,7 @@
     labels: tuple[str, ...] = ()
     best_effort_capacity_cpu_millis: int = 0
     largest_reclaimable_cpu_millis: int = 0
+    image_rooms: tuple[ImageRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -111,6 +129,24 @@
     waiting_filling: int
 
 
+class JobDemand(NamedTuple):
+    """Part of a group's load that comes from one job that has not ended.
+
+    Work is CPU in thousandths of a core times estimated milliseconds.
+
+    Attributes:
+        short_work: Work of unfinished short tasks; a running one counts half.
+        best_effort_work: Work of unfinished best-effort tasks, likewise.
+        waiting_best_effort_cpu_millis: CPU in thousandths of a core that
+            best-effort tasks declare which wait although all steps on which
+            they depend are done.
+    """
+
+    short_work: int
+    best_effort_work: int
+    waiting_best_effort_cpu_millis: int
+
+
 def summarize_group(workers: Iterable[_workers.WorkerState],
                     jobs: Iterable[_runs.JobRun], now: float) -> GroupSummary:
     """Summarizes the workers and jobs of a group for the log."""
@@ -141,16 +177,75 @@
         best_effort_use_cpu_millis, *waiting_counts)
 
 
+def get_image_room(load: GroupLoad, image: str) -> int:
+    """Returns the room for best-effort tasks of an image; see `ImageRoom`."""
+    rooms = {room.image: room.cpu_millis for room in load.image_rooms}
+    return max(0, rooms.get(image, rooms.get("", 0)))
+
+
+def compute_job_demand(job: _runs.JobRun) -> JobDemand:
+    """Computes the part of a group's load that comes from a job.
+
+    Long-running tasks and, for a job with a start time, all repetitions but the
+    first one are left out.
+    """
+    short_work = best_effort_work = best_effort_cpu_millis = 0
+    for step_run in job.steps.values():
+        step = step_run.step
+        if step.is_long_running or (step_run.key[0] and job.job.has_start_time):
+            continue
+        waiting_count = len(step_run.waiting_indexes)
+        work = ((2 * waiting_count + len(step_run.active_runs)) *
+                step.cpu_millis * step.estimate_ms // 2)
+        if not step.is_best_effort:
+            short_work += work
+            continue
+        best_effort_work += work
+        if waiting_count and job.is_step_ready(step_run):
+            best_effort_cpu_millis += waiting_count * step.cpu_millis
+    return JobDemand(short_work, best_effort_work, best_effort_cpu_millis)
+
+
+def add_demand_to_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
+    """Returns the load of a group increased by the demand of a job."""
+    capacity_cpu_millis = max(1, load.best_effort_capacity_cpu_millis)
+    return load._replace(
+        short_backlog_ms=load.short_backlog_ms +
+        demand.short_work // capacity_cpu_millis,
+        total_backlog_ms=load.total_backlog_ms +
+        (demand.short_work + demand.best_effort_work) // capacity_cpu_millis,
+        best_effort_cpu_millis=load.best_effort_cpu_millis +
+        demand.waiting_best_effort_cpu_millis,
+        image_rooms=tuple(
+            room._replace(cpu_millis=room.cpu_millis -
+                          demand.waiting_best_effort_cpu_millis)
+            for room in load.image_rooms))
+
+
+def subtract_demand_from_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
+    """Returns the load of a group without the demand of one of its jobs.
+
+    The room stays as it is, as waiting tasks do not take any.
+    """
+    negative_demand = JobDemand(*(-value for value in demand))
+    return add_demand_to_load(
+        load, negative_demand)._replace(image_rooms=load.image_rooms)
+
+
 def compute_group_load(workers: Iterable[_workers.WorkerState],
                        jobs: Iterable[_runs.JobRun],
                        interference: _interference.InterferenceModel,
                        is_evacuated: bool, now: float) -> GroupLoad:
-    """Computes the load of a group from its workers and jobs."""
+    """Computes the load of a group from its workers and jobs.
+
+    A job with a pending move does not count: its destination does the work.
+    """
     capacity_cpu_millis = reserved_cpu_millis = \
         latency_critical_cpu_millis = worker_count = \
         largest_free_cpu_millis = largest_reclaimable_cpu_millis = 0
     best_effort_cpu_millis = 0
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
+    image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
     for worker in workers:
         if worker.can_receive_starts(now):
@@ -169,44 +264,45 @@
             best_effort_usable_cpu_millis = (
                 worker.entry.cpu_millis - load.reserved_cpu_millis +
                 load.latency_critical_cpu_millis // 2)
+            latency_critical_images = worker.latency_critical_images
             for image in image_capacities:
                 if not any(
                         interference.is_interfering(latency_critical_image,
                                                     image)
-                        for latency_critical_image in
-                        worker.latency_critical_images):
+                        for latency_critical_image in latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
+            candidate = _placement.build_candidate(worker)
+            margins = _throttling.compute_latency_margins(worker, interference)
+            spare_room_cpu_millis = _placement.compute_spare_room(candidate)
+            for image, room_cpu_millis in image_rooms.items():
+                # Interference only lowers the room, so it needs no look if the
+                # spare CPU is not above the room on another worker.
+                if spare_room_cpu_millis > room_cpu_millis:
+                    image_rooms[image] = max(
+                        room_cpu_millis,
+                        _placement.compute_best_effort_room(
+                            candidate, image, interference, margins))
             labels |= worker.entry.labels
-    work_by_is_best_effort = {True: 0.0, False: 0.0}
+    short_work = best_effort_work = 0
     for job in jobs:
-        if job.has_ended:
-            continue
-        for step_run in job.steps.values():
-            step = step_run.step
-            if step.is_long_running:
-                continue
-            weighted_tasks = len(
-                step_run.waiting_indexes) + 0.5 * len(step_run.active_runs)
-            if weighted_tasks and (step_run.key[0] == 0 or
-                                   not job.job.has_start_time):
-                if step.is_best_effort and job.is_step_ready(step_run):
-                    best_effort_cpu_millis += len(
-                        step_run.waiting_indexes) * step.cpu_millis
-                work_by_is_best_effort[step.is_best_effort] += (
-                    weighted_tasks * step.cpu_millis * step.estimate_ms)
+        if not job.has_ended and job.pending_move_number is None:
+            demand = compute_job_demand(job)
+            short_work += demand.short_work
+            best_effort_work += demand.best_effort_work
+            best_effort_cpu_millis += demand.waiting_best_effort_cpu_millis
     is_usable = capacity_cpu_millis > 0 and not is_evacuated
     best_effort_capacity_cpu_millis = max(
         1, capacity_cpu_millis - latency_critical_cpu_millis // 2)
     return GroupLoad(
         is_usable, capacity_cpu_millis, reserved_cpu_millis,
-        int(work_by_is_best_effort[False] / best_effort_capacity_cpu_millis),
-        int((work_by_is_best_effort[True] + work_by_is_best_effort[False]) /
-            best_effort_capacity_cpu_millis), worker_count,
-        largest_free_cpu_millis, best_effort_cpu_millis,
+        short_work // best_effort_capacity_cpu_millis,
+        (short_work + best_effort_work) // best_effort_capacity_cpu_millis,
+        worker_count, largest_free_cpu_millis, best_effort_cpu_millis,
         tuple(
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
-        largest_reclaimable_cpu_millis)
+        largest_reclaimable_cpu_millis,
+        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- /dev/null
+++ b/src/gentianlead/dispatch/_moves.py
@@ -0,0 +1,320 @@
+"""Moves of waiting jobs: which job leaves its group, and for which group."""
+
+import datetime
+import enum
+from typing import Callable, NamedTuple
+
+from gentianlead import model
+from gentianlead.dispatch import _admission
+from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _load
+from gentianlead.dispatch import _records
+from gentianlead.dispatch import _runs
+
+JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
+"""Time without capacity after which a job without active runs may move to a
+less loaded group as a whole, if it is not long-running. A move takes as long as
+two appends. The delay doubles with each move since the job last started a task,
+up to `MAX_JOB_MOVE_DELAY`: the groups to which the job moved did not place it
+either, and each move adds a key to the topic."""
+
+MAX_JOB_MOVE_DELAY = datetime.timedelta(milliseconds=6400)
+"""Upper bound of the delay that grows from `JOB_MOVE_DELAY`."""
+
+LESS_LOADED_FACTOR = 1.5
+"""A waiting job moves to another group only if the load there, multiplied by
+this factor, is still below the load of the job's own group."""
+
+MOVE_REPORT_DELAY = datetime.timedelta(milliseconds=150)
+"""A load report that arrives at least this long after a move has begun includes
+the moved job: the time covers the append, the read by the destination's leader
+and the age of the load in its report."""
+
+
+class MoveReason(enum.Enum):
+    """Why tasks leave their group.
+
+    Attributes:
+        GROUP_UNUSABLE: The group has no usable workers, is evacuated, or lacks
+            a label that the job needs.
+        FREE_ROOM: Best-effort tasks wait, and some could start in another group
+            at once.
+        LESS_LOADED: A job waits, and another group is less loaded.
+        NO_CAPACITY: Long-running tasks do not fit on any worker of the group.
+    """
+
+    GROUP_UNUSABLE = "group-unusable"
+    FREE_ROOM = "free-room"
+    LESS_LOADED = "less-loaded"
+    NO_CAPACITY = "no-capacity"
+
+
+class MoveChoice(NamedTuple):
+    """Group to which a job should move, and what decided.
+
+    Attributes:
+        group: The group; empty if the job stays.
+        reason: Why the job moves.
+        own_score: Score of the job's own group by `_compute_move_score` if the
+            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`,
+            else 0.
+        new_score: Score of the chosen group, likewise.
+    """
+
+    group: str
+    reason: MoveReason = MoveReason.LESS_LOADED
+    own_score: float = 0.0
+    new_score: float = 0.0
+
+
+_STAY = MoveChoice("")
+
+
+class PlannedMove(NamedTuple):
+    """Move of tasks to another group that has begun but is not stored.
+
+    Attributes:
+        job: The job; none of its tasks starts until the topic shows the move.
+        record: The record to store.
+        choice: The chosen group, and what decided.
+        report_age_s: Age in seconds of the load report of the chosen group.
+    """
+
+    job: _runs.JobRun
+    record: _records.MovedRecord
+    choice: MoveChoice
+    report_age_s: float
+
+
+class _RecentMove(NamedTuple):
+    """Move that the load reports of its destination may not include yet.
+
+    Attributes:
+        group: Destination.
+        demand: Demand of the moved job.
+        begun_at: Monotonic time in seconds at which the move began.
+    """
+
+    group: str
+    demand: _load.JobDemand
+    begun_at: float
+
+
+class MovePlanner:
+    """Plans the moves of jobs and tasks out of a group.
+
+    A move counts in the load of both groups from its begin. Otherwise all jobs
+    that wait in a group would move to the one that had the least load in the
+    last reports, and back again with the next ones.
+    """
+
+    def __init__(self, state: _group_state.GroupState):
+        self._state = state
+        self._recent_moves: list[_RecentMove] = []
+
+    def plan(self, get_own_load: Callable[[], _load.GroupLoad],
+             reports: dict[str, _admission.GroupReport],
+             now: float) -> list[PlannedMove]:
+        """Begins the moves of jobs and tasks that should leave the group now.
+
+        Args:
+            get_own_load: Returns the present load of the group.
+            reports: Newest load reports by group.
+            now: Present monotonic time in seconds.
+
+        Returns:
+            The moves, which the caller has to store.
+        """
+        reports = self._include_recent_moves(reports, now)
+        moves = []
+        own_load = None
+        for job in self._state.list_movable_jobs():
+            if own_load is None:
+                own_load = get_own_load()
+            choice = _choose_new_group(job, own_load, reports, now)
+            if choice.group:
+                demand = _load.compute_job_demand(job)
+                moves.append(_begin_move(job, (), choice, reports, now))
+                self._recent_moves.append(_RecentMove(choice.group, demand,
+                                                      now))
+                own_load = _load.subtract_demand_from_load(own_load, demand)
+                _add_demand_to_report(reports, choice.group, demand)
+        for job, indexes in self._state.list_unplaced_tasks(now):
+            fallback_group = _admission.choose_fallback_group(
+                job.job, job.entry.assignment, job.group, reports, now)
+            if not fallback_group.group:
+                continue
+            is_spread = len(job.entry.assignment) > 1
+            if is_spread or not job.list_active_runs():
+                moved_indexes = (tuple(indexes[:fallback_group.max_tasks])
+                                 if is_spread else ())
+                moves.append(
+                    _begin_move(
+                        job, moved_indexes,
+                        MoveChoice(fallback_group.group,
+                                   MoveReason.NO_CAPACITY), reports, now))
+        return moves
+
+    def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
+                              now: float) -> dict[str, _admission.GroupReport]:
+        """Returns the reports with all moves that they may not include."""
+        self._recent_moves = [
+            move for move in self._recent_moves
+            if now - move.begun_at <= _admission.MAX_REPORT_AGE.total_seconds()
+            and move.group in reports and reports[move.group].reported_at <
+            move.begun_at + MOVE_REPORT_DELAY.total_seconds()
+        ]
+        reports = dict(reports)
+        for move in self._recent_moves:
+            _add_demand_to_report(reports, move.group, move.demand)
+        return reports
+
+
+def _add_demand_to_report(reports: dict[str, _admission.GroupReport],
+                          group: str, demand: _load.JobDemand) -> None:
+    report = reports.get(group)
+    if report is not None:
+        reports[group] = report._replace(
+            load=_load.add_demand_to_load(report.load, demand))
+
+
+def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...], choice: MoveChoice,
+                reports: dict[str, _admission.GroupReport],
+                now: float) -> PlannedMove:
+    report = reports.get(choice.group)
+    report_age_s = now - report.reported_at if report is not None else 0.0
+    record = _records.MovedRecord(job.job.job_id, job.group, indexes,
+                                  choice.group, job.begin_move(),
+                                  int(1000 * job.compute_waited_s(now)),
+                                  job.moves_without_start + 1)
+    return PlannedMove(job, record, choice, report_age_s)
+
+
+def compute_move_delay(moves_without_start: int) -> datetime.timedelta:
+    """Returns how long a job must lack capacity in a group before it moves."""
+    return min(MAX_JOB_MOVE_DELAY,
+               JOB_MOVE_DELAY * 2**min(moves_without_start, 10))
+
+
+def _choose_new_group(job: _runs.JobRun, own_load: _load.GroupLoad,
+                      reports: dict[str, _admission.GroupReport],
+                      now: float) -> MoveChoice:
+    """Chooses the group to which a whole job should move.
+
+    If the job's own group is unusable or lacks a label that the job needs, any
+    group that can take the job is chosen. Otherwise only a less loaded group is
+    chosen, and only if the job is not long-running and one of its steps has
+    lacked capacity for `compute_move_delay`.
+
+    Args:
+        job: A job that may move: see `GroupState.list_movable_jobs`.
+        own_load: Present load of the job's own group.
+        reports: Newest load reports by group.
+        now: Present monotonic time in seconds.
+    """
+    needed_labels = {
+        step.required_label for step in job.job.steps if step.required_label
+    }
+    if own_load.is_usable and needed_labels <= set(own_load.labels):
+        if job.job.is_long_running or not job.has_unplaced_tasks(
+                now,
+                compute_move_delay(job.moves_without_start).total_seconds()):
+            return _STAY
+        choice = _choose_group_with_room(job, own_load, reports, now)
+        return (choice if choice.group else _choose_less_loaded_group(
+            job, own_load, reports, now))
+    other_reports = {
+        group: report for group, report in reports.items() if group != job.group
+    }
+    admission = _admission.decide_admission(job.job, other_reports, job.group,
+                                            now)
+    group = admission.assignment[0] if admission.assignment else ""
+    return (MoveChoice(group, MoveReason.GROUP_UNUSABLE)
+            if group != job.group else _STAY)
+
+
+def _choose_group_with_room(job: _runs.JobRun, own_load: _load.GroupLoad,
+                            reports: dict[str, _admission.GroupReport],
+                            now: float) -> MoveChoice:
+    """Chooses a group in which a task of a waiting best-effort step fits.
+
+    A group is a candidate if it is usable, has a recent load report and all
+    labels that the job requires, and has room for a task of the step. The one
+    with the most room is chosen. The job stays if its own group has room for
+    the task, as something else then keeps the step from starting.
+    """
+    step = next(
+        (step_run.step
+         for step_run in job.steps.values()
+         if step_run.step.is_best_effort and step_run.waiting_indexes and
+         step_run.unplaced_since is not None), None)
+    if step is None:
+        return _STAY
+    needed_labels = {
+        step.required_label for step in job.job.steps if step.required_label
+    }
+    own_room_cpu_millis = _load.get_image_room(own_load, step.image)
+    rooms = {
+        group: _load.get_image_room(report.load, step.image)
+        for group, report in reports.items()
+        if group != job.group and report.load.is_usable and
+        needed_labels <= set(report.load.labels) and now -
+        report.reported_at <= _admission.MAX_REPORT_AGE.total_seconds()
+    }
+    group = max(rooms, key=rooms.__getitem__, default="")
+    if (not group or rooms[group] < step.cpu_millis or
+            own_room_cpu_millis >= step.cpu_millis):
+        return _STAY
+    return MoveChoice(group, MoveReason.FREE_ROOM, own_room_cpu_millis / 1000,
+                      rooms[group] / 1000)
+
+
+def _choose_less_loaded_group(job: _runs.JobRun, own_load: _load.GroupLoad,
+                              reports: dict[str, _admission.GroupReport],
+                              now: float) -> MoveChoice:
+    """Chooses a less loaded group for a waiting job, if there is one.
+
+    The only candidate is the group that `decide_admission` chooses among the
+    other groups. With the job's demand, it must be less loaded than the own
+    group, whose load includes this demand, by `LESS_LOADED_FACTOR`. It must
+    also have CPU for the job's largest task: CPU that the best-effort tasks of
+    the job can use, or for a job without such tasks free CPU on one worker.
+    """
+    other_reports = {
+        group: report for group, report in reports.items() if group != job.group
+    }
+    admission = _admission.decide_admission(job.job, other_reports, job.group,
+                                            now)
+    if len(set(admission.assignment)) != 1:
+        return _STAY
+    group = admission.assignment[0]
+    if group not in other_reports:
+        return _STAY
+    load = _load.add_demand_to_load(other_reports[group].load,
+                                    _load.compute_job_demand(job))
+    own_score = _compute_move_score(job.job, own_load)
+    new_score = _compute_move_score(job.job, load)
+    if any(step.is_best_effort and step.cpu_millis >
+           _admission.compute_best_effort_capacity(job.job, load)
+           for step in job.job.steps):
+        return _STAY
+    if new_score * LESS_LOADED_FACTOR >= own_score:
+        return _STAY
+    if not any(step.is_best_effort for step in job.job.steps):
+        largest_task_cpu_millis = max(step.cpu_millis for step in job.job.steps)
+        if load.largest_free_cpu_millis < largest_task_cpu_millis:
+            return _STAY
+    return MoveChoice(group, MoveReason.LESS_LOADED, own_score, new_score)
+
+
+def _compute_move_score(job: model.SteppedJob, load: _load.GroupLoad) -> float:
+    """Returns how loaded the group of a waiting job is; lower is better.
+
+    `load` includes the job's demand. The score is the CPU that best-effort
+    tasks declare, divided by the CPU that those of the job's images can use; or
+    for a job without best-effort steps the backlog of short tasks in seconds.
+    """
+    if any(step.is_best_effort for step in job.steps):
+        return (load.best_effort_cpu_millis /
+                _admission.compute_best_effort_capacity(job, load))
+    return load.short_backlog_ms / 1000
