Pass load reports to the leader in the test of status polls

The moves of jobs replaced two callbacks of the leader by one that returns the load reports; the test was written before. It checks the same.

--- a/src/gentianlead/cluster/tests/test_status_polls.py
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -88,10 +88,11 @@
         one_second = datetime.timedelta(seconds=1)
         leader = _group_leader.GroupLeader(
             "north-1", 64, 0,
-            dispatch.GroupTimings(one_second, one_second, one_second),
-            ("entry-1", "entry-1#1"), worker_client, None, writer, clock, log,
-            metrics, lambda report: None, lambda group, reason: None,
-            lambda job: "", lambda job: None, dispatch.InterferenceModel())
+            dispatch.GroupTimings(one_second, one_second,
+                                  one_second), ("entry-1", "entry-1#1"),
+            worker_client, None, writer, clock, log, metrics,
+            lambda report: None, lambda group, reason: None, lambda: {},
+            dispatch.InterferenceModel())
         leader.start()
         self.addAsyncCleanup(leader.stop)
         for index in range(WORKER_COUNT):
