Let jobs that were moved leave soon for a group with room

What callers saw: after a few moves without a start a best-effort job waited up to 6.4 s in a group that could not start it, while another one had room.

Cause: the delay that grows with each move was the same for moves to a group with room for a task, most of which are followed by a start, and for moves by load only.

Change: a quarter of the delay, but at least 0.4 s, holds for a group with room. The new test failed before:

test_delay_grows_less_if_a_group_has_room AssertionError: Lists differ: [] != ['north-2']

--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -21,6 +21,10 @@
 MAX_JOB_MOVE_DELAY = datetime.timedelta(milliseconds=6400)
 """Upper bound of the delay that grows from `JOB_MOVE_DELAY`."""
 
+ROOM_MOVE_DELAY_FACTOR = 0.25
+"""Multiplies the delay, down to `JOB_MOVE_DELAY`, before a move to a group that
+has room for a task of the job. Most of these moves are followed by a start."""
+
 LESS_LOADED_FACTOR = 1.5
 """A waiting job moves to another group only if the load there, multiplied by
 this factor, is still below the load of the job's own group."""
@@ -203,8 +207,9 @@
 
     If the job's own group is unusable or lacks a label that the job needs, any
     group that can take the job is chosen. Otherwise only a less loaded group is
-    chosen, and only if the job is not long-running and one of its steps has
-    lacked capacity for `compute_move_delay`.
+    chosen, or one that has room for a task, and only if the job is not
+    long-running and one of its steps has lacked capacity for the delay by
+    `compute_move_delay`, or a share of it if the group has room.
 
     Args:
         job: A job that may move: see `GroupState.list_movable_jobs`.
@@ -216,13 +221,17 @@
         step.required_label for step in job.job.steps if step.required_label
     }
     if own_load.is_usable and needed_labels <= set(own_load.labels):
-        if job.job.is_long_running or not job.has_unplaced_tasks(
-                now,
-                compute_move_delay(job.moves_without_start).total_seconds()):
+        if job.job.is_long_running:
             return _STAY
-        choice = _choose_group_with_room(job, own_load, reports, now)
-        return (choice if choice.group else _choose_less_loaded_group(
-            job, own_load, reports, now))
+        delay = compute_move_delay(job.moves_without_start)
+        room_delay = max(JOB_MOVE_DELAY, ROOM_MOVE_DELAY_FACTOR * delay)
+        if job.has_unplaced_tasks(now, room_delay.total_seconds()):
+            choice = _choose_group_with_room(job, own_load, reports, now)
+            if choice.group:
+                return choice
+        if job.has_unplaced_tasks(now, delay.total_seconds()):
+            return _choose_less_loaded_group(job, own_load, reports, now)
+        return _STAY
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
     }
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -248,6 +248,18 @@
         """
         self.assertEqual(self.plan_moves(8), ["north-2"])
 
+    def test_delay_grows_less_if_a_group_has_room(self):
+        """Checks that a job that was moved twice soon moves to free room.
+
+        After more moves it stays longer. Guards against a job that waits for
+        seconds because of former moves, although its tasks may start elsewhere.
+        """
+        job_run = self.driver.scheduler.jobs[JOB_ID]
+        job_run.moves_without_start = 4
+        self.assertEqual(self.plan_moves(8), [])
+        job_run.moves_without_start = 2
+        self.assertEqual(self.plan_moves(8), ["north-2"])
+
     def test_job_stays_if_there_is_no_room_elsewhere(self):
         """Checks that the job stays while the other group has no spare CPU.
 
