Limit the pauses in a read of the log, not the whole transfer

Callers saw a daemon that starts over a slow link never become ready: /readyz says that a stream was not read to its end yet.

The read that was cut off was sent again from the same offset with the same limit, so that no retry could get further.

The connection now has 2 s, and the same time as before limits each pause in the reply. A lost connection or a service that does not answer is noticed as before.

--- a/src/gentianlead/adapters/_http_log.py
+++ b/src/gentianlead/adapters/_http_log.py
@@ -13,7 +13,9 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
-"""Timeout of a read, added to the time for which the service may hold it."""
+"""Longest pause in the reply to a read, added to the time for which the service
+may hold it. The whole transfer has no time limit, because a reply may have
+several MB and a read that is sent again would transfer all of it again."""
 
 
 class HttpLogService(ports.LogService):
@@ -55,9 +57,11 @@
 
     async def read(self, stream: str, start: int, limit: int,
                    wait: datetime.timedelta) -> ports.LogBatch:
-        total_timeout_s = wait.total_seconds() + READ_TIMEOUT_S
-        client_timeout = aiohttp.ClientTimeout(total=total_timeout_s,
-                                               sock_connect=CONNECT_TIMEOUT_S)
+        max_pause_s = wait.total_seconds() + READ_TIMEOUT_S
+        client_timeout = aiohttp.ClientTimeout(total=None,
+                                               connect=READ_TIMEOUT_S,
+                                               sock_connect=CONNECT_TIMEOUT_S,
+                                               sock_read=max_pause_s)
         params = {
             "from": str(start),
             "limit": str(limit),
