--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -490,7 +490,7 @@
                 self._config_stream_client, self._one_time_stream_client
             ]
         for client in stream_clients:
-            if self._snapshot_policy.is_due(client.replica, now):
+            if self._snapshot_policy.is_due(client, now):
                 self._background_coroutines.start(("snapshot", client.stream),
                                                   self._write_snapshot(client))
 
@@ -522,8 +522,6 @@
                                               return_exceptions=True)
         if any(isinstance(result, BaseException) for result in submit_results):
             return
-        self._snapshot_policy.mark_snapshot_written(client.replica,
-                                                    self._clock.monotonic())
         self._observer.on_snapshot_written(
             client.stream, len(snapshot_parts),
             sum(len(part.data) for part in snapshot_parts))
--- /dev/null
+++ b/src/gentianlead/control/tests/clusters.py
@@ -0,0 +1,218 @@
+"""Control loops of several daemons on one log, in one process."""
+
+import asyncio
+import datetime
+from unittest import mock
+
+from gentianlead import adapters
+from gentianlead import control
+from gentianlead import errors
+from gentianlead import leases
+from gentianlead import model
+from gentianlead import ports
+from gentianlead import state
+from gentianlead import streams
+
+RETENTION = datetime.timedelta(seconds=10)
+MEMBER_TIMEOUT = datetime.timedelta(seconds=1)
+_STEP_S = 0.1
+_SETTLE_TIMEOUT_S = 20.0
+
+
+class ManualClock(ports.Clock):
+    """Clock whose time only `now_s` changes; sleeps end almost at once."""
+
+    def __init__(self) -> None:
+        self.now_s = 0.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+    def now(self) -> datetime.datetime:
+        return datetime.datetime.fromtimestamp(self.now_s,
+                                               datetime.timezone.utc)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        await asyncio.sleep(0.0005)
+
+
+class ExpiringLog(ports.LogService):
+    """Log service in memory whose records expire by a clock.
+
+    Attributes:
+        append_seconds_per_byte: Real time that an append takes for each byte.
+    """
+
+    def __init__(self, clock: ManualClock):
+        self.append_seconds_per_byte = 0.0
+        self._clock = clock
+        self._streams: dict[str, list[tuple[float, bytes]]] = {}
+
+    async def append(self, stream: str, records: list[bytes],
+                     timeout: datetime.timedelta) -> int:
+        n_bytes = sum(len(record) for record in records)
+        await asyncio.sleep(n_bytes * self.append_seconds_per_byte)
+        stored = self._streams.setdefault(stream, [])
+        first_offset = len(stored)
+        stored.extend((self._clock.now_s, record) for record in records)
+        return first_offset
+
+    async def read(self, stream: str, start: int, limit: int,
+                   wait: datetime.timedelta) -> ports.LogBatch:
+        await asyncio.sleep(0.001)
+        stored = self._streams.setdefault(stream, [])
+        expiry = self._clock.now_s - RETENTION.total_seconds()
+        earliest = next(
+            (offset for offset, (appended_at, _) in enumerate(stored)
+             if appended_at >= expiry), len(stored))
+        if start < earliest:
+            raise errors.LogReadExpiredError(stream, start, earliest,
+                                             len(stored))
+        records = tuple((offset, stored[offset][1])
+                        for offset in range(start, len(stored))[:limit])
+        return ports.LogBatch(earliest, len(stored), records)
+
+
+class Daemon:
+    """Stream clients and control loop of one daemon.
+
+    The parts of the loop that start and run tasks are replaced by mocks.
+
+    Attributes:
+        config_client: Client of the `config` stream.
+        domain_client: Client of the domain's stream.
+        one_time_client: Client of the `once` stream.
+        controller: Control loop.
+        observer: Mock that receives the events of the loop.
+    """
+
+    def __init__(self, name: str, domain: str, log: ports.LogService,
+                 clock: ports.Clock, max_records: int):
+        self._log = log
+        self._clock = clock
+        self._incarnation = f"{name}#1"
+        config_state_machine = state.ConfigurationStateMachine()
+        domain_state_machine = state.DomainStateMachine()
+        self.config_client = self._build_client(model.CONFIG_STREAM,
+                                                config_state_machine)
+        self.domain_client = self._build_client(model.get_domain_stream(domain),
+                                                domain_state_machine)
+        self.one_time_client = self._build_client(
+            model.ONE_TIME_REQUEST_STREAM, state.OneTimeRequestStateMachine())
+        self.clients = [
+            self.config_client, self.domain_client, self.one_time_client
+        ]
+        self.observer = mock.create_autospec(control.ControlObserver,
+                                             instance=True)
+        scheduler = mock.Mock()
+        scheduler.plan_evictions.return_value = []
+        scheduler.plan_starts.return_value = []
+        scheduler.plan_urgent_starts.return_value = []
+        run_manager = mock.Mock()
+        run_manager.hand_over_runs = mock.AsyncMock()
+        hour = datetime.timedelta(hours=1)
+        self.controller = control.DomainController(
+            self._incarnation, 0, "127.0.0.1:1", domain,
+            self.config_client, self.domain_client, self.one_time_client,
+            control.VMInventory(), run_manager, scheduler,
+            control.JobReconciler(domain, config_state_machine,
+                                  domain_state_machine, lambda spec: domain),
+            clock, adapters.SystemRandom(), leases.FreshnessLimits(hour, hour),
+            control.ControlTimings(
+                heartbeat_interval=datetime.timedelta(milliseconds=300),
+                member_timeout=MEMBER_TIMEOUT),
+            streams.SnapshotPolicy(max_records, RETENTION), self.observer)
+        self._tasks = [
+            asyncio.create_task(client.run()) for client in self.clients
+        ]
+
+    def _build_client(
+            self, stream: str,
+            state_machine: state.StateMachine) -> streams.StreamClient:
+        return streams.StreamClient(stream, state_machine, self._log,
+                                    self._clock, self._incarnation,
+                                    datetime.timedelta(milliseconds=10))
+
+    def is_settled(self) -> bool:
+        """Returns whether no append is pending and all state is current.
+
+        An incomplete state counts as current once its stream was read to the
+        end, because it can then change only after a further append.
+        """
+        return all(client.appender.is_idle() and
+                   client.freshness.as_of == self._clock.monotonic()
+                   for client in self.clients)
+
+    async def leave(self) -> None:
+        """Stops as after SIGTERM: leaves the domain and ends."""
+        self.controller.start_draining()
+        await self.controller.leave()
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Ends without a trace in the log."""
+        await self.controller.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class Cluster:
+    """Daemons that are started and ended while a manual clock advances.
+
+    Attributes:
+        clock: Clock of the log and of all daemons.
+        log: Log service.
+        daemons: Running daemons by name.
+    """
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.log = ExpiringLog(self.clock)
+        self.daemons: dict[str, Daemon] = {}
+
+    def start(self,
+              name: str,
+              domain: str = "domain-1",
+              max_records: int = 1000) -> Daemon:
+        """Starts a daemon with nothing but the log."""
+        daemon = Daemon(name, domain, self.log, self.clock, max_records)
+        self.daemons[name] = daemon
+        return daemon
+
+    async def leave(self, name: str) -> None:
+        """Stops a daemon as after SIGTERM."""
+        await self.daemons.pop(name).leave()
+
+    async def kill(self, name: str) -> None:
+        """Ends a daemon without a trace in the log."""
+        await self.daemons.pop(name).kill()
+
+    async def close(self) -> None:
+        """Ends all daemons."""
+        for name in list(self.daemons):
+            await self.kill(name)
+
+    async def advance(self, seconds: float) -> None:
+        """Runs the control loops every 0.1 s for a time of the clock."""
+        for _ in range(round(seconds / _STEP_S)):
+            self.clock.now_s += _STEP_S
+            for daemon in self.daemons.values():
+                daemon.controller.run_round()
+            await self._settle()
+
+    async def _settle(self) -> None:
+        async with asyncio.timeout(_SETTLE_TIMEOUT_S):
+            await asyncio.sleep(0.002)
+            while not all(
+                    daemon.is_settled() for daemon in self.daemons.values()):
+                await asyncio.sleep(0.001)
+
+    async def put_domains(self, *names: str) -> None:
+        """Puts domains in service through any running daemon."""
+        client = next(iter(self.daemons.values())).config_client
+        operations = tuple(
+            model.encode_operation(model.PutDomain(name, "region-1"))
+            for name in names)
+        await client.submit(
+            model.PatchSubmitted("domains", 0, operations, "", "", 0))
--- a/src/gentianlead/streams/_client.py
+++ b/src/gentianlead/streams/_client.py
@@ -9,6 +9,7 @@
 from gentianlead import ports
 from gentianlead import state
 from gentianlead.streams import _appender
+from gentianlead.streams import _snapshot_times
 
 MAX_READ_RECORDS = 2000
 READ_RETRY_DELAY = datetime.timedelta(milliseconds=200)
@@ -92,6 +93,7 @@
         self._observers = [observer] if observer else []
         self._head_waiters: list[tuple[float, asyncio.Future[None]]] = []
         self._is_log_unavailable = False
+        self._snapshot_times = _snapshot_times.SnapshotTimes()
         self._appender = _appender.StreamAppender(stream, log, clock, writer,
                                                   self._wait_for_head,
                                                   append_timeout)
@@ -106,6 +108,15 @@
         """Appender of this client; it counts the appends that it sends."""
         return self._appender
 
+    @property
+    def newest_snapshot_appended_after(self) -> float | None:
+        """Lower bound of the time at which the newest snapshot was appended.
+
+        It is in monotonic seconds and None if the client has read no whole
+        snapshot, or only such that were in the log before it reached the head.
+        """
+        return self._snapshot_times.newest_appended_after
+
     def add_observer(self, observer: StreamObserver) -> None:
         """Adds an observer, which receives all later events."""
         self._observers.append(observer)
@@ -197,6 +208,7 @@
             for observer in self._observers:
                 observer.on_log_available(self._stream)
         applied = self.replica.feed(batch.records)
+        self._snapshot_times.add_records(applied, self.freshness.as_of)
         if not was_complete and self.replica.is_complete:
             self._report_restored_state()
         self._publish_applied_records(applied)
