--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -53,6 +53,10 @@
 """Time without a heartbeat after which the preferred scheduler removes a member
 from the domain."""
 
+SNAPSHOT_PARTS_IN_FLIGHT = 4
+"""Number of parts of a snapshot that are appended together. Their 256 KiB take
+0.4 s on a link of 5 Mbit/s; other records of the stream wait for so long."""
+
 
 class ControlTimings(NamedTuple):
     """Durations of the control loop.
@@ -515,17 +519,46 @@
                                   self._one_time_stream_client))
 
     async def _write_snapshot(self, client: streams.StreamClient) -> None:
+        """Writes a snapshot, a few parts at a time.
+
+        Records of this daemon wait at most for a few parts, and parts that were
+        written are not written again when a later one fails.
+        """
         snapshot_parts = client.replica.build_snapshot(
             f"{self._incarnation}/{self._random.generate_id()}")
-        submit_results = await asyncio.gather(*(client.submit(
-            part, datetime.timedelta(seconds=20)) for part in snapshot_parts),
-                                              return_exceptions=True)
-        if any(isinstance(result, BaseException) for result in submit_results):
-            return
+        give_up_at = (self._clock.monotonic() +
+                      self._snapshot_policy.max_snapshot_age.total_seconds())
+        for start in range(0, len(snapshot_parts), SNAPSHOT_PARTS_IN_FLIGHT):
+            parts = snapshot_parts[start:start + SNAPSHOT_PARTS_IN_FLIGHT]
+            are_written = await asyncio.gather(
+                *(self._append_snapshot_part(client, part, give_up_at)
+                  for part in parts))
+            if not all(are_written):
+                return
         self._observer.on_snapshot_written(
             client.stream, len(snapshot_parts),
             sum(len(part.data) for part in snapshot_parts))
 
+    async def _append_snapshot_part(self, client: streams.StreamClient,
+                                    part: model.SnapshotPart,
+                                    give_up_at: float) -> bool:
+        """Appends a part until it was read, and returns whether it was.
+
+        Args:
+            client: Client of the stream.
+            part: Part to append. A second copy of it has no effect.
+            give_up_at: Monotonic time in seconds from which on a failed append
+                is not repeated, because the records after the snapshot would
+                expire too soon after its end.
+        """
+        while client.replica.is_complete:
+            if await self._append_record(client, part):
+                return True
+            if self._clock.monotonic() >= give_up_at:
+                return False
+            await self._clock.sleep(self._timings.round_interval)
+        return False
+
     async def leave(self) -> None:
         """Drains the daemon, transfers its held runs and leaves the domain.
 
--- a/src/gentianlead/control/tests/test_snapshots.py
+++ b/src/gentianlead/control/tests/test_snapshots.py
@@ -1,7 +1,13 @@
 """Tests of the snapshots that the control loops of a cluster write."""
 
+import asyncio
+import datetime
 import unittest
+from unittest import mock
 
+from gentianlead import model
+from gentianlead import state
+from gentianlead import streams
 from gentianlead.control.tests import clusters
 
 QUARTER_S = clusters.RETENTION.total_seconds() / 4
@@ -39,3 +45,38 @@
             await self.cluster.leave(f"entry-{number}")
             await self.cluster.advance(QUARTER_S - 1)
         await self.check_started_daemon("entry-9", "domain-1")
+
+    async def test_append_takes_longer_than_the_wait_for_a_record(self) -> None:
+        """Checks a snapshot of 1 MB that the log takes 0.6 s to append.
+
+        A record waits at most 0.4 s for its verdict. Guards against a snapshot
+        that starts again from its first part whenever that time has passed.
+        """
+        submit = streams.StreamClient.submit
+
+        async def submit_with_short_timeout(
+            client: streams.StreamClient,
+            record: model.Record,
+            timeout: datetime.timedelta = datetime.timedelta(seconds=5)
+        ) -> state.AppliedRecord:
+            return await submit(
+                client, record,
+                min(timeout, datetime.timedelta(milliseconds=400)))
+
+        daemon = self.cluster.start("entry-0")
+        await self.cluster.advance(0.3)
+        for number in range(20):
+            await daemon.one_time_client.submit(
+                model.OnceBegun(f"{number}" * 32_768, "desk", "request"))
+        self.cluster.log.append_seconds_per_byte = 0.6e-6
+        with mock.patch.object(streams.StreamClient, "submit",
+                               submit_with_short_timeout):
+            for _ in range(100):
+                self.cluster.clock.now_s += 0.01
+                daemon.controller.run_round()
+                await asyncio.sleep(0.05)
+        written_streams = [
+            call.args[0]
+            for call in daemon.observer.on_snapshot_written.call_args_list
+        ]
+        self.assertIn(model.ONE_TIME_REQUEST_STREAM, written_streams)
--- a/src/gentianlead/streams/_snapshots.py
+++ b/src/gentianlead/streams/_snapshots.py
@@ -21,11 +21,16 @@
         max_records: Number of records since the last snapshot from which on
             the next one is due.
         retention: How long the log retains records.
+
+    Attributes:
+        max_records: The argument.
+        max_snapshot_age: Age of the newest snapshot from which on the next one
+            is due.
     """
 
     def __init__(self, max_records: int, retention: datetime.timedelta):
         self.max_records = max_records
-        self._max_snapshot_age = retention / 4
+        self.max_snapshot_age = retention / 4
 
     def is_due(self, client: _client.StreamClient, now: float) -> bool:
         """Returns whether a snapshot of the stream is due.
@@ -55,4 +60,4 @@
         appended_after = client.newest_snapshot_appended_after
         if appended_after is None:
             return True
-        return now - appended_after >= self._max_snapshot_age.total_seconds()
+        return now - appended_after >= self.max_snapshot_age.total_seconds()
