--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -488,35 +488,28 @@
                                         verdict.reason)
 
     def _write_snapshots(self, now: float) -> None:
-        stream_clients = [self._domain_stream_client]
-        if self._writes_snapshots_of_shared_streams():
-            stream_clients += [
-                self._config_stream_client, self._one_time_stream_client
-            ]
-        for client in stream_clients:
-            if self._snapshot_policy.is_due(client, now):
+        shared_turn = self._get_turn_for_shared_streams()
+        for client, turn in ((self._domain_stream_client,
+                              0), (self._config_stream_client, shared_turn),
+                             (self._one_time_stream_client, shared_turn)):
+            if self._snapshot_policy.is_due(client, now, turn):
                 self._background_coroutines.start(("snapshot", client.stream),
                                                   self._write_snapshot(client))
 
-    def _writes_snapshots_of_shared_streams(self) -> bool:
-        """Returns whether to write due snapshots of `config` and `once` here.
+    def _get_turn_for_shared_streams(self) -> int:
+        """Returns how many domains write snapshots of shared streams before us.
 
-        All domains share these two streams. Normally only one domain writes
-        their snapshots: of the domains in service, the one whose name sorts
-        first. In case its daemons fail, every other domain writes the snapshots
-        of both streams too while either stream has more than 1.2 times
-        `max_records` records after its last snapshot. If no domain is in
-        service, every domain writes them.
+        All domains share `config` and `once`. Their snapshots are written by
+        the domain in service whose name sorts first. In case its daemons fail,
+        the others follow in the order of their names, and the domains that are
+        not in service follow last.
         """
         domains_in_service = sorted(
             name for name, domain in self.configuration.domains.items()
             if domain.is_in_service)
-        if not domains_in_service or domains_in_service[0] == self._domain_name:
-            return True
-        return any(client.replica.records_since_snapshot >
-                   self._snapshot_policy.max_records * 1.2
-                   for client in (self._config_stream_client,
-                                  self._one_time_stream_client))
+        if self._domain_name in domains_in_service:
+            return domains_in_service.index(self._domain_name)
+        return len(domains_in_service)
 
     async def _write_snapshot(self, client: streams.StreamClient) -> None:
         """Writes a snapshot, a few parts at a time.
--- a/src/gentianlead/control/tests/test_snapshots.py
+++ b/src/gentianlead/control/tests/test_snapshots.py
@@ -46,6 +46,42 @@
             await self.cluster.advance(QUARTER_S - 1)
         await self.check_started_daemon("entry-9", "domain-1")
 
+    async def test_first_domain_fails(self) -> None:
+        """Checks the configuration when the first domain has no daemon.
+
+        Few records are written. Guards against snapshots of shared streams that
+        no other domain writes when they are due by their age.
+        """
+        self.cluster.start("entry-1", "domain-1")
+        self.cluster.start("entry-2", "domain-2")
+        await self.cluster.advance(1)
+        await self.cluster.put_domains("domain-1", "domain-2")
+        await self.cluster.advance(1)
+        await self.cluster.kill("entry-1")
+        await self.cluster.advance(2 * clusters.RETENTION.total_seconds())
+        await self.check_started_daemon("entry-3", "domain-2")
+
+    async def test_only_first_domain_writes(self) -> None:
+        """Checks who writes snapshots of shared streams in normal operation.
+
+        Guards against every domain that writes its own copies.
+        """
+        first_daemon = self.cluster.start("entry-1", "domain-1")
+        second_daemon = self.cluster.start("entry-2", "domain-2")
+        await self.cluster.advance(1)
+        await self.cluster.put_domains("domain-1", "domain-2")
+        await self.cluster.advance(1)
+        for daemon in (first_daemon, second_daemon):
+            daemon.observer.reset_mock()
+        await self.cluster.advance(2 * clusters.RETENTION.total_seconds())
+        counts = [
+            sum(call.args[0] == model.CONFIG_STREAM
+                for call in daemon.observer.on_snapshot_written.call_args_list)
+            for daemon in (first_daemon, second_daemon)
+        ]
+        self.assertIn(counts[0], (7, 8))
+        self.assertEqual(counts[1], 0)
+
     async def test_append_takes_longer_than_the_wait_for_a_record(self) -> None:
         """Checks a snapshot of 1 MB that the log takes 0.6 s to append.
 
