Let the time limit of an append grow with its size

Callers of a daemon behind a slow link saw records without a verdict, although the link worked.

An append had `append-timeout` (2 s) for the whole transfer of up to 512 KiB, or of one larger record such as a `JobClosed` with many checkpoints. Below 2.1 Mbit/s a full batch cannot arrive in that time (with `append-timeout` at its lowest bound of 100 ms below 42 Mbit/s), and the appender sends the same batch again from its start.

The limit is now `append-timeout` and 1 s for each 64 KiB. That of an append of a few records of 100 bytes grows by some milliseconds.

--- a/src/gentianlead/adapters/_http_log.py
+++ b/src/gentianlead/adapters/_http_log.py
@@ -17,6 +17,10 @@
 may hold it. The whole transfer has no time limit, because a reply may have
 several MB and a read that is sent again would transfer all of it again."""
 
+MIN_UPLOAD_BYTES_PER_S = 64 * 1024
+"""Transfer rate by which the timeout of an append grows with its size. An
+append that was cut off is sent again as a whole and would be cut off again."""
+
 
 class HttpLogService(ports.LogService):
     """Appends and reads records; see `docs/design.md`, section 5.1.
@@ -37,11 +41,14 @@
 
     async def append(self, stream: str, records: list[bytes],
                      timeout: datetime.timedelta) -> int:
-        client_timeout = aiohttp.ClientTimeout(total=timeout.total_seconds(),
-                                               sock_connect=CONNECT_TIMEOUT_S)
+        request_body = msgpack.packb(records)
+        client_timeout = aiohttp.ClientTimeout(
+            total=timeout.total_seconds() +
+            len(request_body) / MIN_UPLOAD_BYTES_PER_S,
+            sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.post(self._build_records_url(stream),
-                                          data=msgpack.packb(records),
+                                          data=request_body,
                                           timeout=client_timeout) as response:
                 body = await response.read()
                 if response.status != 200:
--- a/src/gentianlead/ports/_log.py
+++ b/src/gentianlead/ports/_log.py
@@ -27,6 +27,12 @@
                      timeout: datetime.timedelta) -> int:
         """Appends records atomically and in order.
 
+        Args:
+            stream: Name of the stream.
+            records: Encoded records.
+            timeout: Longest wait for the reply. An implementation may add time
+                for the transfer of the records.
+
         Returns:
             The offset of the first record.
 
--- a/src/gentianlead/settings/_fields.py
+++ b/src/gentianlead/settings/_fields.py
@@ -94,8 +94,8 @@
     SettingField(
         "append_timeout", _build_duration_type(100 * _MILLISECOND,
                                                30 * _SECOND),
-        "Longest wait for the reply to one append before the stream is read "
-        "to learn the outcome."),
+        "Longest wait for the reply to one append, and 1 s more for each "
+        "64 KiB of records, before the stream is read to learn the outcome."),
     SettingField(
         "start_freshness_limit",
         _build_duration_type(100 * _MILLISECOND, 2 * _SECOND),
--- a/src/gentianlead/settings/_settings.py
+++ b/src/gentianlead/settings/_settings.py
@@ -50,7 +50,8 @@
         peer_address: Listening address for peers, which is announced to them.
         log_read_wait: Longest time that one log read at the end of the stream
             waits for new records.
-        append_timeout: Longest wait for the reply to one append.
+        append_timeout: Longest wait for the reply to one append, to which the
+            client of the log adds time for the transfer of the records.
         start_freshness_limit: Greatest age of the state read from the log with
             which tasks may be started.
         holding_limit: Greatest age of the state read from the log with which
