--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -6,7 +6,6 @@
 safe, because the state machines of the streams reject conflicting records.
 """
 
-import asyncio
 import datetime
 from typing import NamedTuple
 
@@ -23,6 +22,7 @@
 from gentianlead.control import _observer
 from gentianlead.control import _platform_vms
 from gentianlead.control import _running_coroutines
+from gentianlead.control import _snapshot_writer
 
 MAX_STARTS_PER_ROUND = 200
 """Largest number of task claims that one round of the loop starts."""
@@ -53,10 +53,6 @@
 """Time without a heartbeat after which the preferred scheduler removes a member
 from the domain."""
 
-SNAPSHOT_PARTS_IN_FLIGHT = 4
-"""Number of parts of a snapshot that are appended together. Their 256 KiB take
-0.4 s on a link of 5 Mbit/s; other records of the stream wait for so long."""
-
 
 class ControlTimings(NamedTuple):
     """Durations of the control loop.
@@ -140,15 +136,16 @@
         self._scheduler = scheduler
         self._job_reconciler = job_reconciler
         self._clock = clock
-        self._random = random
         self._freshness_limits = freshness_limits
         self._timings = timings
-        self._snapshot_policy = snapshot_policy
         self._observer = observer
         self._membership_tracker = membership.MembershipTracker(
             timings.member_timeout)
         self._background_coroutines = _running_coroutines.BackgroundCoroutines(
             observer.on_error)
+        self._snapshot_writer = _snapshot_writer.SnapshotWriter(
+            incarnation, snapshot_policy, clock, random,
+            self._background_coroutines, observer)
         self._job_ids_to_reconcile: set[str] = set()
         # Urgent jobs that this daemon opens if the preferred scheduler does
         # not. Maps the job id to the time, in monotonic seconds, at which this
@@ -488,13 +485,11 @@
                                         verdict.reason)
 
     def _write_snapshots(self, now: float) -> None:
-        shared_turn = self._get_turn_for_shared_streams()
-        for client, turn in ((self._domain_stream_client,
-                              0), (self._config_stream_client, shared_turn),
-                             (self._one_time_stream_client, shared_turn)):
-            if self._snapshot_policy.is_due(client, now, turn):
-                self._background_coroutines.start(("snapshot", client.stream),
-                                                  self._write_snapshot(client))
+        self._snapshot_writer.write_if_due(self._domain_stream_client, now)
+        turn = self._get_turn_for_shared_streams()
+        for client in (self._config_stream_client,
+                       self._one_time_stream_client):
+            self._snapshot_writer.write_if_due(client, now, turn)
 
     def _get_turn_for_shared_streams(self) -> int:
         """Returns how many domains write snapshots of shared streams before us.
@@ -511,47 +506,6 @@
             return domains_in_service.index(self._domain_name)
         return len(domains_in_service)
 
-    async def _write_snapshot(self, client: streams.StreamClient) -> None:
-        """Writes a snapshot, a few parts at a time.
-
-        Records of this daemon wait at most for a few parts, and parts that were
-        written are not written again when a later one fails.
-        """
-        snapshot_parts = client.replica.build_snapshot(
-            f"{self._incarnation}/{self._random.generate_id()}")
-        give_up_at = (self._clock.monotonic() +
-                      self._snapshot_policy.max_snapshot_age.total_seconds())
-        for start in range(0, len(snapshot_parts), SNAPSHOT_PARTS_IN_FLIGHT):
-            parts = snapshot_parts[start:start + SNAPSHOT_PARTS_IN_FLIGHT]
-            are_written = await asyncio.gather(
-                *(self._append_snapshot_part(client, part, give_up_at)
-                  for part in parts))
-            if not all(are_written):
-                return
-        self._observer.on_snapshot_written(
-            client.stream, len(snapshot_parts),
-            sum(len(part.data) for part in snapshot_parts))
-
-    async def _append_snapshot_part(self, client: streams.StreamClient,
-                                    part: model.SnapshotPart,
-                                    give_up_at: float) -> bool:
-        """Appends a part until it was read, and returns whether it was.
-
-        Args:
-            client: Client of the stream.
-            part: Part to append. A second copy of it has no effect.
-            give_up_at: Monotonic time in seconds from which on a failed append
-                is not repeated, because the records after the snapshot would
-                expire too soon after its end.
-        """
-        while client.replica.is_complete:
-            if await self._append_record(client, part):
-                return True
-            if self._clock.monotonic() >= give_up_at:
-                return False
-            await self._clock.sleep(self._timings.round_interval)
-        return False
-
     async def leave(self) -> None:
         """Drains the daemon, transfers its held runs and leaves the domain.
 
--- a/src/gentianlead/control/tests/test_snapshots.py
+++ b/src/gentianlead/control/tests/test_snapshots.py
@@ -85,8 +85,10 @@
     async def test_append_takes_longer_than_the_wait_for_a_record(self) -> None:
         """Checks a snapshot of 1 MB that the log takes 0.6 s to append.
 
-        A record waits at most 0.4 s for its verdict. Guards against a snapshot
-        that starts again from its first part whenever that time has passed.
+        Timeouts are 50 times shorter, so that a timeout of 20 s is 0.4 s and
+        one of 5 s is 0.1 s. Guards against a snapshot that starts again from
+        its first part, or a part that is sent again, before the log has stored
+        what was sent.
         """
         submit = streams.StreamClient.submit
 
@@ -95,9 +97,7 @@
             record: model.Record,
             timeout: datetime.timedelta = datetime.timedelta(seconds=5)
         ) -> state.AppliedRecord:
-            return await submit(
-                client, record,
-                min(timeout, datetime.timedelta(milliseconds=400)))
+            return await submit(client, record, timeout / 50)
 
         daemon = self.cluster.start("entry-0")
         await self.cluster.advance(0.3)
