--- a/src/gentianlead/control/_observer.py
+++ b/src/gentianlead/control/_observer.py
@@ -1,5 +1,7 @@
 """Interface through which the control loop reports events."""
 
+import datetime
+
 from gentianlead import model
 from gentianlead import scheduling
 
@@ -46,15 +48,29 @@
             old_holder: Incarnation of the daemon that held the run before.
         """
 
-    def on_snapshot_written(self, stream: str, n_parts: int, size: int) -> None:
+    def on_snapshot_written(self, stream: str, through_offset: int,
+                            n_parts: int, size: int) -> None:
         """Handles a snapshot that was written to its stream.
 
         Args:
             stream: Name of the stream.
+            through_offset: Offset of the last record that it covers.
             n_parts: Number of records into which the snapshot is split.
             size: Total size of the snapshot data in these records, in bytes.
         """
 
+    def on_snapshot_overdue(self, stream: str, age: datetime.timedelta) -> None:
+        """Handles that no snapshot was written although one was long due.
+
+        It is called once until a snapshot is no longer overdue.
+
+        Args:
+            stream: Name of the stream.
+            age: Upper bound of the age of the newest snapshot. If the age is
+                unknown, the time since this daemon found it unknown and a
+                quarter of the retention.
+        """
+
     def on_job_ended(self, job_id: str, outcome: str) -> None:
         """Handles the end of a job, after the `config` stream accepted it.
 
--- a/src/gentianlead/control/_snapshot_writer.py
+++ b/src/gentianlead/control/_snapshot_writer.py
@@ -19,6 +19,10 @@
 
 RETRY_DELAY = datetime.timedelta(milliseconds=100)
 
+OVERDUE_FACTOR = 2
+"""Multiple of the age at which a snapshot is due from which on it is reported
+as overdue. It is then half of the log's retention."""
+
 
 class SnapshotWriter:
     """Writes due snapshots in the background.
@@ -30,7 +34,7 @@
         clock: Source of time.
         random: Source of identifiers for snapshots.
         background_coroutines: Runs the writing of a snapshot.
-        observer: Receives the snapshots that were written.
+        observer: Receives the snapshots that were written or are overdue.
     """
 
     def __init__(
@@ -44,6 +48,8 @@
         self._random = random
         self._background_coroutines = background_coroutines
         self._observer = observer
+        # Streams whose snapshot was reported as overdue and still is due.
+        self._overdue_streams: set[str] = set()
 
     def write_if_due(self,
                      client: streams.StreamClient,
@@ -57,9 +63,16 @@
             turn: Number of daemons that write snapshots of the stream before
                 this one.
         """
-        if self._policy.is_due(client, now, turn):
-            self._background_coroutines.start(("snapshot", client.stream),
-                                              self._write_snapshot(client))
+        if not self._policy.is_due(client, now, turn):
+            self._overdue_streams.discard(client.stream)
+            return
+        self._background_coroutines.start(("snapshot", client.stream),
+                                          self._write_snapshot(client))
+        age = self._policy.get_age(client, now)
+        if (client.stream not in self._overdue_streams and
+                age >= OVERDUE_FACTOR * self._policy.max_snapshot_age):
+            self._overdue_streams.add(client.stream)
+            self._observer.on_snapshot_overdue(client.stream, age)
 
     async def _write_snapshot(self, client: streams.StreamClient) -> None:
         """Writes a snapshot, a few parts at a time.
@@ -78,7 +91,8 @@
             if not all(are_written):
                 return
         self._observer.on_snapshot_written(
-            client.stream, len(parts), sum(len(part.data) for part in parts))
+            client.stream, parts[0].through_offset, len(parts),
+            sum(len(part.data) for part in parts))
 
     async def _append_part(self, client: streams.StreamClient,
                            part: model.SnapshotPart, give_up_at: float) -> bool:
--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -41,10 +41,12 @@
 
     Attributes:
         append_seconds_per_byte: Real time that an append takes for each byte.
+        refuses_appends: Whether all appends fail and store nothing.
     """
 
     def __init__(self, clock: ManualClock):
         self.append_seconds_per_byte = 0.0
+        self.refuses_appends = False
         self._clock = clock
         self._streams: dict[str, list[tuple[float, bytes]]] = {}
 
@@ -52,6 +54,8 @@
                      timeout: datetime.timedelta) -> int:
         n_bytes = sum(len(record) for record in records)
         await asyncio.sleep(n_bytes * self.append_seconds_per_byte)
+        if self.refuses_appends:
+            raise errors.LogUnavailableError("the append was refused")
         stored = self._streams.setdefault(stream, [])
         first_offset = len(stored)
         stored.extend((self._clock.now_s, record) for record in records)
--- a/src/gentianlead/control/tests/test_snapshots.py
+++ b/src/gentianlead/control/tests/test_snapshots.py
@@ -46,6 +46,30 @@
             await self.cluster.advance(QUARTER_S - 1)
         await self.check_started_daemon("entry-9", "domain-1")
 
+    async def test_overdue_snapshot_is_reported(self) -> None:
+        """Checks the report when the log takes no appends for half a retention.
+
+        Guards against a state that expires without a sign in the event log.
+        """
+        daemon = self.cluster.start("entry-1")
+        await self.cluster.advance(1)
+        await self.cluster.put_domains("domain-1")
+        await self.cluster.advance(1)
+        daemon.observer.on_snapshot_overdue.assert_not_called()
+        self.cluster.log.refuses_appends = True
+        # The age of the newest snapshot is at most 1 s here.
+        self.cluster.clock.now_s += 2 * QUARTER_S
+        for _ in range(3):
+            daemon.controller.run_round()
+            await asyncio.sleep(0.01)
+        reports = [
+            call.args
+            for call in daemon.observer.on_snapshot_overdue.call_args_list
+            if call.args[0] == model.CONFIG_STREAM
+        ]
+        self.assertEqual(len(reports), 1)
+        self.assertGreaterEqual(reports[0][1], clusters.RETENTION / 2)
+
     async def test_first_domain_fails(self) -> None:
         """Checks the configuration when the first domain has no daemon.
 
--- a/src/gentianlead/daemon/_observers.py
+++ b/src/gentianlead/daemon/_observers.py
@@ -174,12 +174,19 @@
                        job=job_id,
                        task=task)
 
-    def on_snapshot_written(self, stream: str, n_parts: int, size: int) -> None:
+    def on_snapshot_written(self, stream: str, through_offset: int,
+                            n_parts: int, size: int) -> None:
         telemetry.emit(_Event.SNAPSHOT_WRITTEN,
                        stream=stream,
+                       through=through_offset,
                        parts=n_parts,
                        size=size)
 
+    def on_snapshot_overdue(self, stream: str, age: datetime.timedelta) -> None:
+        telemetry.emit(_Event.SNAPSHOT_OVERDUE,
+                       stream=stream,
+                       age_ms=int(age.total_seconds() * MS_PER_S))
+
     def on_job_ended(self, job_id: str, outcome: str) -> None:
         telemetry.emit(_Event.JOB_ENDED, job=job_id, outcome=outcome)
 
--- a/src/gentianlead/streams/_snapshots.py
+++ b/src/gentianlead/streams/_snapshots.py
@@ -72,9 +72,22 @@
                 replica.bytes_since_snapshot
                 >= MIN_RECORD_BYTES_PER_SNAPSHOT_BYTE * replica.snapshot_bytes):
             return True
-        max_age_s = self.max_snapshot_age.total_seconds()
+        return self.get_age(client, now) >= self.max_snapshot_age * wait
+
+    def get_age(self, client: _client.StreamClient,
+                now: float) -> datetime.timedelta:
+        """Returns the greatest age that the newest snapshot can have.
+
+        A snapshot whose age is unknown counts as a quarter of the retention old
+        at the first call for its stream.
+
+        Args:
+            client: Client of the stream.
+            now: Monotonic time in seconds.
+        """
         appended_after = client.newest_snapshot_appended_after
-        if appended_after is None:
-            appended_after = self._unknown_ages_since.setdefault(
-                client.stream, now) - max_age_s
-        return now - appended_after >= max_age_s * wait
+        if appended_after is not None:
+            return datetime.timedelta(seconds=now - appended_after)
+        unknown_since = self._unknown_ages_since.setdefault(client.stream, now)
+        return self.max_snapshot_age + datetime.timedelta(seconds=now -
+                                                          unknown_since)
