Limit the pauses in a read of the list of VMs, not the whole transfer

Callers saw a daemon behind a slow link that was not ready, because it had not read the list of VMs.

The read had 2 s for the whole list. At the size to design for (1,436 VMs of about 322 bytes, 462 KB, computed) it takes 0.74 s at 5 Mbit/s alone, but 3.0 s while the three streams load over the same link, and more than 2 s below 1.85 Mbit/s. The list has no upper bound. Each retry transferred it from its start.

The connection now has 2 s, and so has each pause in the reply.

--- a/src/gentianlead/adapters/_http_vmlist.py
+++ b/src/gentianlead/adapters/_http_vmlist.py
@@ -8,7 +8,20 @@
 from gentianlead import model
 from gentianlead import ports
 
-REQUEST_TIMEOUT = aiohttp.ClientTimeout(total=2.0, sock_connect=1.0)
+
+def build_timeout(limit_s: float) -> aiohttp.ClientTimeout:
+    """Limits the connection and each pause in the reply, in seconds.
+
+    The whole transfer has no limit, because the list grows with the site and a
+    request that is sent again would transfer all of it again.
+    """
+    return aiohttp.ClientTimeout(total=None,
+                                 connect=limit_s,
+                                 sock_connect=limit_s / 2,
+                                 sock_read=limit_s)
+
+
+REQUEST_TIMEOUT = build_timeout(2.0)
 
 
 class HttpVMList(ports.VMList):
