Skip records at the edge of expiry when they expire faster than reads arrive

A reader whose offset has expired asked next for the earliest offset that the reply named. If that record expires before the read arrives, the read fails in the same way, without end. At the bound of 25 appends a second that is so for a round trip above 40 ms, for example on a link that the other streams saturate.

Consecutive expired reads now skip 1, 2, 4, ... records, up to a quarter of the retained ones.

--- a/src/gentianlead/streams/_client.py
+++ b/src/gentianlead/streams/_client.py
@@ -93,6 +93,8 @@
         self._observers = [observer] if observer else []
         self._head_waiters: list[tuple[float, asyncio.Future[None]]] = []
         self._is_log_unavailable = False
+        # Consecutive reads of records that had expired.
+        self._expired_read_count = 0
         self._snapshot_times = _snapshot_times.SnapshotTimes()
         self._appender = _appender.StreamAppender(stream, log, clock, writer,
                                                   self._wait_for_head,
@@ -174,11 +176,26 @@
             try:
                 await self._read_once()
             except errors.LogReadExpiredError as error:
-                self._reset_after_expiry(error.earliest_offset)
+                self._reset_after_expiry(self._choose_restart_offset(error))
             except errors.LogUnavailableError as error:
                 self._report_log_unavailable(error)
                 await self._clock.sleep(READ_RETRY_DELAY)
 
+    def _choose_restart_offset(self, error: errors.LogReadExpiredError) -> int:
+        """Returns the offset to read next after unread records have expired.
+
+        It is the earliest offset at first. If records expire faster than a read
+        takes, that offset has expired again when the next read arrives.
+        Consecutive attempts therefore skip a number of records that doubles, up
+        to a quarter of the retained ones.
+        """
+        self._expired_read_count += 1
+        if self._expired_read_count == 1:
+            return error.earliest_offset
+        n_retained = error.next_offset - error.earliest_offset
+        return error.earliest_offset + min(2**(self._expired_read_count - 2),
+                                           n_retained // 4)
+
     def _reset_after_expiry(self, earliest: int) -> None:
         self.replica.reset_after_expiry(earliest)
         self.freshness.reset()
@@ -199,6 +216,7 @@
             datetime.timedelta())
         batch = await self._log.read(self._stream, self.replica.position,
                                      MAX_READ_RECORDS, max_wait)
+        self._expired_read_count = 0
         if batch.next_offset < self.replica.position:
             raise errors.LogUnavailableError(
                 f"stream {self._stream!r} ends at {batch.next_offset}, below "
--- a/src/gentianlead/streams/tests/fakes.py
+++ b/src/gentianlead/streams/tests/fakes.py
@@ -17,6 +17,7 @@
         replies_to_drop: How many of the next appends store their records and
             then fail.
         is_down: Whether all calls fail.
+        records_expired_per_read: How many records expire before each read.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self.appends_to_drop = 0
         self.replies_to_drop = 0
         self.is_down = False
+        self.records_expired_per_read = 0
 
     async def append(self, stream: str, records: list[bytes],
                      timeout: datetime.timedelta) -> int:
@@ -44,6 +46,9 @@
         await asyncio.sleep(0.001)
         if self.is_down:
             raise errors.LogUnavailableError("down")
+        self.earliest_offset = min(
+            self.earliest_offset + self.records_expired_per_read,
+            len(self.records))
         if start < self.earliest_offset:
             raise errors.LogReadExpiredError(stream, start,
                                              self.earliest_offset,
--- a/src/gentianlead/streams/tests/test_client.py
+++ b/src/gentianlead/streams/tests/test_client.py
@@ -126,3 +126,24 @@
         while not late_client.is_ready():
             await asyncio.sleep(0.01)
         self.assertFalse(await self.submit_begun(late_client, "k-1"))
+
+    async def test_records_expire_faster_than_reads_arrive(self) -> None:
+        """Checks a late client when three records expire before each read.
+
+        Guards against a client that for ever asks for the earliest offset that
+        the last reply named and that has expired by then.
+        """
+        await asyncio.gather(*(self.submit_begun(self.client, f"k-{number}")
+                               for number in range(100)))
+        for part in self.client.replica.build_snapshot("s-1"):
+            await self.client.submit(part)
+        await asyncio.gather(*(self.submit_begun(self.client, f"l-{number}")
+                               for number in range(100)))
+        self.log.earliest_offset = 1
+        self.log.records_expired_per_read = 3
+        late_client = self.start_client("entry-3#c")
+        async with asyncio.timeout(10):
+            while self.log.earliest_offset < len(
+                    self.log.records) and (not late_client.is_ready()):
+                await asyncio.sleep(0.001)
+        self.assertTrue(late_client.is_ready())
