--- a/src/gentianlead/adapters/_http_log.py
+++ b/src/gentianlead/adapters/_http_log.py
@@ -13,7 +13,13 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
-"""Timeout of a read, added to the time for which the service may hold it."""
+"""Longest pause in the reply to a read, added to the time for which the service
+may hold it. The whole transfer has no time limit, because a reply may have
+several MB and a read that is sent again would transfer all of it again."""
+
+MIN_UPLOAD_BYTES_PER_S = 64 * 1024
+"""Transfer rate by which the timeout of an append grows with its size. An
+append that was cut off is sent again as a whole and would be cut off again."""
 
 
 class HttpLogService(ports.LogService):
@@ -35,11 +41,14 @@
 
     async def append(self, stream: str, records: list[bytes],
                      timeout: datetime.timedelta) -> int:
-        client_timeout = aiohttp.ClientTimeout(total=timeout.total_seconds(),
-                                               sock_connect=CONNECT_TIMEOUT_S)
+        request_body = msgpack.packb(records)
+        client_timeout = aiohttp.ClientTimeout(
+            total=timeout.total_seconds() +
+            len(request_body) / MIN_UPLOAD_BYTES_PER_S,
+            sock_connect=CONNECT_TIMEOUT_S)
         try:
             async with self._session.post(self._build_records_url(stream),
-                                          data=msgpack.packb(records),
+                                          data=request_body,
                                           timeout=client_timeout) as response:
                 body = await response.read()
                 if response.status != 200:
@@ -55,9 +64,11 @@
 
     async def read(self, stream: str, start: int, limit: int,
                    wait: datetime.timedelta) -> ports.LogBatch:
-        total_timeout_s = wait.total_seconds() + READ_TIMEOUT_S
-        client_timeout = aiohttp.ClientTimeout(total=total_timeout_s,
-                                               sock_connect=CONNECT_TIMEOUT_S)
+        max_pause_s = wait.total_seconds() + READ_TIMEOUT_S
+        client_timeout = aiohttp.ClientTimeout(total=None,
+                                               connect=READ_TIMEOUT_S,
+                                               sock_connect=CONNECT_TIMEOUT_S,
+                                               sock_read=max_pause_s)
         params = {
             "from": str(start),
             "limit": str(limit),
--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -6,7 +6,6 @@
 safe, because the state machines of the streams reject conflicting records.
 """
 
-import asyncio
 import datetime
 from typing import NamedTuple
 
@@ -23,6 +22,7 @@
 from gentianlead.control import _observer
 from gentianlead.control import _platform_vms
 from gentianlead.control import _running_coroutines
+from gentianlead.control import _snapshot_writer
 
 MAX_STARTS_PER_ROUND = 200
 """Largest number of task claims that one round of the loop starts."""
@@ -136,15 +136,16 @@
         self._scheduler = scheduler
         self._job_reconciler = job_reconciler
         self._clock = clock
-        self._random = random
         self._freshness_limits = freshness_limits
         self._timings = timings
-        self._snapshot_policy = snapshot_policy
         self._observer = observer
         self._membership_tracker = membership.MembershipTracker(
             timings.member_timeout)
         self._background_coroutines = _running_coroutines.BackgroundCoroutines(
             observer.on_error)
+        self._snapshot_writer = _snapshot_writer.SnapshotWriter(
+            incarnation, snapshot_policy, clock, random,
+            self._background_coroutines, observer)
         self._job_ids_to_reconcile: set[str] = set()
         # Urgent jobs that this daemon opens if the preferred scheduler does
         # not. Maps the job id to the time, in monotonic seconds, at which this
@@ -484,49 +485,26 @@
                                         verdict.reason)
 
     def _write_snapshots(self, now: float) -> None:
-        stream_clients = [self._domain_stream_client]
-        if self._writes_snapshots_of_shared_streams():
-            stream_clients += [
-                self._config_stream_client, self._one_time_stream_client
-            ]
-        for client in stream_clients:
-            if self._snapshot_policy.is_due(client.replica, now):
-                self._background_coroutines.start(("snapshot", client.stream),
-                                                  self._write_snapshot(client))
-
-    def _writes_snapshots_of_shared_streams(self) -> bool:
-        """Returns whether to write due snapshots of `config` and `once` here.
-
-        All domains share these two streams. Normally only one domain writes
-        their snapshots: of the domains in service, the one whose name sorts
-        first. In case its daemons fail, every other domain writes the snapshots
-        of both streams too while either stream has more than 1.2 times
-        `max_records` records after its last snapshot. If no domain is in
-        service, every domain writes them.
+        self._snapshot_writer.write_if_due(self._domain_stream_client, now)
+        turn = self._get_turn_for_shared_streams()
+        for client in (self._config_stream_client,
+                       self._one_time_stream_client):
+            self._snapshot_writer.write_if_due(client, now, turn)
+
+    def _get_turn_for_shared_streams(self) -> int:
+        """Returns how many domains write snapshots of shared streams before us.
+
+        All domains share `config` and `once`. Their snapshots are written by
+        the domain in service whose name sorts first. In case its daemons fail,
+        the others follow in the order of their names, and the domains that are
+        not in service follow last.
         """
         domains_in_service = sorted(
             name for name, domain in self.configuration.domains.items()
             if domain.is_in_service)
-        if not domains_in_service or domains_in_service[0] == self._domain_name:
-            return True
-        return any(client.replica.records_since_snapshot >
-                   self._snapshot_policy.max_records * 1.2
-                   for client in (self._config_stream_client,
-                                  self._one_time_stream_client))
-
-    async def _write_snapshot(self, client: streams.StreamClient) -> None:
-        snapshot_parts = client.replica.build_snapshot(
-            f"{self._incarnation}/{self._random.generate_id()}")
-        submit_results = await asyncio.gather(*(client.submit(
-            part, datetime.timedelta(seconds=20)) for part in snapshot_parts),
-                                              return_exceptions=True)
-        if any(isinstance(result, BaseException) for result in submit_results):
-            return
-        self._snapshot_policy.mark_snapshot_written(client.replica,
-                                                    self._clock.monotonic())
-        self._observer.on_snapshot_written(
-            client.stream, len(snapshot_parts),
-            sum(len(part.data) for part in snapshot_parts))
+        if self._domain_name in domains_in_service:
+            return domains_in_service.index(self._domain_name)
+        return len(domains_in_service)
 
     async def leave(self) -> None:
         """Drains the daemon, transfers its held runs and leaves the domain.
