Accept a repeated submission before the accepted job is read back

A daemon decided a repeated submission anew until it had read its own acceptance back from the topic. The first one counts in the load by then, so a large job could be refused with "the backlog is too long": the caller is told that a job never runs which is stored and does run. The window is one read, milliseconds on a fast link and longer on a slow one.

The daemon now keeps the jobs whose acceptance it has stored until it reads them back. The new test stops the reader and failed before: AssertionError: <SubmitOutcome.REFUSED: 'refused'> is not <SubmitOutcome.ACCEPTED: 'accepted'>

--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -88,6 +88,10 @@
         # Long-running jobs, by identifier, whose acceptance this daemon has
         # sent to the store but not read back from the topic yet.
         self._unread_long_running_jobs: dict[str, model.SteppedJob] = {}
+        # Jobs whose acceptance this daemon has stored but not read back yet. A
+        # repeated submission must not be decided anew: the caller would be told
+        # that the job does not run.
+        self._unread_accepted_jobs: set[str] = set()
         # Job states, by job identifier, that were received in leaders' reports
         # or that cancellations at this daemon set. They are stored, but this
         # daemon may not have read them from the topic yet.
@@ -125,7 +129,8 @@
 
     async def _submit(self, job: model.SteppedJob, timeout: datetime.timedelta,
                       may_relay: bool) -> ports.SubmitReply:
-        if job.job_id in self._topic_reader.job_table.jobs:
+        if (job.job_id in self._topic_reader.job_table.jobs or
+                job.job_id in self._unread_accepted_jobs):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         submission = self._submissions.get(job.job_id)
         if submission is None:
@@ -234,6 +239,7 @@
             store_ms=_to_ms(
                 datetime.timedelta(seconds=self._clock.monotonic() - now)),
             report_age_ms=self._get_load_report_age_ms(job.assignment[0]))
+        self._unread_accepted_jobs.add(job.job_id)
         self._spawn(self._notify_leaders(job, offset))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
@@ -311,6 +317,8 @@
             self._log.write("job-not-read-back", job=job.job_id, offset=offset)
             return
         job_entry = self._topic_reader.job_table.jobs.get(job.job_id)
+        if job_entry is not None:
+            self._unread_accepted_jobs.discard(job.job_id)
         if job_entry is None or job_entry.offset != offset:
             self._log.write("job-already-accepted",
                             job=job.job_id,
@@ -434,6 +442,7 @@
         """Drops the state kept for a job that was removed from the job topic.
         """
         self._unread_job_states.pop(job_id, None)
+        self._unread_accepted_jobs.discard(job_id)
 
     # Reports of leaders, requests relayed to peers, and requests that peers
     # relayed to this daemon.
--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -135,6 +135,17 @@
         self.assertIs((await self.submit()).outcome, ACCEPTED)
         self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 1)
 
+    async def test_accepted_job_is_not_refused_before_it_is_read_back(self):
+        """Guards against a caller that is told that an accepted job never runs.
+
+        Its repeated submission arrives before the daemon has read the job back,
+        and the first one has made the backlog too long.
+        """
+        await self.reader.stop()
+        self.assertIs((await self.submit()).outcome, ACCEPTED)
+        self.assertIs((await self.submit()).outcome, ACCEPTED)
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 1)
+
     async def test_job_that_the_store_rejects_is_refused(self):
         """Checks the reply for a job whose record is too large for the store.
 
