Load the job topic again after an unexpected error of its reader

Found in a review of the reads, not seen on a deployment. The loop that reads the job topic also runs the code that handles changed jobs. An unexpected error there ended the loop without a log line: the daemon kept serving from a table that no longer changed, or never loaded it and refused its callers, until it was restarted.

The error is now logged as internal-error, and the reader loads the topic again after a second. The loop of the writer has the same gap and is not changed.

The new test failed before: TimeoutError (no second call of the handler).

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -40,6 +40,9 @@
 long-poll wait, the store client's allowance for the reply (900 ms) and the read
 interval."""
 
+RELOAD_DELAY = datetime.timedelta(seconds=1)
+"""Pause between an unexpected error of the reader and the next load."""
+
 OVERDUE_READ_LIMIT = datetime.timedelta(milliseconds=1900)
 """Duration of a read of new records from which on the topic does not count as
 readable: the long-poll wait and 900 ms for the store. A longer read transfers
@@ -416,8 +419,7 @@
 
     def start(self) -> None:
         """Starts the loop that reads the topic."""
-        self._loop_task = asyncio.get_running_loop().create_task(
-            self._read_forever())
+        self._loop_task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
         """Stops the loop that reads the topic."""
@@ -451,6 +453,22 @@
             return False
         return True
 
+    async def _run(self) -> None:
+        """Reads the topic, and loads it again after an unexpected error.
+
+        The loop also runs the code that handles changed jobs. Without the
+        reader, the daemon would refuse its callers until it is restarted.
+        """
+        while True:
+            try:
+                await self._read_forever()
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                self._log.write("internal-error",
+                                error=_decision_log.format_error(error))
+                self._readable_since = None
+                self.is_loaded = False
+                await self._clock.sleep(RELOAD_DELAY)
+
     async def _read_forever(self) -> None:
         while True:
             started_at = self._clock.monotonic()
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -458,3 +458,27 @@
         self.assertFalse(await
                          self.reader.wait_until_applied(1, SHORT_TIMEOUT * 4))
         self.assertIsNone(self.reader.readable_since)
+
+    async def test_error_in_a_handler_does_not_end_the_reader(self):
+        """Guards against a daemon that refuses all callers after one error."""
+        self.write_job()
+        errors_left = [ValueError("unexpected")]
+
+        def handle_changed_jobs(job_ids: set[str]) -> None:
+            self.changed_job_ids.append(job_ids)
+            if errors_left:
+                raise errors_left.pop()
+
+        log = fakes.RecordingLog()
+        reader = _job_topic.JobTopicReader(self.store, adapters.SystemClock(),
+                                           log, _metrics.ClusterMetrics(),
+                                           handle_changed_jobs)
+        reader.start()
+        self.addAsyncCleanup(reader.stop)
+        offset = self.write_job("00000000000000bb")
+        async with asyncio.timeout(LONG_TIMEOUT.total_seconds()):
+            while len(self.changed_job_ids) < 2:
+                await asyncio.sleep(0.01)
+        self.assertTrue(await reader.wait_until_applied(offset, LONG_TIMEOUT))
+        self.assertIn("unexpected",
+                      log.list_fields("internal-error")[0]["error"])
