End reads of a topic that bring no record before its end

Found in a last read of the change, not seen on a deployment. A read that gets no record although the topic ends later was followed by the next one without a pause, in a load and in the readers. A load now ends with an error, and the readers wait as after a read that reached the end. The methods return whether more records are left, instead of whether the end was reached, which needed a second condition for a topic whose records have expired.

The new test never ended before.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -472,16 +472,17 @@
     async def _read_forever(self) -> None:
         while True:
             started_at = self._clock.monotonic()
+            has_more = False
             try:
                 if self.is_loaded:
-                    is_at_end = await self._read_new_records(started_at)
+                    has_more = await self._read_new_records(started_at)
                 else:
-                    is_at_end = await self._load_topic()
+                    await self._load_topic()
             except ports.StoreError as error:
                 self._handle_read_failure(error)
                 await self._clock.sleep(RETRY_INTERVAL)
                 continue
-            if is_at_end or not self.is_loaded:
+            if not has_more:
                 await self._wait_for_next_read(started_at)
 
     async def _wait_for_next_read(self, started_at: float) -> None:
@@ -495,8 +496,7 @@
                 pass
         self._read_requested.clear()
 
-    async def _load_topic(self) -> bool:
-        """Loads the topic; returns that its end was reached."""
+    async def _load_topic(self) -> None:
         loaded_topic = await self._loader.load()
         problems = self.job_table.load_newest_records(loaded_topic.batch,
                                                       self._clock.monotonic())
@@ -504,12 +504,13 @@
             self._log.write("record-unreadable", problem=problem)
         self.is_loaded = True
         self._handle_read_success("newest", loaded_topic.fresh_as_of, True)
-        return True
 
     async def _read_new_records(self, sent_at: float) -> bool:
-        """Reads new records; returns whether it reached the end of the topic.
+        """Reads new records once.
 
-        A reply has a limited size, so more records may be left.
+        Returns:
+            Whether more records are left, because the size of a reply is
+            limited.
         """
         start_offset = self.job_table.position
         self._read_sent_at = sent_at
@@ -535,7 +536,7 @@
                                 problem=str(error))
         is_at_end = self.job_table.position >= batch.end_offset
         self._handle_read_success("read", sent_at, is_at_end)
-        return is_at_end
+        return bool(batch.records) and not is_at_end
 
     def _handle_read_success(self, operation: str, sent_at: float,
                              is_at_end: bool) -> None:
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -65,9 +65,9 @@
         """Reads the topic until the calling task is cancelled."""
         while True:
             try:
-                is_at_end = await self._read()
+                has_more = await self._read()
                 self._handle_read_result(True, "")
-                if is_at_end or not self.is_loaded:
+                if not has_more:
                     await self._clock.sleep(self._read_interval)
             except ports.StoreError as error:
                 self._handle_read_result(False, str(error))
@@ -77,8 +77,8 @@
         """Reads the whole topic once, then its new records.
 
         Returns:
-            Whether the read reached the end of the topic. A reply has a limited
-            size, so more records may be left.
+            Whether more records are left, because the size of a reply is
+            limited.
         """
         if not self.is_loaded:
             batch, self.fresh_as_of = await self._loader.load()
@@ -87,7 +87,7 @@
             self.is_loaded = True
             self._on_loaded(
                 {record.key for record in batch.records if record.value})
-            return True
+            return False
         sent_at = self._clock.monotonic()
         batch = await self._store.read(self._topic, self._next_offset,
                                        self._long_poll_wait)
@@ -105,7 +105,7 @@
         is_at_end = self._next_offset >= batch.end_offset
         if is_at_end:
             self.fresh_as_of = sent_at
-        return is_at_end
+        return bool(batch.records) and not is_at_end
 
     def _deliver_records(self, records: tuple[ports.KeyedRecord, ...]) -> None:
         for record in records:
--- a/src/gentianlead/cluster/_topic_load.py
+++ b/src/gentianlead/cluster/_topic_load.py
@@ -166,6 +166,10 @@
                 raise ports.StoreError(
                     f"records from offset {self._position} on were deleted "
                     "during the load", errors.Verdict.RAN)
+            if not batch.records and self._position < batch.end_offset:
+                raise ports.StoreError(
+                    f"no records from offset {self._position} on although the "
+                    f"topic ends at {batch.end_offset}", errors.Verdict.RAN)
             self._keep_newest(batch.records)
             if batch.records:
                 self._position = batch.records[-1].offset + 1
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -28,7 +28,7 @@
             no limit.
         page_size: Number of keys in a page of newest records.
         page_starts: The key after which each page requested so far starts.
-        reply_timeouts: Longest wait for the begin of the reply, of each request
+        reply_timeouts: Longest wait for the start of the reply, of each request
             of a page so far.
         failed_pages: Numbers of the requested pages, counted from 1, that get
             no reply.
--- a/src/gentianlead/cluster/tests/test_topic_load.py
+++ b/src/gentianlead/cluster/tests/test_topic_load.py
@@ -181,6 +181,14 @@
             call.args[1] for call in self.store.read_newest_page.await_args_list
         ], ["", "b"] * 2)
 
+    async def test_load_ends_if_records_before_the_end_are_withheld(self):
+        """Guards against a load that reads without a pause and never ends."""
+        self.write("a", "b", "c")
+        self.store.read = mock.AsyncMock(return_value=ports.KeyedBatch(9, ()))
+        with self.assertRaisesRegex(ports.StoreError, "topic ends at 9"):
+            await self.loader.load()
+        self.assertEqual(self.store.read.await_count, 1)
+
     async def test_reply_timeout_grows_with_calls_without_reply(self):
         """Guards against a limit that a store under load never meets.
 
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -107,9 +107,9 @@
 class MovePlanner:
     """Plans the moves of jobs and tasks out of a group.
 
-    A move counts in the load of both groups from its begin. Otherwise all jobs
-    that wait in a group would move to the one that had the least load in the
-    last reports, and back again with the next ones.
+    A move counts in the load of both groups as soon as it begins. Otherwise all
+    jobs that wait in a group would move to the one that had the least load in
+    the last reports, and back again with the next ones.
     """
 
     def __init__(self, state: _group_state.GroupState):
--- a/src/gentianlead/ports/_store.py
+++ b/src/gentianlead/ports/_store.py
@@ -153,7 +153,7 @@
         Args:
             topic: Name of the topic.
             after_key: Last key of the page before; empty for the first page.
-            reply_timeout: Longest wait for the begin of the reply.
+            reply_timeout: Longest wait for the start of the reply.
 
         Raises:
             StoreError: The call failed or the reply is not usable. The verdict
