Log what keeps waiting tasks from starting

The log had no line for a task that waits and none for why a worker gets no starts, so it could not tell the hypotheses of the incident apart.

Each leader logs its longest waits once a second (tasks-waiting, at most four lines): reconciled, pending move, time without capacity, reserved worker, age of reports, and the number of workers by what keeps the task off them. gentianlead_longest_wait_seconds has the longest wait. WorkerState.can_receive_starts and placement answer with the obstacle; no decision changes.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -13,6 +13,7 @@
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _status_polls
+from gentianlead.cluster import _wait_log
 
 MAX_LEASE = datetime.timedelta(milliseconds=5500)
 """Longest lease of a worker. It is long enough for runs to survive the loss of
@@ -108,6 +109,7 @@
         self._job_mover = _job_moves.JobMover(self.scheduler, clock, log,
                                               self.get_load, get_load_reports,
                                               self._store_records, self._spawn)
+        self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._unreachable_worker_ids: set[str] = set()
         self._background_tasks: set[asyncio.Task] = set()
         self._unreachable_poll_slots = asyncio.Semaphore(
@@ -133,6 +135,7 @@
     async def stop(self) -> None:
         """Cancels all loops and pending calls; runs go on while leases last."""
         self._is_stopped = True
+        self._wait_log.close()
         tasks = [*self._background_tasks, *self._status_pollers.values()]
         for task in tasks:
             task.cancel()
@@ -291,6 +294,7 @@
         self._load_logged_at = now
         summary = self.scheduler.summarize(now)
         self._log.write("group-load", group=self.group, **summary._asdict())
+        self._wait_log.write(now)
 
     async def _store_records(self, records: list[dispatch.Record]) -> None:
         try:
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -40,6 +40,9 @@
         leadership_changes: Number of times that this daemon took or lost the
             leadership of a group, by change (`taken` or `lost`). Resignations
             at the stop of the daemon are not counted.
+        longest_wait_seconds: Longest time for which a due task has waited for
+            its start in a group that this daemon leads, by group and by whether
+            the task is long-running (`long-running` or `other`).
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
@@ -71,6 +74,10 @@
                                                  "Looks at workers")
         self.leadership_changes = self._add_counter(
             "lead_changes_total", "Changes of the lead of a group")
+        self.longest_wait_seconds = aioprometheus.Gauge(
+            "gentianlead_longest_wait_seconds",
+            "Longest wait of a due task for its start",
+            registry=self.registry)
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -143,25 +143,77 @@
         frozenset(worker.latency_critical_images), {})
 
 
-def has_capacity(candidate: Candidate, step: model.Step,
-                 relaxation: Relaxation) -> bool:
-    """Returns whether a worker has the capacity and label that a task needs.
+class PlacementObstacle(enum.Enum):
+    """Why a task may not start on a worker that may receive starts.
+
+    Attributes:
+        NO_MEMORY: Too little free memory.
+        NO_ACCELERATOR: Too few free accelerators.
+        NO_LABEL: The worker lacks the label that the task requires.
+        NO_CPU: Too little free CPU, or spare CPU for a best-effort task.
+        TASK_LIMIT: The worker has as many tasks of the step as allowed.
+        INTERFERENCE: The best-effort task may interfere with latency-critical
+            ones.
+    """
+
+    NO_MEMORY = "no-memory"
+    NO_ACCELERATOR = "no-accelerator"
+    NO_LABEL = "no-label"
+    NO_CPU = "no-cpu"
+    TASK_LIMIT = "task-limit"
+    INTERFERENCE = "interference"
+
+
+def find_capacity_obstacle(candidate: Candidate, step: model.Step,
+                           relaxation: Relaxation) -> PlacementObstacle | None:
+    """Returns which capacity or label a worker lacks for a task, or None.
 
     The CPU of the worker is not checked for a best-effort task unless
     `relaxation` is `NORMAL`.
     """
-    if (step.memory_mib > candidate.free_memory_mib or
-            step.accelerators > candidate.free_accelerators):
-        return False
+    if step.memory_mib > candidate.free_memory_mib:
+        return PlacementObstacle.NO_MEMORY
+    if step.accelerators > candidate.free_accelerators:
+        return PlacementObstacle.NO_ACCELERATOR
     if (step.required_label and
             step.required_label not in candidate.worker.entry.labels):
-        return False
-    if step.is_best_effort:
-        if relaxation is not Relaxation.NORMAL:
-            return True
-        return (candidate.spare_cpu_millis
-                >= MIN_SPARE_CPU_SHARE * step.cpu_millis)
-    return candidate.free_cpu_millis >= step.cpu_millis
+        return PlacementObstacle.NO_LABEL
+    if not step.is_best_effort:
+        return (PlacementObstacle.NO_CPU
+                if candidate.free_cpu_millis < step.cpu_millis else None)
+    if (relaxation is Relaxation.NORMAL and
+            candidate.spare_cpu_millis < MIN_SPARE_CPU_SHARE * step.cpu_millis):
+        return PlacementObstacle.NO_CPU
+    return None
+
+
+def find_obstacle(
+        candidate: Candidate,
+        step: model.Step,
+        task_counts: dict[str, int],
+        interference: _interference.InterferenceModel,
+        relaxation: Relaxation = Relaxation.NORMAL) -> PlacementObstacle | None:
+    """Returns why a task may not start on a worker, or None if it may.
+
+    Args:
+        candidate: A worker that may receive starts.
+        step: Step of the task.
+        task_counts: Number of tasks of the step by worker, for the limit of the
+            step.
+        interference: Estimated interference between images.
+        relaxation: Which placement rules are ignored.
+    """
+    obstacle = find_capacity_obstacle(candidate, step, relaxation)
+    if obstacle is not None:
+        return obstacle
+    if step.max_tasks_per_worker and task_counts.get(
+            candidate.worker.worker_id, 0) >= step.max_tasks_per_worker:
+        return PlacementObstacle.TASK_LIMIT
+    if (step.is_best_effort and
+            relaxation is not Relaxation.IGNORE_INTERFERENCE and
+            not candidate.may_colocate(step, interference)):
+        return PlacementObstacle.INTERFERENCE
+    return None
 
 
 def compute_spare_room(candidate: Candidate) -> int:
@@ -364,14 +416,8 @@
     best_sort_key = None
     for candidate in candidates:
         worker = candidate.worker
-        if not has_capacity(candidate, step, relaxation):
-            continue
-        if step.max_tasks_per_worker and task_counts.get(
-                worker.worker_id, 0) >= step.max_tasks_per_worker:
-            continue
-        if (step.is_best_effort and
-                relaxation is not Relaxation.IGNORE_INTERFERENCE and
-                not candidate.may_colocate(step, interference)):
+        if find_obstacle(candidate, step, task_counts, interference,
+                         relaxation) is not None:
             continue
         labels = worker.entry.labels
         is_on_preferred_rack = ((not step.preferred_rack or
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -1,6 +1,7 @@
 """State that a leader keeps for each worker: clock, lease, runs and health."""
 
 import datetime
+import enum
 from typing import NamedTuple
 
 from gentianlead import ports
@@ -47,6 +48,29 @@
 """Weight of the newest run in the moving average of the duration ratio."""
 
 
+class StartObstacle(enum.Enum):
+    """Why a worker may not receive start orders.
+
+    Attributes:
+        NOT_REGISTERED: The registry does not list it.
+        NOT_RECORDED: The stored `WorkersRecord` does not list it.
+        DRAINING: It is about to leave.
+        UNREACHABLE: It has not replied to this leader, or a later call to it
+            got no usable reply.
+        PAUSED: It is in quarantine, or has just refused a start order.
+        STATUS_TOO_OLD: Its last status report is older than `MAX_STATUS_AGE`.
+        ON_PROBATION: After a quarantine, it has a run and no success yet.
+    """
+
+    NOT_REGISTERED = "not-registered"
+    NOT_RECORDED = "not-recorded"
+    DRAINING = "draining"
+    UNREACHABLE = "unreachable"
+    PAUSED = "paused"
+    STATUS_TOO_OLD = "status-too-old"
+    ON_PROBATION = "on-probation"
+
+
 class WorkerLoad(NamedTuple):
     """Resources that the runs on a worker take up.
 
@@ -214,26 +238,35 @@
         self._clock_ms = 0
         self._lease_expiry_ms = 0
 
-    def can_receive_starts(self, now: float) -> bool:
-        """Returns whether start orders may be sent to the worker now.
+    def find_start_obstacle(self, now: float) -> StartObstacle | None:
+        """Returns why no start order may be sent to the worker now, or None.
 
         The registry and the stored `WorkersRecord` must contain the worker. It
         must be reachable, neither draining nor paused, and its last status
         report must not be older than `MAX_STATUS_AGE`. After a quarantine, it
         must have no other run until one succeeds.
         """
-        if (not self.is_registered or not self.is_recorded or
-                self.entry.is_draining or not self.is_reachable or
-                self.first_status_at is None):
-            return False
+        if not self.is_registered:
+            return StartObstacle.NOT_REGISTERED
+        if not self.is_recorded:
+            return StartObstacle.NOT_RECORDED
+        if self.entry.is_draining:
+            return StartObstacle.DRAINING
+        if not self.is_reachable or self.first_status_at is None:
+            return StartObstacle.UNREACHABLE
         if now < self.paused_until:
-            return False
+            return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
-            return False
+            return StartObstacle.STATUS_TOO_OLD
         # After a quarantine, one run at a time tests whether the worker is
         # healthy.
-        return (self.consecutive_failures < FAILURES_TO_QUARANTINE or
-                not self.runs)
+        if self.consecutive_failures >= FAILURES_TO_QUARANTINE and self.runs:
+            return StartObstacle.ON_PROBATION
+        return None
+
+    def can_receive_starts(self, now: float) -> bool:
+        """Returns whether start orders may be sent to the worker now."""
+        return self.find_start_obstacle(now) is None
 
     def record_result(self, has_succeeded: bool, now: float) -> None:
         """Counts consecutive failed runs, and starts a quarantine if needed.
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -111,6 +111,15 @@
             self.scheduler.mark_workers_recorded(record)
         self.apply_status(worker.worker_id)
 
+    def put_job(self,
+                job_id: str,
+                *steps: model.Step,
+                offset: int = 100,
+                **fields) -> None:
+        """Adds a job built by `build_job` that is stored at an offset."""
+        self.scheduler.put_job(
+            build_job_entry(build_job(job_id, *steps, **fields), offset))
+
     def apply_status(self,
                      worker_id: str = "w1",
                      *,
