Start one run at a time on a worker on probation

Callers saw tasks fail again right after the quarantine of a worker: a planning pass checks once which workers may receive starts, and then starts as many tasks on each as fit. After a quarantine that was the whole free capacity, though one run is to test the worker.

test_idle_worker_gets_one_run_after_quarantine counted 8 starts before. A worker now leaves the candidates of the pass as soon as a start makes it ineligible.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -224,11 +224,11 @@
             relaxation = _placement.Relaxation.NORMAL
             task_counts[worker.worker_id] = task_counts.get(
                 worker.worker_id, 0) + 1
-            candidates[worker.worker_id] = _placement.build_candidate(worker)
+            _update_candidate(candidates, worker, now)
             eligible_candidates = [
                 candidates[candidate.worker.worker_id]
-                if candidate.worker is worker else candidate
                 for candidate in eligible_candidates
+                if candidate.worker.worker_id in candidates
             ]
         return True
 
@@ -284,7 +284,7 @@
             self._start_task(job, step_run, index, worker, run_number, orders,
                              now)
         for worker in chosen_workers:
-            candidates[worker.worker_id] = _placement.build_candidate(worker)
+            _update_candidate(candidates, worker, now)
         return True
 
     def _find_rack_labels(self,
@@ -327,3 +327,15 @@
         # All tasks of a gang must resume from the same checkpoint.
         return next(
             (step_run.checkpoints[i] for i in sorted(step_run.checkpoints)), "")
+
+
+def _update_candidate(candidates: dict[str, _placement.Candidate],
+                      worker: _workers.WorkerState, now: float) -> None:
+    """Updates the capacity of a worker after a start; may remove the worker.
+
+    A worker on probation receives no further start after the first one.
+    """
+    if worker.can_receive_starts(now):
+        candidates[worker.worker_id] = _placement.build_candidate(worker)
+    else:
+        candidates.pop(worker.worker_id, None)
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -491,6 +491,17 @@
         driver.apply_status()
         self.assertNotEqual(driver.plan_starts(), [])
 
+    def test_idle_worker_gets_one_run_after_quarantine(self):
+        """Guards against a planning pass that fills a worker not yet tested."""
+        driver = builders.GroupDriver(builders.build_worker("w1"))
+        driver.put_job(JOB_ID, builders.build_step(8))
+        driver.apply_status(ended=tuple(
+            builders.build_ended_run(order, number, ports.EndCause.FAILED)
+            for number, order in enumerate(driver.start_all(), 1)))
+        driver.now += 3.5
+        driver.apply_status()
+        self.assertEqual(len(driver.plan_starts()), 1)
+
     def test_refused_start_is_placed_again(self):
         """Checks that a task starts as a new run after its start was refused.
 
