Test workers after a quarantine although they have runs

Callers saw long-running tasks without a run beside free capacity (LOST). Cause: after three failed runs in a row and a pause of 3 s, a worker received starts only while it had no run at all, until a run ended as done. Beside a long-running task that state never ended, so the worker and its free capacity were out of use for as long as that task ran; the reports of the group left it out as well, so nothing moved there.

Ruled out with the log lines on waiting tasks: destinations that ignore what placement checks, an assignment lost between groups, old reports.

A worker on probation now receives one start every 2 s until a run succeeds; runs that started earlier do not count. The state therefore has a way out whatever the worker runs.

--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -31,9 +31,14 @@
 
 QUARANTINE_DURATION = datetime.timedelta(seconds=3)
 """Time for which a worker gets no starts after it failed
-`FAILURES_TO_QUARANTINE` runs in a row; then a single run tests whether it is
+`FAILURES_TO_QUARANTINE` runs in a row; then single runs test whether it is
 healthy."""
 
+PROBE_INTERVAL = datetime.timedelta(seconds=2)
+"""Time between the starts of two runs on a worker after its quarantine, until a
+run succeeds. A worker that fails all runs fails them at once. Runs that started
+earlier do not delay the next one: they may never end."""
+
 FAILURES_TO_QUARANTINE = 3
 """Failed runs in a row that put a worker in quarantine. Tasks that can never
 succeed spread over the workers, so a healthy worker rarely fails three in a
@@ -59,7 +64,7 @@
             got no usable reply.
         PAUSED: It is in quarantine, or has just refused a start order.
         STATUS_TOO_OLD: Its last status report is older than `MAX_STATUS_AGE`.
-        ON_PROBATION: After a quarantine, it has a run and no success yet.
+        ON_PROBATION: A run that tests it after a quarantine has just started.
     """
 
     NOT_REGISTERED = "not-registered"
@@ -243,8 +248,9 @@
 
         The registry and the stored `WorkersRecord` must contain the worker. It
         must be reachable, neither draining nor paused, and its last status
-        report must not be older than `MAX_STATUS_AGE`. After a quarantine, it
-        must have no other run until one succeeds.
+        report must not be older than `MAX_STATUS_AGE`. After a quarantine, and
+        until a run succeeds, no other run may have started within
+        `PROBE_INTERVAL`.
         """
         if not self.is_registered:
             return StartObstacle.NOT_REGISTERED
@@ -258,9 +264,9 @@
             return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
             return StartObstacle.STATUS_TOO_OLD
-        # After a quarantine, one run at a time tests whether the worker is
-        # healthy.
-        if self.consecutive_failures >= FAILURES_TO_QUARANTINE and self.runs:
+        if self.consecutive_failures >= FAILURES_TO_QUARANTINE and any(
+                now - run.start_sent_at < PROBE_INTERVAL.total_seconds()
+                for run in self.runs.values()):
             return StartObstacle.ON_PROBATION
         return None
 
