Count a ready long-running task as a success of its worker

Callers saw workers paused for failures that lay far apart: long-running tasks may fail at any time, each failure counts against the worker, and no run of theirs ever ends as done. Where only such tasks run, three failures in the life of a worker put it in quarantine, and no start there could end its probation.

The test class now reports its long-running task as ready before the failures: a task that becomes ready in the same report as three failures is a success after them.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -263,6 +263,9 @@
         if active_run.percent != run.progress_percent:
             run.progress_percent = active_run.percent
             run.progressed_at = now
+            if run.step.is_long_running and run.progress_percent == 100:
+                # No run of a long-running task ends as done.
+                worker.record_result(True, now)
 
     def _adopt_run(self, worker: _workers.WorkerState,
                    active_run: ports.ActiveRun, now: float) -> _runs.Run | None:
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -277,6 +277,9 @@
     def record_result(self, has_succeeded: bool, now: float) -> None:
         """Counts consecutive failed runs, and starts a quarantine if needed.
 
+        A run succeeds when it ends as done, or when its long-running task
+        becomes ready.
+
         Each failed run from number `FAILURES_TO_QUARANTINE` on in a row starts
         a quarantine; a successful run resets the count.
         """
--- a/src/gentianlead/dispatch/tests/test_quarantine.py
+++ b/src/gentianlead/dispatch/tests/test_quarantine.py
@@ -21,6 +21,7 @@
         self.driver.put_job(SERVICE_JOB_ID, test_lasting.build_service_step())
         self.running = self.driver.start_all()
         self.end_number = 0
+        self.report()
 
     def report(self, *ended: ports.EndedRun, percent: int = 100) -> None:
         """Reports the active runs and some ends, 0.1 s after the last report.
