Count the wait of a returned task from its return

Callers saw long-running tasks pass from group to group without a start.

The time and the reserved worker are now cleared as soon as no task of the step waits. test_wait_begins_anew failed before.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -224,6 +224,10 @@
                 if index not in step_run.done_indexes and index not in
                 step_run.active_runs and entry.has_task(self.group, index)
             }
+            if not step_run.waiting_indexes:
+                # Tasks that come back later have not waited since.
+                step_run.unplaced_since = None
+                step_run.reserved_worker = ""
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
 
--- a/src/gentianlead/dispatch/tests/test_lasting.py
+++ b/src/gentianlead/dispatch/tests/test_lasting.py
@@ -105,6 +105,32 @@
         self.assertEqual((job.job.job_id, indexes), (SERVICE_JOB_ID, [0, 1]))
 
 
+class ReturnedTaskTest(unittest.TestCase):
+    """Tests tasks that moved to another group and come back."""
+
+    def test_wait_begins_anew(self):
+        """Guards against a task that leaves at once for its former wait."""
+        driver = builders.GroupDriver(builders.build_worker())
+        step = build_service_step(2, cpu_millis=11000)
+        assignment = ("north-1", "north-2")
+        job = builders.build_job(SERVICE_JOB_ID, step, assignment=assignment)
+        entry = builders.build_job_entry(job)
+        driver.scheduler.put_job(entry)
+        driver.plan()
+        driver.scheduler.put_job(
+            entry._replace(assignment=("north-2", "north-2"),
+                           assignment_offsets={
+                               "north-1": 100,
+                               "north-2": 100
+                           }))
+        driver.now += 10.0
+        driver.apply_status()
+        driver.plan()
+        driver.scheduler.put_job(entry)
+        driver.plan()
+        self.assertEqual(driver.scheduler.list_unplaced_tasks(driver.now), [])
+
+
 class LeavingWorkerTest(unittest.TestCase):
     """Tests of which runs are stopped on a worker that is about to leave."""
 
