--- a/src/gentianlead/dispatch/_waiting.py
+++ b/src/gentianlead/dispatch/_waiting.py
@@ -39,6 +39,10 @@
         unplaced_s: Time in seconds for which the planner has found no capacity
             for the step; None if it has not looked or has found some.
         reserved_worker: Worker that is reserved for the step, or empty.
+        cpu_millis: CPU that a task needs, in thousandths of a core.
+        largest_free_cpu_millis: Most unreserved CPU on one worker that may
+            receive starts.
+        memory_mib: Memory that a task needs in MiB.
         workers: Number of workers by obstacle; those that could take a task are
             counted under `free`.
         oldest_status_s: Age in seconds of the oldest status report of a worker
@@ -49,6 +53,9 @@
     has_pending_move: bool
     unplaced_s: float | None
     reserved_worker: str
+    cpu_millis: int
+    largest_free_cpu_millis: int
+    memory_mib: int
     workers: dict[str, int]
     oldest_status_s: float | None
 
@@ -96,6 +103,12 @@
     """Determines what keeps the tasks of a step from starting."""
     job = state.jobs[wait.job_id]
     step_run = job.steps[wait.step]
+    step = step_run.step
+    largest_free_cpu_millis = max(
+        (worker.entry.cpu_millis - worker.compute_load().reserved_cpu_millis
+         for worker in state.workers.values()
+         if worker.can_receive_starts(now)),
+        default=0)
     status_times = [
         worker.last_status_at
         for worker in state.workers.values()
@@ -104,7 +117,8 @@
     return WaitCause(
         job.is_reconciled, job.pending_move_number is not None,
         None if step_run.unplaced_since is None else now -
-        step_run.unplaced_since, step_run.reserved_worker,
+        step_run.unplaced_since, step_run.reserved_worker, step.cpu_millis,
+        largest_free_cpu_millis, step.memory_mib,
         _count_obstacles(state, job, step_run, now),
         None if None in status_times else now - min(status_times, default=now))
 
