Record a worker anew that was dropped and listed again

A worker without runs is dropped 2.5 s after the registry stops listing it. If the registry lists it again before the leader has stored the workers without it, up to 500 ms later, the worker received no start until another worker came or went, and the load reports of the group left its capacity out.

Cause: the new state of the worker is not recorded, but the set of recorded workers still has its identifier, so that no record was due and nothing marked the worker as recorded.

Evidence: test_worker_gets_starts_again counted 0 starts before, 1 now. A record is now due as well while a worker is not marked as recorded.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -118,9 +118,11 @@
         """Returns a record of the present workers, which the caller stores.
 
         Returns None if the record that this leader stored last lists the same
-        workers, or if it stored none and there are no workers.
+        workers, or if it stored none and there are no workers. A worker that
+        was dropped and listed again since then has to be recorded anew.
         """
-        if self._recorded_workers == set(self.workers):
+        if self._recorded_workers == set(self.workers) and all(
+                worker.is_recorded for worker in self.workers.values()):
             return None
         return _records.WorkersRecord(
             self.group, self.epoch,
