Give each task of a long-running job a group without reports, too

A long-running job that a daemon accepts while the load reports of all groups are older than 2 s goes to the daemon's own group. Where that group has capacity for some of its tasks only, the others waited for as long as one of the former ran, whatever other groups had free.

Cause: the job got one group as a whole, and a job moves as a whole only while none of its tasks runs. All other long-running jobs of one step have a group for each task.

Evidence: test_tasks_without_capacity_move_beside_running_ones found no move before; the task now moves. The assignment has one group for each task.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -127,18 +127,20 @@
             # If any usable group has a recent report, the job is refused. The
             # caller may retry: a group that has the required labels may be
             # between two leaders. If all reports of usable groups are too old,
-            # the own group gets the job.
+            # the own group gets the job. The tasks of a long-running job have a
+            # group each, so that those without capacity may move alone.
+            task_count = job.steps[0].count if _may_be_spread(job) else 1
             return Admission(
                 (), "no group can run the job",
                 NO_GROUP_RETRY_DELAY) if usable_loads else Admission(
-                    (own_group,))
+                    (own_group,) * task_count)
         return Admission((), "no group has usable workers",
                          NO_GROUP_RETRY_DELAY)
     if job.is_long_running and not _has_long_running_capacity(
             job, eligible_loads):
         return Admission((), "lasting tasks would crowd out short ones",
                          LONG_RUNNING_RETRY_DELAY)
-    if job.is_long_running and len(job.steps) == 1:
+    if _may_be_spread(job):
         return Admission(spread_tasks(job, eligible_loads))
 
     def compute_sort_key(group: str) -> tuple[bool, float]:
@@ -159,6 +161,11 @@
     return Admission((group,))
 
 
+def _may_be_spread(job: model.SteppedJob) -> bool:
+    """Returns whether the tasks of a job may be in different groups."""
+    return job.is_long_running and len(job.steps) == 1
+
+
 def _has_long_running_capacity(job: model.SteppedJob,
                                loads: dict[str, _load.GroupLoad]) -> bool:
     capacity_cpu_millis = sum(
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+from gentianlead import dispatch
 from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import test_admission
+from gentianlead.dispatch.tests import test_lasting
 
 JOB_ID = "00000000000000aa"
 
@@ -24,3 +27,32 @@
         driver.add_worker(builders.build_worker())
         driver.put_job(JOB_ID, builders.build_step())
         self.assertEqual(len(driver.plan_starts()), 1)
+
+
+class OutdatedReportTest(unittest.TestCase):
+    """Tests long-running jobs that were accepted without recent load reports.
+    """
+
+    def test_tasks_without_capacity_move_beside_running_ones(self):
+        """Guards against tasks that wait for as long as others of the job run.
+
+        All tasks are accepted for the daemon's own group, which has capacity
+        for one of them.
+        """
+        step = test_lasting.build_service_step(3, cpu_millis=6000)
+        job = builders.build_job(JOB_ID, step)
+        admission = dispatch.decide_admission(
+            job, {"north-2": test_admission.build_report(age_s=5.0)}, "north-1",
+            test_admission.NOW)
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job(JOB_ID, step, assignment=admission.assignment)
+        (order,) = driver.start_all()
+        driver.now += 2.0
+        driver.apply_status(running=(builders.build_active_run(order),))
+        report = dispatch.GroupReport(
+            test_admission.build_report(largest_free_cpu_millis=10_000).load,
+            driver.now)
+        (move,) = driver.scheduler.plan_moves(
+            lambda: driver.scheduler.compute_load(driver.now),
+            {"north-2": report}, driver.now)
+        self.assertEqual(move.record.task_indexes, (1,))
