Count the wait of a takeover from the former leader's last record

Callers saw long-running tasks without a run beside free capacity (LOST). When workers are gone for good and the leader of their group is killed, its successor waits 10.1 s for them, and starts no task of a known job meanwhile.

Cause: the wait is the start permission of the former leader (4 s), the longest lease and a margin, counted from the takeover. The permission ends 4 s after the former leader sent its last record, which this process read up to 2.5 s before the takeover; the store takes no record of that leader afterwards.

Ruled out as the only cause of LOST: probation.

The table now keeps when the last record of the former leader was read, and moves of tasks count as records, too. A record that is applied late no longer lowers the time of a leader's last record. The new tests fail before.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -336,9 +336,12 @@
                         offset=leadership_offset,
                         reason=takeover_reason)
         lease_length = min(self._settings.max_lease, _group_leader.MAX_LEASE)
-        takeover_wait = (_group_leader.START_PERMISSION_PERIOD +
-                         lease_length * _group_leader.CLOCK_DRIFT_FACTOR +
-                         _group_leader.TAKEOVER_MARGIN)
+        former_record_read_at = self._topic_reader.job_table.leaders[
+            group].former_record_read_at
+        takeover_wait = _group_leader.compute_takeover_wait(
+            lease_length,
+            None if former_record_read_at is None else datetime.timedelta(
+                seconds=self._clock.monotonic() - former_record_read_at))
         timings = dispatch.GroupTimings(lease_length, takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -65,6 +65,27 @@
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
 
+def compute_takeover_wait(
+    lease: datetime.timedelta,
+    former_record_age: datetime.timedelta | None,
+) -> datetime.timedelta:
+    """Returns how long runs of a former leader may go on at a silent worker.
+
+    The start permission of the former leader ends `START_PERMISSION_PERIOD`
+    after it sent its last record, which was before that record was read.
+
+    Args:
+        lease: Longest lease of a worker.
+        former_record_age: Time since the last record of the former leader was
+            read; None if it is unknown. Later, the store accepts no record of
+            that leader any more.
+    """
+    wait = (START_PERMISSION_PERIOD + lease * CLOCK_DRIFT_FACTOR +
+            TAKEOVER_MARGIN)
+    return max(datetime.timedelta(0),
+               wait - (former_record_age or datetime.timedelta(0)))
+
+
 class GroupLeader:
     """Carries out the scheduler's decisions for one group.
 
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -90,11 +90,14 @@
             this process has read.
         last_record_read_at: Monotonic time in seconds at which the last record
             of any type that the leader wrote was read.
+        former_record_read_at: The same time for the former leader, which can
+            write no record any more; None if this process has read none.
     """
 
     record: _records.LeaderRecord
     epoch_offset: int
     last_record_read_at: float
+    former_record_read_at: float | None = None
 
 
 class MemberEntry(NamedTuple):
@@ -204,10 +207,12 @@
     def mark_leader_alive(self, group: str, epoch: int, now: float) -> None:
         """Sets `last_record_read_at` of a group's leader to `now`.
 
-        Does nothing if the epoch is not that of the present leader.
+        Does nothing if the epoch is not that of the present leader, or if a
+        later record has been read.
         """
         entry = self.leaders.get(group)
-        if entry is not None and entry.record.epoch == epoch:
+        if (entry is not None and entry.record.epoch == epoch and
+                entry.last_record_read_at < now):
             self.leaders[group] = entry._replace(last_record_read_at=now)
 
     def _add_key(self, key: str) -> None:
@@ -237,10 +242,14 @@
         if (known_leader is not None and
                 record.epoch < known_leader.record.epoch):
             return
-        is_new_epoch = (known_leader is None or
-                        record.epoch > known_leader.record.epoch)
-        self.leaders[record.group] = LeaderEntry(
-            record, offset if is_new_epoch else known_leader.epoch_offset, now)
+        if known_leader is None:
+            self.leaders[record.group] = LeaderEntry(record, offset, now)
+        elif record.epoch > known_leader.record.epoch:
+            self.leaders[record.group] = LeaderEntry(
+                record, offset, now, known_leader.last_record_read_at)
+        else:
+            self.leaders[record.group] = known_leader._replace(
+                record=record, last_record_read_at=now)
 
     def _apply_accepted(self, offset: int,
                         record: _records.AcceptedRecord) -> None:
@@ -259,6 +268,12 @@
         entry = self.jobs.get(record.job_id)
         if isinstance(record, _records.ProgressRecord):
             self.mark_leader_alive(record.group, record.epoch, now)
+        elif isinstance(record, _records.MovedRecord):
+            # Only the present leader of a group can store its moves.
+            leader = self.leaders.get(record.source_group)
+            if leader is not None:
+                self.mark_leader_alive(record.source_group, leader.record.epoch,
+                                       now)
         if entry is None:
             self._early_records.setdefault(record.job_id, []).append(
                 (offset, record))
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -204,3 +204,43 @@
                   dispatch.LeaderRecord("n1", 70, "a", "a#1", 9))
         self.assertEqual(topic.table.leaders["n1"].record.node, "b")
         self.assertEqual(topic.table.leaders["n1"].epoch_offset, 0)
+
+
+class FormerLeaderTest(unittest.TestCase):
+    """Tests what the table knows about the leader before the present one."""
+
+    def test_last_record_of_the_former_leader(self):
+        """Guards against a successor that counts its wait from too early.
+
+        The former leader may start runs for some time after each record that it
+        stored, whatever the type of the record.
+        """
+        job = builders.build_job(JOB_ID)
+        records = (dispatch.LeaderRecord("north-1", 64, "a", "a#1", 2),
+                   dispatch.ProgressRecord(JOB_ID, "north-1", 64,
+                                           model.JobState.RUNNING, 1),
+                   dispatch.MovedRecord(JOB_ID, "north-1", (), "north-2", 2),
+                   dispatch.WorkersRecord("north-1", 64, ()))
+        for record in records:
+            with self.subTest(type(record).__name__):
+                table = dispatch.JobTable()
+                stored_records = (dispatch.AcceptedRecord(job, "a#1"),
+                                  dispatch.LeaderRecord("north-1", 64, "a",
+                                                        "a#1", 1), record,
+                                  dispatch.LeaderRecord("north-1", 512, "b",
+                                                        "b#1", 1),
+                                  dispatch.LeaderRecord("north-1", 512, "b",
+                                                        "b#1", 2))
+                for offset, stored_record in enumerate(stored_records):
+                    table.apply(
+                        dispatch.encode_record(stored_record)._replace(
+                            offset=offset), 10.0 + offset)
+                leader = table.leaders["north-1"]
+                self.assertEqual(leader.former_record_read_at, 12.0)
+                self.assertEqual(leader.last_record_read_at, 14.0)
+
+    def test_first_leader_has_no_former_one(self):
+        """Guards against a wait that is cut short without any evidence."""
+        topic = TopicBuilder()
+        topic.add(dispatch.LeaderRecord("north-1", 64, "a", "a#1", 1))
+        self.assertIsNone(topic.table.leaders["north-1"].former_record_read_at)
