Put off a failback while a worker of the group is missing

Callers saw long-running tasks without a run beside free capacity (LOST) for longer than one takeover takes. A daemon that restarts takes its group back from a leader in another domain 2 s after it joined.

A failback is not urgent. It now waits until the registry lists all workers that the group has stored; the leader drops the others when their runs have ended. test_leadership_is_not_taken_back_while_a_worker_is_missing covers it.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -282,11 +282,15 @@
             return None
         if self._joined_at is None:
             self._joined_at = now
-        return dispatch.ElectionView(self._settings.node, self._incarnation,
-                                     members,
-                                     self._peering.list_reachable_daemons(),
-                                     self._topic_reader.readable_since,
-                                     self._joined_at, now)
+        return dispatch.ElectionView(
+            self._settings.node, self._incarnation, members,
+            self._peering.list_reachable_daemons(),
+            self._topic_reader.readable_since, self._joined_at, now,
+            frozenset(group for group, workers in
+                      self._topic_reader.job_table.recorded_workers.items()
+                      if any(
+                          worker.worker_id not in self._worker_registry.entries
+                          for worker in workers)))
 
     async def _acquire_leadership(self, group: str,
                                   takeover_reason: str) -> None:
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -61,6 +61,8 @@
         joined_at: Monotonic time in seconds at which the daemon first found
             itself among the members.
         now: Present monotonic time in seconds.
+        groups_with_missing_workers: Groups with a stored worker that the
+            registry does not list.
     """
 
     node: str
@@ -70,6 +72,7 @@
     store_available_since: float | None
     joined_at: float
     now: float
+    groups_with_missing_workers: frozenset[str] = frozenset()
 
 
 def rank_members(group: str,
@@ -164,8 +167,12 @@
                 leader.last_record_read_at + silence_limit.total_seconds())
     is_in_group_domain = view.members[view.node].record.domain == group
     leader_domain = member.record.domain if member is not None else None
+    # After a takeover, no task of a known job starts until all workers of the
+    # former leader have replied or cannot have runs any more. A failback can
+    # wait until the workers that are gone have been dropped.
     if (is_in_group_domain and is_store_recovered and
             leader_domain is not None and leader_domain != group and
+            group not in view.groups_with_missing_workers and
             now - view.joined_at >= FAILBACK_DELAY.total_seconds()):
         return _FAILBACK_REASON, view.joined_at
     return "", now
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -110,6 +110,24 @@
         ]
         self.assertEqual(sorted(map(bool, reasons)), [False, True])
 
+    def test_leadership_is_not_taken_back_while_a_worker_is_missing(self):
+        """Guards against a voluntary takeover that delays all starts.
+
+        A new leader waits for workers that are gone from the beginning again.
+        """
+        for groups, takes_over in (((GROUP,), False), (("n2",), True)):
+            with self.subTest(groups):
+                reasons = [
+                    dispatch.find_reason_to_lead(
+                        GROUP, build_leader(node="c"),
+                        build_election_view(
+                            node,
+                            reachable_nodes=frozenset({"a", "b", "c"}) - {node},
+                            groups_with_missing_workers=frozenset(groups)))
+                    for node in ("a", "b")
+                ]
+                self.assertEqual(any(reasons), takes_over)
+
     def test_candidates_choose_different_epochs(self):
         """Checks that nine candidates choose at least eight different epochs.
 
