Move long-running tasks out of an evacuated group while others are full

While short tasks filled all other groups, a long-running task that waited in an evacuated group stayed there if another task of its job ran in the group. No other group reserved a worker for it, so it found free CPU only if a load report happened to show some.

Cause: a task stays where it fits once the short tasks have ended. The CPU of an evacuated group counted for this, though nothing starts there.

Evidence: test_tasks_move_to_a_group_in_which_they_fit_later chose no group before, and now chooses the other one.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -388,6 +388,7 @@
     best_sort_key = (False, 0)
     own_report = reports.get(own_group)
     may_fit_in_own_group = (own_report is not None and
+                            own_report.load.is_usable and
                             own_report.load.largest_reclaimable_cpu_millis
                             >= step.cpu_millis)
     for group, report in reports.items():
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -56,3 +56,29 @@
             lambda: driver.scheduler.compute_load(driver.now),
             {"north-2": report}, driver.now)
         self.assertEqual(move.record.task_indexes, (1,))
+
+
+class EvacuatedGroupTest(unittest.TestCase):
+    """Tests long-running tasks that wait in a group out of service."""
+
+    def test_tasks_move_to_a_group_in_which_they_fit_later(self):
+        """Guards against tasks that wait for the evacuated group's own CPU.
+
+        Short tasks fill the other group, and nothing starts in the own one.
+        """
+        step = test_lasting.build_service_step(2, cpu_millis=6000)
+        assignment = ("n1", "n1")
+        job = builders.build_job(JOB_ID, step, assignment=assignment)
+        reports = {
+            "n1":
+                test_admission.build_report(
+                    is_usable=False, largest_reclaimable_cpu_millis=10_000),
+            "n2":
+                test_admission.build_report(
+                    largest_free_cpu_millis=0,
+                    largest_reclaimable_cpu_millis=10_000)
+        }
+        fallback_group = dispatch.choose_fallback_group(job, assignment, "n1",
+                                                        reports,
+                                                        test_admission.NOW)
+        self.assertEqual(fallback_group.group, "n2")
