Try all steps of long-running tasks in each planning pass

A planning pass ends after 24 steps that found no capacity. Long-running tasks come first and wait for as long as other such tasks run, so 24 steps of them that do not fit kept all later steps from starting: long-running ones that need less, and all short ones. The later steps did not count as waiting for capacity either, so they did not move.

Evidence: test_long_running_steps_do_not_end_the_pass found no start before.

Long-running steps no longer count towards the limit. Their number is bounded by the share of the capacity that such tasks may reserve.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -28,7 +28,9 @@
 
 MAX_UNPLACED_STEPS_PER_PASS = 24
 """A planning pass ends after this number of steps with a task that found no
-capacity; less urgent steps then wait for a later pass."""
+capacity; less urgent steps then wait for a later pass. Steps of long-running
+tasks do not count: they wait until other such tasks end, so that the first ones
+could keep all others from being tried."""
 
 
 class StartPlanner:
@@ -72,11 +74,12 @@
                 step_run.unplaced_since = None
                 step_run.reserved_worker = ""
                 continue
-            unplaced_step_count += 1
             if step_run.unplaced_since is None:
                 step_run.unplaced_since = now
             if step_run.step.is_long_running:
                 self._reserve_worker(job, step_run, candidates)
+            else:
+                unplaced_step_count += 1
 
     def _mark_all_unplaced(self, now: float, now_ms: int) -> None:
         """Marks all startable steps as lacking capacity.
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead.dispatch import _starting
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_admission
 from gentianlead.dispatch.tests import test_lasting
@@ -82,3 +83,18 @@
                                                         reports,
                                                         test_admission.NOW)
         self.assertEqual(fallback_group.group, "n2")
+
+
+class ManyWaitingStepsTest(unittest.TestCase):
+    """Tests a group in which more steps wait than a planning pass may try."""
+
+    def test_long_running_steps_do_not_end_the_pass(self):
+        """Guards against steps that are never tried behind ones that never fit.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        for number in range(_starting.MAX_UNPLACED_STEPS_PER_PASS):
+            driver.put_job(f"{number:016x}",
+                           test_lasting.build_service_step(cpu_millis=11_000))
+        driver.put_job("f" * 16, test_lasting.build_service_step())
+        (order,) = driver.plan_starts()
+        self.assertEqual(order.task.job_id, "f" * 16)
