--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -37,6 +37,11 @@
 """Time that a member of the group's own domain waits after joining before it
 takes over from a leader in another domain."""
 
+MIN_FAILBACK_TERM = datetime.timedelta(seconds=11)
+"""Time for which the leader in another domain must have led the group before
+that: a little longer than the longest wait of a new leader for workers that do
+not reply. The wait would begin again with another leader."""
+
 EPOCH_RANGE_SIZE = 512
 """Number of epochs in a range. A candidate takes its epoch from the range after
 that of the known epoch; a hash of the candidate's name selects the position in
@@ -173,6 +178,7 @@
     if (is_in_group_domain and is_store_recovered and
             leader_domain is not None and leader_domain != group and
             group not in view.groups_with_missing_workers and
+            now - leader.epoch_read_at >= MIN_FAILBACK_TERM.total_seconds() and
             now - view.joined_at >= FAILBACK_DELAY.total_seconds()):
         return _FAILBACK_REASON, view.joined_at
     return "", now
