--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -282,11 +282,15 @@
             return None
         if self._joined_at is None:
             self._joined_at = now
-        return dispatch.ElectionView(self._settings.node, self._incarnation,
-                                     members,
-                                     self._peering.list_reachable_daemons(),
-                                     self._topic_reader.readable_since,
-                                     self._joined_at, now)
+        return dispatch.ElectionView(
+            self._settings.node, self._incarnation, members,
+            self._peering.list_reachable_daemons(),
+            self._topic_reader.readable_since, self._joined_at, now,
+            frozenset(group for group, workers in
+                      self._topic_reader.job_table.recorded_workers.items()
+                      if any(
+                          worker.worker_id not in self._worker_registry.entries
+                          for worker in workers)))
 
     async def _acquire_leadership(self, group: str,
                                   takeover_reason: str) -> None:
@@ -336,9 +340,12 @@
                         offset=leadership_offset,
                         reason=takeover_reason)
         lease_length = min(self._settings.max_lease, _group_leader.MAX_LEASE)
-        takeover_wait = (_group_leader.START_PERMISSION_PERIOD +
-                         lease_length * _group_leader.CLOCK_DRIFT_FACTOR +
-                         _group_leader.TAKEOVER_MARGIN)
+        former_record_read_at = self._topic_reader.job_table.leaders[
+            group].former_record_read_at
+        takeover_wait = _group_leader.compute_takeover_wait(
+            lease_length,
+            None if former_record_read_at is None else datetime.timedelta(
+                seconds=self._clock.monotonic() - former_record_read_at))
         timings = dispatch.GroupTimings(lease_length, takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -110,6 +110,31 @@
         ]
         self.assertEqual(sorted(map(bool, reasons)), [False, True])
 
+    def test_leadership_is_not_taken_back_while_a_worker_is_missing(self):
+        """Guards against a voluntary takeover that delays all starts.
+
+        A new leader waits for workers that are gone from the beginning again.
+        The registry lists these for some seconds, so the present leader must
+        also have led the group for longer than that wait.
+        """
+        cases = (("worker is missing", (GROUP,), 0.0, False),
+                 ("worker of another group is missing", ("n2",), 0.0,
+                  True), ("leader is new", (), 90.0, False))
+        for name, groups, epoch_read_at, takes_over in cases:
+            with self.subTest(name):
+                leader = build_leader(node="c")._replace(
+                    epoch_read_at=epoch_read_at)
+                reasons = [
+                    dispatch.find_reason_to_lead(
+                        GROUP, leader,
+                        build_election_view(
+                            node,
+                            reachable_nodes=frozenset({"a", "b", "c"}) - {node},
+                            groups_with_missing_workers=frozenset(groups)))
+                    for node in ("a", "b")
+                ]
+                self.assertEqual(any(reasons), takes_over)
+
     def test_candidates_choose_different_epochs(self):
         """Checks that nine candidates choose at least eight different epochs.
 
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -0,0 +1,128 @@
+"""Tests that workers and tasks which planning leaves out come back into it."""
+
+import unittest
+
+from gentianlead import dispatch
+from gentianlead.dispatch import _starting
+from gentianlead.dispatch import _workers
+from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import test_admission
+from gentianlead.dispatch.tests import test_lasting
+
+JOB_ID = "00000000000000aa"
+
+
+class RelistedWorkerTest(unittest.TestCase):
+    """Tests a worker that the registry lists again after the group dropped it.
+    """
+
+    def test_worker_gets_starts_again(self):
+        """Guards against a worker that stays unrecorded once it is back.
+
+        It is listed again before the workers without it were stored.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.mark_worker_removed("w1", driver.now)
+        driver.now += 10.0
+        self.assertEqual(driver.scheduler.drop_removed_workers(driver.now),
+                         ["w1"])
+        driver.add_worker(builders.build_worker())
+        driver.put_job(JOB_ID, builders.build_step())
+        self.assertEqual(len(driver.plan_starts()), 1)
+
+
+class OutdatedReportTest(unittest.TestCase):
+    """Tests long-running jobs that were accepted without recent load reports.
+    """
+
+    def test_tasks_without_capacity_move_beside_running_ones(self):
+        """Guards against tasks that wait for as long as others of the job run.
+
+        All tasks are accepted for the daemon's own group, which has capacity
+        for one of them.
+        """
+        step = test_lasting.build_service_step(3, cpu_millis=6000)
+        job = builders.build_job(JOB_ID, step)
+        admission = dispatch.decide_admission(
+            job, {"north-2": test_admission.build_report(age_s=5.0)}, "north-1",
+            test_admission.NOW)
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job(JOB_ID, step, assignment=admission.assignment)
+        (order,) = driver.start_all()
+        driver.now += 2.0
+        driver.apply_status(running=(builders.build_active_run(order),))
+        report = dispatch.GroupReport(
+            test_admission.build_report(largest_free_cpu_millis=10_000).load,
+            driver.now)
+        (move,) = driver.scheduler.plan_moves(
+            lambda: driver.scheduler.compute_load(driver.now),
+            {"north-2": report}, driver.now)
+        self.assertEqual(move.record.task_indexes, (1,))
+
+
+class EvacuatedGroupTest(unittest.TestCase):
+    """Tests long-running tasks that wait in a group out of service."""
+
+    def test_tasks_move_to_a_group_in_which_they_fit_later(self):
+        """Guards against tasks that wait for the evacuated group's own CPU.
+
+        Short tasks fill the other group, and nothing starts in the own one.
+        """
+        step = test_lasting.build_service_step(2, cpu_millis=6000)
+        assignment = ("n1", "n1")
+        job = builders.build_job(JOB_ID, step, assignment=assignment)
+        reports = {
+            "n1":
+                test_admission.build_report(
+                    is_usable=False, largest_reclaimable_cpu_millis=10_000),
+            "n2":
+                test_admission.build_report(
+                    largest_free_cpu_millis=0,
+                    largest_reclaimable_cpu_millis=10_000)
+        }
+        fallback_group = dispatch.choose_fallback_group(job, assignment, "n1",
+                                                        reports,
+                                                        test_admission.NOW)
+        self.assertEqual(fallback_group.group, "n2")
+
+
+class ManyWaitingStepsTest(unittest.TestCase):
+    """Tests a group in which more steps wait than a planning pass may try."""
+
+    def test_long_running_steps_do_not_end_the_pass(self):
+        """Guards against steps that are never tried behind ones that never fit.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        for number in range(_starting.MAX_UNPLACED_STEPS_PER_PASS):
+            driver.put_job(f"{number:016x}",
+                           test_lasting.build_service_step(cpu_millis=11_000))
+        driver.put_job("f" * 16, test_lasting.build_service_step())
+        (order,) = driver.plan_starts()
+        self.assertEqual(order.task.job_id, "f" * 16)
+
+
+class ProbationTest(unittest.TestCase):
+    """Tests what planning expects of a worker on probation."""
+
+    def test_no_run_is_stopped_to_move_to_an_untested_worker(self):
+        """Guards against tasks that leave a sound worker and then wait.
+
+        Their worker is about to leave. The other one receives one start at a
+        time, and may fail it.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job(JOB_ID, test_lasting.build_service_step(2))
+        active_runs = tuple(
+            builders.build_active_run(order, 100)
+            for order in driver.start_all())
+        driver.add_worker(builders.build_worker("w2"))
+        driver.apply_status(running=active_runs)
+        driver.scheduler.put_worker(
+            builders.build_worker(is_draining=True, leaves_in_ms=5000))
+        worker = driver.scheduler.workers["w2"]
+        for _ in range(_workers.FAILURES_TO_QUARANTINE):
+            worker.record_result(False, 0.0)
+        self.assertTrue(worker.can_receive_starts(driver.now))
+        self.assertEqual(driver.plan_stops(), [])
+        worker.record_result(True, driver.now)
+        self.assertEqual(len(driver.plan_stops()), 2)
