Stop no run to move it to a worker on probation

Runs on a worker that is about to leave are stopped early if other workers have capacity for them. A worker on probation counted with all of its free CPU, though it receives one start at a time and may fail it: the other tasks waited, while their former worker still had seconds left. Since starts on probation are limited to one, this happens with any number of runs above one.

Evidence: test_no_run_is_stopped_to_move_to_an_untested_worker counted two stop orders before, and none now until a run has succeeded there.

--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -49,8 +49,10 @@
     def __init__(self, state: _group_state.GroupState):
         self._state = state
         # Capacity left on the workers that may receive starts, by worker
-        # identifier. Runs that the present plan moves to a worker are already
-        # subtracted. None until the plan looks for capacity for a first run.
+        # identifier, without those on probation: they may fail the run, and
+        # receive one start at a time. Runs that the present plan moves to a
+        # worker are already subtracted. None until the plan looks for capacity
+        # for a first run.
         self._destination_candidates: dict[str,
                                            _placement.Candidate] | None = None
 
@@ -139,7 +141,7 @@
             self._destination_candidates = {
                 worker.worker_id: _placement.build_candidate(worker)
                 for worker in self._state.workers.values()
-                if worker.can_receive_starts(now)
+                if worker.can_receive_starts(now) and not worker.is_on_probation
             }
         job = self._state.jobs[run.task.job_id]
         step_run = job.get_step(run.task)
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -184,6 +184,11 @@
             if run.step.tail_latency_limit_ms
         }
 
+    @property
+    def is_on_probation(self) -> bool:
+        """Whether no run has succeeded since the failures of a quarantine."""
+        return self.consecutive_failures >= FAILURES_TO_QUARANTINE
+
     def get_throttle_percent(self, run: _runs.Run) -> int:
         """Returns the share of its full speed, in percent, allowed to a run."""
         if not run.step.is_best_effort:
@@ -264,7 +269,7 @@
             return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
             return StartObstacle.STATUS_TOO_OLD
-        if self.consecutive_failures >= FAILURES_TO_QUARANTINE and any(
+        if self.is_on_probation and any(
                 now - run.start_sent_at < PROBE_INTERVAL.total_seconds()
                 for run in self.runs.values()):
             return StartObstacle.ON_PROBATION
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -4,6 +4,7 @@
 
 from gentianlead import dispatch
 from gentianlead.dispatch import _starting
+from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_admission
 from gentianlead.dispatch.tests import test_lasting
@@ -98,3 +99,30 @@
         driver.put_job("f" * 16, test_lasting.build_service_step())
         (order,) = driver.plan_starts()
         self.assertEqual(order.task.job_id, "f" * 16)
+
+
+class ProbationTest(unittest.TestCase):
+    """Tests what planning expects of a worker on probation."""
+
+    def test_no_run_is_stopped_to_move_to_an_untested_worker(self):
+        """Guards against tasks that leave a sound worker and then wait.
+
+        Their worker is about to leave. The other one receives one start at a
+        time, and may fail it.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job(JOB_ID, test_lasting.build_service_step(2))
+        active_runs = tuple(
+            builders.build_active_run(order, 100)
+            for order in driver.start_all())
+        driver.add_worker(builders.build_worker("w2"))
+        driver.apply_status(running=active_runs)
+        driver.scheduler.put_worker(
+            builders.build_worker(is_draining=True, leaves_in_ms=5000))
+        worker = driver.scheduler.workers["w2"]
+        for _ in range(_workers.FAILURES_TO_QUARANTINE):
+            worker.record_result(False, 0.0)
+        self.assertTrue(worker.can_receive_starts(driver.now))
+        self.assertEqual(driver.plan_stops(), [])
+        worker.record_result(True, driver.now)
+        self.assertEqual(len(driver.plan_stops()), 2)
