Take a group back only after its leader had time to find all runs

Callers saw long-running tasks without a run beside free capacity (LOST).

A leader in another domain now keeps a group for 11 s, a little longer than the longest wait for workers that do not reply, before a failback.

--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -37,6 +37,11 @@
 """Time that a member of the group's own domain waits after joining before it
 takes over from a leader in another domain."""
 
+MIN_FAILBACK_TERM = datetime.timedelta(seconds=11)
+"""Time for which the leader in another domain must have led the group before
+that: a little longer than the longest wait of a new leader for workers that do
+not reply. The wait would begin again with another leader."""
+
 EPOCH_RANGE_SIZE = 512
 """Number of epochs in a range. A candidate takes its epoch from the range after
 that of the known epoch; a hash of the candidate's name selects the position in
@@ -167,12 +172,19 @@
                 leader.last_record_read_at + silence_limit.total_seconds())
     is_in_group_domain = view.members[view.node].record.domain == group
     leader_domain = member.record.domain if member is not None else None
-    # After a takeover, no task of a known job starts until all workers of the
-    # former leader have replied or cannot have runs any more. A failback can
-    # wait until the workers that are gone have been dropped.
     if (is_in_group_domain and is_store_recovered and
-            leader_domain is not None and leader_domain != group and
-            group not in view.groups_with_missing_workers and
-            now - view.joined_at >= FAILBACK_DELAY.total_seconds()):
+            leader_domain not in (None, group) and
+            _is_failback_due(group, leader, view)):
         return _FAILBACK_REASON, view.joined_at
     return "", now
+
+
+def _is_failback_due(group: str, leader: _table.LeaderEntry,
+                     view: ElectionView) -> bool:
+    # After a takeover, no task of a known job starts until all workers of the
+    # former leader have replied or cannot have runs any more. A failback can
+    # wait until the workers that are gone have been dropped.
+    return (group not in view.groups_with_missing_workers and
+            view.now - leader.epoch_read_at
+            >= MIN_FAILBACK_TERM.total_seconds() and
+            view.now - view.joined_at >= FAILBACK_DELAY.total_seconds())
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -92,12 +92,15 @@
             of any type that the leader wrote was read.
         former_record_read_at: The same time for the former leader, which can
             write no record any more; None if this process has read none.
+        epoch_read_at: Monotonic time in seconds at which this process first
+            read a record of the leader.
     """
 
     record: _records.LeaderRecord
     epoch_offset: int
     last_record_read_at: float
     former_record_read_at: float | None = None
+    epoch_read_at: float = 0.0
 
 
 class MemberEntry(NamedTuple):
@@ -243,10 +246,13 @@
                 record.epoch < known_leader.record.epoch):
             return
         if known_leader is None:
-            self.leaders[record.group] = LeaderEntry(record, offset, now)
+            self.leaders[record.group] = LeaderEntry(record,
+                                                     offset,
+                                                     now,
+                                                     epoch_read_at=now)
         elif record.epoch > known_leader.record.epoch:
             self.leaders[record.group] = LeaderEntry(
-                record, offset, now, known_leader.last_record_read_at)
+                record, offset, now, known_leader.last_record_read_at, now)
         else:
             self.leaders[record.group] = known_leader._replace(
                 record=record, last_record_read_at=now)
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -114,12 +114,19 @@
         """Guards against a voluntary takeover that delays all starts.
 
         A new leader waits for workers that are gone from the beginning again.
+        The registry lists these for some seconds, so the present leader must
+        also have led the group for longer than that wait.
         """
-        for groups, takes_over in (((GROUP,), False), (("n2",), True)):
-            with self.subTest(groups):
+        cases = (("worker is missing", (GROUP,), 0.0, False),
+                 ("worker of another group is missing", ("n2",), 0.0,
+                  True), ("leader is new", (), 90.0, False))
+        for name, groups, epoch_read_at, takes_over in cases:
+            with self.subTest(name):
+                leader = build_leader(node="c")._replace(
+                    epoch_read_at=epoch_read_at)
                 reasons = [
                     dispatch.find_reason_to_lead(
-                        GROUP, build_leader(node="c"),
+                        GROUP, leader,
                         build_election_view(
                             node,
                             reachable_nodes=frozenset({"a", "b", "c"}) - {node},
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -237,6 +237,7 @@
                             offset=offset), 10.0 + offset)
                 leader = table.leaders["north-1"]
                 self.assertEqual(leader.former_record_read_at, 12.0)
+                self.assertEqual(leader.epoch_read_at, 13.0)
                 self.assertEqual(leader.last_record_read_at, 14.0)
 
     def test_first_leader_has_no_former_one(self):
