Read the topic once more before a daemon claims a group

Callers saw long-running tasks without a run beside free capacity (LOST) after a leader was killed: two daemons claimed its group within 10 to 160 ms of each other, and the second waits anew for workers that are gone.

Cause: a daemon reads the topic every 0.3 s, so its view of the silence of the leader and of other claims is older than the delay of 0.15 s between ranks.

A daemon now reads the topic and decides again 60 ms before its claim. No test fails before: the two claims depend on the timing of processes.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -37,6 +37,11 @@
 """Longest wait for the append of the record that claims the leadership of a
 group, and again for this record to be read back from the job topic."""
 
+CLAIM_CHECK_DELAY = datetime.timedelta(milliseconds=60)
+"""Time for a read of the job topic before this daemon claims a group. The table
+may lack the records of the last 0.3 s, so another candidate may have claimed
+the group. Each leader waits anew for workers that do not reply."""
+
 SHUTDOWN_TIMEOUT = datetime.timedelta(seconds=3)
 """Time that a stopping daemon has for resigning its leaderships and finishing
 requests in progress; after it the daemon stops without completing them. This is
@@ -273,6 +278,16 @@
                     self._spawn(self._acquire_leadership(
                         group, takeover_reason))
 
+    async def _is_takeover_still_due(self, group: str) -> bool:
+        """Reads the topic once more, and repeats the decision on a takeover."""
+        self._topic_reader.request_read()
+        await self._clock.sleep(CLAIM_CHECK_DELAY)
+        election_view = self._build_election_view()
+        return election_view is not None and bool(
+            dispatch.find_reason_to_lead(
+                group, self._topic_reader.job_table.leaders.get(group),
+                election_view))
+
     def _build_election_view(self) -> dispatch.ElectionView | None:
         members = self._topic_reader.job_table.members
         now = self._clock.monotonic()
@@ -296,11 +311,16 @@
                                   takeover_reason: str) -> None:
         """Claims the leadership of a group and starts to lead if it succeeds.
 
+        Does nothing if a read of the topic shows that another daemon has
+        claimed the group.
+
         The claim succeeds only if it is stored and read back, and the job table
         then holds it as the group's leader record. Otherwise another daemon may
         have claimed the group.
         """
         try:
+            if not await self._is_takeover_still_due(group):
+                return
             current_leader = self._topic_reader.job_table.leaders.get(group)
             epoch = dispatch.choose_epoch(
                 current_leader.record.epoch if current_leader else 0,
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -453,6 +453,10 @@
             return False
         return True
 
+    def request_read(self) -> None:
+        """Reads the topic again without the pause between two reads."""
+        self._read_requested.set()
+
     async def _run(self) -> None:
         """Reads the topic, and loads it again after an unexpected error.
 
