End the wait of a takeover once the former leader's process has ended

A killed daemon is started again within a second or two, and announces itself as a new process of the same machine. It is never shorter than the leases that an earlier leader may have renewed, whose permission began before the first record of the former leader. A process of another machine says nothing about it; machines that replace others have other names.

Evidence: tests of TakeoverEndTest and test_end_of_a_process. The time of the former leader is now kept as its whole entry.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -264,6 +264,7 @@
             if (not self._topic_reader.is_loaded or
                     self._job_service.is_draining):
                 continue
+            self._limit_takeover_waits()
             election_view = self._build_election_view()
             if election_view is None:
                 continue
@@ -278,6 +279,24 @@
                     self._spawn(self._acquire_leadership(
                         group, takeover_reason))
 
+    def _limit_takeover_waits(self) -> None:
+        """Ends waits for runs of former leaders that can have none any more."""
+        job_table = self._topic_reader.job_table
+        for group, leader in self._leaders.items():
+            leader_entry = job_table.leaders.get(group)
+            if (leader_entry is None or leader_entry.former is None or
+                    leader_entry.record.epoch != leader.epoch):
+                continue
+            process_ended_at = dispatch.find_process_end(
+                leader_entry.former, job_table.members)
+            leader.scheduler.limit_takeover_wait(
+                _group_leader.compute_takeover_end(self._get_lease_length(),
+                                                   leader_entry.former,
+                                                   process_ended_at))
+
+    def _get_lease_length(self) -> datetime.timedelta:
+        return min(self._settings.max_lease, _group_leader.MAX_LEASE)
+
     async def _is_takeover_still_due(self, group: str) -> bool:
         """Reads the topic once more, and repeats the decision on a takeover."""
         self._topic_reader.request_read()
@@ -359,13 +378,10 @@
                         epoch=epoch,
                         offset=leadership_offset,
                         reason=takeover_reason)
-        lease_length = min(self._settings.max_lease, _group_leader.MAX_LEASE)
-        former_record_read_at = self._topic_reader.job_table.leaders[
-            group].former_record_read_at
-        takeover_wait = _group_leader.compute_takeover_wait(
-            lease_length,
-            None if former_record_read_at is None else datetime.timedelta(
-                seconds=self._clock.monotonic() - former_record_read_at))
+        lease_length = self._get_lease_length()
+        takeover_wait = (_group_leader.START_PERMISSION_PERIOD +
+                         lease_length * _group_leader.CLOCK_DRIFT_FACTOR +
+                         _group_leader.TAKEOVER_MARGIN)
         timings = dispatch.GroupTimings(lease_length, takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
@@ -393,6 +409,7 @@
             if listed_entry.domain == group:
                 leader.put_worker(listed_entry)
         self._apply_operator_state()
+        self._limit_takeover_waits()
         leader.start()
 
     def _stop_leading(self, group: str, loss_reason: str) -> None:
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -65,25 +65,34 @@
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
 
-def compute_takeover_wait(
-    lease: datetime.timedelta,
-    former_record_age: datetime.timedelta | None,
-) -> datetime.timedelta:
-    """Returns how long runs of a former leader may go on at a silent worker.
+def compute_takeover_end(lease: datetime.timedelta,
+                         former_leader: dispatch.LeaderEntry,
+                         process_ended_at: float | None) -> float:
+    """Returns when no run of a former leader can go on at a silent worker.
 
-    The start permission of the former leader ends `START_PERMISSION_PERIOD`
-    after it sent its last record, which was before that record was read.
+    A leader may start runs until its start permission or its process ends. The
+    permission ends `START_PERMISSION_PERIOD` after the leader sent its last
+    record, which was before that record was read. Each leader before it sent
+    its own last record before the first record of the former leader was stored.
 
     Args:
         lease: Longest lease of a worker.
-        former_record_age: Time since the last record of the former leader was
-            read; None if it is unknown. Later, the store accepts no record of
-            that leader any more.
+        former_leader: The former leader, of which the store takes no record
+            any more.
+        process_ended_at: Monotonic time in seconds by which the process of the
+            former leader had ended; None if that is not known.
+
+    Returns:
+        Monotonic time in seconds.
     """
-    wait = (START_PERMISSION_PERIOD + lease * CLOCK_DRIFT_FACTOR +
-            TAKEOVER_MARGIN)
-    return max(datetime.timedelta(0),
-               wait - (former_record_age or datetime.timedelta(0)))
+    permission_s = START_PERMISSION_PERIOD.total_seconds()
+    last_start_at = former_leader.last_record_read_at + permission_s
+    if process_ended_at is not None:
+        last_start_at = min(
+            last_start_at,
+            max(process_ended_at, former_leader.epoch_read_at + permission_s))
+    return last_start_at + (lease * CLOCK_DRIFT_FACTOR +
+                            TAKEOVER_MARGIN).total_seconds()
 
 
 class GroupLeader:
--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -3,32 +3,49 @@
 import datetime
 import unittest
 
+from gentianlead import dispatch
 from gentianlead.cluster import _group_leader
 
 LEASE = datetime.timedelta(seconds=5)
+PERMISSION_S = _group_leader.START_PERMISSION_PERIOD.total_seconds()
 
 
-class TakeoverWaitTest(unittest.TestCase):
-    """Tests the wait after which no run of a former leader can go on."""
+class TakeoverEndTest(unittest.TestCase):
+    """Tests when no run of a former leader can go on at such a worker.
 
-    def test_silence_of_the_former_leader_counts(self):
+    The first record of the former leader was read at 100 s, the last one at
+    200 s.
+    """
+
+    def compute_last_start(self, process_ended_at: float | None) -> float:
+        """Returns the last time at which the former leader may start a run."""
+        former_leader = dispatch.LeaderEntry(
+            dispatch.LeaderRecord("n1", 70, "a", "a#1", 1), 5, 200.0, 100.0)
+        takeover_end = _group_leader.compute_takeover_end(
+            LEASE, former_leader, process_ended_at)
+        return takeover_end - (LEASE * _group_leader.CLOCK_DRIFT_FACTOR +
+                               _group_leader.TAKEOVER_MARGIN).total_seconds()
+
+    def test_permission_counts_from_the_last_record(self):
         """Guards against tasks that wait for a dead worker for too long.
 
-        The start permission of the former leader has been running out since its
-        last record, not only since the takeover.
+        The permission has been running out since the last record of the former
+        leader, not only since the takeover.
+        """
+        self.assertAlmostEqual(self.compute_last_start(None),
+                               200.0 + PERMISSION_S)
+
+    def test_permission_ends_with_the_process(self):
+        """Guards against a wait for starts of a process that has ended."""
+        self.assertAlmostEqual(self.compute_last_start(201.0), 201.0)
+        self.assertAlmostEqual(self.compute_last_start(210.0),
+                               200.0 + PERMISSION_S)
+
+    def test_permission_of_an_earlier_leader(self):
+        """Guards against a second run beside one of an earlier leader.
+
+        The former leader ended soon after its first record, while the leader
+        before it may still have a permission.
         """
-        full_wait = _group_leader.compute_takeover_wait(LEASE, None)
-        self.assertEqual(
-            _group_leader.compute_takeover_wait(LEASE,
-                                                datetime.timedelta(seconds=2)),
-            full_wait - datetime.timedelta(seconds=2))
-        self.assertEqual(
-            _group_leader.compute_takeover_wait(LEASE,
-                                                datetime.timedelta(minutes=1)),
-            datetime.timedelta(0))
-
-    def test_unknown_former_leader(self):
-        """Guards against a second run beside one of a leader not known."""
-        self.assertGreaterEqual(
-            _group_leader.compute_takeover_wait(LEASE, None),
-            _group_leader.START_PERMISSION_PERIOD + LEASE)
+        self.assertAlmostEqual(self.compute_last_start(101.0),
+                               100.0 + PERMISSION_S)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -20,6 +20,7 @@
 from gentianlead.dispatch._election import HEARTBEAT_INTERVAL
 from gentianlead.dispatch._election import choose_epoch
 from gentianlead.dispatch._election import ElectionView
+from gentianlead.dispatch._election import find_process_end
 from gentianlead.dispatch._election import find_reason_to_lead
 from gentianlead.dispatch._group import GroupScheduler
 from gentianlead.dispatch._interference import InterferenceModel
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -150,6 +150,20 @@
     return ""
 
 
+def find_process_end(leader: _table.LeaderEntry,
+                     members: dict[str, _table.MemberEntry]) -> float | None:
+    """Returns a time by which the process of a leader had ended.
+
+    That is when a record of the next process on the same machine was read. The
+    time is monotonic and in seconds; None if no such record was read.
+    """
+    member = members.get(leader.record.node)
+    if (member is None or
+            member.record.incarnation == leader.record.incarnation):
+        return None
+    return member.seen_at
+
+
 def _find_replacement_reason(group: str, leader: _table.LeaderEntry,
                              view: ElectionView) -> tuple[str, float]:
     record = leader.record
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -507,6 +507,11 @@
         for job in self.jobs.values():
             job.is_reconciled = True
 
+    def limit_takeover_wait(self, ends_at: float) -> None:
+        """Ends the takeover wait at a monotonic time, or earlier if it is due.
+        """
+        self._takeover_ends_at = min(self._takeover_ends_at, ends_at)
+
     def take_dirty_progress(self) -> list[_records.ProgressRecord]:
         """Returns records of all progress that changed since the last call.
 
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -90,17 +90,18 @@
             this process has read.
         last_record_read_at: Monotonic time in seconds at which the last record
             of any type that the leader wrote was read.
-        former_record_read_at: The same time for the former leader, which can
-            write no record any more; None if this process has read none.
         epoch_read_at: Monotonic time in seconds at which this process first
             read a record of the leader.
+        former: Entry of the former leader, which can write no record any more,
+            without that leader's own `former`; None if this process has read
+            none.
     """
 
     record: _records.LeaderRecord
     epoch_offset: int
     last_record_read_at: float
-    former_record_read_at: float | None = None
     epoch_read_at: float = 0.0
+    former: "LeaderEntry | None" = None
 
 
 class MemberEntry(NamedTuple):
@@ -252,7 +253,7 @@
                                                      epoch_read_at=now)
         elif record.epoch > known_leader.record.epoch:
             self.leaders[record.group] = LeaderEntry(
-                record, offset, now, known_leader.last_record_read_at, now)
+                record, offset, now, now, known_leader._replace(former=None))
         else:
             self.leaders[record.group] = known_leader._replace(
                 record=record, last_record_read_at=now)
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -135,6 +135,18 @@
                 ]
                 self.assertEqual(any(reasons), takes_over)
 
+    def test_end_of_a_process(self):
+        """Guards against an end that is assumed of a process that may run on.
+        """
+        members = {"a": build_member("a", incarnation="a#2")}
+        for incarnation, ended_at in (("a#1", 0.0), ("a#2", None)):
+            with self.subTest(incarnation):
+                self.assertEqual(
+                    dispatch.find_process_end(
+                        build_leader("a", incarnation=incarnation), members),
+                    ended_at)
+        self.assertIsNone(dispatch.find_process_end(build_leader("b"), members))
+
     def test_candidates_choose_different_epochs(self):
         """Checks that nine candidates choose at least eight different epochs.
 
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -236,7 +236,8 @@
                         dispatch.encode_record(stored_record)._replace(
                             offset=offset), 10.0 + offset)
                 leader = table.leaders["north-1"]
-                self.assertEqual(leader.former_record_read_at, 12.0)
+                self.assertEqual(leader.former.epoch_read_at, 11.0)
+                self.assertEqual(leader.former.last_record_read_at, 12.0)
                 self.assertEqual(leader.epoch_read_at, 13.0)
                 self.assertEqual(leader.last_record_read_at, 14.0)
 
@@ -244,4 +245,4 @@
         """Guards against a wait that is cut short without any evidence."""
         topic = TopicBuilder()
         topic.add(dispatch.LeaderRecord("north-1", 64, "a", "a#1", 1))
-        self.assertIsNone(topic.table.leaders["north-1"].former_record_read_at)
+        self.assertIsNone(topic.table.leaders["north-1"].former)
