Start a task that stood still on another worker

A long-running task that does not become ready is stopped after 6 s and starts again, on the worker with the best score: the same one, if the worker is at fault, time after time.

Evidence: test_task_starts_on_another_worker got the same worker before.

A stop for lack of progress now counts like a failure for the choice of the worker. It does not count as an attempt, nor towards a quarantine.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -99,8 +99,8 @@
             task.
         checkpoints: Newest checkpoint from an ended run, by index of the task;
             deleted when the task is done.
-        last_failed_workers: Worker on which the task failed last, by index of
-            the task.
+        last_failed_workers: Worker on which the task failed or stood still
+            last, by index of the task.
         unplaced_since: Monotonic time in seconds since which tasks wait because
             no worker that may run them has capacity; None if no task waits for
             that reason.
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -38,6 +38,8 @@
 progress at most `MAX_RESTART_PROGRESS_PERCENT`. At 15 % of its speed, the rest
 of such a task takes longer than the whole task at full speed."""
 
+_STALL_REASON = "no progress"
+
 
 class StopPlanner:
     """Plans the stop orders for the runs on the workers of a group.
@@ -74,6 +76,10 @@
                     orders.append(
                         _orders.StopOrder(worker.worker_id, run.task,
                                           run.number, reason))
+                    if reason == _STALL_REASON:
+                        self._state.jobs[run.task.job_id].get_step(
+                            run.task).last_failed_workers[
+                                run.task.index] = worker.worker_id
             for (task,
                  run_number), reported_since in worker.unknown_runs.items():
                 if (self._is_obsolete(task) or now - reported_since
@@ -103,7 +109,7 @@
         if run.task.index in step_run.done_indexes:
             return "task is done"
         if self._is_stalled(run, now):
-            return "no progress"
+            return _STALL_REASON
         if run.phase is not _runs.RunPhase.RUNNING:
             return ""
         if self._should_leave_worker(run) and self._reserve_elsewhere(run, now):
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead import ports
 from gentianlead.dispatch import _starting
 from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
@@ -126,3 +127,28 @@
         self.assertEqual(driver.plan_stops(), [])
         worker.record_result(True, driver.now)
         self.assertEqual(len(driver.plan_stops()), 2)
+
+
+class StalledTaskTest(unittest.TestCase):
+    """Tests a long-running task that stands still on its worker."""
+
+    def test_task_starts_on_another_worker(self):
+        """Guards against a task that returns to a worker where it stands still.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.put_job(JOB_ID, test_lasting.build_service_step())
+        (order,) = driver.start_all()
+        driver.now += 6.5
+        for worker_id in ("w1", "w2"):
+            active_runs = ((builders.build_active_run(order),)
+                           if worker_id == order.worker_id else ())
+            driver.apply_status(worker_id, running=active_runs)
+        (stop_order,) = driver.plan_stops()
+        driver.scheduler.apply_stop_reply(stop_order, True, driver.now)
+        driver.now += 0.1
+        driver.apply_status(order.worker_id,
+                            ended=(builders.build_ended_run(
+                                order, 1, ports.EndCause.STOPPED),))
+        (next_order,) = driver.plan_starts()
+        self.assertNotEqual(next_order.worker_id, order.worker_id)
