Let another member of the domain lead after the leader was restarted

That process had just loaded the topic, so it could not tell when the records of earlier leaders were stored.

Such a process now waits 0.4 s if it reaches another member of the domain, which sees the restart and takes over within that time.

--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -33,6 +33,12 @@
 of the group's own domain. It is longer than the read that would show the
 takeover by that member."""
 
+OWN_RESTART_DELAY = datetime.timedelta(milliseconds=400)
+"""Further delay for a daemon that led the group before it was restarted, while
+it can reach another member of the group's own domain. That member has followed
+the topic for longer, so as a leader it knows sooner that no run of a former
+leader can go on."""
+
 FAILBACK_DELAY = datetime.timedelta(seconds=2)
 """Time that a member of the group's own domain waits after joining before it
 takes over from a leader in another domain."""
@@ -50,6 +56,7 @@
 whose leader record is then read from the topic wins."""
 
 _FAILBACK_REASON = "leader is in another domain"
+_OWN_RESTART_REASON = "own process restarted"
 
 
 class ElectionView(NamedTuple):
@@ -145,6 +152,10 @@
     if reason == _FAILBACK_REASON and ranked_names[0] != view.node:
         # Not urgent, so only the member that ranks first takes over.
         return ""
+    if reason == _OWN_RESTART_REASON and any(
+            member.record.domain == group and name != view.node
+            for name, member in reachable_members.items()):
+        delay_s += OWN_RESTART_DELAY.total_seconds()
     if reason and now - takeover_due_since >= delay_s:
         return reason
     return ""
@@ -174,7 +185,7 @@
     if not record.node:
         return "leader resigned", leader.last_record_read_at
     if record.node == view.node and record.incarnation != view.incarnation:
-        return "own process restarted", view.joined_at
+        return _OWN_RESTART_REASON, view.joined_at
     member = view.members.get(record.node)
     if (member is not None and member.record.incarnation != record.incarnation):
         return "leader's process restarted", member.seen_at
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -135,6 +135,21 @@
                 ]
                 self.assertEqual(any(reasons), takes_over)
 
+    def test_restarted_leader_yields_to_another_member(self):
+        """Guards against a leader that knows little about earlier leaders.
+
+        Such a leader waits longest for workers that are gone.
+        """
+        for reachable_nodes, takes_over in (({"b", "c"}, False), ({"c"}, True)):
+            for joined_at, is_late in ((99.8, False), (98.0, True)):
+                with self.subTest((reachable_nodes, joined_at)):
+                    view = build_election_view(
+                        reachable_nodes=frozenset(reachable_nodes),
+                        joined_at=joined_at)
+                    reason = dispatch.find_reason_to_lead(
+                        GROUP, build_leader("a", incarnation="a#0"), view)
+                    self.assertEqual(bool(reason), takes_over or is_late)
+
     def test_end_of_a_process(self):
         """Guards against an end that is assumed of a process that may run on.
         """
