Move long-running tasks first to groups that they have not left

Callers saw long-running tasks pass from group to group without a start. A task moves to the group whose worker has the most free CPU, but the load reports do not show all that placement checks, such as the limit of tasks per worker. Two groups with much free CPU on workers at this limit thus gave a task to and fro, and a third one with a place for it was never tried.

Of the groups with free CPU, the one is now chosen that tasks of the job left the longest ago, by the number of the last move, or never.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -2,7 +2,8 @@
 
 import datetime
 import hashlib
-from typing import Iterable, NamedTuple
+import types
+from typing import Iterable, Mapping, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _load
@@ -370,22 +371,30 @@
     max_tasks: int = 1
 
 
-def choose_fallback_group(job: model.SteppedJob, assignment: tuple[str, ...],
-                          own_group: str, reports: dict[str, GroupReport],
-                          now: float) -> FallbackGroup:
+def choose_fallback_group(
+    job: model.SteppedJob,
+    assignment: tuple[str, ...],
+    own_group: str,
+    reports: dict[str, GroupReport],
+    now: float,
+    last_move_numbers: Mapping[str, int] = types.MappingProxyType({})
+) -> FallbackGroup:
     """Returns a group for long-running tasks that their own group cannot place.
 
     Other groups in which one worker has enough free CPU for a task come first.
     A group in which a task fits only after short tasks have ended is chosen
     only if a task does not fit in the own group even then. Of several such
-    groups, the one whose worker has the most CPU for these tasks is chosen.
+    groups, the one that tasks of the job left the longest ago is chosen, or
+    never left; among these, the one whose worker has the most CPU for them. A
+    report does not show all that placement checks, so tasks would otherwise
+    move in a circle between the groups that look best.
 
     Groups are left out if they are not usable, have no recent load report, lack
     the required label, or have reached the step's limit of tasks per worker.
     """
     step = job.steps[0]
     best_group = ""
-    best_sort_key = (False, 0)
+    best_sort_key = (False, 0, 0)
     own_report = reports.get(own_group)
     may_fit_in_own_group = (own_report is not None and
                             own_report.load.is_usable and
@@ -406,11 +415,12 @@
                                       load.largest_reclaimable_cpu_millis
                                       < step.cpu_millis):
             continue
-        sort_key = (has_free_capacity, load.largest_free_cpu_millis if
-                    has_free_capacity else load.largest_reclaimable_cpu_millis)
-        if sort_key > best_sort_key:
+        sort_key = (has_free_capacity, -last_move_numbers.get(group, 0),
+                    load.largest_free_cpu_millis if has_free_capacity else
+                    load.largest_reclaimable_cpu_millis)
+        if not best_group or sort_key > best_sort_key:
             best_group, best_sort_key = group, sort_key
     if step.max_tasks_per_worker:
         return FallbackGroup(best_group)
     return FallbackGroup(best_group,
-                         max(1, best_sort_key[1] // max(1, step.cpu_millis)))
+                         max(1, best_sort_key[2] // max(1, step.cpu_millis)))
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -145,7 +145,8 @@
                 _add_demand_to_report(reports, choice.group, demand)
         for job, indexes in self._state.list_unplaced_tasks(now):
             fallback_group = _admission.choose_fallback_group(
-                job.job, job.entry.assignment, job.group, reports, now)
+                job.job, job.entry.assignment, job.group, reports, now,
+                job.entry.last_move_numbers)
             if not fallback_group.group:
                 continue
             is_spread = len(job.entry.assignment) > 1
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -152,3 +152,38 @@
                                 order, 1, ports.EndCause.STOPPED),))
         (next_order,) = driver.plan_starts()
         self.assertNotEqual(next_order.worker_id, order.worker_id)
+
+
+class CircleTest(unittest.TestCase):
+    """Tests moves between groups that have free CPU but no place for a task."""
+
+    def test_task_reaches_a_group_that_looks_worse(self):
+        """Guards against a task that moves to and fro between two groups.
+
+        The workers with the free CPU of these groups have as many tasks of the
+        step as allowed, which the load reports do not show.
+        """
+        step = test_lasting.build_service_step(3,
+                                               cpu_millis=2000,
+                                               max_tasks_per_worker=1)
+        reports = {
+            group:
+                test_admission.build_report(
+                    worker_count=3,
+                    largest_free_cpu_millis=cpu_millis,
+                    largest_reclaimable_cpu_millis=cpu_millis)
+            for group, cpu_millis in (("n1", 9000), ("n2", 8000), ("n3", 3000))
+        }
+        group = "n1"
+        last_move_numbers: dict[str, int] = {}
+        visited_groups = []
+        for move_number in range(1, 4):
+            assignment = ("n1", "n2", group)
+            fallback_group = dispatch.choose_fallback_group(
+                builders.build_job(JOB_ID, step,
+                                   assignment=assignment), assignment, group,
+                reports, test_admission.NOW, last_move_numbers)
+            last_move_numbers[group] = move_number
+            group = fallback_group.group
+            visited_groups.append(group)
+        self.assertEqual(visited_groups, ["n2", "n3", "n1"])
