--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -37,6 +37,11 @@
 """Longest wait for the append of the record that claims the leadership of a
 group, and again for this record to be read back from the job topic."""
 
+CLAIM_CHECK_DELAY = datetime.timedelta(milliseconds=60)
+"""Time for a read of the job topic before this daemon claims a group. The table
+may lack the records of the last 0.3 s, so another candidate may have claimed
+the group. Each leader waits anew for workers that do not reply."""
+
 SHUTDOWN_TIMEOUT = datetime.timedelta(seconds=3)
 """Time that a stopping daemon has for resigning its leaderships and finishing
 requests in progress; after it the daemon stops without completing them. This is
@@ -259,6 +264,7 @@
             if (not self._topic_reader.is_loaded or
                     self._job_service.is_draining):
                 continue
+            self._limit_takeover_waits()
             election_view = self._build_election_view()
             if election_view is None:
                 continue
@@ -273,6 +279,34 @@
                     self._spawn(self._acquire_leadership(
                         group, takeover_reason))
 
+    def _limit_takeover_waits(self) -> None:
+        """Ends waits for runs of former leaders that can have none any more."""
+        job_table = self._topic_reader.job_table
+        for group, leader in self._leaders.items():
+            leader_entry = job_table.leaders.get(group)
+            if (leader_entry is None or leader_entry.former is None or
+                    leader_entry.record.epoch != leader.epoch):
+                continue
+            process_ended_at = dispatch.find_process_end(
+                leader_entry.former, job_table.members)
+            leader.scheduler.limit_takeover_wait(
+                _group_leader.compute_takeover_end(self._get_lease_length(),
+                                                   leader_entry.former,
+                                                   process_ended_at))
+
+    def _get_lease_length(self) -> datetime.timedelta:
+        return min(self._settings.max_lease, _group_leader.MAX_LEASE)
+
+    async def _is_takeover_still_due(self, group: str) -> bool:
+        """Reads the topic once more, and repeats the decision on a takeover."""
+        self._topic_reader.request_read()
+        await self._clock.sleep(CLAIM_CHECK_DELAY)
+        election_view = self._build_election_view()
+        return election_view is not None and bool(
+            dispatch.find_reason_to_lead(
+                group, self._topic_reader.job_table.leaders.get(group),
+                election_view))
+
     def _build_election_view(self) -> dispatch.ElectionView | None:
         members = self._topic_reader.job_table.members
         now = self._clock.monotonic()
@@ -296,11 +330,16 @@
                                   takeover_reason: str) -> None:
         """Claims the leadership of a group and starts to lead if it succeeds.
 
+        Does nothing if a read of the topic shows that another daemon has
+        claimed the group.
+
         The claim succeeds only if it is stored and read back, and the job table
         then holds it as the group's leader record. Otherwise another daemon may
         have claimed the group.
         """
         try:
+            if not await self._is_takeover_still_due(group):
+                return
             current_leader = self._topic_reader.job_table.leaders.get(group)
             epoch = dispatch.choose_epoch(
                 current_leader.record.epoch if current_leader else 0,
@@ -339,13 +378,10 @@
                         epoch=epoch,
                         offset=leadership_offset,
                         reason=takeover_reason)
-        lease_length = min(self._settings.max_lease, _group_leader.MAX_LEASE)
-        former_record_read_at = self._topic_reader.job_table.leaders[
-            group].former_record_read_at
-        takeover_wait = _group_leader.compute_takeover_wait(
-            lease_length,
-            None if former_record_read_at is None else datetime.timedelta(
-                seconds=self._clock.monotonic() - former_record_read_at))
+        lease_length = self._get_lease_length()
+        takeover_wait = (_group_leader.START_PERMISSION_PERIOD +
+                         lease_length * _group_leader.CLOCK_DRIFT_FACTOR +
+                         _group_leader.TAKEOVER_MARGIN)
         timings = dispatch.GroupTimings(lease_length, takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
@@ -373,6 +409,7 @@
             if listed_entry.domain == group:
                 leader.put_worker(listed_entry)
         self._apply_operator_state()
+        self._limit_takeover_waits()
         leader.start()
 
     def _stop_leading(self, group: str, loss_reason: str) -> None:
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead import ports
 from gentianlead.dispatch import _starting
 from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
@@ -126,3 +127,63 @@
         self.assertEqual(driver.plan_stops(), [])
         worker.record_result(True, driver.now)
         self.assertEqual(len(driver.plan_stops()), 2)
+
+
+class StalledTaskTest(unittest.TestCase):
+    """Tests a long-running task that stands still on its worker."""
+
+    def test_task_starts_on_another_worker(self):
+        """Guards against a task that returns to a worker where it stands still.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.put_job(JOB_ID, test_lasting.build_service_step())
+        (order,) = driver.start_all()
+        driver.now += 6.5
+        for worker_id in ("w1", "w2"):
+            active_runs = ((builders.build_active_run(order),)
+                           if worker_id == order.worker_id else ())
+            driver.apply_status(worker_id, running=active_runs)
+        (stop_order,) = driver.plan_stops()
+        driver.scheduler.apply_stop_reply(stop_order, True, driver.now)
+        driver.now += 0.1
+        driver.apply_status(order.worker_id,
+                            ended=(builders.build_ended_run(
+                                order, 1, ports.EndCause.STOPPED),))
+        (next_order,) = driver.plan_starts()
+        self.assertNotEqual(next_order.worker_id, order.worker_id)
+
+
+class CircleTest(unittest.TestCase):
+    """Tests moves between groups that have free CPU but no place for a task."""
+
+    def test_task_reaches_a_group_that_looks_worse(self):
+        """Guards against a task that moves to and fro between two groups.
+
+        The workers with the free CPU of these groups have as many tasks of the
+        step as allowed, which the load reports do not show.
+        """
+        step = test_lasting.build_service_step(3,
+                                               cpu_millis=2000,
+                                               max_tasks_per_worker=1)
+        reports = {
+            group:
+                test_admission.build_report(
+                    worker_count=3,
+                    largest_free_cpu_millis=cpu_millis,
+                    largest_reclaimable_cpu_millis=cpu_millis)
+            for group, cpu_millis in (("n1", 9000), ("n2", 8000), ("n3", 3000))
+        }
+        group = "n1"
+        last_move_numbers: dict[str, int] = {}
+        visited_groups = []
+        for move_number in range(1, 4):
+            assignment = ("n1", "n2", group)
+            fallback_group = dispatch.choose_fallback_group(
+                builders.build_job(JOB_ID, step,
+                                   assignment=assignment), assignment, group,
+                reports, test_admission.NOW, last_move_numbers)
+            last_move_numbers[group] = move_number
+            group = fallback_group.group
+            visited_groups.append(group)
+        self.assertEqual(visited_groups, ["n2", "n3", "n1"])
