Stop runs of jobs that had ended before the leader took over

Cause: a leader does not add a job that the topic shows as ended, so the runs of that job were unknown to it. It stops unknown runs after 3 s, since it may not have read their job yet, and each new leader began this time again.

A leader now remembers which jobs had ended when it first read of them, and stops their runs at once. test_run_is_stopped_at_once got no stop order before.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -57,6 +57,8 @@
             `forget_job`.
         workers: Workers of the group, by identifier; those removed from the
             registry stay until `drop_removed_workers`.
+        ended_job_ids: Identifiers of jobs that had ended according to the topic
+            when this leader first read of them; they are not among `jobs`.
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
         is_evacuated: Whether operators took the group out of service.
@@ -72,6 +74,7 @@
         self.epoch = epoch
         self.jobs: dict[str, _runs.JobRun] = {}
         self.workers: dict[str, _workers.WorkerState] = {}
+        self.ended_job_ids: set[str] = set()
         self.ended_runs: list[_orders.AppliedRunEnd] = []
         self.is_evacuated = False
         self.queues: dict[tuple[str, str], model.Queue] = {}
@@ -338,6 +341,8 @@
                 self.forget_job(job_id)
             return
         assignment_offset = entry.assignment_offsets.get(self.group, -1)
+        if entry.state.is_final:
+            self.ended_job_ids.add(job_id)
         if (entry.state.is_final or assignment_offset
                 <= self._departed_job_offsets.get(job_id, -1)):
             return
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -10,9 +10,9 @@
 
 UNKNOWN_RUN_GRACE = datetime.timedelta(seconds=3)
 """Time for which a worker may report an unknown run before the run is stopped:
-the leader may not have read the run's job from the topic yet. If the leader
-knows the job, and the task does not wait for a start, it stops the run at once.
-"""
+the leader may not have read the run's job from the topic yet. If the job has
+ended, or if the leader knows it and the task does not wait for a start, it
+stops the run at once."""
 
 STALL_LIMIT_FACTOR = 4.0
 """A run of a task that is not long-running is stopped if it has made no
@@ -91,7 +91,7 @@
     def _is_obsolete(self, task: model.TaskKey) -> bool:
         job = self._state.jobs.get(task.job_id)
         if job is None:
-            return False
+            return task.job_id in self._state.ended_job_ids
         step_run = job.get_step(task)
         return (job.has_ended or step_run is None or
                 task.index not in step_run.waiting_indexes)
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _starting
 from gentianlead.dispatch import _workers
@@ -187,3 +188,21 @@
             group = fallback_group.group
             visited_groups.append(group)
         self.assertEqual(visited_groups, ["n2", "n3", "n1"])
+
+
+class CancelledJobTest(unittest.TestCase):
+    """Tests runs of a job that was cancelled before its leader took over."""
+
+    def test_run_is_stopped_at_once(self):
+        """Guards against runs that outlast the cancellation of their job.
+
+        The wait for the job to be read began again with each new leader.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        entry = builders.build_job_entry(builders.build_job(JOB_ID), offset=40)
+        driver.scheduler.put_job(entry._replace(is_cancelled=True))
+        active_run = ports.ActiveRun(model.TaskKey(JOB_ID, 0, 0, 0), 7, "", 0,
+                                     None)
+        driver.apply_status(running=(active_run,))
+        (stop_order,) = driver.plan_stops()
+        self.assertEqual(stop_order.task, active_run.task)
