Delay lower-ranked candidates for longer than reads of the topic differ

Cause: daemons read the topic every 0.3 s, so a lower-ranked one can see the silence of the leader 0.3 s before the first one, more than its delay of 0.15 s.

The delay is now 0.4 s.

--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -24,9 +24,10 @@
 silence or for being in another domain: leaders first have to write new
 records."""
 
-RANK_DELAY = datetime.timedelta(milliseconds=150)
+RANK_DELAY = datetime.timedelta(milliseconds=400)
 """Delay of a candidate's takeover for each reachable member that ranks above
-this candidate: as long as several appends to the store take."""
+this candidate. Daemons read the topic every 0.3 s, so they may see the silence
+of a leader that much earlier than others; the rest is for the append."""
 
 OTHER_DOMAIN_DELAY = datetime.timedelta(milliseconds=500)
 """Further delay for a candidate of another domain while it can reach a member
