Add the progress of other groups to jobs that a leader knows

What callers saw: a task ran twice.

Cause: a leader restored stored progress only when it first got to know a job. A job that it moved away stays known until the topic shows the move. If another group runs tasks and moves the job back within one read of the topic, the leader sees both moves at once, never forgets the job, and starts what it knew as waiting, as if nothing had been done elsewhere.

The new tests failed before:

test_task_done_elsewhere_is_not_started_again (order,) = self.driver.start_all() ValueError: too many values to unpack (expected 1) test_late_progress_takes_effect AssertionError: Lists differ: [0, 1] != [1] test_job_ends_when_both_groups_did_its_tasks AssertionError: <JobState.QUEUED: 'queued'> is not <JobState.COMPLETED... test_returned_job_resumes_from_its_newest_checkpoint AssertionError: Lists differ: ['old', ''] != ['new', ''] test_wait_begins_anew_after_a_return AssertionError: 3.0 != 0.0

Change: each newer state of a job adds the progress that other groups have stored since, and the highest run number. A job that came back also takes the waiting time of its last move and the newest checkpoints.

Ruled out: the order of the records. A leader enqueues its progress before the move in one step, and a page of newest records is applied by offset.

Result: the tests of gentianlead.dispatch pass.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -199,15 +199,30 @@
                 key = (occurrence, index)
                 self.steps[key] = StepRun(key, step)
         for progress in entry.progress_by_group.values():
-            self._restore_progress(progress)
+            self._restore_progress(progress, True)
         self.update_entry(entry)
 
     def update_entry(self, entry: _table.JobEntry) -> None:
         """Applies the newest state of the job in the topic.
 
-        Changes which tasks wait in this group, ends a pending move that the
-        topic shows, and applies a cancellation.
+        Adds new progress of other groups, changes which tasks wait in this
+        group, ends a pending move that the topic shows, and applies a
+        cancellation.
         """
+        # One read of the topic may show that the job left this group and came
+        # back, so that this object outlasts runs in another group.
+        has_returned = (entry.assignment_offsets.get(self.group, -1)
+                        > self.entry.assignment_offsets.get(self.group, -1))
+        if has_returned:
+            self.waited_before_s = entry.waited_ms / 1000
+            self.moves_without_start = entry.moves_without_start
+            for step_run in self.steps.values():
+                step_run.unplaced_since = None
+        for group, progress in entry.progress_by_group.items():
+            if (group != self.group and
+                    progress is not self.entry.progress_by_group.get(group)):
+                self._restore_progress(progress, has_returned)
+        self.last_run_number = max(self.last_run_number, entry.last_run_number)
         is_cancelled = self.entry.is_cancelled or entry.is_cancelled
         self.entry = entry._replace(is_cancelled=is_cancelled)
         # The move number shows whether the topic contains the move. The tasks
@@ -226,10 +241,15 @@
             }
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
-
-    def _restore_progress(self, progress: _records.ProgressRecord) -> None:
-        if not self.state.is_final and progress.state is not (
-                model.JobState.QUEUED):
+        self._complete_if_done()
+
+    def _restore_progress(self, progress: _records.ProgressRecord,
+                          replaces_checkpoints: bool) -> None:
+        """Adds stored progress; nothing that is known is taken back."""
+        if progress.state.is_final:
+            self.set_state(progress.state)
+        elif (not self.state.is_final and
+              progress.state is model.JobState.RUNNING):
             self.state = progress.state
         self.last_run_number = max(self.last_run_number,
                                    progress.last_run_number)
@@ -256,7 +276,9 @@
                     task_progress.index,
                     set()).update(task_progress.failed_runs,
                                   (task_progress.highest_failed_run,))
-            if task_progress.checkpoint:
+            if task_progress.checkpoint and (replaces_checkpoints or
+                                             task_progress.index
+                                             not in step_run.checkpoints):
                 step_run.checkpoints[
                     task_progress.index] = task_progress.checkpoint
 
@@ -467,6 +489,9 @@
         for i in indexes:
             step_run.checkpoints.pop(i, None)
         self.is_dirty = True
+        self._complete_if_done()
+
+    def _complete_if_done(self) -> None:
         if all(step_run.is_done for step_run in self.steps.values()):
             self.set_state(model.JobState.COMPLETED)
 
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -288,6 +288,125 @@
         self.assertEqual(moves, [])
 
 
+class KnownProgressTest(unittest.TestCase):
+    """Tests of progress in another group of a job that the leader knows.
+
+    The first step of the job has two tasks, the second one task.
+    """
+
+    def setUp(self):
+        self.topic = JobTopic()
+        self.driver = builders.GroupDriver(builders.build_worker())
+        job = builders.build_job(JOB_ID,
+                                 builders.build_step(2, has_checkpoints=True),
+                                 builders.build_step(depends_on=(0,)))
+        self.topic.add(dispatch.AcceptedRecord(job, "a#1"))
+        self.put_job()
+        self.job_run = self.driver.scheduler.jobs[JOB_ID]
+
+    def put_job(self) -> None:
+        """Hands the state of the job in the topic to the leader."""
+        self.driver.scheduler.put_job(self.topic.table.jobs[JOB_ID])
+
+    def build_other_progress(self, *done_tasks: model.TaskKey,
+                             last_run_number: int) -> dispatch.ProgressRecord:
+        """Builds progress that the leader of another group stores."""
+        other_run = dispatch.JobRun(self.topic.table.jobs[JOB_ID], "north-2",
+                                    True)
+        for task in done_tasks:
+            other_run.mark_task_done(task)
+        other_run.last_run_number = last_run_number
+        return other_run.build_progress("north-2", 2 * builders.EPOCH)
+
+    def add_return(self, *done_tasks: model.TaskKey,
+                   last_run_number: int) -> None:
+        """Stores a move to another group, progress there, and a move back."""
+        move_number = self.job_run.begin_move()
+        self.topic.add(
+            self.job_run.build_progress("north-1", builders.EPOCH),
+            dispatch.MovedRecord(JOB_ID, "north-1", (), "north-2", move_number))
+        self.topic.add(
+            self.build_other_progress(*done_tasks,
+                                      last_run_number=last_run_number),
+            dispatch.MovedRecord(JOB_ID, "north-2", (), "north-1",
+                                 last_run_number + 1))
+
+    def test_task_done_elsewhere_is_not_started_again(self):
+        """Checks that a job that was moved away and back keeps its done tasks.
+
+        The first group's leader reads both moves at once, as after an outage of
+        the store. Guards against a second run of a task that is done, and
+        against run numbers below those of the other group.
+        """
+        self.add_return(model.TaskKey(JOB_ID, 0, 0, 0),
+                        last_run_number=10_000_000)
+        self.put_job()
+        (order,) = self.driver.start_all()
+        self.assertEqual(order.task, model.TaskKey(JOB_ID, 0, 0, 1))
+        self.assertGreater(order.run, 10_000_001)
+
+    def test_returned_job_resumes_from_its_newest_checkpoint(self):
+        """Checks that a job that came back resumes from the other checkpoint.
+
+        Guards against work that is lost because the first group's leader goes
+        on with the checkpoint that it knew before the job moved.
+        """
+        self.job_run.steps[0, 0].checkpoints[0] = "old"
+        move_number = self.job_run.begin_move()
+        self.topic.add(
+            dispatch.MovedRecord(JOB_ID, "north-1", (), "north-2", move_number),
+            dispatch.ProgressRecord(
+                JOB_ID, "north-2", 2 * builders.EPOCH, model.JobState.RUNNING,
+                10, (), (dispatch.TaskProgress(0, 0, 0, 0, "new"),)),
+            dispatch.MovedRecord(JOB_ID, "north-2", (), "north-1", 11))
+        self.put_job()
+        self.assertEqual(
+            [order.checkpoint for order in self.driver.start_all()],
+            ["new", ""])
+
+    def test_wait_begins_anew_after_a_return(self):
+        """Checks that a job that came back has waited as its last move says.
+
+        Guards against a job that moves or ignores interference at once because
+        of a wait before it ran in another group.
+        """
+        self.driver.scheduler.is_evacuated = True
+        self.driver.plan()
+        self.driver.now += 3.0
+        self.assertEqual(self.job_run.compute_waited_s(self.driver.now), 3.0)
+        self.add_return(last_run_number=10)
+        self.put_job()
+        self.assertEqual(self.job_run.compute_waited_s(self.driver.now), 0.0)
+
+    def test_late_progress_takes_effect(self):
+        """Checks that progress stored after the move to this group counts.
+
+        The former group's leader learns of an end while its move is pending.
+        Guards against a second run of a task whose end is stored.
+        """
+        self.topic.add(
+            self.build_other_progress(model.TaskKey(JOB_ID, 0, 0, 0),
+                                      last_run_number=0))
+        self.put_job()
+        self.assertEqual(
+            [order.task.index for order in self.driver.start_all()], [1])
+
+    def test_job_ends_when_both_groups_did_its_tasks(self):
+        """Checks that a job ends when the other group did the tasks missing.
+
+        Guards against a job that stays unfinished because no leader has ended
+        its last task.
+        """
+        for step in (0, 1):
+            self.job_run.mark_task_done(model.TaskKey(JOB_ID, 0, step, 0))
+        self.topic.add(
+            self.build_other_progress(model.TaskKey(JOB_ID, 0, 0, 1),
+                                      last_run_number=0))
+        self.put_job()
+        (record,) = self.driver.scheduler.take_dirty_progress()
+        self.assertIs(record.state, model.JobState.COMPLETED)
+
+
 class WaitingTimeTest(unittest.TestCase):
     """Tests of the waiting time of jobs that were moved."""
 
