Stop a leader when the topic shows its successor

What callers would see: a task runs on two workers at a time.

Cause: a leader went on until the store or a worker refused its epoch. If its daemon read a job or a move that was stored after the successor's first leader record, it took the job and started tasks on workers that the successor had not reached yet. The successor counts such a job as reconciled from the start, as only it may start it, and started the same tasks.

Change: before a daemon hands changed jobs to its leaders, it stops those whose group has a leader with a higher epoch in the topic. Records are read in order, so a leader never takes a job that was assigned after its successor began.

Ruled out: notices of new jobs. They name the epoch of the leader that the sender knows after it has read the job back.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -236,6 +236,11 @@
 
     def _apply_changed_jobs(self, changed_job_ids: set[str]) -> None:
         job_table = self._topic_reader.job_table
+        # A superseded leader must not start jobs that were assigned to the
+        # group later: the new leader takes itself for the only one that may.
+        for leader in list(self._leaders.values()):
+            if job_table.is_superseded(leader.group, leader.epoch):
+                self._stop_leading(leader.group, "the group has a later leader")
         for job_id in changed_job_ids:
             job_entry = job_table.jobs.get(job_id)
             if job_entry is None:
--- /dev/null
+++ b/src/gentianlead/cluster/tests/daemons.py
@@ -0,0 +1,43 @@
+"""Daemons in the test process, with a fake store and fake workers."""
+
+import asyncio
+import datetime
+import unittest
+from unittest import mock
+
+from gentianlead import adapters
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.cluster import _daemon
+from gentianlead.cluster.tests import fakes
+
+GROUP = "north-1"
+
+
+def start_daemon(test: unittest.IsolatedAsyncioTestCase, node: str,
+                 store: ports.KeyedStore) -> _daemon.ClusterDaemon:
+    """Starts a daemon in the domain of the only group, until the test ends."""
+    settings = platform.DaemonSettings(
+        node=node,
+        domain=GROUP,
+        domains=(GROUP,),
+        caller_address="127.0.0.1:0",
+        ready_address="127.0.0.1:0",
+        peer_host="127.0.0.1",
+        peer_ports=(0, 0),
+        store_address="",
+        store_writes_per_s=100.0,
+        store_limits=platform.StoreLimits(),
+        advisory_address="",
+        vm_service_address="",
+        max_lease=datetime.timedelta(seconds=6),
+        stop_limit=datetime.timedelta(seconds=1),
+        status_retention=datetime.timedelta(seconds=120),
+        stop_grace=datetime.timedelta(seconds=6))
+    daemon = _daemon.ClusterDaemon(
+        settings, store, mock.create_autospec(ports.LeasedWorkerClient),
+        mock.create_autospec(ports.PermitService), adapters.SystemClock(),
+        adapters.SystemRandom(), fakes.RecordingLog())
+    run_task = asyncio.create_task(daemon.run())
+    test.addCleanup(run_task.cancel)
+    return daemon
--- a/src/gentianlead/cluster/tests/test_slow_reads.py
+++ b/src/gentianlead/cluster/tests/test_slow_reads.py
@@ -5,17 +5,12 @@
 import time
 import unittest
 from typing import Sequence
-from unittest import mock
 
-from gentianlead import adapters
 from gentianlead import dispatch
-from gentianlead import platform
 from gentianlead import ports
-from gentianlead.cluster import _daemon
+from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
 
-GROUP = "north-1"
-
 
 class SlowReadStore(ports.KeyedStore):
     """Store of one daemon with a slow link, backed by a shared store.
@@ -35,7 +30,7 @@
     async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
                      producer: ports.Producer, sequence: int,
                      timeout: datetime.timedelta) -> int:
-        if self.claimed_at is None and records[0].key == f"g/{GROUP}":
+        if self.claimed_at is None and records[0].key == f"g/{daemons.GROUP}":
             self.claimed_at = time.monotonic()
         return await self._shared_store.append(topic, records, producer,
                                                sequence, timeout)
@@ -64,40 +59,12 @@
     async def asyncSetUp(self) -> None:
         self.shared_store = fakes.FakeStore()
 
-    def start_daemon(self, node: str,
-                     store: ports.KeyedStore) -> _daemon.ClusterDaemon:
-        """Starts a daemon in the domain of the only group."""
-        settings = platform.DaemonSettings(
-            node=node,
-            domain=GROUP,
-            domains=(GROUP,),
-            caller_address="127.0.0.1:0",
-            ready_address="127.0.0.1:0",
-            peer_host="127.0.0.1",
-            peer_ports=(0, 0),
-            store_address="",
-            store_writes_per_s=100.0,
-            store_limits=platform.StoreLimits(),
-            advisory_address="",
-            vm_service_address="",
-            max_lease=datetime.timedelta(seconds=6),
-            stop_limit=datetime.timedelta(seconds=1),
-            status_retention=datetime.timedelta(seconds=120),
-            stop_grace=datetime.timedelta(seconds=6))
-        daemon = _daemon.ClusterDaemon(
-            settings, store, mock.create_autospec(ports.LeasedWorkerClient),
-            mock.create_autospec(ports.PermitService), adapters.SystemClock(),
-            adapters.SystemRandom(), fakes.RecordingLog())
-        run_task = asyncio.create_task(daemon.run())
-        self.addCleanup(run_task.cancel)
-        return daemon
-
     def list_leader_records(self) -> list[dispatch.LeaderRecord]:
         """Returns all stored leader records of the group, oldest first."""
         return [
             dispatch.decode_record(stored)
             for stored in self.shared_store.records.get(dispatch.JOB_TOPIC, ())
-            if stored.key == f"g/{GROUP}"
+            if stored.key == f"g/{daemons.GROUP}"
         ]
 
     async def wait_for_leader(self, time_limit: datetime.timedelta) -> None:
@@ -116,10 +83,10 @@
 
         Its records are in the reply that a peer is still receiving.
         """
-        self.start_daemon("entry-1", self.shared_store)
+        daemons.start_daemon(self, "entry-1", self.shared_store)
         await self.wait_for_leader(datetime.timedelta(seconds=5))
         slow_store = SlowReadStore(self.shared_store)
-        self.start_daemon("entry-2", slow_store)
+        daemons.start_daemon(self, "entry-2", slow_store)
         await asyncio.sleep(3)
         slow_store.transfer_time = datetime.timedelta(seconds=4)
         await asyncio.sleep(4.5)
@@ -134,10 +101,10 @@
         """
         store = SlowReadStore(self.shared_store)
         store.transfer_time = datetime.timedelta(seconds=0.6)
-        daemon = self.start_daemon("entry-1", store)
+        daemon = daemons.start_daemon(self, "entry-1", store)
         # pylint: disable=protected-access
         async with asyncio.timeout(10):
-            while GROUP not in daemon._leaders:
+            while daemons.GROUP not in daemon._leaders:
                 await asyncio.sleep(0)
-        writer = daemon._leaders[GROUP]._topic_writer
+        writer = daemon._leaders[daemons.GROUP]._topic_writer
         self.assertLessEqual(writer.last_success_sent_at, store.claimed_at)
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -210,6 +210,11 @@
         if entry is not None and entry.record.epoch == epoch:
             self.leaders[group] = entry._replace(last_record_read_at=now)
 
+    def is_superseded(self, group: str, epoch: int) -> bool:
+        """Returns whether the group has a leader with a higher epoch."""
+        entry = self.leaders.get(group)
+        return entry is not None and entry.record.epoch > epoch
+
     def _add_key(self, key: str) -> None:
         job_id = key.split("/")[1]
         self.keys_by_job.setdefault(job_id, set()).add(key)
