Keep runs whose end may be missing in a full status report

What callers would see: a task runs again although it is done, after an outage of the store in which a worker ended more than 500 runs.

Cause: a worker lists 500 unacknowledged ends at most. While no end can be stored, none is acknowledged, and each report lists the same first 500. A run with a later end is in neither list. The leader took it for lost and started the task again; a new leader took the first report of a worker as proof that it knew all runs.

Change: a status report tells whether it may lack ends. No run ends for being absent from such a report, and a new leader starts nothing on the worker and no earlier job until a complete report arrives or the takeover wait is over.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -5,7 +5,7 @@
 
 - Its worker refused its only start order or reported its end.
 - Its worker confirmed its start or accepted a stop order, and the reply to a
-  status call that was sent later does not list the run.
+  status call that was sent later lists all ends but not the run.
 - The worker was replaced by a new instance.
 - The worker is unreachable and its lease has expired.
 """
@@ -203,7 +203,10 @@
         worker.last_status_at = now
         worker.is_reachable = True
         if worker.first_status_at is None:
-            worker.first_status_at = now
+            # Until a report lists all ends, a former leader's runs may have
+            # ended without this leader's knowledge.
+            if not status.may_lack_ends:
+                worker.first_status_at = now
             # A former leader may have renewed the lease just before this reply.
             worker.extend_lease(now, self.timings.lease)
         for ended_run in status.ended:
@@ -214,7 +217,8 @@
         for active_run in status.running:
             reported_runs.add((active_run.task, active_run.run))
             self._apply_active_run(worker, active_run, now)
-        self._end_vanished_runs(worker, reported_runs, sent_at, now)
+        if not status.may_lack_ends:
+            self._end_vanished_runs(worker, reported_runs, sent_at, now)
         for unknown_run in [
                 unknown_run for unknown_run in worker.unknown_runs
                 if unknown_run not in reported_runs
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -96,8 +96,8 @@
         last_stored_end_number: Highest number up to which the effects of all
             run ends are stored in the topic, so that the worker may forget
             these run ends.
-        first_status_at: Time of the first status report to this leader; None
-            before it.
+        first_status_at: Time of the first status report to this leader that
+            lists all unacknowledged run ends; None before it.
         last_status_at: Time of the last status report; None before the first.
         is_reachable: Whether a status report arrived, and since then no status
             call, start order or stop order lacked a usable reply.
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -56,9 +56,10 @@
 def build_status(clock_ms: int = 1000,
                  running: tuple = (),
                  ended: tuple = (),
-                 born_ms: int = INSTANCE_START_MS) -> ports.WorkerStatus:
+                 born_ms: int = INSTANCE_START_MS,
+                 may_lack_ends: bool = False) -> ports.WorkerStatus:
     """Builds a status report of a worker."""
-    return ports.WorkerStatus(clock_ms, born_ms, running, ended)
+    return ports.WorkerStatus(clock_ms, born_ms, running, ended, may_lack_ends)
 
 
 def build_active_run(order: dispatch.StartOrder,
--- a/src/gentianlead/dispatch/tests/fleet_workers.py
+++ b/src/gentianlead/dispatch/tests/fleet_workers.py
@@ -9,6 +9,7 @@
 from gentianlead.dispatch.tests import builders
 
 WORKER_CORES = 3
+MAX_REPORTED_ENDS = 4
 
 
 class FencedError(Exception):
@@ -195,7 +196,9 @@
             int(now * 1000),
             tuple(
                 ports.ActiveRun(task, run, "", 50, None)
-                for task, run in self._runs), tuple(self._ended_runs))
+                for task, run in self._runs),
+            tuple(self._ended_runs[:MAX_REPORTED_ENDS]),
+            may_lack_ends=len(self._ended_runs) >= MAX_REPORTED_ENDS)
 
     def _check_fence(self, fence_token: int) -> None:
         if fence_token < self._fence_token:
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -93,6 +93,40 @@
         driver.apply_status("w1")
         self.assertEqual(len(driver.plan_starts()), 1)
 
+    def test_end_that_is_not_reported_yet_is_no_lost_run(self):
+        """Checks that a run is not given up while its worker may list its end.
+
+        The worker has more ends than a report holds, as after an outage of the
+        store. Guards against a second run of a task that is done.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(JOB_ID)))
+        (order,) = driver.start_all()
+        driver.now += 1.0
+        driver.apply_status(may_lack_ends=True)
+        self.assertEqual(driver.plan_starts(), [])
+        driver.apply_status(ended=(builders.build_ended_run(order),))
+        (record,) = driver.scheduler.take_dirty_progress()
+        self.assertIs(record.state, model.JobState.COMPLETED)
+
+    def test_successor_waits_for_all_ends(self):
+        """Checks that a new leader waits until a worker has listed all ends.
+
+        Guards against a second run of a task whose end is not in the worker's
+        first reports.
+        """
+        driver = builders.GroupDriver()
+        driver.scheduler.put_worker(builders.build_worker())
+        driver.scheduler.mark_workers_recorded(
+            driver.scheduler.build_workers_record())
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(JOB_ID), offset=40))
+        driver.apply_status(may_lack_ends=True)
+        self.assertEqual(driver.plan_starts(), [])
+        driver.apply_status()
+        self.assertEqual(len(driver.plan_starts()), 1)
+
     def test_adopted_run_keeps_the_former_leaders_lease(self):
         """Checks that an adopted run on an unreachable worker does not end yet.
 
--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -16,6 +16,10 @@
 and the others for concurrent orders. A worker accepts 64 connections from all
 daemons together."""
 
+MAX_REPORTED_ENDS = 500
+"""Highest number of ended runs in a status report. A worker reports the others
+when the first ones are acknowledged."""
+
 _EXPECTED_INSTANCE_HEADER = "Gentianlead-Expected-Instance"
 _STATUS_WORKER_REPLACED = 421
 _UNHEALTHY_STATUSES = frozenset({429, 503})
@@ -207,4 +211,5 @@
     ]
     return ports.WorkerStatus(_fields.read_int(document, "clock_ms"),
                               _fields.read_int(document, "born", 0),
-                              tuple(active_runs), tuple(ended_runs))
+                              tuple(active_runs), tuple(ended_runs),
+                              len(ended_runs) >= MAX_REPORTED_ENDS)
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -315,6 +315,21 @@
                 "wait_ms": 200
             })
 
+    async def test_poll_status_with_many_ends(self):
+        """Guards against ends that count as absent because a list is full."""
+        for count, may_lack_ends in ((499, False), (500, True)):
+            self.add_reply(
+                200, {
+                    "clock_ms":
+                        482113,
+                    "finished": [[n + 1, JOB_ID + ".0.1.9", n, "done", ""]
+                                 for n in range(count)]
+                })
+            with self.subTest(count=count):
+                status = await self.workers.poll_status(self.entry, 7, 0, None,
+                                                        SHORT_TIMEOUT, TIMEOUT)
+                self.assertIs(status.may_lack_ends, may_lack_ends)
+
     async def test_poll_status_failures(self):
         """Guards against malformed lists that are decoded as empty lists."""
         cases = ((409, {
--- a/src/gentianlead/ports/_leased_worker.py
+++ b/src/gentianlead/ports/_leased_worker.py
@@ -182,13 +182,17 @@
         clock_ms: Time on the worker's clock in milliseconds.
         born_ms: Start time of the worker instance in milliseconds since 1970.
         running: All runs that are running.
-        ended: Ended runs that were not acknowledged yet, in order of number.
+        ended: Ended runs that were not acknowledged yet, in order of number;
+            only the first of them if there are many.
+        may_lack_ends: Whether more runs may have ended than `ended` lists. Such
+            a run is in neither list.
     """
 
     clock_ms: int
     born_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    may_lack_ends: bool = False
 
 
 class StaleFencingTokenError(errors.GentianleadError):
