Add up failed runs that different groups counted

What callers would see: a task is started more often than its queue allows.

Cause: the failures of a task were the highest count of any group's progress record, although the lists of failed runs may differ. A group that counts a late failure while its move of the job is under way has a run in its list that the next group has not.

Evidence: the new test failed before; the job may fail three times, once here and twice in another group:

test_failures_in_both_groups_count AssertionError: False is not true

Change: the count is at least the number of distinct failed runs, and a job whose restored count reaches the limit has failed.

Result: the tests of gentianlead.dispatch pass.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -269,19 +269,29 @@
             if step_run is None:
                 continue
             if task_progress.failures:
-                step_run.failure_counts[task_progress.index] = max(
-                    task_progress.failures,
-                    step_run.failure_counts.get(task_progress.index, 0))
-                step_run.failed_runs.setdefault(
-                    task_progress.index,
-                    set()).update(task_progress.failed_runs,
-                                  (task_progress.highest_failed_run,))
+                self._restore_failures(step_run, task_progress)
             if task_progress.checkpoint and (replaces_checkpoints or
                                              task_progress.index
                                              not in step_run.checkpoints):
                 step_run.checkpoints[
                     task_progress.index] = task_progress.checkpoint
 
+    def _restore_failures(self, step_run: StepRun,
+                          task_progress: _records.TaskProgress) -> None:
+        index = task_progress.index
+        failed_runs = step_run.failed_runs.setdefault(index, set())
+        failed_runs.update(task_progress.failed_runs,
+                           (task_progress.highest_failed_run,))
+        # Records of older daemons have counts above the runs that they list,
+        # and each group may have counted failures that others had not read.
+        failure_count = max(task_progress.failures,
+                            step_run.failure_counts.get(index, 0),
+                            len(failed_runs - {0}))
+        step_run.failure_counts[index] = failure_count
+        if (failure_count >= self.job.queue.max_attempts and
+                index not in step_run.done_indexes):
+            self.set_state(model.JobState.FAILED)
+
     def begin_move(self) -> int:
         """Begins a move of tasks; no task starts until the topic shows it.
 
--- a/src/gentianlead/dispatch/tests/test_moves.py
+++ b/src/gentianlead/dispatch/tests/test_moves.py
@@ -364,6 +364,21 @@
             [order.checkpoint for order in self.driver.start_all()],
             ["new", ""])
 
+    def test_failures_in_both_groups_count(self):
+        """Checks that failures here and in another group add up to the limit.
+
+        The job may fail three times. Guards against more attempts than the
+        queue allows, because each group counts only its own failures.
+        """
+        task = model.TaskKey(JOB_ID, 0, 0, 0)
+        self.job_run.count_failure(task, 1)
+        self.topic.add(
+            dispatch.ProgressRecord(
+                JOB_ID, "north-2", 2 * builders.EPOCH, model.JobState.RUNNING,
+                10, (), (dispatch.TaskProgress(0, 0, 0, 2, "", 9, (8, 9)),)))
+        self.put_job()
+        self.assertTrue(self.job_run.has_ended)
+
     def test_wait_begins_anew_after_a_return(self):
         """Checks that a job that came back has waited as its last move says.
 
