Log that a job left its group and came back within one read

The logs could not tell whether a leader reads two moves of a job at once: the line `tasks-moved` is written by the leaders that store the moves. A leader now writes `job-returned` when one read of the topic shows that a job that it knows left its group and came back, with the offset of the last move and the highest run that it knew and that the topic shows. There is at most one line for each move.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -197,6 +197,17 @@
 
     def put_job(self, job_entry: dispatch.JobEntry) -> None:
         """Adds or updates a job of this group; drops one that moved away."""
+        job_id = job_entry.job.job_id
+        known_job = self.scheduler.jobs.get(job_id)
+        offset = job_entry.assignment_offsets.get(self.group, -1)
+        if known_job is not None and offset > (
+                known_job.entry.assignment_offsets.get(self.group, offset)):
+            self._log.write("job-returned",
+                            job=job_id,
+                            group=self.group,
+                            offset=offset,
+                            known_run=known_job.last_run_number,
+                            last_run=job_entry.last_run_number)
         self.scheduler.put_job(job_entry)
         self._plan_requested.set()
 
--- a/src/gentianlead/cluster/tests/test_superseded_leaders.py
+++ b/src/gentianlead/cluster/tests/test_superseded_leaders.py
@@ -1,9 +1,10 @@
-"""Tests of a leader whose successor is shown by the job topic."""
+"""Tests of a leader when the topic shows its successor or a returned job."""
 
 import asyncio
 import unittest
 
 from gentianlead import dispatch
+from gentianlead.cluster import _daemon
 from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
 from gentianlead.dispatch.tests import builders
@@ -11,6 +12,17 @@
 JOB_ID = "00000000000000aa"
 
 
+async def start_leading_daemon(test: unittest.IsolatedAsyncioTestCase,
+                               store: fakes.FakeStore) -> _daemon.ClusterDaemon:
+    """Starts a daemon and waits until it leads the only group."""
+    daemon = daemons.start_daemon(test, "entry-1", store)
+    # pylint: disable=protected-access
+    async with asyncio.timeout(10):
+        while daemons.GROUP not in daemon._leaders:
+            await asyncio.sleep(0.01)
+    return daemon
+
+
 class SupersededLeaderTest(unittest.IsolatedAsyncioTestCase):
     """Tests a leader that neither the store nor a worker has refused yet."""
 
@@ -21,11 +33,8 @@
         both leaders start: the successor expects no runs of such a job.
         """
         store = fakes.FakeStore()
-        daemon = daemons.start_daemon(self, "entry-1", store)
+        daemon = await start_leading_daemon(self, store)
         # pylint: disable=protected-access
-        async with asyncio.timeout(10):
-            while daemons.GROUP not in daemon._leaders:
-                await asyncio.sleep(0.01)
         leader = daemon._leaders[daemons.GROUP]
         job = builders.build_job(JOB_ID, assignment=(daemons.GROUP,))
         store.write(
@@ -39,3 +48,33 @@
                 await asyncio.sleep(0.01)
         self.assertNotIn(JOB_ID, leader.scheduler.jobs)
         self.assertNotIn(daemons.GROUP, daemon._leaders)
+
+
+class ReturnedJobTest(unittest.IsolatedAsyncioTestCase):
+    """Tests a job that leaves its group and comes back within one read."""
+
+    async def test_return_is_logged(self):
+        """Guards against a log that hides why a leader kept an old job."""
+        store = fakes.FakeStore()
+        daemon = await start_leading_daemon(self, store)
+        job = builders.build_job(JOB_ID, assignment=(daemons.GROUP,))
+        # pylint: disable=protected-access
+        jobs = daemon._leaders[daemons.GROUP].scheduler.jobs
+        store.write(
+            dispatch.JOB_TOPIC,
+            dispatch.encode_record(dispatch.AcceptedRecord(job, "entry-2#1")))
+        async with asyncio.timeout(5):
+            while JOB_ID not in jobs:
+                await asyncio.sleep(0.01)
+        offset = store.write(
+            dispatch.JOB_TOPIC,
+            *(dispatch.encode_record(record) for record in (
+                dispatch.MovedRecord(JOB_ID, daemons.GROUP, (), "north-2", 1),
+                dispatch.MovedRecord(JOB_ID, "north-2", (), daemons.GROUP, 900))
+             ))
+        async with asyncio.timeout(5):
+            while not daemon._log.list_fields("job-returned"):
+                await asyncio.sleep(0.01)
+        (fields,) = daemon._log.list_fields("job-returned")
+        self.assertEqual((fields["job"], fields["offset"], fields["known_run"],
+                          fields["last_run"]), (JOB_ID, offset + 1, 0, 900))
