--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -199,15 +199,30 @@
                 key = (occurrence, index)
                 self.steps[key] = StepRun(key, step)
         for progress in entry.progress_by_group.values():
-            self._restore_progress(progress)
+            self._restore_progress(progress, True)
         self.update_entry(entry)
 
     def update_entry(self, entry: _table.JobEntry) -> None:
         """Applies the newest state of the job in the topic.
 
-        Changes which tasks wait in this group, ends a pending move that the
-        topic shows, and applies a cancellation.
+        Adds new progress of other groups, changes which tasks wait in this
+        group, ends a pending move that the topic shows, and applies a
+        cancellation.
         """
+        # One read of the topic may show that the job left this group and came
+        # back, so that this object outlasts runs in another group.
+        has_returned = (entry.assignment_offsets.get(self.group, -1)
+                        > self.entry.assignment_offsets.get(self.group, -1))
+        if has_returned:
+            self.waited_before_s = entry.waited_ms / 1000
+            self.moves_without_start = entry.moves_without_start
+            for step_run in self.steps.values():
+                step_run.unplaced_since = None
+        for group, progress in entry.progress_by_group.items():
+            if (group != self.group and
+                    progress is not self.entry.progress_by_group.get(group)):
+                self._restore_progress(progress, has_returned)
+        self.last_run_number = max(self.last_run_number, entry.last_run_number)
         is_cancelled = self.entry.is_cancelled or entry.is_cancelled
         self.entry = entry._replace(is_cancelled=is_cancelled)
         # The move number shows whether the topic contains the move. The tasks
@@ -230,10 +245,15 @@
                 step_run.reserved_worker = ""
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
-
-    def _restore_progress(self, progress: _records.ProgressRecord) -> None:
-        if not self.state.is_final and progress.state is not (
-                model.JobState.QUEUED):
+        self._complete_if_done()
+
+    def _restore_progress(self, progress: _records.ProgressRecord,
+                          replaces_checkpoints: bool) -> None:
+        """Adds stored progress; nothing that is known is taken back."""
+        if progress.state.is_final:
+            self.set_state(progress.state)
+        elif (not self.state.is_final and
+              progress.state is model.JobState.RUNNING):
             self.state = progress.state
         self.last_run_number = max(self.last_run_number,
                                    progress.last_run_number)
@@ -253,17 +273,29 @@
             if step_run is None:
                 continue
             if task_progress.failures:
-                step_run.failure_counts[task_progress.index] = max(
-                    task_progress.failures,
-                    step_run.failure_counts.get(task_progress.index, 0))
-                step_run.failed_runs.setdefault(
-                    task_progress.index,
-                    set()).update(task_progress.failed_runs,
-                                  (task_progress.highest_failed_run,))
-            if task_progress.checkpoint:
+                self._restore_failures(step_run, task_progress)
+            if task_progress.checkpoint and (replaces_checkpoints or
+                                             task_progress.index
+                                             not in step_run.checkpoints):
                 step_run.checkpoints[
                     task_progress.index] = task_progress.checkpoint
 
+    def _restore_failures(self, step_run: StepRun,
+                          task_progress: _records.TaskProgress) -> None:
+        index = task_progress.index
+        failed_runs = step_run.failed_runs.setdefault(index, set())
+        failed_runs.update(task_progress.failed_runs,
+                           (task_progress.highest_failed_run,))
+        # Records of older daemons have counts above the runs that they list,
+        # and each group may have counted failures that others had not read.
+        failure_count = max(task_progress.failures,
+                            step_run.failure_counts.get(index, 0),
+                            len(failed_runs - {0}))
+        step_run.failure_counts[index] = failure_count
+        if (failure_count >= self.job.queue.max_attempts and
+                index not in step_run.done_indexes):
+            self.set_state(model.JobState.FAILED)
+
     def begin_move(self) -> int:
         """Begins a move of tasks; no task starts until the topic shows it.
 
@@ -471,6 +503,9 @@
         for i in indexes:
             step_run.checkpoints.pop(i, None)
         self.is_dirty = True
+        self._complete_if_done()
+
+    def _complete_if_done(self) -> None:
         if all(step_run.is_done for step_run in self.steps.values()):
             self.set_state(model.JobState.COMPLETED)
 
