Keep an adopted run from being stopped as unknown

A run that a worker reports to a new leader before the leader has read the run's job was adopted with the next report, and stopped at once as obsolete: its work was thrown away, and a long-running task was away until its next start.

Cause: adoption left the run among the unknown runs of its worker. Its task no longer waits, so the stop planner took the unknown run for an older duplicate.

Change: an adopted run leaves the unknown runs.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -279,6 +279,7 @@
             worker.unknown_runs.setdefault((active_run.task, active_run.run),
                                            now)
             return None
+        worker.unknown_runs.pop((active_run.task, active_run.run), None)
         run = _runs.Run(active_run.task, step_run.step, active_run.run,
                         worker.worker_id, now)
         run.phase = _runs.RunPhase.RUNNING
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -0,0 +1,61 @@
+"""Tests that starts respect the capacity of the workers."""
+
+import unittest
+
+from gentianlead import dispatch
+from gentianlead import model
+from gentianlead import ports
+from gentianlead.dispatch.tests import builders
+
+JOB_ID = "00000000000000aa"
+OTHER_JOB_ID = "00000000000000bb"
+
+
+def build_foreign_run(job_id: str = OTHER_JOB_ID,
+                      run_number: int = 7) -> ports.ActiveRun:
+    """Builds the report of a run that the leader did not start."""
+    return ports.ActiveRun(model.TaskKey(job_id, 0, 0, 0), run_number, "", 0,
+                           None)
+
+
+class CapacityTest(unittest.TestCase):
+    """Base class: one worker with ten cores and 10,000 MiB."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.worker = self.driver.scheduler.workers["w1"]
+
+    def put_job(self,
+                step: model.Step,
+                job_id: str = JOB_ID,
+                offset: int = 100) -> None:
+        """Adds a job of one step."""
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(job_id, step), offset))
+
+    def report_runs(
+        self,
+        *orders: dispatch.StartOrder,
+        foreign_runs: tuple[ports.ActiveRun, ...] = ()
+    ) -> None:
+        """Applies a status report, 0.1 s later, that lists these runs."""
+        self.driver.now += 0.1
+        self.driver.apply_status(
+            running=(*map(builders.build_active_run, orders), *foreign_runs))
+
+
+class UnknownRunTest(CapacityTest):
+    """Tests of runs that a worker lists and the leader does not track."""
+
+    def test_adopted_run_is_not_stopped_as_unknown(self):
+        """Checks that a run is adopted once its job is known, and goes on.
+
+        Guards against the stop of a sound run that was reported to a new leader
+        before the leader had read the run's job.
+        """
+        foreign_run = build_foreign_run(JOB_ID)
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.put_job(builders.build_step(), offset=40)
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.assertEqual(self.driver.plan(), [])
+        self.assertEqual(list(self.worker.runs), [foreign_run[:2]])
