Count unknown runs against the capacity of their worker

On workers that do not guard their capacity a start would bring the worker over it.

Cause: a run that the leader does not track (of a cancelled job after a takeover, or an older run of a task) was left out of the load of its worker. An accepted stop made the leader forget it although it still stopped, and the stop was sent again in each planning pass until its reply.

Evidence: three tests of UnknownRunTest fail before the change: two with a start beside a run that fills the worker, one with a repeated stop order.

Change: unknown runs whose job is known count with the needs of their step until a status report no longer lists them. Their stop is repeated after twice the stop limit, like that of known runs.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -276,8 +276,10 @@
         step_run = job.get_step(active_run.task) if job is not None else None
         if (step_run is None or job.has_ended or
                 active_run.task.index not in step_run.waiting_indexes):
-            worker.unknown_runs.setdefault((active_run.task, active_run.run),
-                                           now)
+            unknown_run = worker.unknown_runs.setdefault(
+                (active_run.task, active_run.run), _workers.UnknownRun(now))
+            if step_run is not None:
+                unknown_run.step = step_run.step
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
         run = _runs.Run(active_run.task, step_run.step, active_run.run,
@@ -446,7 +448,10 @@
         worker = self.workers.get(order.worker_id)
         if worker is None:
             return
-        worker.unknown_runs.pop((order.task, order.run), None)
+        unknown_run = worker.unknown_runs.get((order.task, order.run))
+        if unknown_run is not None:
+            unknown_run.has_pending_order = False
+            unknown_run.stop_answered_at = now
         run = worker.runs.get((order.task, order.run))
         if run is None:
             return
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -7,6 +7,7 @@
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _workers
 
 UNKNOWN_RUN_GRACE = datetime.timedelta(seconds=3)
 """Time for which a worker may report an unknown run before the run is stopped:
@@ -72,14 +73,25 @@
                     orders.append(
                         _orders.StopOrder(worker.worker_id, run.task,
                                           run.number, reason))
-            for (task,
-                 run_number), reported_since in worker.unknown_runs.items():
-                if (self._is_obsolete(task) or now - reported_since
-                        > UNKNOWN_RUN_GRACE.total_seconds()):
+            for (task, run_number), unknown_run in worker.unknown_runs.items():
+                if self._should_stop_unknown_run(task, unknown_run, now):
+                    unknown_run.has_pending_order = True
                     orders.append(
                         _orders.StopOrder(worker.worker_id, task, run_number,
                                           "obsolete"))
 
+    def _should_stop_unknown_run(self, task: model.TaskKey,
+                                 unknown_run: _workers.UnknownRun,
+                                 now: float) -> bool:
+        if unknown_run.has_pending_order:
+            return False
+        if unknown_run.stop_answered_at is not None and (
+                now - unknown_run.stop_answered_at
+                <= 2 * self._state.timings.stop_limit.total_seconds()):
+            return False
+        return (self._is_obsolete(task) or now - unknown_run.first_reported_at
+                > UNKNOWN_RUN_GRACE.total_seconds())
+
     def _is_obsolete(self, task: model.TaskKey) -> bool:
         job = self._state.jobs.get(task.job_id)
         if job is None:
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -3,6 +3,7 @@
 import datetime
 from typing import NamedTuple
 
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _runs
@@ -74,6 +75,30 @@
     accelerators: int
 
 
+class UnknownRun:
+    """A run that a worker reports and that this leader does not track.
+
+    It holds capacity of its worker until a status report no longer lists it.
+    Times are monotonic and in seconds.
+
+    Attributes:
+        first_reported_at: Time of the first status report that listed the run.
+        step: Resource needs of its task; None if the job is not known.
+        has_pending_order: Whether a stop order for the run awaits its reply.
+        stop_answered_at: Time at which the last stop order was accepted or
+            failed; None before that.
+    """
+
+    __slots__ = ("first_reported_at", "step", "has_pending_order",
+                 "stop_answered_at")
+
+    def __init__(self, first_reported_at: float):
+        self.first_reported_at = first_reported_at
+        self.step: model.Step | None = None
+        self.has_pending_order = False
+        self.stop_answered_at: float | None = None
+
+
 class WorkerState:
     """Tracks the clock, lease, runs and health of one worker of the group.
 
@@ -89,8 +114,8 @@
         born_ms: Start time of the worker's instance that sent the last status
             report, in milliseconds since 1970; 0 before the first one.
         runs: Runs that have not certainly ended, by task and run number.
-        unknown_runs: Time at which a run that the leader does not know was
-            first reported, by task and run number.
+        unknown_runs: Reported runs that the leader does not track, by task and
+            run number.
         last_applied_end_number: Highest number among the run ends that this
             leader has applied; the worker numbers the run ends that it reports.
         last_stored_end_number: Highest number up to which the effects of all
@@ -124,7 +149,7 @@
         self.is_recorded = False
         self.born_ms = 0
         self.runs: dict[tuple, _runs.Run] = {}
-        self.unknown_runs: dict[tuple, float] = {}
+        self.unknown_runs: dict[tuple, UnknownRun] = {}
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.first_status_at: float | None = None
@@ -259,19 +284,26 @@
                                                             self.duration_ratio)
 
     def compute_load(self) -> WorkerLoad:
-        """Returns the resources that the runs on the worker take up."""
+        """Returns the resources that the runs on the worker take up.
+
+        Includes unknown runs whose job is known.
+        """
         reserved_cpu_millis = latency_critical_cpu_millis = \
             long_running_cpu_millis = best_effort_cpu_millis = \
             memory_mib = accelerators = 0
         throttled_best_effort_cpu_millis = 0
         for run in self.runs.values():
-            step = run.step
+            if run.step.is_best_effort:
+                throttled_best_effort_cpu_millis += (
+                    run.step.cpu_millis * self.get_throttle_percent(run) // 100)
+        for step in (*(run.step for run in self.runs.values()),
+                     *(run.step
+                       for run in self.unknown_runs.values()
+                       if run.step is not None)):
             memory_mib += step.memory_mib
             accelerators += step.accelerators
             if step.is_best_effort:
                 best_effort_cpu_millis += step.cpu_millis
-                throttled_best_effort_cpu_millis += (
-                    step.cpu_millis * self.get_throttle_percent(run) // 100)
                 continue
             reserved_cpu_millis += step.cpu_millis
             if step.is_long_running:
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -47,6 +47,64 @@
 class UnknownRunTest(CapacityTest):
     """Tests of runs that a worker lists and the leader does not track."""
 
+    def start_and_cancel(self, step: model.Step) -> ports.ActiveRun:
+        """Cancels a job whose only run the worker reports to a new leader."""
+        self.put_job(step, OTHER_JOB_ID)
+        self.driver.scheduler.cancel_job(OTHER_JOB_ID)
+        foreign_run = build_foreign_run()
+        self.report_runs(foreign_runs=(foreign_run,))
+        return foreign_run
+
+    def test_run_of_an_ended_job_takes_up_capacity(self):
+        """Checks that nothing starts beside an unknown run that fills a worker.
+
+        Guards against a start over capacity after a takeover: runs of a job
+        that was cancelled before the takeover are not adopted.
+        """
+        for fields in ({"cpu_millis": 6000}, {"memory_mib": 6000}):
+            with self.subTest(fields):
+                self.setUp()
+                step = builders.build_step(**fields)
+                self.start_and_cancel(step)
+                self.put_job(step)
+                self.assertEqual(self.driver.plan_starts(), [])
+                self.report_runs()
+                self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_stopped_unknown_run_takes_up_capacity_until_its_end(self):
+        """Checks that an accepted stop does not free capacity by itself.
+
+        Guards against a start beside an unknown run that is still stopping.
+        """
+        step = builders.build_step(cpu_millis=6000)
+        foreign_run = self.start_and_cancel(step)
+        (stop_order,) = self.driver.plan_stops()
+        self.put_job(step)
+        self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                               self.driver.now)
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.report_runs()
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_stop_is_not_repeated_before_its_reply(self):
+        """Checks when a stop order for an unknown run is repeated.
+
+        Guards against a stop order in each planning pass until the reply.
+        """
+        self.start_and_cancel(builders.build_step())
+        (stop_order,) = self.driver.plan_stops()
+        self.assertEqual(self.driver.plan_stops(), [])
+        for has_succeeded in (True, False):
+            with self.subTest(has_succeeded=has_succeeded):
+                self.driver.scheduler.apply_stop_reply(stop_order,
+                                                       has_succeeded,
+                                                       self.driver.now)
+                self.assertEqual(self.driver.plan_stops(), [])
+                self.driver.now += 2.1
+                self.assertEqual(self.driver.plan_stops(), [stop_order])
+
     def test_adopted_run_is_not_stopped_as_unknown(self):
         """Checks that a run is adopted once its job is known, and goes on.
 
