Start nothing beside runs of unknown size on workers without guard

On others a start would bring a worker over its capacity after a takeover.

Cause: a run whose job the leader does not know holds capacity of unknown size and counted as nothing. The configuration says which services guard their capacity; the decoded value was not used anywhere.

Change: the leader passes the capacity-enforcing services to the scheduler. A worker of any other service gets no start while it lists a run of unknown size: until its job is read, or until the run was stopped after UNKNOWN_RUN_GRACE.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -224,6 +224,8 @@
                 leader.group in self._operator_state.evacuated_domains)
             if configuration is not None:
                 leader.scheduler.set_queues(configuration.queues)
+                leader.scheduler.set_capacity_enforcing_services(
+                    configuration.capacity_enforcing_services)
 
     def _apply_worker_entry(self, worker_entry: ports.WorkerEntry) -> None:
         leader = self._leaders.get(worker_entry.domain)
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -83,6 +83,7 @@
         # whose offset is not higher.
         self._departed_job_offsets: dict[str, int] = {}
         self._recorded_workers: set[str] = set()
+        self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
         self._leadership_offset = leadership_offset
@@ -94,10 +95,12 @@
         """Adds a worker that the registry lists, or updates its entry."""
         worker = self.workers.get(entry.worker_id)
         if worker is None:
-            self.workers[entry.worker_id] = _workers.WorkerState(entry)
-        else:
-            worker.entry = entry
-            worker.is_registered = True
+            worker = _workers.WorkerState(entry)
+            self.workers[entry.worker_id] = worker
+        worker.entry = entry
+        worker.is_registered = True
+        worker.enforces_capacity = (entry.service
+                                    in self._capacity_enforcing_services)
 
     def put_recorded_worker(self, entry: ports.WorkerEntry, now: float) -> None:
         """Adds a worker that the stored `WorkersRecord` lists.
@@ -369,6 +372,12 @@
             (queue.host, queue.path_prefix): queue for queue in queues
         }
 
+    def set_capacity_enforcing_services(self, services: frozenset[str]) -> None:
+        """Sets the services whose workers refuse starts that do not fit."""
+        self._capacity_enforcing_services = services
+        for worker in self.workers.values():
+            worker.enforces_capacity = worker.entry.service in services
+
     # Replies to orders and requests.
 
     def apply_start_reply(self, order: _orders.StartOrder,
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -150,6 +150,8 @@
     The CPU of the worker is not checked for a best-effort task unless
     `relaxation` is `NORMAL`.
     """
+    if candidate.worker.may_exceed_capacity:
+        return False
     if (step.memory_mib > candidate.free_memory_mib or
             step.accelerators > candidate.free_accelerators):
         return False
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -111,6 +111,8 @@
         removed_at: Time at which the leader last saw that the worker was
             removed from the registry; 0 before that.
         is_recorded: Whether the stored `WorkersRecord` contains the worker.
+        enforces_capacity: Whether the worker refuses a start for which it lacks
+            capacity; False until the configuration says so.
         born_ms: Start time of the worker's instance that sent the last status
             report, in milliseconds since 1970; 0 before the first one.
         runs: Runs that have not certainly ended, by task and run number.
@@ -147,6 +149,7 @@
         self.is_registered = True
         self.removed_at = 0.0
         self.is_recorded = False
+        self.enforces_capacity = False
         self.born_ms = 0
         self.runs: dict[tuple, _runs.Run] = {}
         self.unknown_runs: dict[tuple, UnknownRun] = {}
@@ -180,6 +183,16 @@
             if run.step.tail_latency_limit_ms
         }
 
+    @property
+    def may_exceed_capacity(self) -> bool:
+        """Whether any start may bring the worker over its capacity.
+
+        That is so while it runs a task of unknown size, if it does not enforce
+        its capacity itself.
+        """
+        return not self.enforces_capacity and any(
+            run.step is None for run in self.unknown_runs.values())
+
     def get_throttle_percent(self, run: _runs.Run) -> int:
         """Returns the share of its full speed, in percent, allowed to a run."""
         if not run.step.is_best_effort:
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -117,3 +117,52 @@
         self.report_runs(foreign_runs=(foreign_run,))
         self.assertEqual(self.driver.plan(), [])
         self.assertEqual(list(self.worker.runs), [foreign_run[:2]])
+
+    def test_run_of_unknown_size_blocks_a_worker_that_starts_anything(self):
+        """Checks where tasks start beside a run whose job is not known.
+
+        Guards against a start over capacity on a worker that starts whatever it
+        is told to start, and against idle workers of services that refuse what
+        does not fit.
+        """
+        foreign_run = build_foreign_run()
+        self.put_job(builders.build_step())
+        for services, start_count in ((frozenset(), 0), (frozenset({"other"}),
+                                                         0), (frozenset({"svc"
+                                                                        }), 1)):
+            with self.subTest(services):
+                self.driver.scheduler.set_capacity_enforcing_services(services)
+                self.report_runs(foreign_runs=(foreign_run,))
+                self.assertEqual(len(self.driver.plan_starts()), start_count)
+
+    def test_start_follows_the_end_of_a_run_of_unknown_size(self):
+        """Checks that such a run is stopped, and that a task starts then.
+
+        Guards against a worker that stays idle because of an unknown run.
+        """
+        foreign_run = build_foreign_run()
+        self.put_job(builders.build_step())
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.driver.now += 3.1
+        self.report_runs(foreign_runs=(foreign_run,))
+        (stop_order,) = self.driver.plan()
+        self.assertIsInstance(stop_order, dispatch.StopOrder)
+        self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                               self.driver.now)
+        self.assertEqual(self.driver.plan(), [])
+        self.report_runs()
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_size_of_a_run_becomes_known_with_its_job(self):
+        """Checks that a task starts beside an unknown run of a known job.
+
+        Guards against a worker that stays blocked although the leader has read
+        the job of the run meanwhile.
+        """
+        foreign_run = build_foreign_run()
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.put_job(builders.build_step(cpu_millis=6000), OTHER_JOB_ID)
+        self.driver.scheduler.cancel_job(OTHER_JOB_ID)
+        self.put_job(builders.build_step(4, cpu_millis=2000))
+        self.report_runs(foreign_runs=(foreign_run,))
+        self.assertEqual(len(self.driver.plan_starts()), 2)
