Start nothing on a worker whose registry entry is of another instance

A worker that starts again under its id may be of another kind, with other labels and less capacity.

Cause: a status report of the new instance reset the runs of the worker, while the capacity and labels were still those of the former instance's entry, for up to a report interval and a read of the registry. A start then could bring the worker over its capacity or run without the label that its step requires. The reverse order gave starts by the former instance's clock and runs.

Evidence: two tests of ReplacedWorkerTest fail before the change, with a start on a worker of 4 cores that needs 6, and on one without the label.

Change: a worker gets no start while its entry names another start time than its last status report. Entries without a start time are taken as before.

--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -257,13 +257,17 @@
 
         The registry and the stored `WorkersRecord` must contain the worker. It
         must be reachable, neither draining nor paused, and its last status
-        report must not be older than `MAX_STATUS_AGE`. After a quarantine, it
+        report must not be older than `MAX_STATUS_AGE`. The registry entry must
+        describe the instance that sent the report: a new instance may have
+        other labels and less capacity, at the same address. After a quarantine, it
         must have no other run until one succeeds.
         """
         if (not self.is_registered or not self.is_recorded or
                 self.entry.is_draining or not self.is_reachable or
                 self.first_status_at is None):
             return False
+        if self.entry.born_ms and self.entry.born_ms != self.born_ms:
+            return False
         if now < self.paused_until:
             return False
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -166,3 +166,65 @@
         self.put_job(builders.build_step(4, cpu_millis=2000))
         self.report_runs(foreign_runs=(foreign_run,))
         self.assertEqual(len(self.driver.plan_starts()), 2)
+
+
+class ReplacedWorkerTest(unittest.TestCase):
+    """Tests of workers that start again, as another kind, at their address."""
+
+    FORMER_MS = builders.INSTANCE_START_MS
+    NEW_MS = builders.INSTANCE_START_MS + 5000
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(
+            builders.build_worker(born_ms=self.FORMER_MS))
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job(
+                    JOB_ID,
+                    builders.build_step(cpu_millis=6000, required_label="a"))))
+
+    def put_new_entry(self, **fields) -> None:
+        """Applies the registry entry of the new instance."""
+        self.driver.scheduler.put_worker(
+            builders.build_worker(born_ms=self.NEW_MS, **fields))
+
+    def test_entry_of_the_former_instance_allows_no_start(self):
+        """Checks that no task starts until the registry shows the instance.
+
+        The new instance has less capacity or another label than the former one.
+        Guards against a start over capacity, or without the label that the task
+        requires.
+        """
+        for fields, start_count in (({
+                "cpu_millis": 4000
+        }, 0), ({
+                "labels": frozenset({"b"})
+        }, 0), ({}, 1)):
+            with self.subTest(fields):
+                self.setUp()
+                self.driver.apply_status(born_ms=self.NEW_MS)
+                self.assertEqual(self.driver.plan_starts(), [])
+                self.put_new_entry(**fields)
+                self.assertEqual(len(self.driver.plan_starts()), start_count)
+
+    def test_report_of_the_former_instance_allows_no_start(self):
+        """Checks that no task starts until the new instance has reported.
+
+        Guards against a start on a worker whose clock and runs are not known.
+        """
+        self.put_new_entry()
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.apply_status(born_ms=self.NEW_MS)
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_runs_of_the_former_instance_take_up_no_capacity(self):
+        """Checks that the new instance starts tasks with its whole capacity.
+
+        Guards against a lasting loss of capacity after a restart.
+        """
+        (order,) = self.driver.start_all()
+        self.put_new_entry()
+        self.driver.apply_status(born_ms=self.NEW_MS)
+        (new_order,) = self.driver.plan_starts()
+        self.assertEqual(new_order.task, order.task)
+        self.assertGreater(new_order.run, order.run)
