Repeat no start order where the run may not fit any more

A worker that does not guard its capacity would start a repeated order although it has shrunk since the first one, or although a smaller instance has replaced it.

Cause: a start order without a reply was repeated at once, without a look at the worker's present capacity and while the worker was unreachable.

Evidence: two tests of RepeatedStartTest fail before the change, with a repeated order on a worker that has shrunk and on one that has not reported.

Change: on a worker without guard the order is repeated only after a new status report. If the runs of the worker exceed its capacity, the run is stopped instead; a stop makes the worker refuse a late execution of the first order.

--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -81,6 +81,15 @@
                     job = self.jobs.get(run.task.job_id)
                     if job is None or job.has_ended:
                         continue
+                    if not worker.enforces_capacity:
+                        # The worker would start the run even if it has shrunk,
+                        # or if a smaller instance has replaced it.
+                        if not worker.is_reachable:
+                            continue
+                        if (worker.is_over_capacity() or
+                                worker.may_exceed_capacity):
+                            run.start_attempts = _group_state.MAX_START_ATTEMPTS
+                            continue
                     run.has_pending_order = True
                     run.start_attempts += 1
                     orders.append(
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -259,8 +259,8 @@
         must be reachable, neither draining nor paused, and its last status
         report must not be older than `MAX_STATUS_AGE`. The registry entry must
         describe the instance that sent the report: a new instance may have
-        other labels and less capacity, at the same address. After a quarantine, it
-        must have no other run until one succeeds.
+        other labels and less capacity, at the same address. After a quarantine,
+        it must have no other run until one succeeds.
         """
         if (not self.is_registered or not self.is_recorded or
                 self.entry.is_draining or not self.is_reachable or
@@ -300,6 +300,13 @@
             self.duration_ratio += DURATION_RATIO_WEIGHT * (ratio -
                                                             self.duration_ratio)
 
+    def is_over_capacity(self) -> bool:
+        """Returns whether the runs need more than the worker has."""
+        load = self.compute_load()
+        return (load.reserved_cpu_millis > self.entry.cpu_millis or
+                load.memory_mib > self.entry.memory_mib or
+                load.accelerators > self.entry.accelerators)
+
     def compute_load(self) -> WorkerLoad:
         """Returns the resources that the runs on the worker take up.
 
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -228,3 +228,68 @@
         (new_order,) = self.driver.plan_starts()
         self.assertEqual(new_order.task, order.task)
         self.assertGreater(new_order.run, order.run)
+
+
+class RepeatedStartTest(CapacityTest):
+    """Tests of start orders that are repeated because no reply came."""
+
+    def setUp(self):
+        super().setUp()
+        self.put_job(builders.build_step(cpu_millis=6000))
+        (self.order,) = self.driver.plan_starts()
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.UNKNOWN)
+
+    def test_start_without_reply_takes_up_capacity(self):
+        """Checks that nothing starts beside a run that may have started.
+
+        Guards against a start over capacity beside a run whose start order, or
+        stop order, got no reply.
+        """
+        self.put_job(builders.build_step(cpu_millis=6000), OTHER_JOB_ID)
+        self.report_runs()
+        (repeated_order,) = self.driver.plan_starts()
+        self.assertEqual(repeated_order.task, self.order.task)
+        self.driver.apply_start_outcome(repeated_order,
+                                        ports.StartOutcome.UNKNOWN)
+        self.report_runs()
+        for has_succeeded in (False, True):
+            (stop_order,) = self.driver.plan()
+            self.assertIsInstance(stop_order, dispatch.StopOrder)
+            self.driver.scheduler.apply_stop_reply(stop_order, has_succeeded,
+                                                   self.driver.now)
+            if not has_succeeded:
+                self.report_runs()
+        self.assertEqual(self.driver.plan(), [])
+        self.report_runs()
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_no_repetition_on_a_worker_that_has_shrunk(self):
+        """Checks what follows a start without reply if the run fits no more.
+
+        The run is stopped instead, so that a late execution is refused. Guards
+        against a repeated order that brings the worker over its capacity.
+        """
+        for fields in ({"cpu_millis": 5000}, {"memory_mib": 50}):
+            with self.subTest(fields):
+                self.setUp()
+                self.report_runs()
+                self.driver.scheduler.put_worker(
+                    builders.build_worker(**fields))
+                self.assertEqual(self.driver.plan(), [])
+                (stop_order,) = self.driver.plan()
+                self.assertIsInstance(stop_order, dispatch.StopOrder)
+                self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                                       self.driver.now)
+                self.report_runs()
+                self.assertEqual(self.driver.plan(), [])
+
+    def test_no_repetition_before_the_next_report(self):
+        """Checks that the order is repeated once the worker has reported.
+
+        A worker that enforces its capacity gets it at once. Guards against
+        repeated orders that a smaller instance at the same address starts all.
+        """
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.scheduler.set_capacity_enforcing_services(frozenset({"svc"
+                                                                        }))
+        self.assertEqual(self.driver.plan_starts(), [self.order])
