Start no best-effort task on a worker over its CPU capacity

On one that shrank below what it runs, best-effort tasks still started.

Cause: a best-effort task's CPU does not count, so only spare CPU kept it off such a worker; this rule is dropped after two seconds without capacity, and it counts the expected use of latency-critical tasks, not what they reserve.

Evidence: ShrunkWorkerTest.test_nothing_starts_on_a_worker_over_its_capacity fails before the change for all three best-effort steps. Starts of all other kinds, of gangs, growth, stopping runs and runs that go on pass unchanged.

Change: a worker whose free CPU is negative gets no start.

--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -150,7 +150,9 @@
     The CPU of the worker is not checked for a best-effort task unless
     `relaxation` is `NORMAL`.
     """
-    if candidate.worker.may_exceed_capacity:
+    # A worker that has shrunk below what it runs gets no start at all, not even
+    # of a best-effort task, whose CPU does not count.
+    if candidate.worker.may_exceed_capacity or candidate.free_cpu_millis < 0:
         return False
     if (step.memory_mib > candidate.free_memory_mib or
             step.accelerators > candidate.free_accelerators):
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -230,6 +230,130 @@
         self.assertGreater(new_order.run, order.run)
 
 
+class ShrunkWorkerTest(CapacityTest):
+    """Tests of workers whose capacity shrinks and grows while they run."""
+
+    def resize(self, **fields) -> None:
+        """Applies a registry entry with another capacity."""
+        self.driver.scheduler.put_worker(builders.build_worker(**fields))
+
+    def test_nothing_starts_on_a_worker_over_its_capacity(self):
+        """Checks that no kind of task starts on a worker that has shrunk.
+
+        Guards against starts on a worker that is over its capacity already:
+        those of best-effort tasks, whose CPU does not count, and of tasks that
+        do not need what the worker lacks.
+        """
+        resizes = ({
+            "cpu_millis": 5000
+        }, {
+            "memory_mib": 50
+        }, {
+            "accelerators": 0
+        })
+        steps = (builders.build_step(), builders.build_step(cpu_millis=0),
+                 builders.build_step(is_best_effort=True, cpu_millis=0),
+                 builders.build_step(is_best_effort=True, image="bundle"),
+                 builders.build_step(is_best_effort=True, memory_mib=0),
+                 builders.build_step(2, is_gang=True),
+                 builders.build_step(is_long_running=True))
+        for fields in resizes:
+            for step in steps:
+                with self.subTest(fields=fields, step=step):
+                    self.driver = builders.GroupDriver(
+                        builders.build_worker(accelerators=1))
+                    self.put_job(
+                        builders.build_step(cpu_millis=6000,
+                                            accelerators=1,
+                                            estimate_ms=60_000), OTHER_JOB_ID)
+                    (order,) = self.driver.start_all()
+                    self.resize(**{"accelerators": 1, **fields})
+                    self.put_job(step)
+                    # A best-effort task may ignore spare CPU and interference
+                    # after it has waited.
+                    for _ in range(40):
+                        self.assertEqual(self.driver.plan(), [])
+                        self.driver.now += 0.9
+                        self.report_runs(order)
+
+    def test_waiting_task_starts_when_the_worker_grows_again(self):
+        """Checks that a larger entry alone lets a waiting task start.
+
+        Guards against a task that waits for another event, and against starts
+        beyond the new capacity.
+        """
+        for step in (builders.build_step(3, cpu_millis=2000),
+                     builders.build_step(3,
+                                         cpu_millis=2000,
+                                         is_long_running=True)):
+            with self.subTest(step):
+                self.driver = builders.GroupDriver(
+                    builders.build_worker(cpu_millis=1000))
+                self.put_job(step)
+                self.assertEqual(self.driver.plan_starts(), [])
+                self.resize(cpu_millis=4500)
+                self.assertEqual(len(self.driver.start_all()), 2)
+                self.assertEqual(self.driver.plan_starts(), [])
+                self.resize()
+                self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_gang_fits_the_present_capacity(self):
+        """Checks that a gang starts only if all its tasks fit together.
+
+        Guards against a gang whose tasks are each compared with the whole
+        capacity of a worker.
+        """
+        for fields, start_count in (({
+                "cpu_millis": 5999
+        }, 0), ({
+                "memory_mib": 299
+        }, 0), ({
+                "cpu_millis": 6000,
+                "memory_mib": 300
+        }, 3)):
+            with self.subTest(fields):
+                self.driver = builders.GroupDriver(builders.build_worker())
+                self.resize(**fields)
+                self.put_job(
+                    builders.build_step(3, cpu_millis=2000, is_gang=True))
+                self.assertEqual(len(self.driver.plan_starts()), start_count)
+
+    def test_stopping_run_takes_up_capacity_until_its_end(self):
+        """Checks that a task starts only after the end of a run was listed.
+
+        Guards against a start beside a run whose worker accepted a stop order.
+        """
+        self.put_job(builders.build_step(cpu_millis=6000), OTHER_JOB_ID)
+        (order,) = self.driver.start_all()
+        self.driver.scheduler.cancel_job(OTHER_JOB_ID)
+        (stop_order,) = self.driver.plan_stops()
+        self.put_job(builders.build_step(cpu_millis=6000))
+        self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                               self.driver.now)
+        self.report_runs(order)
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.apply_status(ended=(
+            builders.build_ended_run(order, cause=ports.EndCause.STOPPED),))
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_runs_of_a_shrunk_worker_go_on(self):
+        """Checks that a worker that shrank keeps what it runs.
+
+        Guards against stopped work: a worker over its capacity executes it.
+        """
+        steps = (builders.build_step(cpu_millis=3000, is_long_running=True),
+                 builders.build_step(cpu_millis=3000, has_checkpoints=True),
+                 builders.build_step(is_best_effort=True, image="bundle"))
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(JOB_ID, *steps)))
+        orders = self.driver.start_all()
+        self.assertEqual(len(orders), 3)
+        self.driver.add_worker(builders.build_worker("w2"))
+        self.resize(cpu_millis=1000, memory_mib=100)
+        self.report_runs(*orders)
+        self.assertEqual(self.driver.plan_stops(), [])
+
+
 class RepeatedStartTest(CapacityTest):
     """Tests of start orders that are repeated because no reply came."""
 
