Report the load of a group with shrunk workers by what is free

In a group with a worker over its capacity, long-running jobs would be refused and waiting jobs moved although other workers were free, and best-effort jobs moved to the group without starting there.

Cause: what such a worker lacked was subtracted from the free CPU of the others, and its spare CPU counted as room.

Evidence: both tests of GroupLoadTest fail before the change: 8,000 instead of 2,000 reserved thousandths, and room for 3.1 and 7.4 cores instead of none.

Change: a worker's reservations count up to its whole CPU, and a worker that gets no start has no room.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -54,7 +54,8 @@
         capacity_cpu_millis: Whole CPU of the usable workers, which are those
             that may receive starts.
         reserved_cpu_millis: CPU reserved on usable workers by all runs except
-            best-effort ones.
+            best-effort ones; on a worker that has shrunk, at most its whole
+            CPU.
         short_backlog_ms: Estimated time in milliseconds that the unfinished
             short tasks take if they use all of
             `best_effort_capacity_cpu_millis`. The work of a running task counts
@@ -252,8 +253,10 @@
             load = worker.compute_load()
             worker_count += 1
             capacity_cpu_millis += worker.entry.cpu_millis
-            reserved_cpu_millis += load.reserved_cpu_millis
-            latency_critical_cpu_millis += load.latency_critical_cpu_millis
+            reserved_cpu_millis += min(load.reserved_cpu_millis,
+                                       worker.entry.cpu_millis)
+            latency_critical_cpu_millis += min(load.latency_critical_cpu_millis,
+                                               worker.entry.cpu_millis)
             best_effort_cpu_millis += load.best_effort_cpu_millis
             largest_free_cpu_millis = max(
                 largest_free_cpu_millis,
@@ -261,8 +264,8 @@
             largest_reclaimable_cpu_millis = max(
                 largest_reclaimable_cpu_millis,
                 worker.entry.cpu_millis - load.long_running_cpu_millis)
-            best_effort_usable_cpu_millis = (
-                worker.entry.cpu_millis - load.reserved_cpu_millis +
+            best_effort_usable_cpu_millis = max(
+                0, worker.entry.cpu_millis - load.reserved_cpu_millis +
                 load.latency_critical_cpu_millis // 2)
             latency_critical_images = worker.latency_critical_images
             for image in image_capacities:
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -171,8 +171,11 @@
 def compute_spare_room(candidate: Candidate) -> int:
     """Returns the CPU of the largest best-effort task by spare CPU alone.
 
-    It is in thousandths of a core.
+    It is in thousandths of a core, and 0 on a worker that has shrunk so far
+    that it gets no start.
     """
+    if candidate.free_cpu_millis < 0 or candidate.free_memory_mib <= 0:
+        return 0
     return max(0, int(candidate.spare_cpu_millis / MIN_SPARE_CPU_SHARE))
 
 
