Reserve workers for long-running tasks by memory and accelerators, too

Where memory is scarce, as after a worker has shrunk, a waiting long-running task kept the CPU of a worker idle in vain and moved later; or it never started, because each best-effort task that ended made place for the next one.

Cause: the reservation compared the task's memory with the worker's whole memory, ignored accelerators, and let best-effort tasks in.

Evidence: both tests of ReservationTest fail before the change, for memory and for accelerators.

Change: what long-running tasks hold counts as gone for each resource. If the task lacks memory or accelerators, best-effort tasks stay off the worker, too.

--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -92,6 +92,9 @@
         reclaimable_cpu_millis: CPU that no long-running task reserves.
         free_memory_mib: Free memory in MiB.
         free_accelerators: Number of free accelerators.
+        reclaimable_memory_mib: Memory in MiB that no long-running task holds.
+        reclaimable_accelerators: Number of accelerators that no long-running
+            task holds.
         reserved_latency_critical_cpu_millis: CPU reserved by latency-critical
             tasks.
         has_best_effort: Whether best-effort tasks run on the worker.
@@ -106,6 +109,8 @@
     reclaimable_cpu_millis: int
     free_memory_mib: int
     free_accelerators: int
+    reclaimable_memory_mib: int
+    reclaimable_accelerators: int
     reserved_latency_critical_cpu_millis: int
     has_best_effort: bool
     latency_critical_images: frozenset[str]
@@ -139,6 +144,8 @@
         entry.cpu_millis - load.long_running_cpu_millis,
         entry.memory_mib - load.memory_mib,
         entry.accelerators - load.accelerators,
+        entry.memory_mib - load.long_running_memory_mib,
+        entry.accelerators - load.long_running_accelerators,
         load.latency_critical_cpu_millis, load.best_effort_cpu_millis > 0,
         frozenset(worker.latency_critical_images), {})
 
@@ -209,10 +216,9 @@
 
 def may_fit_later(candidate: Candidate, step: model.Step,
                   task_counts: dict[str, int]) -> bool:
-    """Returns whether a long-running task fits once all short tasks have ended.
+    """Returns whether a long-running task fits beside long-running ones only.
 
-    Compares the task's memory with all memory of the worker, and ignores
-    accelerators.
+    It fits on the worker once all other tasks there have ended.
 
     Args:
         candidate: The worker.
@@ -227,7 +233,8 @@
             entry.worker_id, 0) >= step.max_tasks_per_worker:
         return False
     return (step.cpu_millis <= candidate.reclaimable_cpu_millis and
-            step.memory_mib <= entry.memory_mib)
+            step.memory_mib <= candidate.reclaimable_memory_mib and
+            step.accelerators <= candidate.reclaimable_accelerators)
 
 
 class TaskPlacement(abc.ABC):
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -43,6 +43,9 @@
         # Identifiers of workers that get no short tasks, so that a long-running
         # task fits there as soon as enough of their short tasks have ended.
         self._reserved_workers: set[str] = set()
+        # Those of them that get no best-effort tasks either, which hold memory
+        # or accelerators that the long-running task needs.
+        self._fully_reserved_workers: set[str] = set()
         self._is_busy = False
 
     def plan(self, orders: list[_orders.Order], now: float,
@@ -65,6 +68,7 @@
         unplaced_step_count = 0
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
+        self._fully_reserved_workers.clear()
         for job, step_run in self._list_startable_steps(now_ms):
             if unplaced_step_count >= MAX_UNPLACED_STEPS_PER_PASS:
                 break
@@ -94,8 +98,10 @@
 
         No short task starts there until the long-running one fits. Otherwise
         short tasks of a full group would take each core as it becomes free, and
-        a long-running task that needs more cores would never fit. Nothing is
-        reserved if the task would not fit even when all short tasks have ended.
+        a long-running task that needs more cores would never fit. If it lacks
+        memory or accelerators, no best-effort task starts there either. Nothing
+        is reserved if the task would not fit even when all tasks that are not
+        long-running have ended.
         """
         service = self._find_current_queue(job).service
         task_counts = step_run.count_runs_by_worker()
@@ -114,6 +120,9 @@
             (candidate.free_cpu_millis, candidate.worker.worker_id))
         step_run.reserved_worker = best_candidate.worker.worker_id
         self._reserved_workers.add(best_candidate.worker.worker_id)
+        if (step_run.step.memory_mib > best_candidate.free_memory_mib or
+                step_run.step.accelerators > best_candidate.free_accelerators):
+            self._fully_reserved_workers.add(best_candidate.worker.worker_id)
 
     def _find_current_queue(self, job: _runs.JobRun) -> model.Queue:
         """Returns a job's queue as defined by the configuration in force.
@@ -183,12 +192,14 @@
         step = step_run.step
         queue = self._find_current_queue(job)
         service = queue.service
-        is_short = not step.is_long_running and not step.is_best_effort
+        reserved_workers: set[str] = set()
+        if not step.is_long_running:
+            reserved_workers = (self._fully_reserved_workers if
+                                step.is_best_effort else self._reserved_workers)
         eligible_candidates = [
             candidate for candidate in candidates.values()
             if candidate.worker.entry.service == service and
-            not (is_short and
-                 candidate.worker.worker_id in self._reserved_workers)
+            candidate.worker.worker_id not in reserved_workers
         ]
         if queue.needs_permit:
             eligible_candidates = self._list_permitted_workers(
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -64,6 +64,8 @@
             multiplied by their present throttles.
         memory_mib: Memory of all runs in MiB.
         accelerators: Number of accelerators of all runs.
+        long_running_memory_mib: Part of `memory_mib` of long-running tasks.
+        long_running_accelerators: Part of `accelerators` of long-running tasks.
     """
 
     reserved_cpu_millis: int
@@ -73,6 +75,8 @@
     throttled_best_effort_cpu_millis: int
     memory_mib: int
     accelerators: int
+    long_running_memory_mib: int
+    long_running_accelerators: int
 
 
 class UnknownRun:
@@ -315,6 +319,7 @@
         reserved_cpu_millis = latency_critical_cpu_millis = \
             long_running_cpu_millis = best_effort_cpu_millis = \
             memory_mib = accelerators = 0
+        long_running_memory_mib = long_running_accelerators = 0
         throttled_best_effort_cpu_millis = 0
         for run in self.runs.values():
             if run.step.is_best_effort:
@@ -326,6 +331,9 @@
                        if run.step is not None)):
             memory_mib += step.memory_mib
             accelerators += step.accelerators
+            if step.is_long_running:
+                long_running_memory_mib += step.memory_mib
+                long_running_accelerators += step.accelerators
             if step.is_best_effort:
                 best_effort_cpu_millis += step.cpu_millis
                 continue
@@ -337,4 +345,5 @@
         return WorkerLoad(reserved_cpu_millis, latency_critical_cpu_millis,
                           long_running_cpu_millis, best_effort_cpu_millis,
                           throttled_best_effort_cpu_millis, memory_mib,
-                          accelerators)
+                          accelerators, long_running_memory_mib,
+                          long_running_accelerators)
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -354,6 +354,69 @@
         self.assertEqual(self.driver.plan_stops(), [])
 
 
+class ReservationTest(CapacityTest):
+    """Tests of workers reserved for long-running tasks by scarce resource."""
+
+    RESOURCES = ("memory_mib", "accelerators")
+
+    def build_step(self, **fields) -> model.Step:
+        """Builds a step that needs little except for the given fields."""
+        return builders.build_step(**{
+            "cpu_millis": 1000,
+            "memory_mib": 0,
+            "estimate_ms": 60_000,
+            **fields
+        })
+
+    def start_on_full_worker(self, first_step: model.Step,
+                             waiting_step: model.Step) -> dispatch.StartOrder:
+        """Starts a task, then adds one that waits; returns the first order."""
+        self.driver = builders.GroupDriver(
+            builders.build_worker(memory_mib=10, accelerators=10))
+        self.put_job(first_step, OTHER_JOB_ID)
+        (order,) = self.driver.start_all()
+        self.put_job(waiting_step)
+        self.assertEqual(self.driver.plan_starts(), [])
+        return order
+
+    def test_nothing_is_reserved_where_long_running_tasks_hold_the_resource(
+            self):
+        """Checks that a short task starts where no long-running one can fit.
+
+        The running long-running task leaves too little of the resource. Guards
+        against idle CPU, and a later move, because of a reservation in vain.
+        """
+        for resource in self.RESOURCES:
+            with self.subTest(resource):
+                step = self.build_step(is_long_running=True, **{resource: 6})
+                self.start_on_full_worker(step, step)
+                self.put_job(self.build_step(), "00000000000000cc")
+                self.assertEqual(len(self.driver.plan_starts()), 1)
+
+    def test_best_effort_tasks_leave_the_resource_to_a_long_running_one(self):
+        """Checks that a long-running task gets what a best-effort one held.
+
+        A smaller best-effort task would fit at once, but waits. Guards against
+        a long-running task that never starts, because best-effort tasks take
+        the memory as soon as it becomes free.
+        """
+        for resource in self.RESOURCES:
+            with self.subTest(resource):
+                order = self.start_on_full_worker(
+                    self.build_step(is_best_effort=True, **{resource: 6}),
+                    self.build_step(is_long_running=True, **{resource: 6}))
+                self.put_job(
+                    self.build_step(is_best_effort=True, **{resource: 4}),
+                    "00000000000000cc")
+                self.assertEqual(self.driver.plan_starts(), [])
+                self.driver.apply_status(
+                    ended=(builders.build_ended_run(order),))
+                started_jobs = [
+                    order.task.job_id for order in self.driver.plan_starts()
+                ]
+                self.assertEqual(started_jobs, [JOB_ID, "00000000000000cc"])
+
+
 class GroupLoadTest(CapacityTest):
     """Tests of the load that a group with shrunk workers reports."""
 
