Move long-running tasks only where one worker has all they need

What callers saw: none traced. Long-running tasks that their group cannot place move to and fro between groups, or wait for good in a group whose workers lack memory, accelerators or the label.

Cause: the choice of a fallback group compared the most free CPU of one worker and the labels of all workers of the group, and no memory or accelerators. The free CPU may be on a worker that lacks the rest.

Change: a load report lists the free capacity and the labels of the workers, without those whose capacity another worker of the same labels covers. Reports without this list are judged by CPU alone as before. Moves of whole jobs to a less loaded group still compare CPU only.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -368,7 +368,7 @@
                           now: float) -> FallbackGroup:
     """Returns a group for long-running tasks that their own group cannot place.
 
-    Other groups in which one worker has enough free CPU for a task come first.
+    Other groups in which a task fits on one worker at present come first.
     A group in which a task fits only after short tasks have ended is chosen
     only if a task does not fit in the own group even then. Of several such
     groups, the one whose worker has the most CPU for these tasks is chosen.
@@ -381,8 +381,8 @@
     best_sort_key = (False, 0)
     own_report = reports.get(own_group)
     may_fit_in_own_group = (own_report is not None and
-                            own_report.load.largest_reclaimable_cpu_millis
-                            >= step.cpu_millis)
+                            _load.find_reclaimable_cpu(own_report.load,
+                                                       step) >= 0)
     for group, report in reports.items():
         load = report.load
         if (group == own_group or not load.is_usable or
@@ -393,13 +393,14 @@
         if step.max_tasks_per_worker and assignment.count(
                 group) >= load.worker_count * step.max_tasks_per_worker:
             continue
-        has_free_capacity = load.largest_free_cpu_millis >= step.cpu_millis
+        free_cpu_millis = _load.find_free_cpu(load, step)
+        reclaimable_cpu_millis = _load.find_reclaimable_cpu(load, step)
+        has_free_capacity = free_cpu_millis >= 0
         if not has_free_capacity and (may_fit_in_own_group or
-                                      load.largest_reclaimable_cpu_millis
-                                      < step.cpu_millis):
+                                      reclaimable_cpu_millis < 0):
             continue
-        sort_key = (has_free_capacity, load.largest_free_cpu_millis if
-                    has_free_capacity else load.largest_reclaimable_cpu_millis)
+        sort_key = (has_free_capacity, free_cpu_millis
+                    if has_free_capacity else reclaimable_cpu_millis)
         if sort_key > best_sort_key:
             best_group, best_sort_key = group, sort_key
     if step.max_tasks_per_worker:
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -43,6 +43,36 @@
     cpu_millis: int
 
 
+class WorkerRoom(NamedTuple):
+    """Capacity of one worker that a task may use.
+
+    Attributes:
+        cpu_millis: CPU in thousandths of a core.
+        memory_mib: Memory in MiB.
+        accelerators: Number of accelerators.
+        labels: Labels of the worker, sorted.
+    """
+
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int
+    labels: tuple[str, ...]
+
+    def has_room_for(self, step: model.Step) -> bool:
+        """Returns whether a task that is not best-effort fits."""
+        return (step.cpu_millis <= self.cpu_millis and
+                step.memory_mib <= self.memory_mib and
+                step.accelerators <= self.accelerators and
+                (not step.required_label or step.required_label in self.labels))
+
+    def covers(self, other: "WorkerRoom") -> bool:
+        """Returns whether any task that fits in `other` fits here."""
+        return (self.labels == other.labels and
+                self.cpu_millis >= other.cpu_millis and
+                self.memory_mib >= other.memory_mib and
+                self.accelerators >= other.accelerators)
+
+
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
 
@@ -78,6 +108,10 @@
             worker have ended.
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
+        free_rooms: Free capacity of the usable workers, without those whose
+            capacity another one covers.
+        reclaimable_rooms: Capacity of the usable workers that no long-running
+            task holds, likewise.
     """
 
     is_usable: bool
@@ -93,6 +127,8 @@
     best_effort_capacity_cpu_millis: int = 0
     largest_reclaimable_cpu_millis: int = 0
     image_rooms: tuple[ImageRoom, ...] = ()
+    free_rooms: tuple[WorkerRoom, ...] = ()
+    reclaimable_rooms: tuple[WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -184,6 +220,43 @@
     return max(0, rooms.get(image, rooms.get("", 0)))
 
 
+def find_free_cpu(load: GroupLoad, step: model.Step) -> int:
+    """Returns the most free CPU on a worker where a task of a step fits.
+
+    It is in thousandths of a core, and -1 if a task fits nowhere at present.
+    """
+    if not load.reclaimable_rooms:
+        # The report of a leader that does not list the capacity of workers.
+        return (load.largest_free_cpu_millis
+                if load.largest_free_cpu_millis >= step.cpu_millis else -1)
+    return _find_largest_room(load.free_rooms, step)
+
+
+def find_reclaimable_cpu(load: GroupLoad, step: model.Step) -> int:
+    """Returns the most CPU that no long-running task holds on one worker.
+
+    Only workers count where a task of the step fits once all tasks that are not
+    long-running have ended. The CPU is in thousandths of a core, and -1 if
+    there is no such worker.
+    """
+    if not load.reclaimable_rooms:
+        return (load.largest_reclaimable_cpu_millis if
+                load.largest_reclaimable_cpu_millis >= step.cpu_millis else -1)
+    return _find_largest_room(load.reclaimable_rooms, step)
+
+
+def _find_largest_room(rooms: tuple[WorkerRoom, ...], step: model.Step) -> int:
+    return max((room.cpu_millis for room in rooms if room.has_room_for(step)),
+               default=-1)
+
+
+def _add_room(rooms: list[WorkerRoom], room: WorkerRoom) -> None:
+    """Adds the room of a worker, without rooms that another one covers."""
+    if not any(other.covers(room) for other in rooms):
+        rooms[:] = [other for other in rooms if not room.covers(other)]
+        rooms.append(room)
+
+
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
     """Computes the part of a group's load that comes from a job.
 
@@ -248,6 +321,8 @@
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
     image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
+    free_rooms: list[WorkerRoom] = []
+    reclaimable_rooms: list[WorkerRoom] = []
     for worker in workers:
         if worker.can_receive_starts(now):
             load = worker.compute_load()
@@ -285,6 +360,18 @@
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
+            worker_labels = tuple(sorted(worker.entry.labels))
+            if not worker.may_exceed_capacity:
+                _add_room(
+                    free_rooms,
+                    WorkerRoom(candidate.free_cpu_millis,
+                               candidate.free_memory_mib,
+                               candidate.free_accelerators, worker_labels))
+            _add_room(
+                reclaimable_rooms,
+                WorkerRoom(candidate.reclaimable_cpu_millis,
+                           candidate.reclaimable_memory_mib,
+                           candidate.reclaimable_accelerators, worker_labels))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
@@ -305,7 +392,8 @@
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
         largest_reclaimable_cpu_millis,
-        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())))
+        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
+        tuple(free_rooms), tuple(reclaimable_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
