Start by a current registry only where workers do not guard themselves

On others a worker that shrinks during an outage of the store would get starts by its former capacity, during the outage and after it.

Cause: a leader starts runs for up to 4 s after its last append, whatever the age of its copy of the registry. After an outage the entries are as old as the outage until each worker has reported again.

Evidence: both tests of OutdatedRegistryTest fail without the two checks, with a start and a repeated start by an outdated registry.

Change: the entries count as current if the last read to the end of the registry is at most 2 s old, and reads have gone on without a gap for the report interval of the workers, which the settings name. Otherwise only workers that enforce their capacity get starts. A new daemon's first leaderships wait as long.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -99,6 +99,8 @@
             self._job_service.is_coordinator, clock, log)
         self._operator_state = _platform_topics.OperatorState(
             log, self._apply_operator_state)
+        self._registry_freshness = _platform_topics.RegistryFreshness(
+            settings.worker_report_interval)
         self._worker_registry = _platform_topics.WorkerRegistry(
             log, self._apply_worker_entry, self._handle_worker_removal)
         self._peering.handlers[
@@ -194,10 +196,11 @@
         platform_reader = _platform_topics.PlatformTopicReader(
             topic, _platform_topics.OPERATOR_LONG_POLL_WAIT
             if is_operator_topic else datetime.timedelta(0),
-            datetime.timedelta(0)
-            if is_operator_topic else _platform_topics.REGISTRY_INTERVAL,
-            self._store, self._clock, self._log, self._metrics,
-            topic_state.apply_record, topic_state.apply_loaded_keys)
+            datetime.timedelta(0) if is_operator_topic else
+            _platform_topics.REGISTRY_INTERVAL, self._store, self._clock,
+            self._log, self._metrics, topic_state.apply_record,
+            topic_state.apply_loaded_keys, (lambda sent_at: None)
+            if is_operator_topic else self._registry_freshness.mark_read)
         await platform_reader.run()
 
     async def _announce_membership(self, peer_address: str) -> None:
@@ -357,7 +360,8 @@
             (self._settings.node, self._incarnation), self._worker_client,
             self._permit_service, leader_topic_writer, self._clock, self._log,
             self._metrics, self._publish_leader_report, self._stop_leading,
-            lambda: self._job_service.load_reports, self._interference)
+            lambda: self._job_service.load_reports, self._interference,
+            self._registry_freshness.is_current)
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
             leader.put_job(job_entry)
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -76,18 +76,25 @@
         scheduler: Decides which runs to start, stop and throttle.
     """
 
-    def __init__(self, group: str, epoch: int, leadership_offset: int,
-                 timings: dispatch.GroupTimings, identity: tuple[str, str],
+    def __init__(self,
+                 group: str,
+                 epoch: int,
+                 leadership_offset: int,
+                 timings: dispatch.GroupTimings,
+                 identity: tuple[str, str],
                  worker_client: ports.LeasedWorkerClient,
                  permit_service: ports.PermitService,
-                 topic_writer: _job_topic.JobTopicWriter, clock: ports.Clock,
+                 topic_writer: _job_topic.JobTopicWriter,
+                 clock: ports.Clock,
                  log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics,
                  on_report: Callable[[_peer_messages.LeaderReport], None],
                  on_leadership_lost: Callable[[str, str], None],
                  get_load_reports: Callable[[], dict[str,
                                                      dispatch.GroupReport]],
-                 interference: dispatch.InterferenceModel):
+                 interference: dispatch.InterferenceModel,
+                 is_registry_current: Callable[[float],
+                                               bool] = lambda now: True):
         self.group = group
         self.epoch = epoch
         self.scheduler = dispatch.GroupScheduler(group, epoch, timings,
@@ -95,6 +102,7 @@
                                                  leadership_offset,
                                                  interference)
         self._interference = interference
+        self._is_registry_current = is_registry_current
         self._lease_length = timings.lease
         self._daemon_name, self._incarnation = identity
         self._worker_client = worker_client
@@ -247,6 +255,7 @@
             poller = self._status_pollers.pop(worker_id, None)
             if poller is not None:
                 poller.cancel()
+        self.scheduler.is_registry_current = self._is_registry_current(now)
         orders = self.scheduler.plan(now, now_ms, self._is_start_allowed())
         for order in orders:
             if isinstance(order, dispatch.StartOrder):
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -24,12 +24,53 @@
 RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
 """Pause between a failed read of a topic and its repetition."""
 
+MAX_REGISTRY_AGE = datetime.timedelta(seconds=2)
+"""Age of the last read of the registry up to which entries count as current.
+From 3 s after its next report on, a worker that has shrunk must get no start
+that does not fit; the rest of this time is for orders on their way."""
+
+
+class RegistryFreshness:
+    """Tells whether the registry shows what the workers last reported.
+
+    After a gap in the reads, the store may have been down for the workers, too,
+    so that their entries are old until each has reported again.
+
+    Args:
+        report_interval: Interval at which workers report to the registry.
+    """
+
+    def __init__(self, report_interval: datetime.timedelta):
+        self._report_interval = report_interval
+        self._unbroken_since: float | None = None
+        self._last_read_at = 0.0
+
+    def mark_read(self, sent_at: float) -> None:
+        """Notes a read that reached the end of the registry.
+
+        Args:
+            sent_at: Monotonic time in seconds at which the read was sent.
+        """
+        if (self._unbroken_since is None or sent_at - self._last_read_at
+                > MAX_REGISTRY_AGE.total_seconds()):
+            self._unbroken_since = sent_at
+        self._last_read_at = sent_at
+
+    def is_current(self, now: float) -> bool:
+        """Returns whether the entries are current at a monotonic time."""
+        return (self._unbroken_since is not None and
+                now - self._last_read_at <= MAX_REGISTRY_AGE.total_seconds() and
+                self._last_read_at - self._unbroken_since
+                >= self._report_interval.total_seconds())
+
 
 class PlatformTopicReader:
     """Reads a topic that other systems write; passes its records to callbacks.
 
     Each record goes to `on_record`. After a read of the newest record of every
     key (a full read), `on_loaded` gets the keys whose records have a value.
+    `on_read_to_end` gets the monotonic time in seconds at which a read was sent
+    that reached the end of the topic.
 
     Attributes:
         is_loaded: Whether a full read has succeeded. False again when the store
@@ -38,13 +79,18 @@
             reached the end of the topic was sent; None before the first.
     """
 
-    def __init__(self, topic: str, long_poll_wait: datetime.timedelta,
-                 read_interval: datetime.timedelta, store: ports.KeyedStore,
-                 clock: ports.Clock, log: _decision_log.DecisionLog,
+    def __init__(self,
+                 topic: str,
+                 long_poll_wait: datetime.timedelta,
+                 read_interval: datetime.timedelta,
+                 store: ports.KeyedStore,
+                 clock: ports.Clock,
+                 log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics,
-                 on_record: Callable[[ports.KeyedRecord],
-                                     None], on_loaded: Callable[[set[str]],
-                                                                None]):
+                 on_record: Callable[[ports.KeyedRecord], None],
+                 on_loaded: Callable[[set[str]], None],
+                 on_read_to_end: Callable[[float],
+                                          None] = lambda sent_at: None):
         self.is_loaded = False
         self.fresh_as_of: float | None = None
         self._topic = topic
@@ -56,6 +102,7 @@
         self._metrics = metrics
         self._on_record = on_record
         self._on_loaded = on_loaded
+        self._on_read_to_end = on_read_to_end
         self._loader = _topic_load.TopicLoader(topic, store, clock, log,
                                                metrics)
         self._next_offset = 0
@@ -87,6 +134,7 @@
             self.is_loaded = True
             self._on_loaded(
                 {record.key for record in batch.records if record.value})
+            self._on_read_to_end(self.fresh_as_of)
             return False
         sent_at = self._clock.monotonic()
         batch = await self._store.read(self._topic, self._next_offset,
@@ -105,6 +153,7 @@
         is_at_end = self._next_offset >= batch.end_offset
         if is_at_end:
             self.fresh_as_of = sent_at
+            self._on_read_to_end(sent_at)
         return bool(batch.records) and not is_at_end
 
     def _deliver_records(self, records: tuple[ports.KeyedRecord, ...]) -> None:
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -84,7 +84,8 @@
                     if not worker.enforces_capacity:
                         # The worker would start the run even if it has shrunk,
                         # or if a smaller instance has replaced it.
-                        if not worker.is_reachable:
+                        if (not worker.is_reachable or
+                                not self.is_registry_current):
                             continue
                         if (worker.is_over_capacity() or
                                 worker.may_exceed_capacity):
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -60,6 +60,9 @@
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
         is_evacuated: Whether operators took the group out of service.
+        is_registry_current: Whether the registry entries show the present
+            capacity of the workers. If not, only workers that enforce their
+            capacity may receive starts.
         queues: Queues of the configuration in force, by host and path prefix.
         interference: Estimated interference between images.
         timings: Durations that bound leases, takeovers and stops.
@@ -74,6 +77,7 @@
         self.workers: dict[str, _workers.WorkerState] = {}
         self.ended_runs: list[_orders.AppliedRunEnd] = []
         self.is_evacuated = False
+        self.is_registry_current = True
         self.queues: dict[tuple[str, str], model.Queue] = {}
         # Jobs that were forgotten because they ended or left this group, by
         # identifier. The value is the offset of the acceptance or move that had
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -54,7 +54,9 @@
         candidates = {
             worker.worker_id: _placement.build_candidate(worker)
             for worker in self._state.workers.values()
-            if worker.can_receive_starts(now) and not self._state.is_evacuated
+            if worker.can_receive_starts(now) and
+            (worker.enforces_capacity or self._state.is_registry_current) and
+            not self._state.is_evacuated
         }
         if not candidates:
             self._mark_all_unplaced(now, now_ms)
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -480,3 +480,39 @@
         self.driver.scheduler.set_capacity_enforcing_services(frozenset({"svc"
                                                                         }))
         self.assertEqual(self.driver.plan_starts(), [self.order])
+
+
+class OutdatedRegistryTest(CapacityTest):
+    """Tests of starts while the registry may not show the present capacity."""
+
+    def test_only_workers_that_enforce_their_capacity_get_starts(self):
+        """Checks which workers get starts while the registry is outdated.
+
+        Guards against a start over capacity on a worker that has shrunk during
+        an outage of the store, and against an outage that stops other workers.
+        """
+        for services, is_current, start_count in ((frozenset(), False,
+                                                   0), (frozenset(), True, 1),
+                                                  (frozenset({"svc"}), False,
+                                                   1)):
+            with self.subTest(services=services, is_current=is_current):
+                self.setUp()
+                self.put_job(builders.build_step())
+                self.driver.scheduler.set_capacity_enforcing_services(services)
+                self.driver.scheduler.is_registry_current = is_current
+                self.assertEqual(len(self.driver.plan_starts()), start_count)
+
+    def test_no_repetition_by_an_outdated_registry(self):
+        """Checks that a start without reply is repeated after the outage only.
+
+        Guards against a repeated order that a worker executes for the first
+        time after it has shrunk.
+        """
+        self.put_job(builders.build_step())
+        (order,) = self.driver.plan_starts()
+        self.driver.apply_start_outcome(order, ports.StartOutcome.UNKNOWN)
+        self.report_runs()
+        self.driver.scheduler.is_registry_current = False
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.scheduler.is_registry_current = True
+        self.assertEqual(self.driver.plan_starts(), [order])
--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -21,6 +21,8 @@
 """Defaults for the fields of the table `bounds` in the settings file. The
 suffix of a name is its unit."""
 
+_DEFAULT_REPORT_INTERVAL_MS = 1500
+
 
 class DaemonSettings(NamedTuple):
     """Settings of a daemon from the settings file of the platform.
@@ -45,6 +47,8 @@
         status_retention: Time for which the state of an ended job is retained.
         stop_grace: Time that the platform leaves a process between the stop
             signal and the kill signal.
+        worker_report_interval: Interval at which workers report to the
+            registry.
     """
 
     node: str
@@ -63,6 +67,7 @@
     stop_limit: datetime.timedelta
     status_retention: datetime.timedelta
     stop_grace: datetime.timedelta
+    worker_report_interval: datetime.timedelta
 
 
 def _read_bounds(document: dict[str, Any]) -> dict[str, float]:
@@ -114,7 +119,9 @@
             max_lease=datetime.timedelta(milliseconds=bounds["hold_max_ms"]),
             stop_limit=datetime.timedelta(milliseconds=bounds["stop_ms"]),
             status_retention=datetime.timedelta(seconds=bounds["status_s"]),
-            stop_grace=datetime.timedelta(seconds=bounds["grace_s"]))
+            stop_grace=datetime.timedelta(seconds=bounds["grace_s"]),
+            worker_report_interval=datetime.timedelta(milliseconds=float(
+                document.get("heartbeat_ms", _DEFAULT_REPORT_INTERVAL_MS))))
     except KeyError as error:
         raise errors.SettingsError(
             f"setting {error.args[0]!r} is missing") from error
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -288,6 +288,11 @@
         self.assertEqual(settings.max_lease.total_seconds(), 6)
         self.assertEqual(settings.stop_limit.total_seconds(), 0.9)
         self.assertEqual(settings.store_limits, (1000, 2_097_152))
+        self.assertEqual(settings.worker_report_interval.total_seconds(), 1.5)
+        other_settings = platform.parse_settings("heartbeat_ms = 2500\n" +
+                                                 SETTINGS_TEXT)
+        self.assertEqual(other_settings.worker_report_interval.total_seconds(),
+                         2.5)
 
     def test_missing_setting_is_named(self):
         """Guards against a daemon that starts without a required setting."""
