Check starts against the capacity of the workers from outside

The stand-in workers note by how much a start brings them over their capacity, may change it, and may take time to stop a run. A shrunk capacity counts 4.5 s later: a report interval and the time to notice it.

--- a/standins/site.py
+++ b/standins/site.py
@@ -18,6 +18,7 @@
 CALLER_HOST = "jobs.example"
 PATH_PREFIX = "/q/"
 _STATE_POLL_S = 0.05
+_TASK_CPU_MILLIS = 1000
 _PEER_PORTS = 2
 
 
@@ -65,14 +66,19 @@
         daemons: Running daemons by name.
     """
 
-    def __init__(self, directory: pathlib.Path, daemons: Sequence[DaemonPlace],
-                 workers: Sequence[site_workers.WorkerPlace]):
+    def __init__(self,
+                 directory: pathlib.Path,
+                 daemons: Sequence[DaemonPlace],
+                 workers: Sequence[site_workers.WorkerPlace],
+                 *,
+                 enforces_capacity: bool = True):
         self.store = site_store.SiteStore()
         self.notes: list[site_workers.RunNote] = []
         self.workers = [
             site_workers.SiteWorker(place, self.notes) for place in workers
         ]
         self.daemons: dict[str, _children.Child] = {}
+        self._enforces_capacity = enforces_capacity
         self._directory = directory
         self._places = {place.name: place for place in daemons}
         self._ports: dict[str, _DaemonPorts] = {}
@@ -95,7 +101,7 @@
             }],
             "services": [{
                 "name": SERVICE,
-                "enforces_capacity": True
+                "enforces_capacity": self._enforces_capacity
             }],
             "limits": {}
         }
@@ -112,6 +118,13 @@
         for name in self._places:
             await self.wait_ready(name)
 
+    def resize_worker(self, worker: site_workers.SiteWorker,
+                      cpu_millis: int) -> None:
+        """Changes a worker's capacity and its registry entry."""
+        worker.resize(cpu_millis)
+        self.store.write("keyed.servers", worker.place.worker_id,
+                         worker.build_entry(SERVICE))
+
     async def stop(self) -> None:
         """Stops all parts."""
         for child in self.daemons.values():
@@ -193,17 +206,23 @@
         """Submits a job of steps that follow each other."""
         steps = [{
             "count": count,
-            "cpu": 1000,
+            "cpu": _TASK_CPU_MILLIS,
             "mem_mb": 100,
             "estimate_ms": int(seconds * 1000),
             **({
                 "depends_on": [index - 1]
             } if index else {})
         } for index, count in enumerate(counts)]
-        return await self.call(name, "POST", job_id, {
-            "spec": json.dumps({"seconds": seconds}),
-            "steps": steps
-        })
+        return await self.call(
+            name, "POST", job_id, {
+                "spec":
+                    json.dumps({
+                        "seconds": seconds,
+                        "cpu_millis": _TASK_CPU_MILLIS
+                    }),
+                "steps":
+                    steps
+            })
 
     async def wait_state(self, names: Sequence[str], job_id: str, state: str,
                          seconds: float) -> None:
--- a/standins/site_workers.py
+++ b/standins/site_workers.py
@@ -15,6 +15,9 @@
 
 _INSTANCE_HEADER = "Gentianlead-Expected-Instance"
 _TICK_S = 0.01
+_SHRINK_NOTICE_S = 4.5
+"""Time after which a shrunk capacity counts: a report interval and the time
+that daemons have to notice it."""
 
 
 class WorkerPlace(NamedTuple):
@@ -41,6 +44,8 @@
         began_at: Monotonic time in seconds.
         ended_at: Monotonic time of its end; infinite while it runs.
         cause: Word for its end, or empty.
+        excess_cpu_millis: By how much its start brought the worker over its
+            capacity, in thousandths of a core.
     """
 
     worker_id: str
@@ -49,6 +54,7 @@
     began_at: float
     ended_at: float = float("inf")
     cause: str = ""
+    excess_cpu_millis: int = 0
 
 
 class _Run:
@@ -58,12 +64,18 @@
         note: Index of its note.
         done_at: Monotonic time at which it is done.
         began_at: Monotonic time of its start.
+        cpu_millis: CPU that it needs, in thousandths of a core.
+        stopped_at: Monotonic time at which a stop ends it; infinite before the
+            stop order.
     """
 
-    def __init__(self, note: int, began_at: float, seconds: float):
+    def __init__(self, note: int, began_at: float, seconds: float,
+                 cpu_millis: int):
         self.note = note
         self.began_at = began_at
         self.done_at = began_at + seconds
+        self.cpu_millis = cpu_millis
+        self.stopped_at = float("inf")
 
 
 class SiteWorker:
@@ -73,12 +85,16 @@
         place: What it says of itself.
         address: `host:port`, once it is started.
         notes: All runs of all workers.
+        stop_delay_s: How long a run goes on after its stop order, in seconds.
     """
 
     def __init__(self, place: WorkerPlace, notes: list[RunNote]):
         self.place = place
         self.address = ""
         self.notes = notes
+        self.stop_delay_s = 0.0
+        # Times of changes of the capacity, and the capacity from then on.
+        self._capacities = [(0.0, place.cpu_millis)]
         self._born_ms = int(time.time() * 1000)
         self._fence = 0
         self._lease_until = 0.0
@@ -103,6 +119,22 @@
         self._clock.cancel()
         await self._runner.cleanup()
 
+    def resize(self, cpu_millis: int) -> None:
+        """Changes the capacity; what runs goes on."""
+        self.place = self.place._replace(cpu_millis=cpu_millis)
+        self._capacities.append((time.monotonic(), cpu_millis))
+
+    def _compute_excess(self, now: float) -> int:
+        """Returns by how much the runs exceed the capacity that counts."""
+        since = now - _SHRINK_NOTICE_S
+        in_force = max(index for index, (changed_at,
+                                         _) in enumerate(self._capacities)
+                       if changed_at <= since or not index)
+        limit = max(cpu_millis for _, cpu_millis in self._capacities[in_force:])
+        return max(
+            0,
+            sum(run.cpu_millis for run in self._running.values()) - limit)
+
     def build_entry(self, service: str) -> bytes:
         """Returns the entry of the registry."""
         return json.dumps({
@@ -125,7 +157,9 @@
         while True:
             now = time.monotonic()
             for key, run in list(self._running.items()):
-                if now >= run.done_at:
+                if now >= run.stopped_at:
+                    self._end(key, "stopped", now)
+                elif now >= run.done_at:
                     self._end(key, "done", now)
                 elif now >= self._lease_until:
                     self._end(key, "lapsed", now)
@@ -163,9 +197,14 @@
             return self._answer({"reason": "late"}, 409)
         key = document["task"], document["run_id"]
         if key not in self._running:
-            seconds = json.loads(document["spec"])["seconds"]
-            self.notes.append(RunNote(self.place.worker_id, *key, now))
-            self._running[key] = _Run(len(self.notes) - 1, now, seconds)
+            spec = json.loads(document["spec"])
+            self._running[key] = _Run(len(self.notes), now, spec["seconds"],
+                                      spec.get("cpu_millis", 0))
+            self.notes.append(
+                RunNote(self.place.worker_id,
+                        *key,
+                        now,
+                        excess_cpu_millis=self._compute_excess(now)))
         return self._answer({})
 
     async def _stop_run(self, request: web.Request) -> web.Response:
@@ -175,7 +214,12 @@
             return refusal
         key = document["task"], document["run_id"]
         if key in self._running:
-            self._end(key, "stopped", time.monotonic())
+            if self.stop_delay_s:
+                run = self._running[key]
+                run.stopped_at = min(run.stopped_at,
+                                     time.monotonic() + self.stop_delay_s)
+            else:
+                self._end(key, "stopped", time.monotonic())
         return self._answer({})
 
     async def _hold(self, request: web.Request) -> web.Response:
