Compute the load of a group without repeated work

Change: the load of a worker is computed once for both uses, runs of unknown size are looked up once per candidate instead of once per placed task, and only listed capacities are built as records.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -65,13 +65,6 @@
                 step.accelerators <= self.accelerators and
                 (not step.required_label or step.required_label in self.labels))
 
-    def covers(self, other: "WorkerRoom") -> bool:
-        """Returns whether any task that fits in `other` fits here."""
-        return (self.labels == other.labels and
-                self.cpu_millis >= other.cpu_millis and
-                self.memory_mib >= other.memory_mib and
-                self.accelerators >= other.accelerators)
-
 
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
@@ -250,11 +243,30 @@
                default=-1)
 
 
-def _add_room(rooms: list[WorkerRoom], room: WorkerRoom) -> None:
+_Resources = tuple[int, int, int]
+"""CPU, memory and accelerators, in the units of `WorkerRoom`."""
+
+
+def _add_room(rooms: list[_Resources], room: _Resources) -> None:
     """Adds the room of a worker, without rooms that another one covers."""
-    if not any(other.covers(room) for other in rooms):
-        rooms[:] = [other for other in rooms if not room.covers(other)]
-        rooms.append(room)
+    for other in rooms:
+        if (other[0] >= room[0] and other[1] >= room[1] and
+                other[2] >= room[2]):
+            return
+    rooms[:] = [
+        other for other in rooms
+        if other[0] > room[0] or other[1] > room[1] or other[2] > room[2]
+    ]
+    rooms.append(room)
+
+
+def _list_rooms(
+    rooms_by_labels: dict[frozenset[str], list[_Resources]]
+) -> tuple[WorkerRoom, ...]:
+    return tuple(
+        WorkerRoom(*room, tuple(sorted(labels)))
+        for labels, rooms in rooms_by_labels.items()
+        for room in rooms)
 
 
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
@@ -321,8 +333,8 @@
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
     image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
-    free_rooms: list[WorkerRoom] = []
-    reclaimable_rooms: list[WorkerRoom] = []
+    free_rooms: dict[frozenset[str], list[_Resources]] = {}
+    reclaimable_rooms: dict[frozenset[str], list[_Resources]] = {}
     for worker in workers:
         if worker.can_receive_starts(now):
             load = worker.compute_load()
@@ -349,7 +361,7 @@
                                                     image)
                         for latency_critical_image in latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
-            candidate = _placement.build_candidate(worker)
+            candidate = _placement.build_candidate(worker, load)
             margins = _throttling.compute_latency_margins(worker, interference)
             spare_room_cpu_millis = _placement.compute_spare_room(candidate)
             for image, room_cpu_millis in image_rooms.items():
@@ -360,18 +372,15 @@
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
-            worker_labels = tuple(sorted(worker.entry.labels))
-            if not worker.may_exceed_capacity:
-                _add_room(
-                    free_rooms,
-                    WorkerRoom(candidate.free_cpu_millis,
-                               candidate.free_memory_mib,
-                               candidate.free_accelerators, worker_labels))
-            _add_room(
-                reclaimable_rooms,
-                WorkerRoom(candidate.reclaimable_cpu_millis,
-                           candidate.reclaimable_memory_mib,
-                           candidate.reclaimable_accelerators, worker_labels))
+            worker_labels = worker.entry.labels
+            if candidate.free_cpu_millis >= 0:
+                _add_room(free_rooms.setdefault(worker_labels, []),
+                          (candidate.free_cpu_millis, candidate.free_memory_mib,
+                           candidate.free_accelerators))
+            _add_room(reclaimable_rooms.setdefault(worker_labels, []),
+                      (candidate.reclaimable_cpu_millis,
+                       candidate.reclaimable_memory_mib,
+                       candidate.reclaimable_accelerators))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
@@ -393,7 +402,7 @@
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
-        tuple(free_rooms), tuple(reclaimable_rooms))
+        _list_rooms(free_rooms), _list_rooms(reclaimable_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -86,7 +86,9 @@
 
     Attributes:
         worker: The worker.
-        free_cpu_millis: CPU that is not reserved.
+        free_cpu_millis: CPU that is not reserved. It is negative if the worker
+            may get no start at all, as it has shrunk below what it runs, or
+            runs a task of unknown size.
         spare_cpu_millis: CPU that is expected to stay unused, so that more
             best-effort tasks can use it.
         reclaimable_cpu_millis: CPU that no long-running task reserves.
@@ -131,16 +133,26 @@
         return is_allowed
 
 
-def build_candidate(worker: _workers.WorkerState) -> Candidate:
-    """Computes the capacity that is left on a worker."""
+def build_candidate(worker: _workers.WorkerState,
+                    load: _workers.WorkerLoad | None = None) -> Candidate:
+    """Computes the capacity that is left on a worker.
+
+    Args:
+        worker: The worker.
+        load: Its present load, if the caller has computed it.
+    """
     entry = worker.entry
-    load = worker.compute_load()
+    if load is None:
+        load = worker.compute_load()
+    free_cpu_millis = entry.cpu_millis - load.reserved_cpu_millis
+    if worker.may_exceed_capacity:
+        free_cpu_millis = min(free_cpu_millis, -1)
     expected_use_cpu_millis = (
         load.reserved_cpu_millis - load.latency_critical_cpu_millis +
         int(LATENCY_CRITICAL_CPU_USE_SHARE * load.latency_critical_cpu_millis))
     return Candidate(
-        worker, entry.cpu_millis - load.reserved_cpu_millis, entry.cpu_millis -
-        expected_use_cpu_millis - load.throttled_best_effort_cpu_millis,
+        worker, free_cpu_millis, entry.cpu_millis - expected_use_cpu_millis -
+        load.throttled_best_effort_cpu_millis,
         entry.cpu_millis - load.long_running_cpu_millis,
         entry.memory_mib - load.memory_mib,
         entry.accelerators - load.accelerators,
@@ -159,7 +171,7 @@
     """
     # A worker that has shrunk below what it runs gets no start at all, not even
     # of a best-effort task, whose CPU does not count.
-    if candidate.worker.may_exceed_capacity or candidate.free_cpu_millis < 0:
+    if candidate.free_cpu_millis < 0:
         return False
     if (step.memory_mib > candidate.free_memory_mib or
             step.accelerators > candidate.free_accelerators):
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -194,8 +194,8 @@
         That is so while it runs a task of unknown size, if it does not enforce
         its capacity itself.
         """
-        return not self.enforces_capacity and any(
-            run.step is None for run in self.unknown_runs.values())
+        return (bool(self.unknown_runs) and not self.enforces_capacity and
+                any(run.step is None for run in self.unknown_runs.values()))
 
     def get_throttle_percent(self, run: _runs.Run) -> int:
         """Returns the share of its full speed, in percent, allowed to a run."""
@@ -319,27 +319,29 @@
         reserved_cpu_millis = latency_critical_cpu_millis = \
             long_running_cpu_millis = best_effort_cpu_millis = \
             memory_mib = accelerators = 0
-        long_running_memory_mib = long_running_accelerators = 0
         throttled_best_effort_cpu_millis = 0
-        for run in self.runs.values():
-            if run.step.is_best_effort:
-                throttled_best_effort_cpu_millis += (
-                    run.step.cpu_millis * self.get_throttle_percent(run) // 100)
-        for step in (*(run.step for run in self.runs.values()),
-                     *(run.step
-                       for run in self.unknown_runs.values()
-                       if run.step is not None)):
+        long_running_memory_mib = long_running_accelerators = 0
+        steps = [run.step for run in self.runs.values()]
+        if self.unknown_runs:
+            steps += [
+                run.step
+                for run in self.unknown_runs.values()
+                if run.step is not None
+            ]
+        for step in steps:
             memory_mib += step.memory_mib
             accelerators += step.accelerators
-            if step.is_long_running:
-                long_running_memory_mib += step.memory_mib
-                long_running_accelerators += step.accelerators
             if step.is_best_effort:
                 best_effort_cpu_millis += step.cpu_millis
+                throttled_best_effort_cpu_millis += (
+                    step.cpu_millis * self.throttles.get(step.image, 100) //
+                    100)
                 continue
             reserved_cpu_millis += step.cpu_millis
             if step.is_long_running:
                 long_running_cpu_millis += step.cpu_millis
+                long_running_memory_mib += step.memory_mib
+                long_running_accelerators += step.accelerators
             if step.tail_latency_limit_ms:
                 latency_critical_cpu_millis += step.cpu_millis
         return WorkerLoad(reserved_cpu_millis, latency_critical_cpu_millis,
