Try a worker that refuses starts for lack of capacity less often

A guarded worker that has shrunk refuses starts until the registry shows it, and each refusal is priced.

Cause: such a worker was tried again every 0.2 s.

Evidence: RefusedStartTest.test_refusals_become_rare counts 9 refusals in 2.5 s before the change, 5 are allowed.

Change: the pause doubles with each refusal in a row, up to 1 s, and starts anew after an accepted start.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -397,6 +397,7 @@
             worker.update_clock(reply.clock_ms, now)
         outcome = reply.outcome
         if outcome is ports.StartOutcome.STARTED:
+            worker.capacity_refusals = 0
             if run.phase in (_runs.RunPhase.STARTING, _runs.RunPhase.UNKNOWN):
                 run.phase = _runs.RunPhase.RUNNING
                 run.start_attempts = 0
@@ -424,8 +425,6 @@
     def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
                        outcome: ports.StartOutcome, now: float) -> None:
         backoffs = {
-            ports.StartOutcome.NO_FREE_CAPACITY:
-                _workers.SHORT_REFUSAL_BACKOFF,
             ports.StartOutcome.OUTDATED_RUN:
                 _workers.SHORT_REFUSAL_BACKOFF,
             ports.StartOutcome.LEASE_ALREADY_EXPIRED:
@@ -442,6 +441,8 @@
         if outcome in backoffs:
             worker.paused_until = max(worker.paused_until,
                                       now + backoffs[outcome].total_seconds())
+        elif outcome is ports.StartOutcome.NO_FREE_CAPACITY:
+            worker.record_capacity_refusal(now)
         worker.runs.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         if job is not None:
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -22,7 +22,10 @@
 
 SHORT_REFUSAL_BACKOFF = datetime.timedelta(milliseconds=200)
 """Time for which a worker gets no starts after it refused one for lack of
-capacity, an outdated run number or an expired lease: about two status calls."""
+capacity, an outdated run number or an expired lease: about two status calls. It
+doubles, up to `LONG_REFUSAL_BACKOFF`, with each refusal for lack of capacity
+in a row: the worker has less capacity than the registry shows, and a refused
+start is priced."""
 
 LONG_REFUSAL_BACKOFF = datetime.timedelta(seconds=1)
 """Time for which a worker gets no starts after it refused one because it is
@@ -133,6 +136,8 @@
         is_reachable: Whether a status report arrived, and since then no status
             call, start order or stop order lacked a usable reply.
         paused_until: Time before which no run is started on the worker.
+        capacity_refusals: Number of pauses since the worker last accepted a
+            start that began when it refused one for lack of capacity.
         consecutive_failures: Number of failed runs since the last successful
             one.
         duration_ratio: Moving average of the ratio of actual to estimated run
@@ -163,6 +168,7 @@
         self.last_status_at: float | None = None
         self.is_reachable = False
         self.paused_until = 0.0
+        self.capacity_refusals = 0
         self.consecutive_failures = 0
         self.duration_ratio = 1.0
         self.throttles: dict[str, int] = {}
@@ -245,6 +251,7 @@
         """
         self.born_ms = born_ms
         self.unknown_runs.clear()
+        self.capacity_refusals = 0
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.consecutive_failures = 0
@@ -281,6 +288,19 @@
         return (self.consecutive_failures < FAILURES_TO_QUARANTINE or
                 not self.runs)
 
+    def record_capacity_refusal(self, now: float) -> None:
+        """Begins a pause that is longer after each refusal in a row.
+
+        Has no effect during a pause: several starts may be refused at once.
+        """
+        if now < self.paused_until:
+            return
+        backoff = min(
+            LONG_REFUSAL_BACKOFF,
+            SHORT_REFUSAL_BACKOFF * 2**min(self.capacity_refusals, 10))
+        self.capacity_refusals += 1
+        self.paused_until = now + backoff.total_seconds()
+
     def record_result(self, has_succeeded: bool, now: float) -> None:
         """Counts consecutive failed runs, and starts a quarantine if needed.
 
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -482,6 +482,49 @@
         self.assertEqual(self.driver.plan_starts(), [self.order])
 
 
+class RefusedStartTest(CapacityTest):
+    """Tests of starts that a worker refuses for lack of capacity."""
+
+    def count_refusals(self, seconds: float) -> int:
+        """Refuses all starts for some time; returns how many there were."""
+        refusal_count = 0
+        for _ in range(round(seconds / 0.1)):
+            for order in self.driver.plan_starts():
+                refusal_count += 1
+                self.driver.apply_start_outcome(
+                    order, ports.StartOutcome.NO_FREE_CAPACITY)
+            self.report_runs()
+        return refusal_count
+
+    def test_refusals_become_rare(self):
+        """Checks how often a worker is tried that has less than its entry says.
+
+        The entry is 2.5 s old: a report interval and a read of the registry.
+        Guards against a refused start every 0.2 s until then.
+        """
+        self.driver.scheduler.set_capacity_enforcing_services(frozenset({"svc"
+                                                                        }))
+        self.put_job(builders.build_step())
+        self.assertLessEqual(self.count_refusals(2.5), 5)
+
+    def test_worker_is_tried_soon_after_a_success(self):
+        """Checks that a start that succeeds ends the longer pauses.
+
+        Guards against idle capacity on a worker that was full for a while.
+        """
+        self.put_job(builders.build_step(2))
+        self.count_refusals(5.0)
+        self.driver.now += 1.0
+        self.report_runs()
+        first_order, second_order = self.driver.plan_starts()
+        self.driver.apply_start_outcome(first_order, ports.StartOutcome.STARTED)
+        self.driver.apply_start_outcome(second_order,
+                                        ports.StartOutcome.NO_FREE_CAPACITY)
+        self.driver.now += 0.2
+        self.report_runs(first_order)
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
+
 class OutdatedRegistryTest(CapacityTest):
     """Tests of starts while the registry may not show the present capacity."""
 
