--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import datetime
+import json
 import unittest
 
 from gentianlead import adapters
+from gentianlead import errors
 from gentianlead import platform
+from gentianlead import ports
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _platform_topics
 from gentianlead.cluster.tests import fakes
@@ -67,3 +70,79 @@
             self.assertGreater(len(read_times), read_count)
         finally:
             task.cancel()
+
+
+class WorkerRegistryTest(unittest.TestCase):
+    """Tests of the capacity in registry entries."""
+
+    def setUp(self):
+        self.entries: list[ports.WorkerEntry] = []
+        self.removed_ids: list[str] = []
+        self.registry = _platform_topics.WorkerRegistry(fakes.build_log(),
+                                                        self.entries.append,
+                                                        self.removed_ids.append)
+
+    def apply_capacity(self, capacity: object, **fields) -> None:
+        """Applies an entry with a capacity."""
+        document = {
+            "service": "svc",
+            "address": "10.0.0.1:80",
+            "zone": "north-1",
+            "state": "ready",
+            "capacity": capacity,
+            "labels": ["a"],
+            **fields
+        }
+        self.registry.apply_record(
+            ports.KeyedRecord("w1",
+                              json.dumps(document).encode()))
+
+    def test_each_entry_shows_the_present_capacity(self):
+        """Checks the capacity after a worker shrinks, grows and is replaced.
+
+        A missing resource counts as none. Guards against starts by a former
+        capacity.
+        """
+        for capacity, expected in (({
+                "cpu": 8000,
+                "mem_mb": 100,
+                "gpu": 2
+        }, (8000, 100, 2)), ({
+                "cpu": 2000,
+                "mem_mb": 50
+        }, (2000, 50, 0)), ({
+                "mem_mb": 50
+        }, (0, 50, 0)), ({}, (0, 0, 0)), ({
+                "cpu": 16_000.0,
+                "mem_mb": 200
+        }, (16_000, 200, 0))):
+            with self.subTest(capacity):
+                self.apply_capacity(capacity)
+                entry = self.entries[-1]
+                self.assertEqual(
+                    (entry.cpu_millis, entry.memory_mib, entry.accelerators),
+                    expected)
+
+    def test_unreadable_capacity_removes_the_worker(self):
+        """Checks that a worker is not used while its capacity is unreadable.
+
+        Guards against starts by the capacity of the entry before.
+        """
+        for capacity in (None, [], 8000, {
+                "cpu": "8000"
+        }, {
+                "cpu": -1
+        }, {
+                "cpu": True
+        }, {
+                "mem_mb": 0.5
+        }):
+            with self.subTest(capacity):
+                self.setUp()
+                self.apply_capacity({"cpu": 8000, "mem_mb": 100})
+                with self.assertRaises(errors.ProtocolError):
+                    self.apply_capacity(capacity)
+                self.assertEqual(self.removed_ids, ["w1"])
+                self.assertEqual(self.registry.entries, {})
+                self.apply_capacity({"cpu": 4000, "mem_mb": 100})
+                self.assertEqual(self.entries[-1].cpu_millis, 4000)
