--- a/src/gentianlead/cluster/tests/daemons.py
+++ b/src/gentianlead/cluster/tests/daemons.py
@@ -33,7 +33,8 @@
         max_lease=datetime.timedelta(seconds=6),
         stop_limit=datetime.timedelta(seconds=1),
         status_retention=datetime.timedelta(seconds=120),
-        stop_grace=datetime.timedelta(seconds=6))
+        stop_grace=datetime.timedelta(seconds=6),
+        worker_report_interval=datetime.timedelta(seconds=1.5))
     daemon = _daemon.ClusterDaemon(
         settings, store, mock.create_autospec(ports.LeasedWorkerClient),
         mock.create_autospec(ports.PermitService), adapters.SystemClock(),
--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -0,0 +1,148 @@
+"""Tests of how a daemon reads the worker registry."""
+
+import asyncio
+import datetime
+import json
+import unittest
+
+from gentianlead import adapters
+from gentianlead import errors
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.cluster import _metrics
+from gentianlead.cluster import _platform_topics
+from gentianlead.cluster.tests import fakes
+
+
+class RegistryFreshnessTest(unittest.TestCase):
+    """Tests of when the entries of the registry count as current."""
+
+    def test_entries_are_current_after_reads_without_a_gap(self):
+        """Checks the state after reads at given times, in seconds.
+
+        Guards against starts by the capacity that a worker had before an outage
+        of the store, during it and until the worker has reported again.
+        """
+        cases = (
+            ("no read", (), 10.0, False),
+            ("first read", (10.0,), 10.1, False),
+            ("reads over a report interval", (10.0, 11.0, 12.0), 12.5, True),
+            ("reads over less", (10.0, 11.0), 11.4, False),
+            ("last read too old", (10.0, 11.0, 12.0), 14.1, False),
+            ("first read after a gap", (10.0, 11.0, 12.0, 14.5), 14.6, False),
+            ("reads after a gap", (10.0, 12.0, 14.5, 15.5, 16.0), 16.1, True),
+        )
+        for name, read_times, now, is_current in cases:
+            with self.subTest(name):
+                freshness = _platform_topics.RegistryFreshness(
+                    datetime.timedelta(seconds=1.5))
+                for sent_at in read_times:
+                    freshness.mark_read(sent_at)
+                self.assertIs(freshness.is_current(now), is_current)
+
+
+class RegistryReaderTest(unittest.IsolatedAsyncioTestCase):
+    """Tests which reads of the registry count as reads to its end."""
+
+    async def test_failed_reads_do_not_count(self):
+        """Checks that reads are reported, except while the store is down.
+
+        Guards against an outdated registry that counts as current.
+        """
+        store = fakes.FakeStore()
+        read_times: list[float] = []
+        reader = _platform_topics.PlatformTopicReader(
+            platform.REGISTRY_TOPIC, datetime.timedelta(0),
+            datetime.timedelta(milliseconds=5), store, adapters.SystemClock(),
+            fakes.build_log(), _metrics.ClusterMetrics(), lambda record: None,
+            lambda keys: None, read_times.append)
+        task = asyncio.create_task(reader.run())
+        try:
+            await asyncio.sleep(0.1)
+            self.assertGreater(len(read_times), 1)
+            store.is_down = True
+            await asyncio.sleep(0.02)
+            read_count = len(read_times)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(read_times), read_count)
+            store.is_down = False
+            await asyncio.sleep(0.4)
+            self.assertGreater(len(read_times), read_count)
+        finally:
+            task.cancel()
+
+
+class WorkerRegistryTest(unittest.TestCase):
+    """Tests of the capacity in registry entries."""
+
+    def setUp(self):
+        self.entries: list[ports.WorkerEntry] = []
+        self.removed_ids: list[str] = []
+        self.registry = _platform_topics.WorkerRegistry(fakes.build_log(),
+                                                        self.entries.append,
+                                                        self.removed_ids.append)
+
+    def apply_capacity(self, capacity: object, **fields) -> None:
+        """Applies an entry with a capacity."""
+        document = {
+            "service": "svc",
+            "address": "10.0.0.1:80",
+            "zone": "north-1",
+            "state": "ready",
+            "capacity": capacity,
+            "labels": ["a"],
+            **fields
+        }
+        self.registry.apply_record(
+            ports.KeyedRecord("w1",
+                              json.dumps(document).encode()))
+
+    def test_each_entry_shows_the_present_capacity(self):
+        """Checks the capacity after a worker shrinks, grows and is replaced.
+
+        A missing resource counts as none. Guards against starts by a former
+        capacity.
+        """
+        for capacity, expected in (({
+                "cpu": 8000,
+                "mem_mb": 100,
+                "gpu": 2
+        }, (8000, 100, 2)), ({
+                "cpu": 2000,
+                "mem_mb": 50
+        }, (2000, 50, 0)), ({
+                "mem_mb": 50
+        }, (0, 50, 0)), ({}, (0, 0, 0)), ({
+                "cpu": 16_000.0,
+                "mem_mb": 200
+        }, (16_000, 200, 0))):
+            with self.subTest(capacity):
+                self.apply_capacity(capacity)
+                entry = self.entries[-1]
+                self.assertEqual(
+                    (entry.cpu_millis, entry.memory_mib, entry.accelerators),
+                    expected)
+
+    def test_unreadable_capacity_removes_the_worker(self):
+        """Checks that a worker is not used while its capacity is unreadable.
+
+        Guards against starts by the capacity of the entry before.
+        """
+        for capacity in (None, [], 8000, {
+                "cpu": "8000"
+        }, {
+                "cpu": -1
+        }, {
+                "cpu": True
+        }, {
+                "mem_mb": 0.5
+        }):
+            with self.subTest(capacity):
+                self.setUp()
+                self.apply_capacity({"cpu": 8000, "mem_mb": 100})
+                with self.assertRaises(errors.ProtocolError):
+                    self.apply_capacity(capacity)
+                self.assertEqual(self.removed_ids, ["w1"])
+                self.assertEqual(self.registry.entries, {})
+                self.apply_capacity({"cpu": 4000, "mem_mb": 100})
+                self.assertEqual(self.entries[-1].cpu_millis, 4000)
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -62,6 +62,9 @@
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
         is_evacuated: Whether operators took the group out of service.
+        is_registry_current: Whether the registry entries show the present
+            capacity of the workers. If not, only workers that enforce their
+            capacity may receive starts.
         queues: Queues of the configuration in force, by host and path prefix.
         interference: Estimated interference between images.
         timings: Durations that bound leases, takeovers and stops.
@@ -77,6 +80,7 @@
         self.ended_job_ids: set[str] = set()
         self.ended_runs: list[_orders.AppliedRunEnd] = []
         self.is_evacuated = False
+        self.is_registry_current = True
         self.queues: dict[tuple[str, str], model.Queue] = {}
         # Jobs that were forgotten because they ended or left this group, by
         # identifier. The value is the offset of the acceptance or move that had
@@ -86,6 +90,7 @@
         # whose offset is not higher.
         self._departed_job_offsets: dict[str, int] = {}
         self._recorded_workers: set[str] = set()
+        self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
         self._leadership_offset = leadership_offset
@@ -97,10 +102,12 @@
         """Adds a worker that the registry lists, or updates its entry."""
         worker = self.workers.get(entry.worker_id)
         if worker is None:
-            self.workers[entry.worker_id] = _workers.WorkerState(entry)
-        else:
-            worker.entry = entry
-            worker.is_registered = True
+            worker = _workers.WorkerState(entry)
+            self.workers[entry.worker_id] = worker
+        worker.entry = entry
+        worker.is_registered = True
+        worker.enforces_capacity = (entry.service
+                                    in self._capacity_enforcing_services)
 
     def put_recorded_worker(self, entry: ports.WorkerEntry, now: float) -> None:
         """Adds a worker that the stored `WorkersRecord` lists.
@@ -288,9 +295,12 @@
         step_run = job.get_step(active_run.task) if job is not None else None
         if (step_run is None or job.has_ended or
                 active_run.task.index not in step_run.waiting_indexes):
-            worker.unknown_runs.setdefault((active_run.task, active_run.run),
-                                           now)
+            unknown_run = worker.unknown_runs.setdefault(
+                (active_run.task, active_run.run), _workers.UnknownRun(now))
+            if step_run is not None:
+                unknown_run.step = step_run.step
             return None
+        worker.unknown_runs.pop((active_run.task, active_run.run), None)
         run = _runs.Run(active_run.task, step_run.step, active_run.run,
                         worker.worker_id, now)
         run.phase = _runs.RunPhase.RUNNING
@@ -380,6 +390,12 @@
             (queue.host, queue.path_prefix): queue for queue in queues
         }
 
+    def set_capacity_enforcing_services(self, services: frozenset[str]) -> None:
+        """Sets the services whose workers refuse starts that do not fit."""
+        self._capacity_enforcing_services = services
+        for worker in self.workers.values():
+            worker.enforces_capacity = worker.entry.service in services
+
     # Replies to orders and requests.
 
     def apply_start_reply(self, order: _orders.StartOrder,
@@ -395,6 +411,7 @@
             worker.update_clock(reply.clock_ms, now)
         outcome = reply.outcome
         if outcome is ports.StartOutcome.STARTED:
+            worker.capacity_refusals = 0
             if run.phase in (_runs.RunPhase.STARTING, _runs.RunPhase.UNKNOWN):
                 run.phase = _runs.RunPhase.RUNNING
                 run.start_attempts = 0
@@ -422,8 +439,6 @@
     def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
                        outcome: ports.StartOutcome, now: float) -> None:
         backoffs = {
-            ports.StartOutcome.NO_FREE_CAPACITY:
-                _workers.SHORT_REFUSAL_BACKOFF,
             ports.StartOutcome.OUTDATED_RUN:
                 _workers.SHORT_REFUSAL_BACKOFF,
             ports.StartOutcome.LEASE_ALREADY_EXPIRED:
@@ -440,6 +455,8 @@
         if outcome in backoffs:
             worker.paused_until = max(worker.paused_until,
                                       now + backoffs[outcome].total_seconds())
+        elif outcome is ports.StartOutcome.NO_FREE_CAPACITY:
+            worker.record_capacity_refusal(now)
         worker.runs.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         if job is not None:
@@ -459,7 +476,10 @@
         worker = self.workers.get(order.worker_id)
         if worker is None:
             return
-        worker.unknown_runs.pop((order.task, order.run), None)
+        unknown_run = worker.unknown_runs.get((order.task, order.run))
+        if unknown_run is not None:
+            unknown_run.has_pending_order = False
+            unknown_run.stop_answered_at = now
         run = worker.runs.get((order.task, order.run))
         if run is None:
             return
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -43,6 +43,29 @@
     cpu_millis: int
 
 
+class WorkerRoom(NamedTuple):
+    """Capacity of one worker that a task may use.
+
+    Attributes:
+        cpu_millis: CPU in thousandths of a core.
+        memory_mib: Memory in MiB.
+        accelerators: Number of accelerators.
+        labels: Labels of the worker, sorted.
+    """
+
+    cpu_millis: int
+    memory_mib: int
+    accelerators: int
+    labels: tuple[str, ...]
+
+    def has_room_for(self, step: model.Step) -> bool:
+        """Returns whether a task that is not best-effort fits."""
+        return (step.cpu_millis <= self.cpu_millis and
+                step.memory_mib <= self.memory_mib and
+                step.accelerators <= self.accelerators and
+                (not step.required_label or step.required_label in self.labels))
+
+
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
 
@@ -54,7 +77,8 @@
         capacity_cpu_millis: Whole CPU of the usable workers, which are those
             that may receive starts.
         reserved_cpu_millis: CPU reserved on usable workers by all runs except
-            best-effort ones.
+            best-effort ones; on a worker that has shrunk, at most its whole
+            CPU.
         short_backlog_ms: Estimated time in milliseconds that the unfinished
             short tasks take if they use all of
             `best_effort_capacity_cpu_millis`. The work of a running task counts
@@ -77,6 +101,10 @@
             worker have ended.
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
+        free_rooms: Free capacity of the usable workers, without those whose
+            capacity another one covers.
+        reclaimable_rooms: Capacity of the usable workers that no long-running
+            task holds, likewise.
     """
 
     is_usable: bool
@@ -92,6 +120,8 @@
     best_effort_capacity_cpu_millis: int = 0
     largest_reclaimable_cpu_millis: int = 0
     image_rooms: tuple[ImageRoom, ...] = ()
+    free_rooms: tuple[WorkerRoom, ...] = ()
+    reclaimable_rooms: tuple[WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -183,6 +213,62 @@
     return max(0, rooms.get(image, rooms.get("", 0)))
 
 
+def find_free_cpu(load: GroupLoad, step: model.Step) -> int:
+    """Returns the most free CPU on a worker where a task of a step fits.
+
+    It is in thousandths of a core, and -1 if a task fits nowhere at present.
+    """
+    if not load.reclaimable_rooms:
+        # The report of a leader that does not list the capacity of workers.
+        return (load.largest_free_cpu_millis
+                if load.largest_free_cpu_millis >= step.cpu_millis else -1)
+    return _find_largest_room(load.free_rooms, step)
+
+
+def find_reclaimable_cpu(load: GroupLoad, step: model.Step) -> int:
+    """Returns the most CPU that no long-running task holds on one worker.
+
+    Only workers count where a task of the step fits once all tasks that are not
+    long-running have ended. The CPU is in thousandths of a core, and -1 if
+    there is no such worker.
+    """
+    if not load.reclaimable_rooms:
+        return (load.largest_reclaimable_cpu_millis if
+                load.largest_reclaimable_cpu_millis >= step.cpu_millis else -1)
+    return _find_largest_room(load.reclaimable_rooms, step)
+
+
+def _find_largest_room(rooms: tuple[WorkerRoom, ...], step: model.Step) -> int:
+    return max((room.cpu_millis for room in rooms if room.has_room_for(step)),
+               default=-1)
+
+
+_Resources = tuple[int, int, int]
+"""CPU, memory and accelerators, in the units of `WorkerRoom`."""
+
+
+def _add_room(rooms: list[_Resources], room: _Resources) -> None:
+    """Adds the room of a worker, without rooms that another one covers."""
+    for other in rooms:
+        if (other[0] >= room[0] and other[1] >= room[1] and
+                other[2] >= room[2]):
+            return
+    rooms[:] = [
+        other for other in rooms
+        if other[0] > room[0] or other[1] > room[1] or other[2] > room[2]
+    ]
+    rooms.append(room)
+
+
+def _list_rooms(
+    rooms_by_labels: dict[frozenset[str], list[_Resources]]
+) -> tuple[WorkerRoom, ...]:
+    return tuple(
+        WorkerRoom(*room, tuple(sorted(labels)))
+        for labels, rooms in rooms_by_labels.items()
+        for room in rooms)
+
+
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
     """Computes the part of a group's load that comes from a job.
 
@@ -247,13 +333,17 @@
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
     image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
+    free_rooms: dict[frozenset[str], list[_Resources]] = {}
+    reclaimable_rooms: dict[frozenset[str], list[_Resources]] = {}
     for worker in workers:
         if worker.can_receive_starts(now):
             load = worker.compute_load()
             worker_count += 1
             capacity_cpu_millis += worker.entry.cpu_millis
-            reserved_cpu_millis += load.reserved_cpu_millis
-            latency_critical_cpu_millis += load.latency_critical_cpu_millis
+            reserved_cpu_millis += min(load.reserved_cpu_millis,
+                                       worker.entry.cpu_millis)
+            latency_critical_cpu_millis += min(load.latency_critical_cpu_millis,
+                                               worker.entry.cpu_millis)
             best_effort_cpu_millis += load.best_effort_cpu_millis
             largest_free_cpu_millis = max(
                 largest_free_cpu_millis,
@@ -261,8 +351,8 @@
             largest_reclaimable_cpu_millis = max(
                 largest_reclaimable_cpu_millis,
                 worker.entry.cpu_millis - load.long_running_cpu_millis)
-            best_effort_usable_cpu_millis = (
-                worker.entry.cpu_millis - load.reserved_cpu_millis +
+            best_effort_usable_cpu_millis = max(
+                0, worker.entry.cpu_millis - load.reserved_cpu_millis +
                 load.latency_critical_cpu_millis // 2)
             latency_critical_images = worker.latency_critical_images
             for image in image_capacities:
@@ -271,7 +361,7 @@
                                                     image)
                         for latency_critical_image in latency_critical_images):
                     image_capacities[image] += best_effort_usable_cpu_millis
-            candidate = _placement.build_candidate(worker)
+            candidate = _placement.build_candidate(worker, load)
             margins = _throttling.compute_latency_margins(worker, interference)
             spare_room_cpu_millis = _placement.compute_spare_room(candidate)
             for image, room_cpu_millis in image_rooms.items():
@@ -282,6 +372,15 @@
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
+            worker_labels = worker.entry.labels
+            if candidate.free_cpu_millis >= 0:
+                _add_room(free_rooms.setdefault(worker_labels, []),
+                          (candidate.free_cpu_millis, candidate.free_memory_mib,
+                           candidate.free_accelerators))
+            _add_room(reclaimable_rooms.setdefault(worker_labels, []),
+                      (candidate.reclaimable_cpu_millis,
+                       candidate.reclaimable_memory_mib,
+                       candidate.reclaimable_accelerators))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
@@ -302,7 +401,8 @@
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
         largest_reclaimable_cpu_millis,
-        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())))
+        tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
+        _list_rooms(free_rooms), _list_rooms(reclaimable_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -86,12 +86,17 @@
 
     Attributes:
         worker: The worker.
-        free_cpu_millis: CPU that is not reserved.
+        free_cpu_millis: CPU that is not reserved. It is negative if the worker
+            may get no start at all, as it has shrunk below what it runs, or
+            runs a task of unknown size.
         spare_cpu_millis: CPU that is expected to stay unused, so that more
             best-effort tasks can use it.
         reclaimable_cpu_millis: CPU that no long-running task reserves.
         free_memory_mib: Free memory in MiB.
         free_accelerators: Number of free accelerators.
+        reclaimable_memory_mib: Memory in MiB that no long-running task holds.
+        reclaimable_accelerators: Number of accelerators that no long-running
+            task holds.
         reserved_latency_critical_cpu_millis: CPU reserved by latency-critical
             tasks.
         has_best_effort: Whether best-effort tasks run on the worker.
@@ -106,6 +111,8 @@
     reclaimable_cpu_millis: int
     free_memory_mib: int
     free_accelerators: int
+    reclaimable_memory_mib: int
+    reclaimable_accelerators: int
     reserved_latency_critical_cpu_millis: int
     has_best_effort: bool
     latency_critical_images: frozenset[str]
@@ -126,19 +133,31 @@
         return is_allowed
 
 
-def build_candidate(worker: _workers.WorkerState) -> Candidate:
-    """Computes the capacity that is left on a worker."""
+def build_candidate(worker: _workers.WorkerState,
+                    load: _workers.WorkerLoad | None = None) -> Candidate:
+    """Computes the capacity that is left on a worker.
+
+    Args:
+        worker: The worker.
+        load: Its present load, if the caller has computed it.
+    """
     entry = worker.entry
-    load = worker.compute_load()
+    if load is None:
+        load = worker.compute_load()
+    free_cpu_millis = entry.cpu_millis - load.reserved_cpu_millis
+    if worker.may_exceed_capacity:
+        free_cpu_millis = min(free_cpu_millis, -1)
     expected_use_cpu_millis = (
         load.reserved_cpu_millis - load.latency_critical_cpu_millis +
         int(LATENCY_CRITICAL_CPU_USE_SHARE * load.latency_critical_cpu_millis))
     return Candidate(
-        worker, entry.cpu_millis - load.reserved_cpu_millis, entry.cpu_millis -
-        expected_use_cpu_millis - load.throttled_best_effort_cpu_millis,
+        worker, free_cpu_millis, entry.cpu_millis - expected_use_cpu_millis -
+        load.throttled_best_effort_cpu_millis,
         entry.cpu_millis - load.long_running_cpu_millis,
         entry.memory_mib - load.memory_mib,
         entry.accelerators - load.accelerators,
+        entry.memory_mib - load.long_running_memory_mib,
+        entry.accelerators - load.long_running_accelerators,
         load.latency_critical_cpu_millis, load.best_effort_cpu_millis > 0,
         frozenset(worker.latency_critical_images), {})
 
@@ -171,6 +190,10 @@
     The CPU of the worker is not checked for a best-effort task unless
     `relaxation` is `NORMAL`.
     """
+    # A worker that has shrunk below what it runs gets no start at all, not even
+    # of a best-effort task, whose CPU does not count.
+    if candidate.free_cpu_millis < 0:
+        return PlacementObstacle.NO_CPU
     if step.memory_mib > candidate.free_memory_mib:
         return PlacementObstacle.NO_MEMORY
     if step.accelerators > candidate.free_accelerators:
@@ -219,8 +242,11 @@
 def compute_spare_room(candidate: Candidate) -> int:
     """Returns the CPU of the largest best-effort task by spare CPU alone.
 
-    It is in thousandths of a core.
+    It is in thousandths of a core, and 0 on a worker that has shrunk so far
+    that it gets no start.
     """
+    if candidate.free_cpu_millis < 0 or candidate.free_memory_mib <= 0:
+        return 0
     return max(0, int(candidate.spare_cpu_millis / MIN_SPARE_CPU_SHARE))
 
 
@@ -254,10 +280,9 @@
 
 def may_fit_later(candidate: Candidate, step: model.Step,
                   task_counts: dict[str, int]) -> bool:
-    """Returns whether a long-running task fits once all short tasks have ended.
+    """Returns whether a long-running task fits beside long-running ones only.
 
-    Compares the task's memory with all memory of the worker, and ignores
-    accelerators.
+    It fits on the worker once all other tasks there have ended.
 
     Args:
         candidate: The worker.
@@ -272,7 +297,8 @@
             entry.worker_id, 0) >= step.max_tasks_per_worker:
         return False
     return (step.cpu_millis <= candidate.reclaimable_cpu_millis and
-            step.memory_mib <= entry.memory_mib)
+            step.memory_mib <= candidate.reclaimable_memory_mib and
+            step.accelerators <= candidate.reclaimable_accelerators)
 
 
 class TaskPlacement(abc.ABC):
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -4,6 +4,7 @@
 import enum
 from typing import NamedTuple
 
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _runs
@@ -22,7 +23,10 @@
 
 SHORT_REFUSAL_BACKOFF = datetime.timedelta(milliseconds=200)
 """Time for which a worker gets no starts after it refused one for lack of
-capacity, an outdated run number or an expired lease: about two status calls."""
+capacity, an outdated run number or an expired lease: about two status calls. It
+doubles, up to `LONG_REFUSAL_BACKOFF`, with each refusal for lack of capacity
+in a row: the worker has less capacity than the registry shows, and a refused
+start is priced."""
 
 LONG_REFUSAL_BACKOFF = datetime.timedelta(seconds=1)
 """Time for which a worker gets no starts after it refused one because it is
@@ -62,6 +66,8 @@
         DRAINING: It is about to leave.
         UNREACHABLE: It has not replied to this leader, or a later call to it
             got no usable reply.
+        ENTRY_OF_OTHER_INSTANCE: Its registry entry describes another instance
+            than its last status report.
         PAUSED: It is in quarantine, or has just refused a start order.
         STATUS_TOO_OLD: Its last status report is older than `MAX_STATUS_AGE`.
         ON_PROBATION: A run that tests it after a quarantine has just started.
@@ -71,6 +77,7 @@
     NOT_RECORDED = "not-recorded"
     DRAINING = "draining"
     UNREACHABLE = "unreachable"
+    ENTRY_OF_OTHER_INSTANCE = "entry-of-other-instance"
     PAUSED = "paused"
     STATUS_TOO_OLD = "status-too-old"
     ON_PROBATION = "on-probation"
@@ -92,6 +99,8 @@
             multiplied by their present throttles.
         memory_mib: Memory of all runs in MiB.
         accelerators: Number of accelerators of all runs.
+        long_running_memory_mib: Part of `memory_mib` of long-running tasks.
+        long_running_accelerators: Part of `accelerators` of long-running tasks.
     """
 
     reserved_cpu_millis: int
@@ -101,6 +110,32 @@
     throttled_best_effort_cpu_millis: int
     memory_mib: int
     accelerators: int
+    long_running_memory_mib: int
+    long_running_accelerators: int
+
+
+class UnknownRun:
+    """A run that a worker reports and that this leader does not track.
+
+    It holds capacity of its worker until a status report no longer lists it.
+    Times are monotonic and in seconds.
+
+    Attributes:
+        first_reported_at: Time of the first status report that listed the run.
+        step: Resource needs of its task; None if the job is not known.
+        has_pending_order: Whether a stop order for the run awaits its reply.
+        stop_answered_at: Time at which the last stop order was accepted or
+            failed; None before that.
+    """
+
+    __slots__ = ("first_reported_at", "step", "has_pending_order",
+                 "stop_answered_at")
+
+    def __init__(self, first_reported_at: float):
+        self.first_reported_at = first_reported_at
+        self.step: model.Step | None = None
+        self.has_pending_order = False
+        self.stop_answered_at: float | None = None
 
 
 class WorkerState:
@@ -115,11 +150,13 @@
         removed_at: Time at which the leader last saw that the worker was
             removed from the registry; 0 before that.
         is_recorded: Whether the stored `WorkersRecord` contains the worker.
+        enforces_capacity: Whether the worker refuses a start for which it lacks
+            capacity; False until the configuration says so.
         born_ms: Start time of the worker's instance that sent the last status
             report, in milliseconds since 1970; 0 before the first one.
         runs: Runs that have not certainly ended, by task and run number.
-        unknown_runs: Time at which a run that the leader does not know was
-            first reported, by task and run number.
+        unknown_runs: Reported runs that the leader does not track, by task and
+            run number.
         last_applied_end_number: Highest number among the run ends that this
             leader has applied; the worker numbers the run ends that it reports.
         last_stored_end_number: Highest number up to which the effects of all
@@ -131,6 +168,8 @@
         is_reachable: Whether a status report arrived, and since then no status
             call, start order or stop order lacked a usable reply.
         paused_until: Time before which no run is started on the worker.
+        capacity_refusals: Number of pauses since the worker last accepted a
+            start that began when it refused one for lack of capacity.
         consecutive_failures: Number of failed runs since the last successful
             one.
         duration_ratio: Moving average of the ratio of actual to estimated run
@@ -151,15 +190,17 @@
         self.is_registered = True
         self.removed_at = 0.0
         self.is_recorded = False
+        self.enforces_capacity = False
         self.born_ms = 0
         self.runs: dict[tuple, _runs.Run] = {}
-        self.unknown_runs: dict[tuple, float] = {}
+        self.unknown_runs: dict[tuple, UnknownRun] = {}
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.first_status_at: float | None = None
         self.last_status_at: float | None = None
         self.is_reachable = False
         self.paused_until = 0.0
+        self.capacity_refusals = 0
         self.consecutive_failures = 0
         self.duration_ratio = 1.0
         self.throttles: dict[str, int] = {}
@@ -189,6 +230,16 @@
         """Whether no run has succeeded since the failures of a quarantine."""
         return self.consecutive_failures >= FAILURES_TO_QUARANTINE
 
+    @property
+    def may_exceed_capacity(self) -> bool:
+        """Whether any start may bring the worker over its capacity.
+
+        That is so while it runs a task of unknown size, if it does not enforce
+        its capacity itself.
+        """
+        return (bool(self.unknown_runs) and not self.enforces_capacity and
+                any(run.step is None for run in self.unknown_runs.values()))
+
     def get_throttle_percent(self, run: _runs.Run) -> int:
         """Returns the share of its full speed, in percent, allowed to a run."""
         if not run.step.is_best_effort:
@@ -237,6 +288,7 @@
         """
         self.born_ms = born_ms
         self.unknown_runs.clear()
+        self.capacity_refusals = 0
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.consecutive_failures = 0
@@ -253,8 +305,10 @@
 
         The registry and the stored `WorkersRecord` must contain the worker. It
         must be reachable, neither draining nor paused, and its last status
-        report must not be older than `MAX_STATUS_AGE`. After a quarantine, and
-        until a run succeeds, no other run may have started within
+        report must not be older than `MAX_STATUS_AGE`. The registry entry must
+        describe the instance that sent the report: a new instance may have
+        other labels and less capacity, at the same address. After a quarantine,
+        and until a run succeeds, no other run may have started within
         `PROBE_INTERVAL`.
         """
         if not self.is_registered:
@@ -265,6 +319,8 @@
             return StartObstacle.DRAINING
         if not self.is_reachable or self.first_status_at is None:
             return StartObstacle.UNREACHABLE
+        if self.entry.born_ms and self.entry.born_ms != self.born_ms:
+            return StartObstacle.ENTRY_OF_OTHER_INSTANCE
         if now < self.paused_until:
             return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
@@ -279,6 +335,19 @@
         """Returns whether start orders may be sent to the worker now."""
         return self.find_start_obstacle(now) is None
 
+    def record_capacity_refusal(self, now: float) -> None:
+        """Begins a pause that is longer after each refusal in a row.
+
+        Has no effect during a pause: several starts may be refused at once.
+        """
+        if now < self.paused_until:
+            return
+        backoff = min(
+            LONG_REFUSAL_BACKOFF,
+            SHORT_REFUSAL_BACKOFF * 2**min(self.capacity_refusals, 10))
+        self.capacity_refusals += 1
+        self.paused_until = now + backoff.total_seconds()
+
     def record_result(self, has_succeeded: bool, now: float) -> None:
         """Counts consecutive failed runs, and starts a quarantine if needed.
 
@@ -305,27 +374,48 @@
             self.duration_ratio += DURATION_RATIO_WEIGHT * (ratio -
                                                             self.duration_ratio)
 
+    def is_over_capacity(self) -> bool:
+        """Returns whether the runs need more than the worker has."""
+        load = self.compute_load()
+        return (load.reserved_cpu_millis > self.entry.cpu_millis or
+                load.memory_mib > self.entry.memory_mib or
+                load.accelerators > self.entry.accelerators)
+
     def compute_load(self) -> WorkerLoad:
-        """Returns the resources that the runs on the worker take up."""
+        """Returns the resources that the runs on the worker take up.
+
+        Includes unknown runs whose job is known.
+        """
         reserved_cpu_millis = latency_critical_cpu_millis = \
             long_running_cpu_millis = best_effort_cpu_millis = \
             memory_mib = accelerators = 0
         throttled_best_effort_cpu_millis = 0
-        for run in self.runs.values():
-            step = run.step
+        long_running_memory_mib = long_running_accelerators = 0
+        steps = [run.step for run in self.runs.values()]
+        if self.unknown_runs:
+            steps += [
+                run.step
+                for run in self.unknown_runs.values()
+                if run.step is not None
+            ]
+        for step in steps:
             memory_mib += step.memory_mib
             accelerators += step.accelerators
             if step.is_best_effort:
                 best_effort_cpu_millis += step.cpu_millis
                 throttled_best_effort_cpu_millis += (
-                    step.cpu_millis * self.get_throttle_percent(run) // 100)
+                    step.cpu_millis * self.throttles.get(step.image, 100) //
+                    100)
                 continue
             reserved_cpu_millis += step.cpu_millis
             if step.is_long_running:
                 long_running_cpu_millis += step.cpu_millis
+                long_running_memory_mib += step.memory_mib
+                long_running_accelerators += step.accelerators
             if step.tail_latency_limit_ms:
                 latency_critical_cpu_millis += step.cpu_millis
         return WorkerLoad(reserved_cpu_millis, latency_critical_cpu_millis,
                           long_running_cpu_millis, best_effort_cpu_millis,
                           throttled_best_effort_cpu_millis, memory_mib,
-                          accelerators)
+                          accelerators, long_running_memory_mib,
+                          long_running_accelerators)
