--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -7,15 +7,16 @@
 from gentianlead import adapters
 from gentianlead import control
 from gentianlead import errors
+from gentianlead import execution
 from gentianlead import leases
 from gentianlead import model
 from gentianlead import ports
+from gentianlead import scheduling
 from gentianlead import state
 from gentianlead import streams
 
 RETENTION = datetime.timedelta(seconds=10)
 MEMBER_TIMEOUT = datetime.timedelta(seconds=1)
-_STEP_S = 0.1
 _SETTLE_TIMEOUT_S = 20.0
 
 
@@ -80,7 +81,8 @@
 class Daemon:
     """Stream clients and control loop of one daemon.
 
-    The parts of the loop that start and run tasks are replaced by mocks.
+    The parts of the loop that start and run tasks are replaced by mocks; a
+    subclass may build real ones.
 
     Attributes:
         config_client: Client of the `config` stream.
@@ -108,19 +110,16 @@
         ]
         self.observer = mock.create_autospec(control.ControlObserver,
                                              instance=True)
-        scheduler = mock.Mock()
-        scheduler.plan_evictions.return_value = []
-        scheduler.plan_starts.return_value = []
-        scheduler.plan_urgent_starts.return_value = []
-        run_manager = mock.Mock()
-        run_manager.hand_over_runs = mock.AsyncMock()
+        self._domain = domain
         hour = datetime.timedelta(hours=1)
+        scheduler = self.build_scheduler()
+        self._run_manager = self.build_run_manager()
         self.controller = control.DomainController(
             self._incarnation, 0, "127.0.0.1:1", domain,
             self.config_client, self.domain_client, self.one_time_client,
-            control.VMInventory(), run_manager, scheduler,
+            self.build_vm_inventory(), self._run_manager, scheduler,
             control.JobReconciler(domain, config_state_machine,
-                                  domain_state_machine, lambda spec: domain),
+                                  domain_state_machine, self.choose_domain),
             clock, adapters.SystemRandom(), leases.FreshnessLimits(hour, hour),
             control.ControlTimings(
                 heartbeat_interval=datetime.timedelta(milliseconds=300),
@@ -137,6 +136,30 @@
                                     self._clock, self._incarnation,
                                     datetime.timedelta(milliseconds=10))
 
+    def build_vm_inventory(self) -> control.VMInventory:
+        """Returns the VMs that the control loop knows."""
+        return control.VMInventory()
+
+    def build_scheduler(self) -> scheduling.DomainScheduler:
+        """Returns the scheduler of the control loop."""
+        scheduler = mock.Mock()
+        scheduler.plan_evictions.return_value = []
+        scheduler.plan_starts.return_value = []
+        scheduler.plan_urgent_starts.return_value = []
+        return scheduler
+
+    def build_run_manager(self) -> execution.RunManager:
+        """Returns the run manager of the control loop."""
+        run_manager = mock.Mock()
+        run_manager.hand_over_runs = mock.AsyncMock()
+        run_manager.close = mock.AsyncMock()
+        return run_manager
+
+    def choose_domain(self, spec: model.JobSpec) -> str | None:
+        """Returns the domain to which a job is moved, or None."""
+        del spec
+        return self._domain
+
     def is_settled(self) -> bool:
         """Returns whether no append is pending and all state is current.
 
@@ -155,6 +178,7 @@
 
     async def kill(self) -> None:
         """Ends without a trace in the log."""
+        await self._run_manager.close()
         await self.controller.close()
         for task in self._tasks:
             task.cancel()
@@ -168,8 +192,11 @@
         clock: Clock of the log and of all daemons.
         log: Log service.
         daemons: Running daemons by name.
+        step_seconds: Time between two rounds of the control loops.
     """
 
+    step_seconds = 0.1
+
     def __init__(self) -> None:
         self.clock = ManualClock()
         self.log = ExpiringLog(self.clock)
@@ -198,13 +225,17 @@
             await self.kill(name)
 
     async def advance(self, seconds: float) -> None:
-        """Runs the control loops every 0.1 s for a time of the clock."""
-        for _ in range(round(seconds / _STEP_S)):
-            self.clock.now_s += _STEP_S
+        """Runs the control loops repeatedly for a time of the clock."""
+        for _ in range(round(seconds / self.step_seconds)):
+            self.clock.now_s += self.step_seconds
+            self.on_step()
             for daemon in self.daemons.values():
                 daemon.controller.run_round()
             await self._settle()
 
+    def on_step(self) -> None:
+        """Called after each step of the clock, before the control loops."""
+
     async def _settle(self) -> None:
         async with asyncio.timeout(_SETTLE_TIMEOUT_S):
             await asyncio.sleep(0.002)
