Give up a task under which worker after worker crashes

Callers saw one task crash server after server. An expired lease counted against the worker only.

The holder of a run now records that it was lost with its worker within 5 s of its start order, with a release reason that says whether other workers were lost at the same time.

A job that is to be closed as failed now stops its live runs: before, its tasks were claimed on, and it stayed open as long as one of them ran.

--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -147,6 +147,7 @@
             incarnation, snapshot_policy, clock, random,
             self._background_coroutines, observer)
         self._job_ids_to_reconcile: set[str] = set()
+        self._changed_job_ids: set[str] = set()
         # Urgent jobs that this daemon opens if the preferred scheduler does
         # not. Maps the job id to the time, in monotonic seconds, at which this
         # daemon read that the job was submitted or changed.
@@ -225,8 +226,10 @@
 
     def on_job_changed(self, job_id: str) -> None:
         self._job_ids_to_reconcile.add(job_id)
+        self._changed_job_ids.add(job_id)
 
     def on_reset(self) -> None:
+        self._changed_job_ids.update(self._domain_state_machine.jobs)
         self._job_ids_to_reconcile.update(self._domain_state_machine.jobs)
         self._job_ids_to_reconcile.update(self._config_state_machine.jobs)
 
@@ -257,6 +260,7 @@
             self._domain_stream_client.freshness.as_of or 0.0)
         self._join_or_send_heartbeat(now)
         self._apply_configuration(now)
+        self._stop_failing_jobs()
         self._execute_evictions(now)
         rank = self._membership_tracker.get_rank(self._incarnation)
         self._set_is_preferred_scheduler(rank == 0)
@@ -335,6 +339,12 @@
                         self._job_reconciler.is_job_stopping(job_id)):
                     self._scheduler.cancel_job(job_id)
 
+    def _stop_failing_jobs(self) -> None:
+        changed_job_ids, self._changed_job_ids = self._changed_job_ids, set()
+        for job_id in changed_job_ids:
+            if self._job_reconciler.is_job_failing(job_id):
+                self._scheduler.cancel_job(job_id)
+
     def _execute_evictions(self, now: float) -> None:
         for eviction in self._scheduler.plan_evictions(now):
             run = self._run_manager.get_run(eviction.task_key)
@@ -423,6 +433,10 @@
             self._observer.on_job_ended(job_id, next_record.record.outcome)
         elif isinstance(next_record.record, model.JobMoved):
             self._observer.on_job_moved(job_id, next_record.record.domain)
+        elif isinstance(next_record.record, model.JobClosed):
+            tombstone = self._domain_state_machine.tombstones.get(job_id)
+            if tombstone is not None and tombstone.detail:
+                self._observer.on_job_given_up(job_id, tombstone.detail)
 
     def _take_over_runs(self) -> None:
         for task_key, run in self._domain_state_machine.runs.items():
--- a/src/gentianlead/control/_jobs.py
+++ b/src/gentianlead/control/_jobs.py
@@ -13,7 +13,8 @@
 
 MAX_TASK_FAILURES = 5
 """Number of failed runs of one task at which its job is closed as failed. A
-watcher job is never closed for this reason."""
+watcher job is never closed for this reason. Jobs of either kind are closed as
+failed when a task is given up; see `model.is_given_up`."""
 
 
 class RecordToAppend(NamedTuple):
@@ -78,9 +79,23 @@
             return RecordToAppend(
                 self._domain_stream,
                 model.JobOpened(config_job.spec, config_job.epoch,
-                                config_job.done, config_job.checkpoints))
+                                config_job.done, config_job.checkpoints,
+                                config_job.crashes))
         return None
 
+    def is_job_failing(self, job_id: str) -> bool:
+        """Returns whether a job is to be closed here as failed.
+
+        Its live runs must be stopped, because the job can be closed only
+        without them.
+        """
+        config_job = self._config_state_machine.jobs.get(job_id)
+        domain_job = self._domain_state_machine.jobs.get(job_id)
+        if config_job is None or domain_job is None or config_job.outcome:
+            return False
+        return self._find_close_reason(config_job,
+                                       domain_job) is model.CloseReason.FAILED
+
     def is_job_stopping(self, job_id: str) -> bool:
         """Returns whether no more tasks of a job may be started in this domain.
 
@@ -101,9 +116,7 @@
             return model.CloseReason.DONE
         if config_job.is_cancelled:
             return model.CloseReason.CANCELLED
-        if domain_job is not None and not config_job.spec.is_watcher and any(
-                failure_count >= MAX_TASK_FAILURES
-                for failure_count in domain_job.failures.values()):
+        if domain_job is not None and _has_failed(domain_job):
             return model.CloseReason.FAILED
         configuration = self._config_state_machine.configuration
         if configuration.is_domain_in_service(self._domain_name):
@@ -119,6 +132,8 @@
         if tombstone.reason != model.CloseReason.MOVED.value:
             detail = (f"{tombstone.done_count} of {config_job.spec.tasks} "
                       f"tasks done")
+            if tombstone.detail:
+                detail = f"{tombstone.detail}; {detail}"
             return RecordToAppend(
                 model.CONFIG_STREAM,
                 model.JobEnded(job_id, config_job.epoch, tombstone.reason,
@@ -131,4 +146,12 @@
         return RecordToAppend(
             model.CONFIG_STREAM,
             model.JobMoved(job_id, config_job.epoch + 1, new_domain, done_tasks,
-                           checkpoints))
+                           checkpoints, tombstone.crashes))
+
+
+def _has_failed(job: state.DomainJob) -> bool:
+    if any(model.is_given_up(crashes) for crashes in job.crashes.values()):
+        return True
+    return not job.spec.is_watcher and any(
+        failure_count >= MAX_TASK_FAILURES
+        for failure_count in job.failures.values())
--- a/src/gentianlead/control/_observer.py
+++ b/src/gentianlead/control/_observer.py
@@ -79,6 +79,14 @@
             outcome: Value of the `JobOutcome` with which the job ended.
         """
 
+    def on_job_given_up(self, job_id: str, reason: str) -> None:
+        """Handles the closing of a job of which a task was given up.
+
+        Args:
+            job_id: Identifier of the job.
+            reason: Result of `model.explain_given_up_tasks`.
+        """
+
     def on_job_moved(self, job_id: str, domain: str) -> None:
         """Handles a new assignment of a job that was closed here as `moved`.
 
--- a/src/gentianlead/control/tests/simulated_domains.py
+++ b/src/gentianlead/control/tests/simulated_domains.py
@@ -35,10 +35,13 @@
         run_seconds: Run time of the task.
         crash_after: Seconds from the start until the task crashes its worker;
             None if it does not.
+        crashing_task: Index of the only task of the job that crashes its
+            worker; None if all do.
     """
 
     run_seconds: float
     crash_after: float | None = None
+    crashing_task: int | None = None
 
     def encode(self) -> bytes:
         """Returns the payload of a job whose tasks behave like this."""
@@ -121,6 +124,8 @@
                     continue
                 crash_after = run.script.crash_after
                 age = now - run.started_at
+                if run.script.crashing_task not in (None, key.task):
+                    crash_after = None
                 if crash_after is not None and age >= crash_after:
                     self.crashes.append(Crash(name, key.job_id, key.task))
                     worker.crash(now, REBOOT_SECONDS)
--- a/src/gentianlead/control/tests/test_crashing_tasks.py
+++ b/src/gentianlead/control/tests/test_crashing_tasks.py
@@ -106,6 +106,15 @@
         self.check_given_up("crashing")
         self.assertEqual(self.domains.get_job("crashing").domain, "domain-2")
 
+    async def test_other_tasks_of_the_job_run(self) -> None:
+        """Guards against a failed job that stays open while its tasks run."""
+        await self.start_domains()
+        await self.domains.submit("crashing",
+                                  simulated_domains.TaskScript(1e6, 1.0, 0),
+                                  tasks=4)
+        await self.domains.advance_until_ended("crashing", 200)
+        self.check_given_up("crashing")
+
     async def test_many_crashing_tasks(self) -> None:
         """Guards against a bound that crashes at one time switch off."""
         await self.start_domains()
--- a/src/gentianlead/daemon/_observers.py
+++ b/src/gentianlead/daemon/_observers.py
@@ -122,6 +122,11 @@
             return
         self._metrics.count_released_run(end_reason.value)
         telemetry.emit(_Event.TASK_RELEASED, reason=end_reason.value, **fields)
+        if end_reason.value in model.CRASH_REASONS:
+            self._metrics.count_worker_crash(end_reason.value)
+            telemetry.emit(_Event.WORKER_CRASHED,
+                           reason=end_reason.value,
+                           **fields)
 
     def on_worker_unreachable(self, worker: str,
                               error: errors.WorkerError) -> None:
@@ -156,6 +161,16 @@
                            member=self._member,
                            domain=self._domain)
 
+    def on_claim_decided(self, planned_start: scheduling.PlannedStart,
+                         is_accepted: bool, rejection_reason: str) -> None:
+        if planned_start.is_suspect and is_accepted:
+            self._metrics.count_suspect_start()
+            telemetry.emit(_Event.SUSPECT_STARTED,
+                           job=planned_start.job_id,
+                           task=planned_start.task,
+                           run=planned_start.run,
+                           worker=planned_start.worker)
+
     def on_eviction(self, eviction: scheduling.Eviction) -> None:
         self._metrics.count_evicted_run(eviction.reason.value)
         telemetry.emit(_Event.TASK_EVICTED,
@@ -190,6 +205,10 @@
     def on_job_ended(self, job_id: str, outcome: str) -> None:
         telemetry.emit(_Event.JOB_ENDED, job=job_id, outcome=outcome)
 
+    def on_job_given_up(self, job_id: str, reason: str) -> None:
+        self._metrics.count_job_given_up()
+        telemetry.emit(_Event.TASK_GIVEN_UP, job=job_id, reason=reason)
+
     def on_job_moved(self, job_id: str, domain: str) -> None:
         telemetry.emit(_Event.JOB_MOVED,
                        job=job_id,
--- /dev/null
+++ b/src/gentianlead/execution/_crashes.py
@@ -0,0 +1,70 @@
+"""Decides whether the loss of a worker is evidence against a task."""
+
+import datetime
+from typing import Iterable
+
+from gentianlead import model
+from gentianlead.execution import _held_run
+from gentianlead.execution import _worker_session
+
+EARLY_LOSS_TIME = datetime.timedelta(seconds=5)
+"""A run was lost soon after its start if its worker has last reported it as
+running within this time after its start order.
+
+It is several times the interval at which workers are polled, so that a task
+that crashes its worker some seconds after its start is found too."""
+
+SHARED_LOSS_TIME = datetime.timedelta(seconds=3)
+"""Two workers were lost at about the same time if this daemon has noticed both
+losses within this time. It covers the interval at which workers are polled."""
+
+
+def was_lost_early(run: _held_run.HeldRun, is_suspect: bool) -> bool:
+    """Returns whether a run was lost with its worker soon after its start.
+
+    The holder of a run that was taken over does not know when the run started.
+    Such a loss counts only if other losses have made the task a suspect: the
+    runs of a daemon that failed together with its workers are most likely
+    innocent.
+
+    Args:
+        run: Run that has ended.
+        is_suspect: Result of `model.is_suspect` for its task.
+    """
+    if not run.was_lost_with_worker:
+        return False
+    if run.start_ordered_at is None:
+        started_at = run.takeover_read_at
+        if not is_suspect:
+            return False
+    else:
+        started_at = run.start_ordered_at
+    return (run.last_seen_running_at - started_at
+            < EARLY_LOSS_TIME.total_seconds())
+
+
+def is_cause_known(session: _worker_session.WorkerSession, now: float) -> bool:
+    """Returns whether losses of other workers have been noticed by now."""
+    return now - session.lost_at >= SHARED_LOSS_TIME.total_seconds()
+
+
+def classify(
+        run: _held_run.HeldRun, session: _worker_session.WorkerSession,
+        sessions: Iterable[_worker_session.WorkerSession]
+) -> model.ReleaseReason:
+    """Returns the release reason of a run that was lost early.
+
+    Args:
+        run: The run.
+        session: Session of its worker.
+        sessions: Sessions of all workers.
+    """
+    if run.start_ordered_at is None:
+        return model.ReleaseReason.SHARED_CRASH
+    was_another_lost = any(
+        abs(other.lost_at -
+            session.lost_at) <= SHARED_LOSS_TIME.total_seconds()
+        for other in sessions
+        if other is not session)
+    return (model.ReleaseReason.SHARED_CRASH
+            if was_another_lost else model.ReleaseReason.LONE_CRASH)
--- a/src/gentianlead/execution/_held_run.py
+++ b/src/gentianlead/execution/_held_run.py
@@ -54,6 +54,14 @@
             stop.
         end_reason: Why the run ended; None if it completed its task or has not
             ended.
+        was_lost_with_worker: Whether the run ended because its worker restarted
+            or could not be reached until the lease had expired, as far as its
+            holder can tell.
+        start_ordered_at: Time in monotonic seconds at which this daemon sent
+            the start order; None if it has not.
+        last_seen_running_at: Time in monotonic seconds of the last report of
+            the worker that the run is running; negative infinity if there is
+            none.
         is_appending_end_record: Whether the record of the run's end is being
             appended.
         takeover_read_at: Time in monotonic seconds at which this daemon read
@@ -68,9 +76,10 @@
 
     __slots__ = ("live_run", "job_spec", "checkpoint", "phase", "boot_id",
                  "latest_expiry_ms", "start_by_ms", "stop_reason",
-                 "wants_checkpoint", "end_reason", "is_appending_end_record",
-                 "takeover_read_at", "former_lease_expiry_bound",
-                 "claim_read_at")
+                 "wants_checkpoint", "end_reason", "was_lost_with_worker",
+                 "start_ordered_at", "last_seen_running_at",
+                 "is_appending_end_record", "takeover_read_at",
+                 "former_lease_expiry_bound", "claim_read_at")
 
     def __init__(self, live_run: state.LiveRun, job_spec: model.JobSpec,
                  checkpoint: str, phase: RunPhase, now: float):
@@ -84,6 +93,9 @@
         self.stop_reason: model.ReleaseReason | None = None
         self.wants_checkpoint = False
         self.end_reason: model.ReleaseReason | None = None
+        self.was_lost_with_worker = False
+        self.start_ordered_at: float | None = None
+        self.last_seen_running_at = float("-inf")
         self.is_appending_end_record = False
         self.takeover_read_at = now
         self.former_lease_expiry_bound = now
@@ -95,12 +107,16 @@
         return ports.RunKey(self.live_run.job_id, self.live_run.task,
                             self.live_run.run)
 
-    def mark_ended(self, end_reason: model.ReleaseReason | None) -> None:
+    def mark_ended(self,
+                   end_reason: model.ReleaseReason | None,
+                   was_lost_with_worker: bool = False) -> None:
         """Marks the run as ended; no effect if it is already marked.
 
         Args:
             end_reason: Why the run ended; None if it completed its task.
+            was_lost_with_worker: Value of the attribute.
         """
         if self.phase is not RunPhase.ENDED:
             self.phase = RunPhase.ENDED
             self.end_reason = end_reason
+            self.was_lost_with_worker = was_lost_with_worker
--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -10,6 +10,7 @@
 from gentianlead import ports
 from gentianlead import state
 from gentianlead import streams
+from gentianlead.execution import _crashes
 from gentianlead.execution import _held_run
 from gentianlead.execution import _observer
 from gentianlead.execution import _worker_session
@@ -280,10 +281,32 @@
                 run.mark_ended(model.ReleaseReason.NOT_STARTED if session.
                                is_unreachable else model.ReleaseReason.EVICTED)
             if (run.phase is _held_run.RunPhase.ENDED and
-                    not run.is_appending_end_record):
+                    not run.is_appending_end_record and
+                    self._is_end_reason_final(run, session, now)):
                 run.is_appending_end_record = True
                 self._run_in_background(self._append_end_record(run))
 
+    def _is_end_reason_final(self, run: _held_run.HeldRun,
+                             session: _worker_session.WorkerSession,
+                             now: float) -> bool:
+        """Returns whether the end of a run can be recorded now.
+
+        The end of a run that was lost soon after its start is recorded only
+        when losses of other workers at the same time have been noticed. Its end
+        reason then says that the worker crashed under the task.
+        """
+        live_run = run.live_run
+        job = self._state_machine.jobs[live_run.job_id]
+        is_suspect = model.is_suspect(job.crashes.get(live_run.task, ()))
+        if not _crashes.was_lost_early(run, is_suspect):
+            return True
+        if not _crashes.is_cause_known(session, now):
+            return False
+        run.end_reason = _crashes.classify(run, session,
+                                           self._sessions.values())
+        run.was_lost_with_worker = False
+        return True
+
     async def _append_end_record(self, run: _held_run.HeldRun) -> None:
         live_run = run.live_run
         if run.end_reason is None:
--- a/src/gentianlead/execution/_worker_session.py
+++ b/src/gentianlead/execution/_worker_session.py
@@ -38,6 +38,9 @@
         worker: Name of the worker.
         address: Address of the worker's agent.
         runs: Held runs on the worker by job id and index of the task.
+        lost_at: Time in monotonic seconds at which this daemon last noticed
+            that the worker had restarted or could not be reached; negative
+            infinity if it never did.
 
     Args:
         worker: Name of the worker.
@@ -60,6 +63,7 @@
         self.worker = worker
         self.address = address
         self.runs: dict[tuple[str, int], _held_run.HeldRun] = {}
+        self.lost_at = float("-inf")
         self._worker_agent_client = worker_agent_client
         self._clock = clock
         self._lease_length = lease_length
@@ -105,15 +109,19 @@
     def _mark_unreachable(self, error: errors.WorkerError) -> None:
         if not self._is_unreachable:
             self._is_unreachable = True
+            self.lost_at = self._clock.monotonic()
             self._observer.on_worker_unreachable(self.worker, error)
 
     def _apply_reply(self, reply: ports.WorkerReply, sent_at: float) -> None:
         now = self._clock.monotonic()
-        if self._is_unreachable:
+        was_unreachable = self._is_unreachable
+        if was_unreachable:
             self._is_unreachable = False
             self._observer.on_worker_reachable(self.worker)
         if (self._clock_estimate and
                 self._clock_estimate.boot_id != reply.boot_id):
+            if not was_unreachable:
+                self.lost_at = now
             self._end_runs_of_earlier_boots(reply.boot_id)
         self._clock_estimate = leases.WorkerClockEstimate(
             reply.boot_id, reply.worker_time_ms, sent_at, now)
@@ -125,7 +133,8 @@
     def _end_runs_of_earlier_boots(self, boot_id: str) -> None:
         for run in self.runs.values():
             if run.boot_id and run.boot_id != boot_id:
-                run.mark_ended(model.ReleaseReason.LOST)
+                run.mark_ended(model.ReleaseReason.LOST,
+                               was_lost_with_worker=True)
 
     async def _renew_leases(self) -> None:
         sent_at = self._clock.monotonic()
@@ -170,6 +179,7 @@
             run.checkpoint = report.checkpoint
         if report.state is ports.RunState.RUNNING:
             run.boot_id = reply.boot_id
+            run.last_seen_running_at = self._clock.monotonic()
             run.latest_expiry_ms = max(run.latest_expiry_ms,
                                        report.expires_at_ms)
             if run.phase is not _held_run.RunPhase.ENDED:
@@ -190,7 +200,10 @@
             seconds_since_takeover = self._clock.monotonic(
             ) - run.takeover_read_at
             if seconds_since_takeover > TAKEOVER_GRACE_PERIOD.total_seconds():
-                run.mark_ended(model.ReleaseReason.NOT_STARTED)
+                # The worker forgets its runs when it restarts, so the run may
+                # have started.
+                run.mark_ended(model.ReleaseReason.NOT_STARTED,
+                               was_lost_with_worker=True)
 
     async def _start(self, run: _held_run.HeldRun) -> None:
         if run.stop_reason is not None:
@@ -207,6 +220,7 @@
         run.latest_expiry_ms = max(run.latest_expiry_ms, expiry_ms)
         run.boot_id = self._clock_estimate.boot_id
         run.phase = _held_run.RunPhase.START_UNCONFIRMED
+        run.start_ordered_at = now
         start_order = ports.StartOrder(run.run_key, run.boot_id,
                                        run.live_run.resources, expiry_ms,
                                        run.start_by_ms,
@@ -258,11 +272,13 @@
                 continue
             if self._clock_estimate is None:
                 if run.phase is _held_run.RunPhase.TAKEN_OVER:
-                    run.mark_ended(model.ReleaseReason.LEASE_EXPIRED)
+                    run.mark_ended(model.ReleaseReason.LEASE_EXPIRED,
+                                   was_lost_with_worker=True)
                 continue
             expiry_bound_ms = max(run.latest_expiry_ms, run.start_by_ms)
             if self._clock_estimate.is_certainly_past(expiry_bound_ms, now):
-                run.mark_ended(model.ReleaseReason.LEASE_EXPIRED)
+                run.mark_ended(model.ReleaseReason.LEASE_EXPIRED,
+                               was_lost_with_worker=self._is_unreachable)
 
     async def read_usage(self) -> None:
         """Reads the worker's usage reports and passes them to the observer.
--- a/src/gentianlead/model/_codec.py
+++ b/src/gentianlead/model/_codec.py
@@ -37,12 +37,32 @@
     record: _records.Record
 
 
+def omit_trailing_defaults(value: tuple) -> tuple:
+    """Returns the fields of a named tuple up to the last with no default value.
+
+    A field that was added with a default value is thus only written where it is
+    used. Elsewhere an older version of the program can read the value, which
+    rejects tuples with more fields than it knows.
+
+    Args:
+        value: Instance of a `NamedTuple`.
+    """
+    defaults = type(value)._field_defaults
+    count = len(value)
+    for name in reversed(type(value)._fields):
+        if name not in defaults or value[count - 1] != defaults[name]:
+            break
+        count -= 1
+    return tuple(value[:count])
+
+
 def encode_record(writer: str, sequence: int, record: _records.Record) -> bytes:
     """Encodes a record with its writer and sequence number."""
     kind_number = _KIND_NUMBERS_BY_TYPE[type(record)]
-    return msgpack.packb(
-        [SCHEMA_VERSION, writer, sequence, kind_number,
-         list(record)])
+    return msgpack.packb([
+        SCHEMA_VERSION, writer, sequence, kind_number,
+        omit_trailing_defaults(record)
+    ])
 
 
 def decode_record(data: bytes) -> Envelope:
--- a/src/gentianlead/model/_jobs.py
+++ b/src/gentianlead/model/_jobs.py
@@ -29,7 +29,7 @@
     Attributes:
         DONE: All tasks succeeded.
         CANCELLED: The job was cancelled.
-        FAILED: A task failed too often.
+        FAILED: A task failed too often, or too many workers crashed under it.
     """
 
     DONE = "done"
@@ -48,6 +48,11 @@
         LOST: The worker restarted or does not know the run any more, or the
             task of a watcher ended by itself.
         NOT_STARTED: The run certainly never started.
+        LONE_CRASH: The worker restarted, or could not be reached until the
+            lease expired, soon after the run had started, and no other worker
+            was lost at about the same time.
+        SHARED_CRASH: As `LONE_CRASH`, but another worker was lost at about the
+            same time, or it is unknown how soon after the start it was.
     """
 
     FAILED = "failed"
@@ -56,6 +61,13 @@
     LEASE_EXPIRED = "lapsed"
     LOST = "lost"
     NOT_STARTED = "not-started"
+    LONE_CRASH = "lone-crash"
+    SHARED_CRASH = "shared-crash"
+
+
+CRASH_REASONS = frozenset(
+    (ReleaseReason.LONE_CRASH.value, ReleaseReason.SHARED_CRASH.value))
+"""Release reasons that are evidence against the task of the run."""
 
 
 class CloseReason(enum.Enum):
@@ -64,7 +76,7 @@
     Attributes:
         DONE: All tasks succeeded.
         CANCELLED: The job was cancelled.
-        FAILED: A task failed too often.
+        FAILED: A task failed too often, or too many workers crashed under it.
         MOVED: The job continues in another failure domain.
     """
 
--- a/src/gentianlead/model/_records.py
+++ b/src/gentianlead/model/_records.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple, Union
 
+from gentianlead.model import _crashes
 from gentianlead.model import _jobs
 from gentianlead.model import _resources
 
@@ -62,13 +63,17 @@
         domain: Name of the new failure domain.
         done: Indexes of the tasks that are done.
         checkpoints: Newest checkpoint by index of the task.
+        crashes: Crashes of workers under the tasks that are not done.
     """
 
+    # All instances share the default dictionary, which no code modifies.
+    # pylint: disable=dangerous-default-value
     job_id: str
     epoch: int
     domain: str
     done: tuple[int, ...]
     checkpoints: dict[int, str]
+    crashes: _crashes.TaskCrashes = {}
 
 
 class JobCancelled(NamedTuple):
@@ -163,12 +168,16 @@
         epoch: Number of the job's assignment to this domain.
         done: Indexes of the tasks that were done under earlier assignments.
         checkpoints: Newest checkpoint by index of the task.
+        crashes: Crashes of workers under the tasks under earlier assignments.
     """
 
+    # All instances share the default dictionary, which no code modifies.
+    # pylint: disable=dangerous-default-value
     spec: _jobs.JobSpec
     epoch: int
     done: tuple[int, ...]
     checkpoints: dict[int, str]
+    crashes: _crashes.TaskCrashes = {}
 
 
 class JobClosed(NamedTuple):
--- a/src/gentianlead/scheduling/_decisions.py
+++ b/src/gentianlead/scheduling/_decisions.py
@@ -20,6 +20,8 @@
         resources: Resources to claim: the estimate for the task, which may
             differ from its declared size.
         checkpoint: Checkpoint to resume from; empty for a fresh start.
+        is_suspect: Whether the task starts alone, because workers crashed soon
+            after its earlier starts.
     """
 
     job_id: str
@@ -28,6 +30,7 @@
     worker: str
     resources: model.Resources
     checkpoint: str
+    is_suspect: bool = False
 
     @property
     def task_key(self) -> TaskKey:
@@ -102,6 +105,8 @@
     UNKNOWN_TEAM = "unknown_team"
     TOO_LARGE = "too_large"
     FAILS_EVERYWHERE = "fails_everywhere"
+    GIVEN_UP = "given_up"
+    CRASHED_WORKERS = "crashed_workers"
     ON_TRIAL = "on_trial"
     HARMS_SERVICES = "harms_services"
     QUEUED = "queued"
@@ -111,11 +116,11 @@
     def is_permanent(self) -> bool:
         """Whether an operator or the owner of the job must act.
 
-        This is the case if the team is unknown, the tasks are too large or the
-        job is paused because it fails.
+        This is the case if the team is unknown, the tasks are too large, the
+        job is paused because it fails, or a task was given up.
         """
         return self in (WaitCode.UNKNOWN_TEAM, WaitCode.TOO_LARGE,
-                        WaitCode.FAILS_EVERYWHERE)
+                        WaitCode.FAILS_EVERYWHERE, WaitCode.GIVEN_UP)
 
 
 class WaitReason(NamedTuple):
--- a/src/gentianlead/scheduling/_job_state.py
+++ b/src/gentianlead/scheduling/_job_state.py
@@ -2,6 +2,7 @@
 
 import collections
 
+from gentianlead import model
 from gentianlead import state
 from gentianlead.scheduling import _decisions
 from gentianlead.scheduling import _queue
@@ -68,21 +69,28 @@
         """Returns the number of tasks that still have to be planned.
 
         These are neither done, nor do they have a live run or a planned start.
+        Suspects are left out, because `SuspectTasks` starts them.
         """
-        return self.job.count_pending_tasks() - len(self.planned_tasks)
+        skipped_tasks = self.planned_tasks
+        if self.job.crashes:
+            skipped_tasks = skipped_tasks.union(
+                self.job.list_waiting_suspects())
+        return self.job.count_pending_tasks() - len(skipped_tasks)
 
     def take_next_task(self) -> int | None:
         """Returns the index of the next task to start.
 
-        Returns None if every task is done, live or planned. The caller must
-        plan a start of the task, or give it back with `return_unplaced_task`.
+        Returns None if every task is done, live, planned or a suspect. The
+        caller must plan a start of the task, or give it back with
+        `return_unplaced_task`.
         """
         task_index = self._pop_candidate_task()
         if task_index is not None or self.count_waiting_tasks() <= 0:
             return task_index
         self._candidate_tasks.extend(
             self.job.list_claimable_tasks(
-                len(self.planned_tasks) + _CANDIDATE_BATCH_SIZE))
+                len(self.planned_tasks) + len(self.job.crashes) +
+                _CANDIDATE_BATCH_SIZE))
         return self._pop_candidate_task()
 
     def _pop_candidate_task(self) -> int | None:
@@ -90,7 +98,8 @@
             task_index = self._candidate_tasks.popleft()
             if (task_index not in self.planned_tasks and
                     task_index not in self.job.done and
-                    task_index not in self.job.live_tasks):
+                    task_index not in self.job.live_tasks and
+                    not model.is_suspect(self.job.crashes.get(task_index, ()))):
                 return task_index
         return None
 
--- a/src/gentianlead/scheduling/_quarantine.py
+++ b/src/gentianlead/scheduling/_quarantine.py
@@ -14,8 +14,10 @@
 FAILED_REASON = model.ReleaseReason.FAILED.value
 """Release reason of a run whose task failed."""
 
-WORKER_FAULT_REASONS = frozenset((model.ReleaseReason.LEASE_EXPIRED.value,
-                                  model.ReleaseReason.NOT_STARTED.value))
+WORKER_FAULT_REASONS = model.CRASH_REASONS | {
+    model.ReleaseReason.LEASE_EXPIRED.value,
+    model.ReleaseReason.NOT_STARTED.value
+}
 """Release reasons that indicate a fault of the worker and not of the job. A run
 that ended for one of them is called a lost run here; `ReleaseReason.LOST` is
 not among them."""
--- a/src/gentianlead/scheduling/_scheduler.py
+++ b/src/gentianlead/scheduling/_scheduler.py
@@ -20,6 +20,7 @@
 from gentianlead.scheduling import _reclaim
 from gentianlead.scheduling import _workload_history
 from gentianlead.scheduling import _run_times
+from gentianlead.scheduling import _suspects
 from gentianlead.scheduling import _trials
 from gentianlead.scheduling import _usage
 
@@ -75,6 +76,11 @@
         self._quarantine = self._build_quarantine(read_clock)
         self._workload_history = _workload_history.WorkloadHistory(
             state_machine, configuration, read_clock)
+        self._suspect_tasks = _suspects.SuspectTasks(state_machine,
+                                                     self._domain_index,
+                                                     self._workload_history,
+                                                     self._quarantine,
+                                                     read_clock)
         self._interference_model = _interference.InterferenceModel()
         self._trial_limiter = _trials.TrialLimiter(
             state_machine, self._domain_index, self._workload_history,
@@ -162,6 +168,8 @@
     def discard_claim(self, start: _decisions.PlannedStart) -> None:
         """Drops a planned start whose claim was rejected or never appended."""
         self._domain_index.remove_planned_start(start)
+        if start.is_suspect:
+            self._suspect_tasks.discard_start(start)
 
     def observe_usage(self, worker: str, report: ports.UsageReport,
                       as_of: float) -> None:
@@ -231,9 +239,9 @@
         """Plans task starts.
 
         Reserved workers with enough free capacity come first, then probes of
-        quarantined workers, then retries of failing jobs, and last the queue. A
-        planned start counts as a claim at once, so that the next call uses
-        neither its task nor its capacity again.
+        quarantined workers, then retries of failing jobs, then a suspect, and
+        last the queue. A planned start counts as a claim at once, so that the
+        next call uses neither its task nor its capacity again.
 
         Args:
             now: Monotonic seconds.
@@ -253,6 +261,7 @@
         self._trial_limiter.end_due_trials(now)
         self._deferred_jobs.end_due_deferrals(now)
         starts.extend(self._plan_probes(now, max_starts - len(starts)))
+        starts.extend(self._plan_suspect(now))
         queue_pass = _queue.QueuePass(self._domain_index.queue)
         unplaceable_resources: list[model.Resources] = []
         while len(starts) < max_starts:
@@ -297,6 +306,7 @@
                 last had a task claimed; jobs with a shorter wait are skipped.
         """
         starts: list[_decisions.PlannedStart] = []
+        self._suspect_tasks.end_due_observations(now)
         if not self._configuration.is_domain_in_service(self._domain):
             return starts
         for worker, group_key in self._reclaimer.take_ready_reservations(
@@ -391,13 +401,36 @@
             return None
         return self._plan_claim(job_id, resources, worker.name)
 
+    def _plan_suspect(self, now: float) -> Iterator[_decisions.PlannedStart]:
+        """Yields the start of a suspect if one may start now."""
+        self._suspect_tasks.end_due_observations(now)
+        task_key_and_worker = self._suspect_tasks.choose_start(now)
+        if task_key_and_worker is None:
+            return
+        (job_id, task_index), worker = task_key_and_worker
+        group_key = self._domain_index.job_states[job_id].group_key
+        start = self._plan_claim_of_task(job_id, task_index,
+                                         group_key.resources, worker, True)
+        self._suspect_tasks.record_start(start)
+        yield start
+
     def _plan_claim(self, job_id: str, resources: model.Resources,
                     worker: str) -> _decisions.PlannedStart:
+        task_index = self._domain_index.job_states[job_id].take_next_task()
+        return self._plan_claim_of_task(job_id, task_index, resources, worker)
+
+    def _plan_claim_of_task(
+            self,
+            job_id: str,
+            task_index: int,
+            resources: model.Resources,
+            worker: str,
+            is_suspect: bool = False) -> _decisions.PlannedStart:
         job_state = self._domain_index.job_states[job_id]
-        task_index = job_state.take_next_task()
         start = _decisions.PlannedStart(
-            job_id, task_index, job_state.job.get_next_run_number(task_index),
-            worker, resources, job_state.job.checkpoints.get(task_index, ""))
+            job_id, task_index,
+            job_state.job.get_next_run_number(task_index), worker, resources,
+            job_state.job.checkpoints.get(task_index, ""), is_suspect)
         self._domain_index.add_planned_start(start)
         self._trial_limiter.record_start(job_id, self._read_clock())
         self._deferred_jobs.record_start(job_id)
@@ -512,6 +545,9 @@
         if job_state is None:
             return _decisions.WaitReason(wait_codes.NOT_OPEN,
                                          "the job is not open in this domain")
+        given_up_reason = model.explain_given_up_tasks(job_state.job.crashes)
+        if given_up_reason:
+            return _decisions.WaitReason(wait_codes.GIVEN_UP, given_up_reason)
         if job_state.is_cancelled:
             return _decisions.WaitReason(
                 wait_codes.CANCELLED,
@@ -523,6 +559,9 @@
             return job_state.paused_reason
         waiting_task_count = job_state.count_waiting_tasks()
         if waiting_task_count <= 0:
+            suspects_reason = self._suspect_tasks.explain_job(job_id)
+            if suspects_reason is not None:
+                return suspects_reason
             return _decisions.WaitReason(wait_codes.NOTHING_WAITS,
                                          "no task of the job waits")
         if not self._configuration.is_domain_in_service(self._domain):
--- a/src/gentianlead/scheduling/_worker_index.py
+++ b/src/gentianlead/scheduling/_worker_index.py
@@ -209,6 +209,10 @@
         """Returns whether a worker is excluded from searches."""
         return name in self._exclusion_counts
 
+    def count_exclusions(self, name: str) -> int:
+        """Returns how many calls of `exclude` a worker is excluded by."""
+        return self._exclusion_counts.get(name, 0)
+
     def add_watchers(self, name: str, watcher_change: int) -> None:
         """Adds `watcher_change` to the number of watchers on a worker.
 
--- a/src/gentianlead/state/__init__.py
+++ b/src/gentianlead/state/__init__.py
@@ -9,13 +9,13 @@
 from gentianlead.state._configuration_state import ConfigurationStateMachine
 from gentianlead.state._configuration_state import JobEntry
 from gentianlead.state._configuration_state import PatchEntry
+from gentianlead.state._domain_job import DomainJob
+from gentianlead.state._domain_job import Tombstone
 from gentianlead.state._domain_state import DomainStateMachine
-from gentianlead.state._domain_state import DomainJob
 from gentianlead.state._domain_state import DomainObserver
 from gentianlead.state._domain_state import FINISHED_REASON
 from gentianlead.state._domain_state import LiveRun
 from gentianlead.state._domain_state import Member
-from gentianlead.state._domain_state import Tombstone
 from gentianlead.state._domain_state import WorkerState
 from gentianlead.state._state_machine import StateMachine
 from gentianlead.state._state_machine import RecordVerdict
--- a/src/gentianlead/state/_configuration_state.py
+++ b/src/gentianlead/state/_configuration_state.py
@@ -56,6 +56,8 @@
         digest: Digest of the submitted specification including its payload.
             It still shows whether a repeated submission has the same content
             after the job has ended and its payload was removed.
+        crashes: Crashes of workers under the tasks in earlier assignments;
+            without the tasks in `done`, and empty once the job has ended.
     """
 
     # All instances share the default dictionary, which no code modifies.
@@ -70,6 +72,7 @@
     detail: str = ""
     submitted_ms: int = 0
     digest: int = 0
+    crashes: model.TaskCrashes = {}
 
 
 def compute_spec_digest(spec: model.JobSpec) -> int:
@@ -213,11 +216,18 @@
                 **record.checkpoints
             }.items() if task not in done
         }
+        crashes = {
+            task: task_crashes for task, task_crashes in {
+                **entry.crashes,
+                **record.crashes
+            }.items() if task not in done
+        }
         self._store_job(
             entry._replace(domain=record.domain,
                            epoch=record.epoch,
                            done=done,
-                           checkpoints=checkpoints))
+                           checkpoints=checkpoints,
+                           crashes=crashes))
         return _state_machine.ACCEPTED
 
     def _apply_job_cancelled(
@@ -241,7 +251,8 @@
             entry._replace(spec=entry.spec._replace(payload=b""),
                            outcome=record.outcome,
                            detail=record.detail,
-                           checkpoints={}))
+                           checkpoints={},
+                           crashes={}))
         self._ended_job_ids.append(record.job_id)
         if len(self._ended_job_ids) > MAX_ENDED_JOBS:
             dropped_job_id = self._ended_job_ids.popleft()
@@ -254,12 +265,14 @@
         # Named tuples need no conversion; msgpack serializes them as arrays.
         configuration = self.configuration._replace(
             leaving_targets=sorted(self.configuration.leaving_targets))
-        state = _SerializedState(configuration,
-                                 list(self._submitted_patches.values()),
-                                 list(self._accepted_patches),
-                                 list(self.jobs.values()),
-                                 list(self._ended_job_ids))
-        return state
+        state = _SerializedState(
+            configuration, list(self._submitted_patches.values()),
+            list(self._accepted_patches),
+            list(map(model.omit_trailing_defaults, self.jobs.values())),
+            list(self._ended_job_ids))
+        # `load` converts the items of a list, but not those of a
+        # `_SerializedState`.
+        return list(state)
 
     def load(self, state: object) -> None:
         try:
--- a/src/gentianlead/state/_domain_state.py
+++ b/src/gentianlead/state/_domain_state.py
@@ -1,21 +1,15 @@
 """State machine of a failure domain's stream: members, workers, jobs, runs."""
 
 import collections
-import itertools
 from typing import NamedTuple
 
 import msgspec
-import sortedcontainers
 
 from gentianlead import errors
 from gentianlead import model
+from gentianlead.state import _domain_job
 from gentianlead.state import _state_machine
 
-RUN_NUMBERS_PER_EPOCH = 1_000_000
-"""The first run of a task in an epoch has the run number (epoch - 1) times this
-number, plus 1. Run numbers thus also increase when a job moves to another
-domain, and a worker can refuse orders for an older run."""
-
 MAX_TOMBSTONES = 50_000
 """Greatest number of closed jobs whose tombstones are stored. One more
 tombstone removes the oldest. A tombstone prevents a delayed `JobOpened` of an
@@ -96,131 +90,6 @@
         self.runs: set[TaskKey] = set()
 
 
-class DomainJob:
-    """Progress of a job that is open in this failure domain.
-
-    Attributes:
-        spec: Specification of the job.
-        epoch: Number of the assignment for which the job was opened.
-        done: Indexes of the done tasks, including those of earlier epochs.
-        last_run_numbers: Number of the last run claimed in this epoch, by index
-            of the task. Tasks without a claim in this epoch are missing.
-        checkpoints: Newest checkpoint by index of the task. A task's checkpoint
-            is removed when the task is finished.
-        live_tasks: Indexes of the tasks that have a live run.
-        failures: Number of runs in this epoch that were released as failed, by
-            index of the task. A task's count is removed when the task is
-            finished.
-        open_offset: Offset of the job's `JobOpened` record.
-    """
-
-    __slots__ = ("spec", "epoch", "done", "last_run_numbers", "checkpoints",
-                 "live_tasks", "failures", "open_offset",
-                 "_first_never_claimed", "_released_tasks")
-
-    def __init__(self, spec: model.JobSpec, epoch: int, done: tuple[int, ...],
-                 checkpoints: dict[int, str], open_offset: int):
-        self.spec = spec
-        self.epoch = epoch
-        self.done = set(done)
-        self.last_run_numbers: dict[int, int] = {}
-        self.checkpoints = dict(checkpoints)
-        self.live_tasks: set[int] = set()
-        self.failures: dict[int, int] = {}
-        self.open_offset = open_offset
-        self._first_never_claimed = 0
-        # A set, because a watcher's task is released any number of times and a
-        # list of releases would grow without limit.
-        self._released_tasks = sortedcontainers.SortedSet()
-
-    def get_next_claimable_task(self) -> int | None:
-        """Returns the lowest index of a claimable task, or None.
-
-        A task is claimable if it is not done and has no live run.
-        """
-        while self._released_tasks and not self._is_claimable(
-                self._released_tasks[0]):
-            del self._released_tasks[0]
-        while (self._first_never_claimed < self.spec.tasks and
-               not self._is_claimable(self._first_never_claimed)):
-            self._first_never_claimed += 1
-        candidate_tasks = [*self._released_tasks[:1], self._first_never_claimed]
-        task = min(candidate_tasks)
-        return task if task < self.spec.tasks else None
-
-    def list_claimable_tasks(self, limit: int) -> list[int]:
-        """Returns up to `limit` indexes of claimable tasks, lowest first."""
-        self.get_next_claimable_task()
-        candidate_tasks = itertools.chain(
-            self._released_tasks.irange(maximum=self._first_never_claimed - 1),
-            range(self._first_never_claimed, self.spec.tasks))
-        return list(
-            itertools.islice(filter(self._is_claimable, candidate_tasks),
-                             limit))
-
-    def get_next_run_number(self, task: int) -> int:
-        """Returns the run number that the next claim of the task must have."""
-        epoch_base = (self.epoch - 1) * RUN_NUMBERS_PER_EPOCH
-        return self.last_run_numbers.get(task, epoch_base) + 1
-
-    def count_pending_tasks(self) -> int:
-        """Returns how many tasks are not done and have no live run."""
-        return self.spec.tasks - len(self.done) - len(self.live_tasks)
-
-    def _is_claimable(self, task: int) -> bool:
-        return task not in self.done and task not in self.live_tasks
-
-    def add_released_task(self, task: int) -> None:
-        """Makes a task claimable again after its run was released."""
-        self._released_tasks.add(task)
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether all tasks are done."""
-        return len(self.done) >= self.spec.tasks
-
-
-class Tombstone(NamedTuple):
-    """Entry for a job that was closed in this domain.
-
-    While it is stored, the job can be opened here only with a higher epoch.
-
-    Attributes:
-        epoch: Highest epoch of the job that was closed in this domain.
-        reason: Value of a `CloseReason`: `done`, `cancelled`, `failed` or
-            `moved`.
-        done_count: Number of tasks that were done when the job was closed; 0 if
-            the job was not open in this domain.
-        done: Indexes of these tasks if the reason is `moved`, else empty.
-        checkpoints: Newest checkpoint of each task that is not done, by index
-            of the task, if the reason is `moved`; else empty.
-    """
-
-    # All instances share the default dictionary, which no code modifies.
-    # pylint: disable=dangerous-default-value
-    epoch: int
-    reason: str
-    done_count: int = 0
-    done: tuple[int, ...] = ()
-    checkpoints: dict[int, str] = {}
-
-
-def _build_tombstone(record: model.JobClosed,
-                     job: DomainJob | None) -> Tombstone:
-    if job is None:
-        return Tombstone(record.epoch, record.reason)
-    tombstone = Tombstone(record.epoch, record.reason, len(job.done))
-    if record.reason != model.CloseReason.MOVED.value:
-        return tombstone
-    remaining_checkpoints = {
-        task: checkpoint
-        for task, checkpoint in job.checkpoints.items()
-        if task not in job.done
-    }
-    return tombstone._replace(done=tuple(sorted(job.done)),
-                              checkpoints=remaining_checkpoints)
-
-
 class DomainObserver:
     """Receives changes of workers, jobs and runs of a `DomainStateMachine`.
 
@@ -261,26 +130,14 @@
         """Called after `load` replaced the whole state."""
 
 
-class _SerializedJob(NamedTuple):
-    """A `DomainJob` in the form that snapshots contain."""
-
-    spec: model.JobSpec
-    epoch: int
-    done: list[int]
-    last_run_numbers: dict[int, int]
-    checkpoints: dict[int, str]
-    failures: dict[int, int]
-    open_offset: int
-
-
 class _SerializedState(NamedTuple):
     """State of a domain's stream in the form that snapshots contain."""
 
     members: list[Member]
     workers: list[tuple[str, str, model.Resources]]
-    jobs: list[_SerializedJob]
+    jobs: list[_domain_job.SerializedJob]
     runs: list[LiveRun]
-    tombstones: list[tuple[str, Tombstone]]
+    tombstones: list[tuple[str, _domain_job.Tombstone]]
 
 
 class DomainStateMachine(_state_machine.StateMachine):
@@ -302,9 +159,9 @@
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
         self.workers: dict[str, WorkerState] = {}
-        self.jobs: dict[str, DomainJob] = {}
+        self.jobs: dict[str, _domain_job.DomainJob] = {}
         self.runs: dict[TaskKey, LiveRun] = {}
-        self.tombstones: collections.OrderedDict[str, Tombstone] = (
+        self.tombstones: collections.OrderedDict[str, _domain_job.Tombstone] = (
             collections.OrderedDict())
         self._observers: list[DomainObserver] = []
         self._handlers_by_record_type = {
@@ -399,8 +256,10 @@
         tombstone = self.tombstones.get(job_id)
         if tombstone is not None and record.epoch <= tombstone.epoch:
             return _state_machine.reject(f"epoch {record.epoch} was closed")
-        self.jobs[job_id] = DomainJob(record.spec, record.epoch, record.done,
-                                      record.checkpoints, offset)
+        self.jobs[job_id] = _domain_job.DomainJob(record.spec, record.epoch,
+                                                  record.done,
+                                                  record.checkpoints,
+                                                  record.crashes, offset)
         self._notify_job_changed(job_id)
         return _state_machine.ACCEPTED
 
@@ -417,7 +276,8 @@
         if (job is None and tombstone is not None and
                 record.epoch <= tombstone.epoch):
             return _state_machine.reject("the epoch is already closed")
-        self.tombstones[record.job_id] = _build_tombstone(record, job)
+        self.tombstones[record.job_id] = _domain_job.build_tombstone(
+            record, job)
         self.jobs.pop(record.job_id, None)
         self.tombstones.move_to_end(record.job_id)
         if len(self.tombstones) > MAX_TOMBSTONES:
@@ -468,7 +328,7 @@
             return None, f"the holder is {live_run.holder}"
         return live_run, ""
 
-    def _remove_live_run(self, live_run: LiveRun) -> DomainJob:
+    def _remove_live_run(self, live_run: LiveRun) -> _domain_job.DomainJob:
         task_key = (live_run.job_id, live_run.task)
         del self.runs[task_key]
         worker = self.workers[live_run.worker]
@@ -489,6 +349,7 @@
         job.done.add(record.task)
         job.checkpoints.pop(record.task, None)
         job.failures.pop(record.task, None)
+        job.crashes.pop(record.task, None)
         self._notify_run_ended(live_run, FINISHED_REASON)
         return _state_machine.ACCEPTED
 
@@ -501,7 +362,15 @@
             return _state_machine.reject(reason)
         job = self._remove_live_run(live_run)
         if record.checkpoint:
+            if record.checkpoint != job.checkpoints.get(record.task):
+                job.crashes.pop(record.task, None)
             job.checkpoints[record.task] = record.checkpoint
+        if record.reason in model.CRASH_REASONS:
+            job.record_crash(
+                record.task,
+                model.WorkerCrash(
+                    live_run.worker,
+                    record.reason == model.ReleaseReason.LONE_CRASH.value))
         if record.reason == model.ReleaseReason.FAILED.value:
             job.failures[record.task] = job.failures.get(record.task, 0) + 1
         job.add_released_task(record.task)
@@ -546,13 +415,14 @@
         state = _SerializedState(
             list(self.members.values()),
             [(worker.name, worker.rack, worker.capacity)
-             for worker in self.workers.values()], [
-                 _SerializedJob(job.spec, job.epoch, sorted(
-                     job.done), dict(job.last_run_numbers), dict(
-                         job.checkpoints), dict(job.failures), job.open_offset)
-                 for job in self.jobs.values()
-             ], list(self.runs.values()), list(self.tombstones.items()))
-        return state
+             for worker in self.workers.values()],
+            [_domain_job.serialize_job(job) for job in self.jobs.values()],
+            list(self.runs.values()),
+            [(job_id, model.omit_trailing_defaults(tombstone))
+             for job_id, tombstone in self.tombstones.items()])
+        # `load` converts the items of a list, but not those of a
+        # `_SerializedState`.
+        return list(state)
 
     def load(self, state: object) -> None:
         try:
@@ -573,20 +443,13 @@
         }
         self.jobs = {}
         for serialized_job in serialized_state.jobs:
-            self._load_job(serialized_job)
+            self.jobs[serialized_job.spec.job_id] = _domain_job.restore_job(
+                serialized_job)
         self.runs = {}
         for run in serialized_state.runs:
             self._load_run(run)
         self.tombstones = collections.OrderedDict(serialized_state.tombstones)
 
-    def _load_job(self, serialized_job: _SerializedJob) -> None:
-        job = DomainJob(serialized_job.spec, serialized_job.epoch,
-                        tuple(serialized_job.done), serialized_job.checkpoints,
-                        serialized_job.open_offset)
-        job.last_run_numbers = dict(serialized_job.last_run_numbers)
-        job.failures = dict(serialized_job.failures)
-        self.jobs[serialized_job.spec.job_id] = job
-
     def _load_run(self, run: LiveRun) -> None:
         task_key = (run.job_id, run.task)
         self.runs[task_key] = run
--- a/src/gentianlead/telemetry/_events.py
+++ b/src/gentianlead/telemetry/_events.py
@@ -202,6 +202,13 @@
     UNKNOWN_RUN_STOPPED = _warning_event(
         420, "worker {worker} runs task {job}/{task} run {run}, which is not "
         "live; stopping it")
+    WORKER_CRASHED = _warning_event(
+        421, "worker {worker} was lost soon after the start of task "
+        "{job}/{task} run {run}: {reason}")
+    SUSPECT_STARTED = _info_event(
+        422, "task {job}/{task} run {run} starts alone on worker {worker} "
+        "because workers crashed soon after its earlier starts")
+    TASK_GIVEN_UP = _error_event(423, "job {job} fails: {reason}")
 
     PATCH_ACCEPTED = _info_event(
         501, "patch {patch} by {author} accepted as version {version}")
--- a/src/gentianlead/telemetry/_metrics.py
+++ b/src/gentianlead/telemetry/_metrics.py
@@ -90,6 +90,18 @@
                "Runs evicted, by reason."),
     MetricSpec("gentianlead_releases_total", _COUNTER, ("reason",),
                "Runs released before their end, by reason."),
+    MetricSpec(
+        "gentianlead_worker_crashes_total", _COUNTER, ("kind",),
+        "Workers lost soon after a start of a task, once for each lost run, "
+        "by kind: lone-crash or shared-crash."),
+    MetricSpec(
+        "gentianlead_suspect_starts_total", _COUNTER, (),
+        "Tasks started alone because workers crashed soon after their "
+        "earlier starts."),
+    MetricSpec(
+        "gentianlead_jobs_given_up_total", _COUNTER, (),
+        "Jobs that failed because workers crashed soon after the starts of a "
+        "task."),
     MetricSpec("gentianlead_runs_held", _GAUGE, (),
                "Live runs of which this daemon is the holder."),
     MetricSpec("gentianlead_tasks_waiting", _GAUGE, (),
@@ -266,6 +278,22 @@
         """Counts a run that was released before its end."""
         self._increment("gentianlead_releases_total", reason)
 
+    def count_worker_crash(self, kind: str) -> None:
+        """Counts a run that was lost with its worker soon after its start.
+
+        Args:
+            kind: Value of the `ReleaseReason`.
+        """
+        self._increment("gentianlead_worker_crashes_total", kind)
+
+    def count_suspect_start(self) -> None:
+        """Counts a task that starts alone because workers crashed under it."""
+        self._increment("gentianlead_suspect_starts_total")
+
+    def count_job_given_up(self) -> None:
+        """Counts a job that failed because workers crashed under a task."""
+        self._increment("gentianlead_jobs_given_up_total")
+
     def set_tasks(self, n_held_runs: int, n_waiting_tasks: int,
                   n_stopped_watchers: int) -> None:
         """Sets the numbers of runs, waiting tasks and stopped watchers.
