End the quarantine of a worker on which a run never ends

Operators saw a repaired worker that got no more tasks: a probe was started only on a quarantined worker without live runs, and a watcher or a long task that had started before the quarantine runs there for ever. The same holds if the probe itself lasts.

Only the last probe hinders the next one now, and a probe that has run for 600 s counts as successful.

--- a/src/gentianlead/scheduling/_quarantine.py
+++ b/src/gentianlead/scheduling/_quarantine.py
@@ -46,6 +46,10 @@
 """Maximum seconds from a planned or failed probe until the next probe of the
 worker may start."""
 
+LASTING_PROBE_TIME = 600.0
+"""Seconds from the planned start of a probe from which it counts as successful
+although it still runs. The quarantine thus ends even if all tasks last long."""
+
 PROBES_TO_PASS = 2
 """Consecutive successful probes that end the quarantine."""
 
@@ -169,6 +173,8 @@
         probe_interval: Seconds from the start of the quarantine, a planned
             probe or a failed probe until the next probe may start; doubles with
             each failed probe, up to `MAX_PROBE_DELAY`.
+        last_probe: Start of the last probe; None if it has counted.
+        last_probe_at: Monotonic seconds at which `last_probe` was planned.
         successful_probe_count: Number of successful probes since the start of
             the quarantine or the last failed probe.
         is_quarantined: Whether the worker is in quarantine.
@@ -177,8 +183,9 @@
     """
 
     __slots__ = ("run_counts_by_job", "lost_run_counts", "last_lost_run_at",
-                 "next_probe_at", "probe_interval", "successful_probe_count",
-                 "is_quarantined", "recent_success_rate")
+                 "next_probe_at", "probe_interval", "last_probe",
+                 "last_probe_at", "successful_probe_count", "is_quarantined",
+                 "recent_success_rate")
 
     def __init__(self, now: float) -> None:
         self.run_counts_by_job: dict[str, _DecayingCounts] = {}
@@ -187,6 +194,8 @@
         self.recent_success_rate = 1.0
         self.next_probe_at = 0.0
         self.probe_interval = FIRST_PROBE_DELAY
+        self.last_probe: _decisions.PlannedStart | None = None
+        self.last_probe_at = 0.0
         self.successful_probe_count = 0
         self.is_quarantined = False
 
@@ -195,7 +204,8 @@
     """Excludes failing workers from placement and pauses failing jobs.
 
     A quarantined worker gets only single probe tasks until `PROBES_TO_PASS` in
-    a row succeed. Each run that succeeds, fails or is lost on a quarantined
+    a row succeed. Other runs on the worker do not hinder a probe, because some
+    never end. Each run that succeeds, fails or is lost on a quarantined
     worker counts as a probe, even one that began before the quarantine. A
     failed run counts against its worker in proportion to the success rate of
     the job on other workers. A lost run, which ended for one of
@@ -364,18 +374,33 @@
     def list_due_probes(self, now: float) -> list[str]:
         """Returns the quarantined workers that may run one probe task now.
 
-        Workers with a live run are left out.
+        A worker whose last probe still runs is left out, until that probe has
+        run for `LASTING_PROBE_TIME` and so counts as successful.
         """
+        for worker, worker_health in list(self._quarantined_workers.items()):
+            if (self._is_probe_live(worker_health) and
+                    now - worker_health.last_probe_at >= LASTING_PROBE_TIME):
+                worker_health.last_probe = None
+                self._record_probe_outcome(worker, worker_health, True, now)
         return [
             worker
             for worker, worker_health in self._quarantined_workers.items()
             if now >= worker_health.next_probe_at and
-            not self._domain_index.runs_by_worker.get(worker)
+            not self._is_probe_live(worker_health)
         ]
 
-    def record_probe(self, worker: str, now: float) -> None:
+    def _is_probe_live(self, worker_health: _WorkerHealth) -> bool:
+        probe = worker_health.last_probe
+        if probe is None:
+            return False
+        run = self._domain_index.get_live_run(probe.task_key)
+        return run is not None and run.run == probe.run
+
+    def record_probe(self, probe: _decisions.PlannedStart, now: float) -> None:
         """Delays the next probe of a worker because a probe was planned now."""
-        worker_health = self._quarantined_workers[worker]
+        worker_health = self._quarantined_workers[probe.worker]
+        worker_health.last_probe = probe
+        worker_health.last_probe_at = now
         worker_health.next_probe_at = now + worker_health.probe_interval
 
     def list_due_retries(self, now: float) -> list[str]:
--- a/src/gentianlead/scheduling/_scheduler.py
+++ b/src/gentianlead/scheduling/_scheduler.py
@@ -345,8 +345,9 @@
                 worker].free_capacity
             group_key = self._find_probe_group(free_capacity)
             if worker not in self._leaving_workers and group_key is not None:
-                self._quarantine.record_probe(worker, now)
-                yield from self._plan_start_on_worker(worker, group_key)
+                for start in self._plan_start_on_worker(worker, group_key):
+                    self._quarantine.record_probe(start, now)
+                    yield start
                 max_starts -= 1
         for job_id in self._quarantine.list_due_retries(
                 now)[:max(0, max_starts)]:
--- a/src/gentianlead/scheduling/tests/test_quarantine.py
+++ b/src/gentianlead/scheduling/tests/test_quarantine.py
@@ -99,3 +99,50 @@
         self.open_jobs("job-1", "job-2", "job-3", "job-4")
         self.run_for(60, {f"worker-{index}" for index in range(5)}, set())
         self.assertLessEqual(len(self.domain.scheduler.list_quarantined()), 2)
+
+    def open_small_jobs(self) -> None:
+        """Opens more jobs with 20 tasks each than the tests can finish."""
+        for index in range(2500):
+            self.domain.open_job(
+                model.JobSpec(f"job-{index}", tasks=20, resources=_TASK_SIZE))
+
+    def start_lasting_run(self, spec: model.JobSpec) -> str:
+        """Starts the only task of a job and returns its worker."""
+        self.domain.open_job(spec)
+        start, = self.domain.start_tasks()
+        return start.worker
+
+    def test_repaired_worker_with_a_lasting_run_returns(self) -> None:
+        """Checks that a worker returns although a run there never ends.
+
+        The run began before the quarantine. Guards against a quarantine that
+        cannot end, because each probe waits for a worker without runs.
+        """
+        for kind in model.JobKind:
+            with self.subTest(kind=kind):
+                self.setUp()
+                worker = self.start_lasting_run(
+                    model.JobSpec("lasting",
+                                  kind=kind.value,
+                                  resources=_TASK_SIZE))
+                self.open_small_jobs()
+                self.run_for(200, {worker}, set())
+                self.assertEqual(self.domain.scheduler.list_quarantined(),
+                                 [worker])
+                self.run_for(400, set(), set())
+                self.assertEqual(self.domain.scheduler.list_quarantined(), [])
+
+    def test_lasting_probe_ends_the_quarantine(self) -> None:
+        """Checks that a worker returns if the probes there run for very long.
+
+        Guards against a quarantine that lasts as long as a single task runs.
+        """
+        self.open_small_jobs()
+        self.run_for(200, {"worker-0"}, set())
+        self.assertEqual(self.domain.scheduler.list_quarantined(), ["worker-0"])
+        for _ in range(3000):
+            self.domain.now += 1.0
+            for start in self.domain.start_tasks(12):
+                if start.worker != "worker-0":
+                    self.domain.finish_run(start)
+        self.assertEqual(self.domain.scheduler.list_quarantined(), [])
