Bound the targets that one request reaches through peers

An idempotent request that crashes its target was sent to target after target: each peer made up to three attempts of a forwarded request, and the sender counted them as one. Without own targets a request crashed six targets through two peers.

A peer now makes at most two attempts of a forwarded request, and the sender counts two for each forward. Measured with routers of five domains on simulated time, with crashes at once, after 0.5 s and after 4.9 s and with 20, one or no own targets: at most four targets, at least two; one if the request is not idempotent; and a request whose peer breaks is forwarded once more. Three cases of the new test fail on the code before. The tests of the router, of spilling and of failing requests on processes pass.

--- a/src/gentianlead/routing/__init__.py
+++ b/src/gentianlead/routing/__init__.py
@@ -32,6 +32,7 @@
             execute(step)
 """
 
+from gentianlead.routing._counts import RouterCounts
 from gentianlead.routing._ejection import EjectionSettings
 from gentianlead.routing._messages import AttemptKind
 from gentianlead.routing._messages import ReturnResponse
@@ -52,7 +53,6 @@
 from gentianlead.routing._policies import TargetPolicy
 from gentianlead.routing._policies import TwoChoicesPolicy
 from gentianlead.routing._router import RequestRouter
-from gentianlead.routing._router import RouterCounts
 from gentianlead.routing._settings import RouterSettings
 from gentianlead.routing._settings import make_baseline_settings
 from gentianlead.routing._slots import LoanRequest
--- a/src/gentianlead/routing/_router.py
+++ b/src/gentianlead/routing/_router.py
@@ -8,6 +8,7 @@
 
 from gentianlead import errors
 from gentianlead import ports
+from gentianlead.routing import _counts
 from gentianlead.routing import _target_pool
 from gentianlead.routing import _limits
 from gentianlead.routing import _messages
@@ -69,25 +70,10 @@
         self.peer = peer
         self.latest_end = latest_end
 
-
-class RouterCounts:
-    """Numbers of requests and attempts since the start of the router.
-
-    Attributes:
-        first_attempts: Number of requests with at least one attempt, without
-            those that a peer forwarded to this daemon.
-        retries: Number of attempts that were retries.
-        hedges: Number of attempts that were hedges.
-        forwarded: Number of attempts sent to peers.
-        refused: Number of requests refused before any attempt; not shed ones.
-    """
-
-    def __init__(self) -> None:
-        self.first_attempts = 0
-        self.retries = 0
-        self.hedges = 0
-        self.forwarded = 0
-        self.refused = 0
+    @property
+    def max_attempts_at_targets(self) -> int:
+        """Maximum number of attempts at targets that this attempt causes."""
+        return _MAX_ATTEMPTS_OF_FORWARDED if self.peer else 1
 
 
 class RequestRouter:
@@ -128,7 +114,7 @@
             now: Monotonic seconds.
             policy: Policy that chooses targets; `LatencyPolicy` if None.
         """
-        self.counts = RouterCounts()
+        self.counts = _counts.RouterCounts()
         self._settings = settings
         self._random = random
         self._targets = _target_pool.TargetPool(
@@ -360,13 +346,13 @@
         if (attempt.peer and outcome.verdict is errors.Verdict.DID_NOT_RUN):
             # The peer sent nothing to a target, so the attempt does not count
             # as started. The request starts elsewhere, is queued or fails.
-            state.attempts_started -= 1
+            state.attempts_started -= attempt.max_attempts_at_targets
             if self._targets.can_serve(request) or state.remaining_forwards:
                 return self._start_or_enqueue(state, now)
             return self._fail(state, "no peer has a free slot for the request")
         if not outcome.verdict.allows_retry(request.is_idempotent):
             return self._fail(state, "the attempt failed")
-        if state.attempts_started >= self._settings.max_attempts:
+        if state.attempts_started >= self._get_max_attempts(request):
             return self._fail(state, "all attempts failed")
         state.next_attempt_kind = _messages.AttemptKind.RETRY
         delay_s = 0.0
@@ -385,6 +371,11 @@
         self._push_timer(now + delay_s, _TimerKind.RETRY, state, 0)
         return _messages.Wait(state.request_id, now + delay_s)
 
+    def _get_max_attempts(self, request: _messages.Request) -> int:
+        if request.is_forwarded:
+            return min(self._settings.max_attempts, _MAX_ATTEMPTS_OF_FORWARDED)
+        return self._settings.max_attempts
+
     def _start_or_enqueue(self, state: _RequestState,
                           now: float) -> _messages.RoutingStep:
         step: _messages.StartAttempt | None = None
@@ -455,7 +446,8 @@
                      now: float) -> _messages.StartAttempt | None:
         if (attempt_id not in state.in_flight_ids or
                 len(state.in_flight_ids) > 1 or self._queues or
-                state.attempts_started >= self._settings.max_attempts):
+                state.attempts_started >= self._get_max_attempts(
+                    state.request)):
             return None
         if self._would_miss_deadline(state, 0.0, now):
             return None
@@ -473,7 +465,7 @@
         attempt_id = next(self._attempt_ids)
         self._attempts_in_flight[attempt_id] = attempt
         state.in_flight_ids.append(attempt_id)
-        state.attempts_started += 1
+        state.attempts_started += attempt.max_attempts_at_targets
         if attempt.kind is _messages.AttemptKind.RETRY:
             self.counts.retries += 1
         elif attempt.kind is _messages.AttemptKind.HEDGE:
@@ -596,5 +588,9 @@
 _RESERVE_ALL_SLOTS = 1_000_000
 _NO_CAPACITY_DELAY = datetime.timedelta(seconds=10)
 _MAX_FORWARDS = 2
+# One retry or hedge, so that a single slow or broken target does not make a
+# forwarded request fail. The daemon of the caller counts as many attempts for
+# each forward, so that the attempts of several daemons do not multiply.
+_MAX_ATTEMPTS_OF_FORWARDED = 2
 _QUEUE_POLL_INTERVAL_S = 0.02
 _NO_TARGET_MESSAGE = "no target and no peer can serve the request"
--- a/src/gentianlead/routing/_settings.py
+++ b/src/gentianlead/routing/_settings.py
@@ -27,7 +27,10 @@
         retry_budget_fraction: Number of retries and hedges allowed per first
             attempt; infinite for no limit.
         max_attempts: Maximum number of attempts of one request. Retries and
-            hedges count; attempts that a peer refused do not.
+            hedges count; attempts that a peer refused do not. A peer makes at
+            most two attempts of a forwarded request, and each forward counts
+            as two. If a single attempt is left, the request may still be
+            forwarded, so that one more than the maximum is possible.
         initial_backoff: Upper bound of the random delay before a retry that
             follows the first attempt. It doubles with each further attempt. A
             retry of an attempt that did not run starts without a delay if a
