Count crashes that a killed daemon could not record

A task that crashed its worker while the holder of the run was killed too was started again without a count: the next holder does not know when the run started, and released it as not started. With a daemon killed within 0.5 s of each crash, a task crashed workers until the test ended.

Records carry no time, so the state machine counts the heartbeats of the first holder between the claim and the takeover. With at most five of them the loss is weak evidence against the task.

--- a/src/gentianlead/control/tests/test_crashing_tasks.py
+++ b/src/gentianlead/control/tests/test_crashing_tasks.py
@@ -95,6 +95,25 @@
                 number += 1
         self.check_given_up("crashing")
 
+    async def test_daemon_killed_before_it_records_a_crash(self) -> None:
+        """Guards against a count that misses crashes with a lost holder."""
+        await self.start_domains()
+        await self.domains.submit("crashing", _CRASHING)
+        leader = "entry-of-domain-1"
+        n_crashes = 0
+        for number in range(1200):
+            if self.domains.get_job("crashing").outcome:
+                break
+            await self.domains.advance(0.25)
+            if len(self.workers.crashes) > n_crashes:
+                n_crashes = len(self.workers.crashes)
+                successor = f"next-{number}"
+                self.domains.start(successor)
+                await self.domains.advance(0.25)
+                await self.domains.kill(leader)
+                leader = successor
+        self.check_given_up("crashing")
+
     async def test_job_moved_between_domains(self) -> None:
         """Guards against a count that does not move with its job."""
         await self.start_domains()
--- a/src/gentianlead/execution/_crashes.py
+++ b/src/gentianlead/execution/_crashes.py
@@ -18,14 +18,20 @@
 """Two workers were lost at about the same time if this daemon has noticed both
 losses within this time. It covers the interval at which workers are polled."""
 
+MAX_HEARTBEATS_BEFORE_TAKEOVER = 5
+"""A run was taken over soon after its start if its first holder has sent at
+most this many heartbeats after the claim: 10 s with the default interval. In
+this time most workers that crashed have not answered again, so that the holder
+could not record the crash."""
+
 
 def was_lost_early(run: _held_run.HeldRun, is_suspect: bool) -> bool:
     """Returns whether a run was lost with its worker soon after its start.
 
     The holder of a run that was taken over does not know when the run started.
-    Such a loss counts only if other losses have made the task a suspect: the
-    runs of a daemon that failed together with its workers are most likely
-    innocent.
+    Such a loss counts only if the first holder failed soon after the claim, or
+    if other losses have made the task a suspect: the other runs of a daemon
+    that failed together with its workers are most likely innocent.
 
     Args:
         run: Run that has ended.
@@ -35,7 +41,9 @@
         return False
     if run.start_ordered_at is None:
         started_at = run.takeover_read_at
-        if not is_suspect:
+        heartbeat_count = run.heartbeats_before_takeover
+        if not is_suspect and (heartbeat_count is None or heartbeat_count
+                               > MAX_HEARTBEATS_BEFORE_TAKEOVER):
             return False
     else:
         started_at = run.start_ordered_at
--- a/src/gentianlead/execution/_held_run.py
+++ b/src/gentianlead/execution/_held_run.py
@@ -62,6 +62,9 @@
         last_seen_running_at: Time in monotonic seconds of the last report of
             the worker that the run is running; negative infinity if there is
             none.
+        heartbeats_before_takeover: Number of heartbeats of the first holder
+            between the claim and its end; None if it is unknown or the run was
+            not taken over exactly once.
         is_appending_end_record: Whether the record of the run's end is being
             appended.
         takeover_read_at: Time in monotonic seconds at which this daemon read
@@ -77,9 +80,10 @@
     __slots__ = ("live_run", "job_spec", "checkpoint", "phase", "boot_id",
                  "latest_expiry_ms", "start_by_ms", "stop_reason",
                  "wants_checkpoint", "end_reason", "was_lost_with_worker",
-                 "start_ordered_at", "last_seen_running_at",
-                 "is_appending_end_record", "takeover_read_at",
-                 "former_lease_expiry_bound", "claim_read_at")
+                 "start_ordered_at", "heartbeats_before_takeover",
+                 "last_seen_running_at", "is_appending_end_record",
+                 "takeover_read_at", "former_lease_expiry_bound",
+                 "claim_read_at")
 
     def __init__(self, live_run: state.LiveRun, job_spec: model.JobSpec,
                  checkpoint: str, phase: RunPhase, now: float):
@@ -95,6 +99,7 @@
         self.end_reason: model.ReleaseReason | None = None
         self.was_lost_with_worker = False
         self.start_ordered_at: float | None = None
+        self.heartbeats_before_takeover: int | None = None
         self.last_seen_running_at = float("-inf")
         self.is_appending_end_record = False
         self.takeover_read_at = now
--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -186,6 +186,9 @@
             former_lease_timeout = (
                 self._freshness_limits.max_age_for_renewals +
                 self._timings.lease_length + leases.EXPIRY_MARGIN)
+            run.heartbeats_before_takeover = (
+                self._state_machine.count_heartbeats_before_takeover(
+                    (live_run.job_id, live_run.task)))
             run.former_lease_expiry_bound = (
                 now + former_lease_timeout.total_seconds())
         session = self._get_or_create_session(live_run.worker)
--- a/src/gentianlead/execution/tests/test_crashes.py
+++ b/src/gentianlead/execution/tests/test_crashes.py
@@ -162,14 +162,23 @@
         """Guards against evidence from a daemon that fails with a worker.
 
         The new holder does not know when the run started. The loss counts only
-        against a task that is a suspect already.
+        against a task that is a suspect already, or if the first holder failed
+        soon after the claim.
         """
-        for crash_count, reason in ((0, "not-started"), (1, "shared-crash")):
-            with self.subTest(crash_count=crash_count):
+        self.apply(model.MemberJoined("other", 0, "127.0.0.1:1"))
+        for crash_count, heartbeat_count, reason in (
+            (0, 6, "not-started"),
+            (0, 5, "shared-crash"),
+            (1, 6, "shared-crash"),
+        ):
+            with self.subTest(crash_count=crash_count,
+                              heartbeat_count=heartbeat_count):
                 self.claim(1, "other")
                 job = self.state_machine.jobs["job"]
                 for _ in range(crash_count):
                     job.record_crash(0, model.WorkerCrash("w9", True))
+                for _ in range(heartbeat_count):
+                    self.apply(model.MemberHeartbeat("other"))
                 self.boot_ids["w0"] = "boot-2"
                 run = job.last_run_numbers[0]
                 self.apply(model.HolderChanged("job", 0, run, "other", "me"))
--- a/src/gentianlead/state/_domain_state.py
+++ b/src/gentianlead/state/_domain_state.py
@@ -163,6 +163,11 @@
         self.runs: dict[TaskKey, LiveRun] = {}
         self.tombstones: collections.OrderedDict[str, _domain_job.Tombstone] = (
             collections.OrderedDict())
+        # These counts are not part of snapshots, so that older versions can
+        # load them. A run whose claim a snapshot contains has no count.
+        self._heartbeat_counts: dict[str, int] = {}
+        self._heartbeats_at_claim: dict[TaskKey, int] = {}
+        self._heartbeats_before_takeover: dict[TaskKey, int] = {}
         self._observers: list[DomainObserver] = []
         self._handlers_by_record_type = {
             model.MemberJoined: self._apply_member_joined,
@@ -209,6 +214,8 @@
                 "the member has not joined or was removed")
         self.members[record.member] = member._replace(
             last_heartbeat_offset=offset)
+        self._heartbeat_counts[record.member] = self._heartbeat_counts.get(
+            record.member, 0) + 1
         return _state_machine.ACCEPTED
 
     def _apply_member_left(
@@ -217,6 +224,7 @@
         del offset
         if self.members.pop(record.member, None) is None:
             return _state_machine.reject("the member has not joined")
+        self._heartbeat_counts.pop(record.member, None)
         return _state_machine.ACCEPTED
 
     def _apply_worker_put(
@@ -315,6 +323,8 @@
         worker.runs.add(task_key)
         job.live_tasks.add(record.task)
         job.last_run_numbers[record.task] = record.run
+        self._heartbeats_at_claim[task_key] = self._heartbeat_counts.get(
+            record.holder, 0)
         self._notify_run_changed(task_key, record.worker)
         return _state_machine.ACCEPTED
 
@@ -331,6 +341,8 @@
     def _remove_live_run(self, live_run: LiveRun) -> _domain_job.DomainJob:
         task_key = (live_run.job_id, live_run.task)
         del self.runs[task_key]
+        self._heartbeats_at_claim.pop(task_key, None)
+        self._heartbeats_before_takeover.pop(task_key, None)
         worker = self.workers[live_run.worker]
         worker.free = worker.free.plus(live_run.resources)
         worker.runs.discard(task_key)
@@ -387,11 +399,28 @@
             return _state_machine.reject("the run is not live")
         if live_run.holder != record.old_holder:
             return _state_machine.reject(f"the holder is {live_run.holder}")
+        self._heartbeats_before_takeover.pop(task_key, None)
+        heartbeats_at_claim = self._heartbeats_at_claim.pop(task_key, None)
+        heartbeat_count = self._heartbeat_counts.get(record.old_holder)
+        if heartbeats_at_claim is not None and heartbeat_count is not None:
+            self._heartbeats_before_takeover[task_key] = (heartbeat_count -
+                                                          heartbeats_at_claim)
         self.runs[task_key] = live_run._replace(
             holder=record.new_holder, fence_token=live_run.fence_token + 1)
         self._notify_run_changed(task_key, live_run.worker)
         return _state_machine.ACCEPTED
 
+    def count_heartbeats_before_takeover(self, key: TaskKey) -> int | None:
+        """Returns how long the first holder of a run lived after its claim.
+
+        Records carry no time, so the unit is a heartbeat of the holder. Returns
+        None if that is unknown or the run was not taken over exactly once.
+
+        Args:
+            key: Job id and index of the task.
+        """
+        return self._heartbeats_before_takeover.get(key)
+
     def _notify_worker_changed(self, worker: str) -> None:
         for observer in self._observers:
             observer.on_worker_changed(worker)
@@ -446,6 +475,9 @@
             self.jobs[serialized_job.spec.job_id] = _domain_job.restore_job(
                 serialized_job)
         self.runs = {}
+        self._heartbeat_counts.clear()
+        self._heartbeats_at_claim.clear()
+        self._heartbeats_before_takeover.clear()
         for run in serialized_state.runs:
             self._load_run(run)
         self.tombstones = collections.OrderedDict(serialized_state.tombstones)
