--- a/src/gentianlead/scheduling/_scheduler.py
+++ b/src/gentianlead/scheduling/_scheduler.py
@@ -307,6 +307,7 @@
         """
         starts: list[_decisions.PlannedStart] = []
         self._suspect_tasks.end_due_observations(now)
+        self._suspect_tasks.end_reservation()
         if not self._configuration.is_domain_in_service(self._domain):
             return starts
         for worker, group_key in self._reclaimer.take_ready_reservations(
--- a/src/gentianlead/scheduling/_suspects.py
+++ b/src/gentianlead/scheduling/_suspects.py
@@ -89,7 +89,7 @@
         state_machine.add_observer(self)
 
     def on_reset(self) -> None:
-        self._end_reservation()
+        self.end_reservation()
         for task_key in list(self._observations):
             self._drop_observation(task_key)
         self._start_after_by_task.clear()
@@ -135,7 +135,12 @@
         if observation is not None and not observation.is_over:
             self._domain_index.worker_index.include(observation.worker)
 
-    def _end_reservation(self) -> None:
+    def end_reservation(self) -> None:
+        """Lets tasks start on the reserved worker again, if there is one.
+
+        A daemon calls it while it is not the preferred scheduler, because it
+        then starts no suspects.
+        """
         if self._reservation is not None:
             self._domain_index.worker_index.include(self._reservation.worker)
             self._reservation = None
@@ -161,7 +166,7 @@
             return None
         task_key = self._choose_due_task(now)
         if task_key is None:
-            self._end_reservation()
+            self.end_reservation()
             return None
         resources = self._get_resources(task_key)
         self._update_reservation(task_key, resources, now)
@@ -176,7 +181,7 @@
             return task_key, worker.name
         if waited >= 2 * MAX_ISOLATION_WAIT:
             self._start_after_by_task[task_key] = now + MAX_DELAY
-            self._end_reservation()
+            self.end_reservation()
         return None
 
     def _get_resources(self, task_key: _decisions.TaskKey) -> model.Resources:
@@ -207,7 +212,7 @@
                 reservation.task_key != task_key or
                 reservation.worker not in worker_index.workers or
                 worker_index.count_exclusions(reservation.worker) > 1):
-            self._end_reservation()
+            self.end_reservation()
         if self._reservation is not None:
             return
         worker = min((worker for worker in worker_index.iterate_included()
@@ -238,7 +243,7 @@
 
     def record_start(self, start: _decisions.PlannedStart) -> None:
         """Begins the observation of a planned start of a suspect."""
-        self._end_reservation()
+        self.end_reservation()
         self._start_after_by_task.pop(start.task_key, None)
         self._observe(start.task_key, start.run, start.worker)
 
