--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -94,11 +94,12 @@
     def __init__(self,
                  *workers: ports.WorkerEntry,
                  now: float = 100.0,
-                 group: str = "north-1"):
+                 group: str = "north-1",
+                 epoch: int = EPOCH):
         timings = dispatch.GroupTimings(LEASE, TAKEOVER_WAIT, STOP_LIMIT)
         self.now = now
         self.interference = dispatch.InterferenceModel()
-        self.scheduler = dispatch.GroupScheduler(group, EPOCH, timings, now, 50,
+        self.scheduler = dispatch.GroupScheduler(group, epoch, timings, now, 50,
                                                  self.interference)
         for worker in workers:
             self.add_worker(worker)
@@ -157,6 +158,10 @@
             self.apply_start_outcome(order, ports.StartOutcome.STARTED)
         return orders
 
+    def flush(self) -> list[dispatch.ProgressRecord]:
+        """Returns the changed progress, which counts as stored at once."""
+        return self.scheduler.take_dirty_progress()
+
     def apply_start_outcome(self, order: dispatch.StartOrder,
                             outcome: ports.StartOutcome) -> None:
         """Applies a worker's reply that gives the outcome of a start order."""
