Give up tasks that crash the workers that start them

A run that is lost before a status report proves it makes its task a suspect. Suspects start on probation: counted in a stored record ahead of the order, on a worker that starts nothing else meanwhile. The job fails at the second crash if the evidence of that one is strong, at the fourth on any evidence. Records of the older form still decode.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -258,6 +258,7 @@
             else:
                 self._spawn(self._send_throttle(order))
         self._log_run_ends()
+        self._log_crash_events()
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
             self._flush_requested.set()
         if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
@@ -276,6 +277,20 @@
                             cause=ended_run.cause,
                             seconds=round(ended_run.seconds, 3))
 
+    def _log_crash_events(self) -> None:
+        events = self.scheduler.crashes.events
+        self.scheduler.crashes.events = []
+        for event in events:
+            self._metrics.crash_events.inc({"event": event.type.value})
+            self._log.write(event.type.value,
+                            group=self.group,
+                            job=event.task.job_id,
+                            task=tuple(event.task[1:]),
+                            run=event.run,
+                            worker=event.worker_id,
+                            detail=event.detail,
+                            crashes=event.crashes)
+
     def _send_report(self, now: float) -> None:
         self._last_report_at = now
         self._log_load(now)
@@ -331,6 +346,8 @@
                                       self._incarnation,
                                       self._heartbeat_number))
         await self._store_records(records)
+        if self.scheduler.mark_progress_stored(progress_records):
+            self._plan_requested.set()
         if workers_record is not None:
             self.scheduler.mark_workers_recorded(workers_record)
             self._plan_requested.set()
@@ -449,7 +466,10 @@
                             worker=worker.worker_id,
                             runs=len(worker.runs),
                             error=error)
-        self.scheduler.mark_unreachable(worker.worker_id)
+        self.scheduler.mark_unreachable(worker.worker_id,
+                                        self._clock.monotonic())
+        # The tasks that may have crashed the worker are stored at once.
+        self._flush_requested.set()
         self._plan_requested.set()
 
     # Orders to workers and requests for permits.
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -21,6 +21,9 @@
         start_order_seconds: Time in seconds from sending a start order to its
             reply.
         run_ends: Number of runs that ended, by cause.
+        crash_events: Number of decisions on tasks that may crash their workers,
+            by event: a crash was counted against a task, a probation began or
+            ended, or a task was given up.
         store_calls: Number of calls to the store, by operation and outcome.
             Appends that claim a leadership are not counted.
         topic_loads: Number of attempts to read the newest record of every key
@@ -55,6 +58,8 @@
         self.start_order_seconds = self._add_histogram(
             "start_order_seconds", "Duration of start orders")
         self.run_ends = self._add_counter("run_ends_total", "Ends of runs")
+        self.crash_events = self._add_counter(
+            "crash_events_total", "Decisions on tasks that crash workers")
         self.store_calls = self._add_counter("store_calls_total",
                                              "Calls to the store")
         self.topic_loads = self._add_counter(
--- /dev/null
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -0,0 +1,308 @@
+"""Attribution of lost workers to the runs that may have crashed them.
+
+A run that was lost with its worker before a status report showed that it had
+been running for `PROOF_DELAY` makes its task a suspect. The next start of a
+suspect is a probation (`_probation`), which clears the task or confirms the
+suspicion.
+"""
+
+import datetime
+import enum
+from typing import Iterable, NamedTuple
+
+from gentianlead import model
+from gentianlead import ports
+from gentianlead.dispatch import _records
+from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _suspicions
+from gentianlead.dispatch import _workers
+
+PROOF_DELAY = datetime.timedelta(milliseconds=500)
+"""A run that a status report lists this long after its start order, or later,
+does not crash its worker. A task that does so crashes it within milliseconds;
+the rest covers the delay of the order and of the report."""
+
+COMMON_CAUSE_WINDOW = datetime.timedelta(seconds=2)
+"""Losses of several workers within this time may have a common cause, such as a
+loss of power. Polls of silent workers fail within 1.7 s of each other."""
+
+LOSS_RETENTION = datetime.timedelta(seconds=20)
+"""Time for which losses are kept for comparison: longer than a lease."""
+
+
+class CrashEventType(enum.Enum):
+    """Kind of a `CrashEvent`; the value is the name of its log line."""
+
+    COUNTED = "crash-counted"
+    PROBATION_BEGUN = "probation-begun"
+    PROBATION_ENDED = "probation-ended"
+    GIVEN_UP = "task-given-up"
+
+
+class CrashEvent(NamedTuple):
+    """Decision on a task that may crash its workers, for the log.
+
+    Attributes:
+        type: What was decided.
+        task: The task; for a gang the one with index 0.
+        run: Number of the run that decided.
+        worker_id: Worker of the run, or empty.
+        detail: Evidence of a crash, or the result of a probation.
+        crashes: Number of crashes that count against the task.
+    """
+
+    type: CrashEventType
+    task: model.TaskKey
+    run: int
+    worker_id: str
+    detail: str
+    crashes: int
+
+
+class WorkerLoss(NamedTuple):
+    """Loss of a worker, as seen when its first call failed.
+
+    Attributes:
+        worker_id: The worker.
+        lost_at: Monotonic time in seconds of the failure.
+        is_leaving: Whether the worker had announced that it leaves.
+        suspects: Tasks with a run that may have caused the loss; a gang stands
+            as its first task.
+        has_probation: Whether one of them was on probation.
+    """
+
+    worker_id: str
+    lost_at: float
+    is_leaving: bool
+    suspects: frozenset[model.TaskKey]
+    has_probation: bool
+
+
+def get_blamed_task(run: _runs.Run) -> model.TaskKey:
+    """Returns the task that is blamed for a crash under a run.
+
+    All members of a gang share their run number, and are blamed as one.
+    """
+    return run.task._replace(index=0) if run.step.is_gang else run.task
+
+
+class CrashTracker:
+    """Counts crashes of workers against the tasks that may have caused them.
+
+    Attributes:
+        events: Decisions since the caller last emptied this list.
+    """
+
+    def __init__(self, jobs: dict[str, _runs.JobRun]):
+        self.events: list[CrashEvent] = []
+        self._jobs = jobs
+        self._losses: list[WorkerLoss] = []
+
+    def record_loss(self, worker: _workers.WorkerState,
+                    now: float) -> WorkerLoss:
+        """Records that a call to a worker failed, unless that is known.
+
+        Its unproven runs count as crashes without evidence until more is known,
+        so that the count outlives this leader.
+        """
+        for loss in self._losses:
+            if loss.worker_id == worker.worker_id:
+                return loss
+        unproven_runs = [
+            run for run in worker.runs.values() if not run.is_proven
+        ]
+        loss = WorkerLoss(worker.worker_id, now, worker.entry.is_draining,
+                          frozenset(map(get_blamed_task, unproven_runs)),
+                          any(run.is_on_probation for run in unproven_runs))
+        self._losses = [
+            *(old_loss for old_loss in self._losses
+              if now - old_loss.lost_at <= LOSS_RETENTION.total_seconds()), loss
+        ]
+        for run in () if loss.is_leaving else unproven_runs:
+            job = self._jobs.get(run.task.job_id)
+            if job is not None and not job.has_ended:
+                suspicion = job.get_suspicion(get_blamed_task(run))
+                if suspicion.add_unresolved(run.number):
+                    job.is_dirty = True
+        return loss
+
+    def withdraw_loss(self, worker_id: str) -> None:
+        """Forgets the loss of a worker that has replied again."""
+        self._losses = [
+            loss for loss in self._losses if loss.worker_id != worker_id
+        ]
+
+    def assess_loss(self, worker: _workers.WorkerState, is_replaced: bool,
+                    now: float) -> _suspicions.CrashEvidence | None:
+        """Returns the evidence that a lost worker gives against its suspects.
+
+        Args:
+            worker: The worker, whose runs have not been ended yet.
+            is_replaced: Whether another instance has replaced the worker;
+                otherwise it may only be cut off.
+            now: Present monotonic time in seconds.
+
+        Returns:
+            The evidence; None if the worker has left as announced.
+        """
+        loss = self.record_loss(worker, now)
+        if loss.is_leaving:
+            return None
+        if not is_replaced or len(loss.suspects) != 1:
+            return _suspicions.CrashEvidence.WEAK
+        for other_loss in self._losses:
+            if (other_loss.worker_id == loss.worker_id or
+                    other_loss.is_leaving or
+                    abs(other_loss.lost_at - loss.lost_at)
+                    > COMMON_CAUSE_WINDOW.total_seconds()):
+                continue
+            # Another probation, or another member of the same gang, explains
+            # its own loss.
+            if not other_loss.has_probation and not (loss.suspects &
+                                                     other_loss.suspects):
+                return _suspicions.CrashEvidence.WEAK
+        return _suspicions.CrashEvidence.STRONG
+
+    def prove_run(self, run: _runs.Run) -> None:
+        """Marks a run that did not crash its worker, and clears its task.
+
+        A gang is cleared once all its members are active and proven: one that
+        is not may have crashed its worker.
+        """
+        run.is_proven = True
+        job = self._jobs.get(run.task.job_id)
+        suspicion = job.find_suspicion(
+            get_blamed_task(run)) if job is not None else None
+        if suspicion is None or run.number <= suspicion.proven_run:
+            return
+        if run.step.is_gang:
+            sibling_runs = self._list_sibling_runs(job, run)
+            if (len(sibling_runs) + 1 < run.step.count or
+                    any(not other_run.is_proven for other_run in sibling_runs)):
+                return
+        if suspicion.is_active:
+            self._add_event(CrashEventType.PROBATION_ENDED, run, "survived",
+                            suspicion)
+            job.is_dirty = True
+        suspicion.clear(run.number)
+
+    def apply_end(self, run: _runs.Run, cause: ports.EndCause,
+                  evidence: _suspicions.CrashEvidence | None,
+                  now: float) -> None:
+        """Applies the end of a run, after `JobRun.apply_end`.
+
+        Args:
+            run: The run.
+            cause: Why it ended.
+            evidence: Evidence that it crashed its worker; None if the worker
+                stayed up or has left as announced.
+            now: Present monotonic time in seconds.
+        """
+        job = self._jobs.get(run.task.job_id)
+        if job is None:
+            return
+        if evidence is None and cause is ports.EndCause.DONE:
+            self.prove_run(run)
+            return
+        if run.is_proven:
+            return
+        task = get_blamed_task(run)
+        if evidence is None:
+            suspicion = job.find_suspicion(task)
+            # This leader may not know all members of an adopted gang.
+            if (suspicion is not None and
+                    not (run.step.is_gang and run.is_adopted) and
+                    not self._list_sibling_runs(job, run) and
+                    suspicion.remove_unresolved(run.number)):
+                job.is_dirty = True
+            return
+        if job.has_ended:
+            return
+        suspicion = job.get_suspicion(task)
+        if run.number <= suspicion.proven_run:
+            return
+        suspicion.add_crash(run.number, evidence, now)
+        job.is_dirty = True
+        self._add_event(CrashEventType.COUNTED, run, evidence.name.lower(),
+                        suspicion)
+        if run.is_on_probation:
+            self._add_event(CrashEventType.PROBATION_ENDED, run, "crashed",
+                            suspicion)
+        self.give_up_if_due(job, task, run)
+
+    def apply_unknown_end(self, job: _runs.JobRun,
+                          ended_run: ports.EndedRun) -> None:
+        """Applies the end of a run that this leader did not track.
+
+        Its worker is up, so the run did not crash it. Another member of a gang
+        may have crashed its own worker.
+        """
+        step_run = job.get_step(ended_run.task)
+        suspicion = job.find_suspicion(ended_run.task)
+        if (suspicion is not None and not step_run.step.is_gang and
+                suspicion.claimed_run != ended_run.run and
+                suspicion.remove_unresolved(ended_run.run)):
+            job.is_dirty = True
+
+    def give_up_if_due(self,
+                       job: _runs.JobRun,
+                       task: model.TaskKey,
+                       run: _runs.Run | None = None) -> bool:
+        """Fails a job if the evidence against one of its tasks suffices.
+
+        Returns:
+            Whether the job fails.
+        """
+        suspicion = job.find_suspicion(task)
+        if suspicion is None or not suspicion.should_give_up:
+            return False
+        job.set_state(model.JobState.FAILED)
+        self.events.append(
+            CrashEvent(CrashEventType.GIVEN_UP, task,
+                       run.number if run is not None else 0,
+                       run.worker_id if run is not None else "", "",
+                       len(suspicion.crashes)))
+        return True
+
+    def add_probation(self, run: _runs.Run,
+                      suspicion: _suspicions.Suspicion) -> None:
+        """Marks a run as a probation."""
+        run.is_on_probation = True
+        self._add_event(CrashEventType.PROBATION_BEGUN, run, "", suspicion)
+
+    def _add_event(self, event_type: CrashEventType, run: _runs.Run,
+                   detail: str, suspicion: _suspicions.Suspicion) -> None:
+        self.events.append(
+            CrashEvent(event_type, get_blamed_task(run), run.number,
+                       run.worker_id, detail, len(suspicion.crashes)))
+
+    @staticmethod
+    def _list_sibling_runs(job: _runs.JobRun,
+                           run: _runs.Run) -> list[_runs.Run]:
+        """Returns the other active runs of a gang with the same run number."""
+        if not run.step.is_gang:
+            return []
+        return [
+            other_run
+            for other_run in job.get_step(run.task).active_runs.values()
+            if other_run.number == run.number and other_run is not run
+        ]
+
+
+def mark_claims_stored(jobs: dict[str, _runs.JobRun],
+                       records: Iterable[_records.ProgressRecord]) -> bool:
+    """Marks the claimed starts in records that the caller has stored.
+
+    Returns:
+        Whether there are any, so that starts can be planned.
+    """
+    has_claim = False
+    for record in records:
+        job = jobs.get(record.job_id)
+        if job is None:
+            continue
+        for task_progress in record.unfinished_tasks:
+            step_run = job.steps[task_progress.occurrence, task_progress.step]
+            has_claim |= _suspicions.mark_claims_stored(step_run.suspicions,
+                                                        (task_progress,))
+    return has_claim
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -15,11 +15,13 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _workers
 
@@ -63,6 +65,8 @@
         queues: Queues of the configuration in force, by host and path prefix.
         interference: Estimated interference between images.
         timings: Durations that bound leases, takeovers and stops.
+        crashes: Counts crashes of workers against the tasks that may have
+            caused them.
     """
 
     def __init__(self, group: str, epoch: int, timings: _orders.GroupTimings,
@@ -85,6 +89,7 @@
         self._recorded_workers: set[str] = set()
         self.interference = interference
         self.timings = timings
+        self.crashes = _crashes.CrashTracker(self.jobs)
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
 
@@ -163,18 +168,19 @@
             del self.workers[worker_id]
         return removed_ids
 
-    def mark_unreachable(self, worker_id: str) -> None:
-        """Marks a worker as unreachable after a call without a usable reply."""
+    def mark_unreachable(self, worker_id: str, now: float) -> None:
+        """Marks a worker as unreachable after a status call without a reply."""
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.is_reachable = False
+            self.crashes.record_loss(worker, now)
 
     def remove_replaced_worker(self, worker_id: str, now: float) -> None:
         """Deletes a worker that a new instance has replaced, and ends its runs.
         """
         worker = self.workers.pop(worker_id, None)
         if worker is not None:
-            self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+            self._end_lost_runs(worker, True, now)
 
     def apply_status(self, worker_id: str, status: ports.WorkerStatus,
                      sent_at: float, now: float) -> None:
@@ -197,11 +203,12 @@
         if worker.born_ms != status.born_ms:
             if worker.born_ms > status.born_ms:
                 return  # A late reply of a former instance.
-            self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+            self._end_lost_runs(worker, True, now)
             worker.reset_after_replacement(status.born_ms)
         worker.update_clock(status.clock_ms, now)
         worker.last_status_at = now
         worker.is_reachable = True
+        self.crashes.withdraw_loss(worker_id)
         if worker.first_status_at is None:
             worker.first_status_at = now
             # A former leader may have renewed the lease just before this reply.
@@ -231,6 +238,8 @@
                 job.mark_task_done(ended_run.task)
             elif job is not None and ended_run.cause is ports.EndCause.FAILED:
                 job.count_failure(ended_run.task, ended_run.run)
+            if job is not None:
+                self.crashes.apply_unknown_end(job, ended_run)
             return
         duration_s = now - run.start_sent_at
         self.ended_runs.append(
@@ -246,6 +255,7 @@
         if job is not None:
             job.apply_end(run, ended_run.cause, ended_run.checkpoint or
                           run.checkpoint)
+            self.crashes.apply_end(run, ended_run.cause, None, now)
 
     def _apply_active_run(self, worker: _workers.WorkerState,
                           active_run: ports.ActiveRun, now: float) -> None:
@@ -258,6 +268,9 @@
             run.phase = _runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
+        if (not run.is_proven and now - run.start_sent_at
+                >= _crashes.PROOF_DELAY.total_seconds()):
+            self.crashes.prove_run(run)
         run.checkpoint = active_run.checkpoint or run.checkpoint
         run.latency_ms_or_cpu_millis = active_run.latency_ms_or_cpu_millis
         if active_run.percent != run.progress_percent:
@@ -284,6 +297,10 @@
         run.phase = _runs.RunPhase.RUNNING
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
+        run.is_adopted = True
+        suspicion = job.find_suspicion(_crashes.get_blamed_task(run))
+        run.is_on_probation = (suspicion is not None and
+                               run.number in suspicion.crashes)
         step_run.waiting_indexes.discard(active_run.task.index)
         step_run.active_runs[active_run.task.index] = run
         worker.runs[(active_run.task, active_run.run)] = run
@@ -299,10 +316,12 @@
                     run.confirmed_at > sent_at or run.phase
                     in (_runs.RunPhase.STARTING, _runs.RunPhase.UNKNOWN)):
                 continue
-            self._end_run(worker, run, ports.EndCause.LEASE_EXPIRED, now)
+            self._end_run(worker, run, None, now)
 
     def _end_run(self, worker: _workers.WorkerState, run: _runs.Run,
-                 cause: ports.EndCause, now: float) -> None:
+                 evidence: _suspicions.CrashEvidence | None,
+                 now: float) -> None:
+        cause = ports.EndCause.LEASE_EXPIRED
         worker.runs.pop((run.task, run.number), None)
         self.ended_runs.append(
             _orders.AppliedRunEnd(worker.worker_id, run.task, run.number,
@@ -310,11 +329,13 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             job.apply_end(run, cause, run.checkpoint)
+            self.crashes.apply_end(run, cause, evidence, now)
 
-    def _end_runs(self, worker: _workers.WorkerState, cause: ports.EndCause,
-                  now: float) -> None:
+    def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
+                       now: float) -> None:
+        evidence = self.crashes.assess_loss(worker, is_replaced, now)
         for run in list(worker.runs.values()):
-            self._end_run(worker, run, cause, now)
+            self._end_run(worker, run, evidence, now)
 
     # Jobs that the topic assigns to the group.
 
@@ -403,6 +424,11 @@
             run.phase = _runs.RunPhase.UNKNOWN
             run.start_attempts = max(run.start_attempts, MAX_START_ATTEMPTS)
             return
+        if run.start_attempts > 1:
+            # The replaced worker may have executed the earlier order.
+            self._end_run(worker, run,
+                          self.crashes.assess_loss(worker, True, now), now)
+            return
         self._apply_refusal(worker, run, outcome, now)
 
     def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
@@ -433,6 +459,7 @@
                 job.get_step(run.task).permits.discard_permit(
                     worker.worker_id, worker.born_ms)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
+            self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
                 job.last_run_number += RUN_NUMBERS_PER_EPOCH
 
@@ -487,7 +514,7 @@
         for worker in self.workers.values():
             if (worker.runs and not worker.is_reachable and
                     worker.is_lease_expired(now)):
-                self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+                self._end_lost_runs(worker, False, now)
 
     def mark_jobs_reconciled(self, now: float) -> None:
         """Marks all jobs as reconciled once every run that may exist is known.
@@ -516,6 +543,15 @@
                     job.build_progress(self.group, self.epoch))
         return progress_records
 
+    def mark_progress_stored(
+            self, records: Iterable[_records.ProgressRecord]) -> bool:
+        """Marks records of `take_dirty_progress` as stored.
+
+        Returns:
+            Whether starts waited for this.
+        """
+        return _crashes.mark_claims_stored(self.jobs, records)
+
     def list_movable_jobs(self) -> list[_runs.JobRun]:
         """Returns the jobs that may move to another group as a whole.
 
--- /dev/null
+++ b/src/gentianlead/dispatch/_probation.py
@@ -0,0 +1,148 @@
+"""Workers for the starts of tasks that may crash them.
+
+A suspect starts on a worker that is kept free of other new runs until the
+suspect is proven or has crashed it. A crash is then strong evidence, and few
+other runs are lost.
+"""
+
+import datetime
+from typing import Callable
+
+from gentianlead import model
+from gentianlead.dispatch import _crashes
+from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _placement
+from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _suspicions
+from gentianlead.dispatch import _workers
+
+MAX_PROBATION_SHARE = 1 / 3
+"""Share of a group's workers that may be kept for suspects; at least one worker
+may. The losses of the other workers show a common cause."""
+
+PREPARATION_LIMIT = datetime.timedelta(seconds=3)
+"""Time after which a worker that was kept for a suspect without a start is
+released, and the suspect counts as lacking capacity."""
+
+
+class ProbationPlanner:
+    """Keeps workers for suspects, and claims their starts."""
+
+    def __init__(self, state: _group_state.GroupState):
+        self._state = state
+        # Worker kept for each suspect, and the time since which it is kept.
+        self._preparations: dict[model.TaskKey, tuple[str, float]] = {}
+        self._kept_candidates: dict[str, _placement.Candidate] = {}
+        self._free_slots = 0
+
+    def begin_pass(self, candidates: dict[str, _placement.Candidate],
+                   now: float) -> None:
+        """Removes the workers that are kept for suspects from `candidates`."""
+        self._kept_candidates.clear()
+        used_slots = 0
+        for worker in self._state.workers.values():
+            if has_probation(worker):
+                candidates.pop(worker.worker_id, None)
+                used_slots += worker.is_reachable
+        for task, (worker_id, kept_since) in list(self._preparations.items()):
+            if (worker_id not in candidates or not self._is_waiting(task) or
+                    now - kept_since > PREPARATION_LIMIT.total_seconds()):
+                del self._preparations[task]
+        for worker_id, _ in self._preparations.values():
+            if worker_id in candidates:
+                self._kept_candidates[worker_id] = candidates.pop(worker_id)
+        usable_count = (len(candidates) + len(self._kept_candidates) +
+                        used_slots)
+        self._free_slots = (max(1, int(MAX_PROBATION_SHARE * usable_count)) -
+                            used_slots - len(self._kept_candidates))
+
+    def _is_waiting(self, task: model.TaskKey) -> bool:
+        job = self._state.jobs.get(task.job_id)
+        if (job is None or job.has_ended or
+                job.pending_move_number is not None):
+            return False
+        return task.index in job.get_step(task).waiting_indexes
+
+    def list_kept_candidates(
+            self, job: _runs.JobRun,
+            step_run: _runs.StepRun) -> list[_placement.Candidate]:
+        """Returns the workers that are kept for tasks of a step."""
+        return [
+            self._kept_candidates[worker_id]
+            for task, (worker_id, _) in self._preparations.items()
+            if task[:3] == (job.job.job_id, *step_run.key) and
+            worker_id in self._kept_candidates
+        ]
+
+    def has_free_slot(self) -> bool:
+        """Returns whether another worker may be kept for suspects."""
+        return self._free_slots > 0
+
+    def find_worker(self, task: model.TaskKey, step: model.Step,
+                    eligible_candidates: list[_placement.Candidate],
+                    task_counts: dict[str, int],
+                    fits: Callable[[_placement.Candidate], bool],
+                    now: float) -> _placement.Candidate | None:
+        """Returns the worker on which a suspect may start now.
+
+        Otherwise keeps a worker for it, unless enough workers are kept for
+        suspects. Prefers the worker on which a crash would cost least.
+
+        Args:
+            task: The task.
+            step: Its step.
+            eligible_candidates: Workers that may run the task.
+            task_counts: Number of tasks of the step by worker.
+            fits: Returns whether the task may start on a worker now.
+            now: Present monotonic time in seconds.
+        """
+        preparation = self._preparations.get(task)
+        if preparation is not None:
+            return next((candidate for candidate in eligible_candidates
+                         if candidate.worker.worker_id == preparation[0] and
+                         _is_prepared(candidate.worker) and fits(candidate)),
+                        None)
+        if self._free_slots <= 0:
+            return None
+        usable_candidates = [
+            candidate for candidate in eligible_candidates
+            if candidate.worker.worker_id not in self._kept_candidates and
+            (fits(candidate) or
+             _placement.may_fit_later(candidate, step, task_counts))
+        ]
+        if not usable_candidates:
+            return None
+        candidate = min(usable_candidates, key=_compute_cost)
+        self._preparations[task] = (candidate.worker.worker_id, now)
+        self._kept_candidates[candidate.worker.worker_id] = candidate
+        self._free_slots -= 1
+        if _is_prepared(candidate.worker) and fits(candidate):
+            return candidate
+        return None
+
+    def find_kept_worker_id(self, task: model.TaskKey) -> str:
+        """Returns the worker that is kept for a suspect, or an empty string."""
+        preparation = self._preparations.get(task)
+        return preparation[0] if preparation is not None else ""
+
+    def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion) -> None:
+        """Marks the run of a suspect that now starts as a probation."""
+        self._preparations.pop(_crashes.get_blamed_task(run), None)
+        self._state.crashes.add_probation(run, suspicion)
+
+
+def has_probation(worker: _workers.WorkerState) -> bool:
+    """Returns whether a run on a worker is on probation and not proven yet."""
+    return any(run.is_on_probation and not run.is_proven
+               for run in worker.runs.values())
+
+
+def _is_prepared(worker: _workers.WorkerState) -> bool:
+    return all(run.is_proven for run in worker.runs.values())
+
+
+def _compute_cost(candidate: _placement.Candidate) -> tuple:
+    runs = candidate.worker.runs.values()
+    return (sum(run.step.is_long_running or bool(run.step.tail_latency_limit_ms)
+                for run in runs), sum(not run.is_proven for run in runs),
+            len(runs), candidate.worker.worker_id)
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -59,8 +59,24 @@
     done_mask: str
 
 
+class CrashedRun(NamedTuple):
+    """Stores a run that counts as the crash of its worker.
+
+    Attributes:
+        run: Number of the run.
+        evidence: Value of a `_suspicions.CrashEvidence`. It is 0 for a run
+            whose outcome was not known; such a record may be older than the
+            run's start order.
+    """
+
+    run: int
+    evidence: int
+
+
 class TaskProgress(NamedTuple):
-    """Stores the failed runs and the checkpoint of a task that is not done.
+    """Stores the failed and crashed runs and the checkpoint of a task.
+
+    The task is not done.
 
     Attributes:
         occurrence: Number of the repetition of the job, from 0.
@@ -74,6 +90,11 @@
             them are needed to count each failure once: workers report the end
             of a run until it is acknowledged, also to a new leader, and
             different workers report in no common order.
+        crashed_runs: Runs that count as crashes of their workers; for a gang
+            those of all its members, with index 0.
+        proven_run: Highest number of a run that did not crash its worker; 0 if
+            no run was suspected before. Records of other groups may still have
+            lower numbers in `crashed_runs`, which do not count any more.
     """
 
     occurrence: int
@@ -83,6 +104,8 @@
     checkpoint: str
     highest_failed_run: int = 0
     failed_runs: tuple[int, ...] = ()
+    crashed_runs: tuple[CrashedRun, ...] = ()
+    proven_run: int = 0
 
 
 class ProgressRecord(NamedTuple):
@@ -97,8 +120,8 @@
             or knows of.
         done_tasks: Tasks that are done, one item for each step and occurrence
             that has any.
-        unfinished_tasks: Tasks that are not done and have failures or a
-            checkpoint.
+        unfinished_tasks: Tasks that are not done and have failures, crashes or
+            a checkpoint.
     """
 
     job_id: str
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -6,6 +6,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _permits
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 
 
@@ -57,13 +58,18 @@
             throttle order allows the run; 100 before the first order, and -1
             when the throttle at the worker is unknown.
         has_pending_order: Whether an order for the run awaits its reply.
+        is_proven: Whether the run has shown that it does not crash its worker.
+        is_on_probation: Whether the task was a suspect when the run started, so
+            that nothing else starts on the worker until the run is proven.
+        is_adopted: Whether a former leader started the run.
     """
 
     __slots__ = ("task", "step", "number", "worker_id", "phase",
                  "start_sent_at", "confirmed_at", "start_attempts",
                  "checkpoint", "progress_percent", "progressed_at",
                  "latency_ms_or_cpu_millis", "throttle_percent",
-                 "has_pending_order")
+                 "has_pending_order", "is_proven", "is_on_probation",
+                 "is_adopted")
 
     def __init__(self, task: model.TaskKey, step: model.Step, number: int,
                  worker_id: str, now: float):
@@ -81,6 +87,9 @@
         self.latency_ms_or_cpu_millis: int | None = None
         self.throttle_percent = 100
         self.has_pending_order = False
+        self.is_proven = False
+        self.is_on_probation = False
+        self.is_adopted = False
 
 
 class StepRun:
@@ -108,12 +117,14 @@
             until a long-running task of this step fits there, or empty.
         permits: Permits for the workers that may run the step, if its queue
             needs them.
+        suspicions: Crashes of workers that count against a task, by its index;
+            those of a gang have index 0.
     """
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
                  "last_failed_workers", "unplaced_since", "reserved_worker",
-                 "permits")
+                 "permits", "suspicions")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -128,12 +139,18 @@
         self.unplaced_since: float | None = None
         self.reserved_worker = ""
         self.permits = _permits.PermitCache()
+        self.suspicions: dict[int, _suspicions.Suspicion] = {}
 
     @property
     def is_done(self) -> bool:
         """Whether all tasks are done."""
         return len(self.done_indexes) == self.step.count
 
+    def is_suspect(self, index: int) -> bool:
+        """Returns whether a task, or its gang, may crash its workers."""
+        suspicion = self.suspicions.get(0 if self.step.is_gang else index)
+        return suspicion is not None and suspicion.is_active
+
     def count_runs_by_worker(self) -> dict[str, int]:
         """Returns the number of active runs by worker identifier."""
         run_counts: dict[str, int] = {}
@@ -209,6 +226,15 @@
         topic shows, and applies a cancellation.
         """
         is_cancelled = self.entry.is_cancelled or entry.is_cancelled
+        gained_indexes = {
+            index for index in range(len(entry.assignment))
+            if entry.has_task(self.group, index) and
+            not self.entry.has_task(self.group, index)
+        }
+        for progress in entry.progress_by_group.values():
+            for task_progress in progress.unfinished_tasks:
+                if task_progress.index in gained_indexes:
+                    self._restore_suspicion(task_progress)
         self.entry = entry._replace(is_cancelled=is_cancelled)
         # The move number shows whether the topic contains the move. The tasks
         # that are still assigned here do not: another group may have returned
@@ -226,6 +252,9 @@
             }
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
+        elif entry.state.is_final:
+            # A leader of another group has given up a task of the job.
+            self.set_state(entry.state)
 
     def _restore_progress(self, progress: _records.ProgressRecord) -> None:
         if not self.state.is_final and progress.state is not (
@@ -259,6 +288,14 @@
             if task_progress.checkpoint:
                 step_run.checkpoints[
                     task_progress.index] = task_progress.checkpoint
+            self._restore_suspicion(task_progress)
+
+    def _restore_suspicion(self, progress: _records.TaskProgress) -> None:
+        step_run = self.steps.get((progress.occurrence, progress.step))
+        if step_run is not None and (progress.crashed_runs or
+                                     progress.proven_run):
+            step_run.suspicions.setdefault(
+                progress.index, _suspicions.Suspicion()).restore(progress)
 
     def begin_move(self) -> int:
         """Begins a move of tasks; no task starts until the topic shows it.
@@ -323,6 +360,18 @@
             return None
         return step_run
 
+    def find_suspicion(self,
+                       task: model.TaskKey) -> _suspicions.Suspicion | None:
+        """Returns the crashes that count against a task, or None."""
+        step_run = self.get_step(task)
+        return (step_run.suspicions.get(task.index)
+                if step_run is not None else None)
+
+    def get_suspicion(self, task: model.TaskKey) -> _suspicions.Suspicion:
+        """Returns the crashes that count against a task of the job."""
+        return self.get_step(task).suspicions.setdefault(
+            task.index, _suspicions.Suspicion())
+
     def is_step_due(self, step_run: StepRun, now_ms: int) -> bool:
         """Returns whether a step may start now by dependencies and start time.
 
@@ -387,15 +436,17 @@
                     _records.DoneTasks(occurrence, index,
                                        format(done_mask, "x")))
             for i in sorted((set(step_run.failure_counts) |
-                             set(step_run.checkpoints)) -
-                            step_run.done_indexes):
+                             set(step_run.checkpoints) |
+                             set(step_run.suspicions)) - step_run.done_indexes):
                 failed_runs = step_run.failed_runs.get(i, ())
+                suspicion = step_run.suspicions.get(i)
                 unfinished_tasks.append(
-                    _records.TaskProgress(occurrence, index, i,
-                                          step_run.failure_counts.get(i, 0),
-                                          step_run.checkpoints.get(i, ""),
-                                          max(failed_runs, default=0),
-                                          tuple(sorted(failed_runs))))
+                    _records.TaskProgress(
+                        occurrence, index, i, step_run.failure_counts.get(i, 0),
+                        step_run.checkpoints.get(i, ""),
+                        max(failed_runs, default=0), tuple(sorted(failed_runs)),
+                        suspicion.list_crashed_runs() if suspicion else (),
+                        suspicion.proven_run if suspicion else 0))
         return _records.ProgressRecord(self.job.job_id, group, epoch,
                                        self.state, self.last_run_number,
                                        tuple(done_tasks),
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -7,7 +7,9 @@
 from gentianlead.dispatch import _step_priority
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
+from gentianlead.dispatch import _probation
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _workers
 
 IGNORE_SPARE_CPU_DELAY = datetime.timedelta(seconds=2)
@@ -44,6 +46,7 @@
         # task fits there as soon as enough of their short tasks have ended.
         self._reserved_workers: set[str] = set()
         self._is_busy = False
+        self._probation = _probation.ProbationPlanner(state)
 
     def plan(self, orders: list[_orders.Order], now: float,
              now_ms: int) -> None:
@@ -62,6 +65,7 @@
             candidate.free_cpu_millis for candidate in candidates.values())
         self._is_busy = (capacity_cpu_millis - free_cpu_millis
                          >= BUSY_RESERVED_SHARE * capacity_cpu_millis)
+        self._probation.begin_pass(candidates, now)
         unplaced_step_count = 0
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
@@ -190,6 +194,8 @@
             not (is_short and
                  candidate.worker.worker_id in self._reserved_workers)
         ]
+        kept_candidates = self._probation.list_kept_candidates(job, step_run)
+        eligible_candidates += kept_candidates
         if queue.needs_permit:
             eligible_candidates = self._list_permitted_workers(
                 job, step_run, eligible_candidates, orders, now)
@@ -199,6 +205,16 @@
             return self._start_gang(job, step_run, eligible_candidates,
                                     task_counts, candidates, orders, now)
         relaxation = self._choose_relaxation(job, step_run, now)
+        are_suspects_placed = self._start_suspects(job, step_run,
+                                                   eligible_candidates,
+                                                   task_counts, candidates,
+                                                   relaxation, orders, now)
+        if job.has_ended:
+            return True
+        eligible_candidates = [
+            candidate for candidate in eligible_candidates
+            if candidate.worker.worker_id in candidates
+        ]
         service_and_image = (service, step.image)
         is_unrelaxed_best_effort = (step.is_best_effort and
                                     relaxation is _placement.Relaxation.NORMAL)
@@ -207,6 +223,8 @@
                     service_and_image, step.cpu_millis + 1)):
             return False
         for index in sorted(step_run.waiting_indexes):
+            if step_run.is_suspect(index):
+                continue
             chosen_candidate = _placement.choose_worker(
                 eligible_candidates, step,
                 step_run.last_failed_workers.get(index, ""), task_counts,
@@ -230,7 +248,61 @@
                 if candidate.worker is worker else candidate
                 for candidate in eligible_candidates
             ]
-        return True
+        return are_suspects_placed
+
+    def _start_suspects(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                        eligible_candidates: list[_placement.Candidate],
+                        task_counts: dict[str, int],
+                        candidates: dict[str, _placement.Candidate],
+                        relaxation: _placement.Relaxation,
+                        orders: list[_orders.Order], now: float) -> bool:
+        """Starts waiting tasks that may crash their workers, on probation.
+
+        Removes the workers that are kept for them from `candidates`. Fails the
+        job if a task has to be given up.
+
+        Returns:
+            Whether no such task lacks capacity.
+        """
+        are_all_placed = True
+        for index in sorted(
+                filter(step_run.is_suspect, step_run.waiting_indexes)):
+            task = model.TaskKey(job.job.job_id, *step_run.key, index)
+            suspicion = job.get_suspicion(task)
+            if self._state.crashes.give_up_if_due(job, task):
+                return True
+            if now < suspicion.retry_at:
+                continue
+
+            def fits(candidate: _placement.Candidate) -> bool:
+                return _placement.choose_worker([candidate], step_run.step, "",
+                                                task_counts, None,
+                                                self._state.interference,
+                                                relaxation) is not None
+
+            candidate = self._probation.find_worker(task, step_run.step,
+                                                    eligible_candidates,
+                                                    task_counts, fits, now)
+            kept_worker_id = self._probation.find_kept_worker_id(task)
+            candidates.pop(kept_worker_id, None)
+            if not kept_worker_id and self._probation.has_free_slot():
+                are_all_placed = False
+            if candidate is None or not self._claim_run(job, suspicion):
+                continue
+            self._start_task(job, step_run, index, candidate.worker,
+                             suspicion.take_claim(), orders, now)
+            self._probation.begin(step_run.active_runs[index], suspicion)
+            task_counts[candidate.worker.worker_id] = task_counts.get(
+                candidate.worker.worker_id, 0) + 1
+        return are_all_placed
+
+    def _claim_run(self, job: _runs.JobRun,
+                   suspicion: _suspicions.Suspicion) -> bool:
+        """Counts the next start of a suspect ahead; returns whether stored."""
+        if not suspicion.claimed_run:
+            suspicion.claim(self._allocate_run_number(job))
+            job.is_dirty = True
+        return suspicion.is_claim_stored
 
     def _choose_relaxation(self, job: _runs.JobRun, step_run: _runs.StepRun,
                            now: float) -> _placement.Relaxation:
@@ -259,6 +331,14 @@
         step = step_run.step
         if step_run.active_runs:
             return False
+        suspicion = (step_run.suspicions[0] if step_run.is_suspect(0) else None)
+        if suspicion is not None:
+            if self._state.crashes.give_up_if_due(
+                    job, model.TaskKey(job.job.job_id, *step_run.key, 0)):
+                return True
+            if (now < suspicion.retry_at or
+                    not self._probation.has_free_slot()):
+                return True
         chosen_workers: list[_workers.WorkerState] = []
         rack_labels = None
         remaining_candidates = {
@@ -279,12 +359,22 @@
                 worker.worker_id, 0) + 1
             remaining_candidates[worker.worker_id] = _placement.subtract_task(
                 candidate, step)
-        run_number = self._allocate_run_number(job)
+        if suspicion is None:
+            run_number = self._allocate_run_number(job)
+        elif self._claim_run(job, suspicion):
+            run_number = suspicion.take_claim()
+        else:
+            return True
         for index, worker in enumerate(chosen_workers):
             self._start_task(job, step_run, index, worker, run_number, orders,
                              now)
+            if suspicion is not None:
+                self._probation.begin(step_run.active_runs[index], suspicion)
         for worker in chosen_workers:
             candidates[worker.worker_id] = _placement.build_candidate(worker)
+        if suspicion is not None:
+            for worker in chosen_workers:
+                candidates.pop(worker.worker_id, None)
         return True
 
     def _find_rack_labels(self,
