Weigh nearby losses by number; cover suspects with further tests

Two other losses without a known cause are now needed in groups of more than four workers. A suspect that fits nowhere counts as unplaced, so that relaxations and moves apply to it.

Tests: losses of power during probations, workers lost for good, cut or drained, claims ahead of orders, repeated orders, older records, moves of long-running tasks, and jobs given up by another group.

--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -39,6 +39,7 @@
 from gentianlead.dispatch._records import AcceptedRecord
 from gentianlead.dispatch._records import build_key
 from gentianlead.dispatch._records import CancelledRecord
+from gentianlead.dispatch._records import CrashedRun
 from gentianlead.dispatch._records import decode_record
 from gentianlead.dispatch._records import decode_value
 from gentianlead.dispatch._records import encode_record
--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -26,6 +26,10 @@
 """Losses of several workers within this time may have a common cause, such as a
 loss of power. Polls of silent workers fail within 1.7 s of each other."""
 
+COMMON_CAUSE_LOSSES = 2
+"""Other losses that point to a common cause; in groups of up to four workers a
+single one does. A loss of power takes all workers of a rack or domain."""
+
 LOSS_RETENTION = datetime.timedelta(seconds=20)
 """Time for which losses are kept for comparison: longer than a lease."""
 
@@ -133,6 +137,7 @@
         ]
 
     def assess_loss(self, worker: _workers.WorkerState, is_replaced: bool,
+                    worker_count: int,
                     now: float) -> _suspicions.CrashEvidence | None:
         """Returns the evidence that a lost worker gives against its suspects.
 
@@ -140,6 +145,7 @@
             worker: The worker, whose runs have not been ended yet.
             is_replaced: Whether another instance has replaced the worker;
                 otherwise it may only be cut off.
+            worker_count: Number of workers of the group.
             now: Present monotonic time in seconds.
 
         Returns:
@@ -150,19 +156,27 @@
             return None
         if not is_replaced or len(loss.suspects) != 1:
             return _suspicions.CrashEvidence.WEAK
-        for other_loss in self._losses:
-            if (other_loss.worker_id == loss.worker_id or
-                    other_loss.is_leaving or
-                    abs(other_loss.lost_at - loss.lost_at)
-                    > COMMON_CAUSE_WINDOW.total_seconds()):
-                continue
-            # Another probation, or another member of the same gang, explains
-            # its own loss.
-            if not other_loss.has_probation and not (loss.suspects &
-                                                     other_loss.suspects):
-                return _suspicions.CrashEvidence.WEAK
+        unexplained_count = sum(
+            self._has_unknown_cause(other_loss, loss)
+            for other_loss in self._losses)
+        if unexplained_count >= max(
+                1, min(COMMON_CAUSE_LOSSES, (worker_count - 1) // 2)):
+            return _suspicions.CrashEvidence.WEAK
         return _suspicions.CrashEvidence.STRONG
 
+    @staticmethod
+    def _has_unknown_cause(other_loss: WorkerLoss, loss: WorkerLoss) -> bool:
+        """Returns whether another loss may have the same external cause.
+
+        Another probation, or another member of the same gang, explains its own
+        loss.
+        """
+        return (other_loss.worker_id != loss.worker_id and
+                not other_loss.is_leaving and not other_loss.has_probation and
+                not loss.suspects & other_loss.suspects and
+                abs(other_loss.lost_at - loss.lost_at)
+                <= COMMON_CAUSE_WINDOW.total_seconds())
+
     def prove_run(self, run: _runs.Run) -> None:
         """Marks a run that did not crash its worker, and clears its task.
 
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -172,8 +172,9 @@
         """Marks a worker as unreachable after a status call without a reply."""
         worker = self.workers.get(worker_id)
         if worker is not None:
+            if worker.is_reachable or worker.runs:
+                self.crashes.record_loss(worker, now)
             worker.is_reachable = False
-            self.crashes.record_loss(worker, now)
 
     def remove_replaced_worker(self, worker_id: str, now: float) -> None:
         """Deletes a worker that a new instance has replaced, and ends its runs.
@@ -333,7 +334,8 @@
 
     def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
                        now: float) -> None:
-        evidence = self.crashes.assess_loss(worker, is_replaced, now)
+        evidence = self.crashes.assess_loss(worker, is_replaced,
+                                            len(self.workers), now)
         for run in list(worker.runs.values()):
             self._end_run(worker, run, evidence, now)
 
@@ -426,8 +428,10 @@
             return
         if run.start_attempts > 1:
             # The replaced worker may have executed the earlier order.
-            self._end_run(worker, run,
-                          self.crashes.assess_loss(worker, True, now), now)
+            self._end_run(
+                worker, run,
+                self.crashes.assess_loss(worker, True, len(self.workers), now),
+                now)
             return
         self._apply_refusal(worker, run, outcome, now)
 
--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -6,7 +6,7 @@
 """
 
 import datetime
-from typing import Callable
+from typing import Callable, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _crashes
@@ -25,6 +25,20 @@
 released, and the suspect counts as lacking capacity."""
 
 
+class ProbationChoice(NamedTuple):
+    """Worker for the next start of a suspect.
+
+    Attributes:
+        candidate: The worker if the suspect may start there now, else None.
+        kept_worker_id: Worker that is kept for the suspect, or empty.
+        is_unplaced: Whether the suspect waits for capacity.
+    """
+
+    candidate: _placement.Candidate | None
+    kept_worker_id: str
+    is_unplaced: bool
+
+
 class ProbationPlanner:
     """Keeps workers for suspects, and claims their starts."""
 
@@ -81,12 +95,13 @@
     def find_worker(self, task: model.TaskKey, step: model.Step,
                     eligible_candidates: list[_placement.Candidate],
                     task_counts: dict[str, int],
-                    fits: Callable[[_placement.Candidate], bool],
-                    now: float) -> _placement.Candidate | None:
-        """Returns the worker on which a suspect may start now.
+                    fits: Callable[[_placement.Candidate],
+                                   bool], now: float) -> ProbationChoice:
+        """Chooses the worker on which a suspect starts, and keeps it.
 
-        Otherwise keeps a worker for it, unless enough workers are kept for
-        suspects. Prefers the worker on which a crash would cost least.
+        No worker is kept if enough workers are kept for suspects. Prefers a
+        worker on which the task fits now, and then the one on which a crash
+        would cost least.
 
         Args:
             task: The task.
@@ -96,34 +111,33 @@
             fits: Returns whether the task may start on a worker now.
             now: Present monotonic time in seconds.
         """
-        preparation = self._preparations.get(task)
-        if preparation is not None:
-            return next((candidate for candidate in eligible_candidates
-                         if candidate.worker.worker_id == preparation[0] and
-                         _is_prepared(candidate.worker) and fits(candidate)),
-                        None)
-        if self._free_slots <= 0:
-            return None
-        usable_candidates = [
-            candidate for candidate in eligible_candidates
-            if candidate.worker.worker_id not in self._kept_candidates and
-            (fits(candidate) or
-             _placement.may_fit_later(candidate, step, task_counts))
-        ]
-        if not usable_candidates:
-            return None
-        candidate = min(usable_candidates, key=_compute_cost)
-        self._preparations[task] = (candidate.worker.worker_id, now)
-        self._kept_candidates[candidate.worker.worker_id] = candidate
-        self._free_slots -= 1
-        if _is_prepared(candidate.worker) and fits(candidate):
-            return candidate
-        return None
-
-    def find_kept_worker_id(self, task: model.TaskKey) -> str:
-        """Returns the worker that is kept for a suspect, or an empty string."""
-        preparation = self._preparations.get(task)
-        return preparation[0] if preparation is not None else ""
+        if task not in self._preparations:
+            if self._free_slots <= 0:
+                return ProbationChoice(None, "", False)
+            usable_candidates = [
+                candidate for candidate in eligible_candidates
+                if candidate.worker.worker_id not in self._kept_candidates and
+                (fits(candidate) or
+                 _placement.may_fit_later(candidate, step, task_counts))
+            ]
+            if not usable_candidates:
+                return ProbationChoice(None, "", True)
+            chosen_candidate = min(
+                usable_candidates,
+                key=lambda candidate:
+                (not fits(candidate), _compute_cost(candidate)))
+            worker_id = chosen_candidate.worker.worker_id
+            self._preparations[task] = (worker_id, now)
+            self._kept_candidates[worker_id] = chosen_candidate
+            self._free_slots -= 1
+        worker_id, _ = self._preparations[task]
+        candidate = next((candidate for candidate in eligible_candidates
+                          if candidate.worker.worker_id == worker_id), None)
+        if candidate is None or not _is_prepared(candidate.worker):
+            return ProbationChoice(None, worker_id, False)
+        if not fits(candidate):
+            return ProbationChoice(None, worker_id, True)
+        return ProbationChoice(candidate, worker_id, False)
 
     def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion) -> None:
         """Marks the run of a suspect that now starts as a probation."""
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -218,6 +218,8 @@
         service_and_image = (service, step.image)
         is_unrelaxed_best_effort = (step.is_best_effort and
                                     relaxation is _placement.Relaxation.NORMAL)
+        if all(map(step_run.is_suspect, step_run.waiting_indexes)):
+            return are_suspects_placed
         if (is_unrelaxed_best_effort and
                 step.cpu_millis >= self._least_unplaced_cpu_millis.get(
                     service_and_image, step.cpu_millis + 1)):
@@ -280,13 +282,13 @@
                                                 self._state.interference,
                                                 relaxation) is not None
 
-            candidate = self._probation.find_worker(task, step_run.step,
-                                                    eligible_candidates,
-                                                    task_counts, fits, now)
-            kept_worker_id = self._probation.find_kept_worker_id(task)
-            candidates.pop(kept_worker_id, None)
-            if not kept_worker_id and self._probation.has_free_slot():
+            choice = self._probation.find_worker(task, step_run.step,
+                                                 eligible_candidates,
+                                                 task_counts, fits, now)
+            candidates.pop(choice.kept_worker_id, None)
+            if choice.is_unplaced:
                 are_all_placed = False
+            candidate = choice.candidate
             if candidate is None or not self._claim_run(job, suspicion):
                 continue
             self._start_task(job, step_run, index, candidate.worker,
--- a/src/gentianlead/dispatch/tests/crashing.py
+++ b/src/gentianlead/dispatch/tests/crashing.py
@@ -104,6 +104,11 @@
                 self.driver.scheduler.mark_unreachable(worker_id,
                                                        self.driver.now)
 
+    def remove(self, worker_id: str) -> None:
+        """Crashes a worker that is not replaced."""
+        self.crash(worker_id)
+        del self.workers[worker_id]
+
     def change_leader(self, group: str = "north-1") -> None:
         """Replaces the leader by one that knows only what is stored.
 
@@ -157,8 +162,8 @@
         return sum(order.task == task for order in self.starts)
 
     def _start(self, order: dispatch.StartOrder) -> None:
-        worker = self.workers[order.worker_id]
-        if worker.crashed_at is not None:
+        worker = self.workers.get(order.worker_id)
+        if worker is None or worker.crashed_at is not None:
             self.driver.apply_start_outcome(order, ports.StartOutcome.UNKNOWN)
             return
         self.starts.append(order)
--- a/src/gentianlead/dispatch/tests/test_crashes.py
+++ b/src/gentianlead/dispatch/tests/test_crashes.py
@@ -4,6 +4,7 @@
 
 from gentianlead import dispatch
 from gentianlead import model
+from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import crashing
 
@@ -117,19 +118,78 @@
     def test_tasks_survive_losses_of_power(self):
         """Checks that three losses of all workers fail no job.
 
-        Each strikes when tasks have just been started. Guards against counting
-        a loss of power as a crash by each task.
+        Each strikes some time after the workers are back, while tasks have just
+        been started or are on probation. Guards against counting a loss of
+        power as a crash by each task.
         """
-        cluster = build_cluster()
+        for delay_s in (0.1, 0.3, 0.5, 0.7, 0.9, 1.3):
+            with self.subTest(delay_s=delay_s):
+                cluster = build_cluster(6)
+                job_ids = accept_healthy_jobs(cluster, 8)
+                for _ in range(3):
+                    cluster.run_for(delay_s)
+                    cluster.crash(*cluster.workers)
+                    cluster.run_for(3.0)
+                cluster.run_for(60.0)
+                self.assertEqual(
+                    {cluster.get_state(job_id) for job_id in job_ids},
+                    {model.JobState.COMPLETED})
+
+    def test_tasks_survive_workers_lost_for_good(self):
+        """Checks that jobs complete although workers vanish one by one.
+
+        Guards against counting the end of a lease like a confirmed crash.
+        """
+        cluster = build_cluster(6)
         job_ids = accept_healthy_jobs(cluster, 8)
-        for _ in range(3):
-            cluster.run_for(0.3)
-            cluster.crash(*cluster.workers)
-            cluster.run_for(3.0)
+        for number in range(4):
+            cluster.run_for(0.2)
+            cluster.remove(f"w{number}")
+            cluster.run_for(7.0)
         cluster.run_for(60.0)
         self.assertEqual({cluster.get_state(job_id) for job_id in job_ids},
                          {model.JobState.COMPLETED})
 
+    def test_reached_worker_withdraws_the_suspicion(self):
+        """Checks that nothing counts against a run on a worker that came back.
+
+        The worker was unreachable just after the start, and has kept running.
+        Guards against counting a short cut as a crash.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+        (order,) = driver.start_all()
+        driver.flush()
+        driver.scheduler.mark_unreachable("w1", driver.now)
+        (progress,) = driver.flush()
+        (task_progress,) = progress.unfinished_tasks
+        self.assertEqual(
+            [crashed.run for crashed in task_progress.crashed_runs],
+            [order.run])
+        driver.now += 1.0
+        driver.apply_status(running=(builders.build_active_run(order),))
+        (progress,) = driver.flush()
+        (task_progress,) = progress.unfinished_tasks
+        self.assertEqual((task_progress.crashed_runs, task_progress.proven_run),
+                         ((), order.run))
+
+    def test_leaving_worker_is_no_crash(self):
+        """Checks that a task of a worker that left as announced is no suspect.
+
+        Guards against delaying the tasks of drained workers.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+        (order,) = driver.start_all()
+        driver.scheduler.put_worker(
+            builders.build_worker(order.worker_id, is_draining=True))
+        driver.scheduler.mark_unreachable(order.worker_id, driver.now)
+        driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
+        self.assertEqual(len(driver.plan_starts()), 1)
+
     def test_task_survives_unrelated_crashes(self):
         """Checks that a task under which four workers crash late is kept.
 
@@ -214,3 +274,185 @@
         self.assertGreaterEqual(starts_before_move, 1)
         self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
         self.assertLessEqual(cluster.count_starts(DEADLY_TASK), 3)
+
+    def test_next_start_is_stored_ahead(self):
+        """Checks that a suspect starts only after its start is stored.
+
+        Guards against an order whose crash a successor cannot know of.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+        (order,) = driver.start_all()
+        driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
+        driver.now += 1.0
+        driver.apply_status("w2" if order.worker_id == "w1" else "w1")
+        self.assertEqual(driver.plan_starts(), [])
+        records = driver.scheduler.take_dirty_progress()
+        self.assertEqual(driver.plan_starts(), [])
+        self.assertTrue(driver.scheduler.mark_progress_stored(records))
+        (next_order,) = driver.plan_starts()
+        crashed_runs = records[0].unfinished_tasks[0].crashed_runs
+        self.assertEqual([crashed.run for crashed in crashed_runs],
+                         [order.run, next_order.run])
+
+    def test_repeated_order_to_a_replaced_worker_counts(self):
+        """Checks that a crash counts if the repeated order finds a new worker.
+
+        The first order got no reply. Guards against taking the refusal by the
+        new instance for a start that never happened.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+        (order,) = driver.plan_starts()
+        driver.apply_start_outcome(order, ports.StartOutcome.UNKNOWN)
+        (repeated_order,) = driver.plan_starts()
+        driver.apply_start_outcome(repeated_order,
+                                   ports.StartOutcome.WORKER_REPLACED)
+        (progress,) = driver.flush()
+        (task_progress,) = progress.unfinished_tasks
+        self.assertEqual(
+            [crashed.run for crashed in task_progress.crashed_runs],
+            [order.run])
+
+    def test_older_record_is_readable(self):
+        """Checks that progress without crashes and proven runs decodes.
+
+        Guards against jobs that stop when the daemons are upgraded.
+        """
+        stored = ports.KeyedRecord(
+            f"p/{DEADLY_JOB_ID}/north-1",
+            dispatch.encode_value((DEADLY_JOB_ID, "north-1", 64, "running", 7,
+                                   (), ((0, 0, 0, 1, "", 7, (7,)),))))
+        record = dispatch.decode_record(stored)
+        self.assertEqual(record.unfinished_tasks[0],
+                         dispatch.TaskProgress(0, 0, 0, 1, "", 7, (7,)))
+
+    def test_count_moves_with_a_long_running_task(self):
+        """Checks that a group learns the crashes of a task that moves to it.
+
+        The group already had another task of the job. Guards against a count
+        that only new jobs restore.
+        """
+        job = builders.build_job(DEADLY_JOB_ID,
+                                 builders.build_step(2, is_long_running=True),
+                                 assignment=("north-1", "north-2"))
+        entry = builders.build_job_entry(job)
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.scheduler.put_job(entry)
+        task_progress = dispatch.TaskProgress(0,
+                                              0,
+                                              1,
+                                              0,
+                                              "",
+                                              crashed_runs=(dispatch.CrashedRun(
+                                                  3, 2),))
+        driver.scheduler.put_job(
+            entry._replace(assignment=("north-1", "north-1"),
+                           progress_by_group={
+                               "north-2":
+                                   dispatch.ProgressRecord(
+                                       DEADLY_JOB_ID, "north-2", 64,
+                                       model.JobState.RUNNING, 3, (),
+                                       (task_progress,))
+                           }))
+        started_indexes = [order.task.index for order in driver.plan_starts()]
+        self.assertEqual(started_indexes, [0])
+
+    def test_job_given_up_elsewhere_ends_here(self):
+        """Checks that a group stops a job that another group has given up.
+
+        Guards against tasks that run on for a job that is shown as failed.
+        """
+        job = builders.build_job(DEADLY_JOB_ID,
+                                 builders.build_step(2, is_long_running=True),
+                                 assignment=("north-1", "north-2"))
+        entry = builders.build_job_entry(job)
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(entry)
+        (order,) = driver.start_all()
+        driver.scheduler.put_job(
+            entry._replace(
+                progress_by_group={
+                    "north-2":
+                        dispatch.ProgressRecord(DEADLY_JOB_ID, "north-2", 64,
+                                                model.JobState.FAILED)
+                }))
+        self.assertEqual([stop.task for stop in driver.plan_stops()],
+                         [order.task])
+
+
+class ProbationTest(unittest.TestCase):
+    """Tests where and beside what suspects start."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+        (order,) = self.driver.start_all()
+        self.driver.scheduler.remove_replaced_worker(order.worker_id,
+                                                     self.driver.now)
+        self.driver.add_worker(builders.build_worker("w3"))
+        self.driver.now += 1.0
+        for worker_id in self.driver.scheduler.workers:
+            self.driver.apply_status(worker_id)
+
+    def start_suspect(self) -> dispatch.StartOrder:
+        """Starts the suspect, and returns the order."""
+        self.driver.plan()
+        self.driver.flush()
+        (order,) = self.driver.start_all()
+        return order
+
+    def test_nothing_starts_beside_a_suspect(self):
+        """Checks that a worker starts nothing until its suspect is proven.
+
+        Guards against losing the runs of other tasks.
+        """
+        order = self.start_suspect()
+        accept_count = 30
+        for i in range(1, accept_count + 1):
+            self.driver.scheduler.put_job(
+                builders.build_job_entry(builders.build_job(f"{i:016x}")))
+        worker_ids = {other.worker_id for other in self.driver.start_all()}
+        self.assertEqual(len(worker_ids), 1)
+        self.assertNotIn(order.worker_id, worker_ids)
+        self.driver.now += 1.0
+        self.driver.apply_status(order.worker_id,
+                                 running=(builders.build_active_run(order),))
+        self.assertIn(order.worker_id,
+                      {other.worker_id for other in self.driver.plan_starts()})
+
+    def test_suspect_without_capacity_may_move(self):
+        """Checks that a suspect counts as lacking capacity where none fits.
+
+        Guards against a suspect that waits in a full group for ever.
+        """
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job("00000000000000aa",
+                                   builders.build_step(20, cpu_millis=1000))))
+        for worker in self.driver.scheduler.workers.values():
+            worker.entry = worker.entry._replace(cpu_millis=500)
+        self.driver.plan()
+        job = self.driver.scheduler.jobs[DEADLY_JOB_ID]
+        self.driver.now += 0.5
+        self.assertTrue(job.has_unplaced_tasks(self.driver.now, 0.4))
+
+    def test_reported_end_is_no_crash(self):
+        """Checks that a start which the worker refused does not count.
+
+        Guards against giving up a task whose orders are refused.
+        """
+        order = self.start_suspect()
+        self.driver.now += 0.1
+        self.driver.apply_status(order.worker_id,
+                                 ended=(builders.build_ended_run(
+                                     order, cause=ports.EndCause.STOPPED),))
+        (progress,) = self.driver.flush()
+        crashed_runs = progress.unfinished_tasks[0].crashed_runs
+        self.assertNotIn(order.run, [crashed.run for crashed in crashed_runs])
