Compare losses of workers by the times at which they may have occurred

Now any other loss that may have occurred within 0.3 s makes the evidence weak. A loss without a broken connection may have occurred at any time of the failed call. Probations start 0.4 s apart, so that two deadly ones are told apart.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -385,10 +385,10 @@
                 return
             try:
                 if worker.is_reachable:
-                    await self._request_status(worker)
+                    has_replied = await self._request_status(worker)
                 else:
                     async with self._unreachable_poll_slots:
-                        await self._request_status(worker)
+                        has_replied = await self._request_status(worker)
             except ports.StaleFencingTokenError as error:
                 self._log.write("fenced",
                                 group=self.group,
@@ -407,8 +407,7 @@
                 self._flush_requested.set()
                 self._plan_requested.set()
                 return
-            except errors.WorkerError as error:
-                self._apply_no_reply(worker, str(error))
+            if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
             if worker.last_applied_end_number > worker.last_stored_end_number:
@@ -420,7 +419,8 @@
                 except TimeoutError:
                     pass
 
-    async def _request_status(self, worker: dispatch.WorkerState) -> None:
+    async def _request_status(self, worker: dispatch.WorkerState) -> bool:
+        """Polls a worker once; returns whether it gave a usable reply."""
         sent_at = self._clock.monotonic()
         expires_at_ms = None
         # A worker may renew its lease although its reply is lost. The lease of
@@ -428,10 +428,19 @@
         if worker.born_ms and worker.is_reachable and self._is_start_allowed():
             expires_at_ms = worker.extend_lease(sent_at, self._lease_length)
         status_wait = _status_polls.choose_wait(worker)
-        status = await self._worker_client.poll_status(
-            worker.entry, self.epoch, worker.last_stored_end_number,
-            expires_at_ms, status_wait,
-            status_wait + _status_polls.STATUS_REPLY_ALLOWANCE)
+        reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
+        try:
+            status = await self._worker_client.poll_status(
+                worker.entry, self.epoch, worker.last_stored_end_number,
+                expires_at_ms, status_wait, reply_timeout)
+        except errors.WorkerError as error:
+            now = self._clock.monotonic()
+            # A worker that gives no reply may have been lost at any time
+            # during the call; a broken connection shows a loss at once.
+            is_silent = now - sent_at >= reply_timeout.total_seconds()
+            self._apply_no_reply(worker, str(error),
+                                 sent_at if is_silent else now)
+            return False
         self._metrics.status_requests.inc({"outcome": "ok"})
         self._unreachable_worker_ids.discard(worker.worker_id)
         if not worker.is_reachable:
@@ -455,8 +464,10 @@
                 },
                 paces=worker.throttles)
         self._plan_requested.set()
+        return True
 
-    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str) -> None:
+    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str,
+                        lost_since: float) -> None:
         self._metrics.status_requests.inc({"outcome": "failed"})
         worker_id = worker.worker_id
         if worker.is_reachable or worker_id not in self._unreachable_worker_ids:
@@ -467,7 +478,7 @@
                             runs=len(worker.runs),
                             error=error)
         self.scheduler.mark_unreachable(worker.worker_id,
-                                        self._clock.monotonic())
+                                        self._clock.monotonic(), lost_since)
         # The tasks that may have crashed the worker are stored at once.
         self._flush_requested.set()
         self._plan_requested.set()
--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -22,13 +22,10 @@
 does not crash its worker. A task that does so crashes it within milliseconds;
 the rest covers the delay of the order and of the report."""
 
-COMMON_CAUSE_WINDOW = datetime.timedelta(seconds=2)
+COMMON_CAUSE_WINDOW = datetime.timedelta(milliseconds=300)
 """Losses of several workers within this time may have a common cause, such as a
-loss of power. Polls of silent workers fail within 1.7 s of each other."""
-
-COMMON_CAUSE_LOSSES = 2
-"""Other losses that point to a common cause; in groups of up to four workers a
-single one does. A loss of power takes all workers of a rack or domain."""
+loss of power. It closes their connections within milliseconds of each other,
+but a busy leader may notice that later."""
 
 LOSS_RETENTION = datetime.timedelta(seconds=20)
 """Time for which losses are kept for comparison: longer than a lease."""
@@ -66,20 +63,22 @@
 class WorkerLoss(NamedTuple):
     """Loss of a worker, as seen when its first call failed.
 
+    Times are monotonic and in seconds.
+
     Attributes:
         worker_id: The worker.
-        lost_at: Monotonic time in seconds of the failure.
+        lost_since: Earliest time of the loss.
+        lost_at: Latest time of the loss, at which the call failed.
         is_leaving: Whether the worker had announced that it leaves.
         suspects: Tasks with a run that may have caused the loss; a gang stands
             as its first task.
-        has_probation: Whether one of them was on probation.
     """
 
     worker_id: str
+    lost_since: float
     lost_at: float
     is_leaving: bool
     suspects: frozenset[model.TaskKey]
-    has_probation: bool
 
 
 def get_blamed_task(run: _runs.Run) -> model.TaskKey:
@@ -102,12 +101,17 @@
         self._jobs = jobs
         self._losses: list[WorkerLoss] = []
 
-    def record_loss(self, worker: _workers.WorkerState,
+    def record_loss(self, worker: _workers.WorkerState, lost_since: float,
                     now: float) -> WorkerLoss:
-        """Records that a call to a worker failed, unless that is known.
+        """Records that a worker was lost, unless that is known.
 
         Its unproven runs count as crashes without evidence until more is known,
         so that the count outlives this leader.
+
+        Args:
+            worker: The worker.
+            lost_since: Earliest monotonic time of the loss in seconds.
+            now: Present monotonic time in seconds.
         """
         for loss in self._losses:
             if loss.worker_id == worker.worker_id:
@@ -115,9 +119,9 @@
         unproven_runs = [
             run for run in worker.runs.values() if not run.is_proven
         ]
-        loss = WorkerLoss(worker.worker_id, now, worker.entry.is_draining,
-                          frozenset(map(get_blamed_task, unproven_runs)),
-                          any(run.is_on_probation for run in unproven_runs))
+        loss = WorkerLoss(worker.worker_id, lost_since, now,
+                          worker.entry.is_draining,
+                          frozenset(map(get_blamed_task, unproven_runs)))
         self._losses = [
             *(old_loss for old_loss in self._losses
               if now - old_loss.lost_at <= LOSS_RETENTION.total_seconds()), loss
@@ -137,7 +141,6 @@
         ]
 
     def assess_loss(self, worker: _workers.WorkerState, is_replaced: bool,
-                    worker_count: int,
                     now: float) -> _suspicions.CrashEvidence | None:
         """Returns the evidence that a lost worker gives against its suspects.
 
@@ -145,37 +148,30 @@
             worker: The worker, whose runs have not been ended yet.
             is_replaced: Whether another instance has replaced the worker;
                 otherwise it may only be cut off.
-            worker_count: Number of workers of the group.
             now: Present monotonic time in seconds.
 
         Returns:
             The evidence; None if the worker has left as announced.
         """
-        loss = self.record_loss(worker, now)
+        last_status_at = worker.last_status_at
+        loss = self.record_loss(
+            worker, now if last_status_at is None else last_status_at, now)
         if loss.is_leaving:
             return None
         if not is_replaced or len(loss.suspects) != 1:
             return _suspicions.CrashEvidence.WEAK
-        unexplained_count = sum(
-            self._has_unknown_cause(other_loss, loss)
-            for other_loss in self._losses)
-        if unexplained_count >= max(
-                1, min(COMMON_CAUSE_LOSSES, (worker_count - 1) // 2)):
+        if any(
+                _may_have_common_cause(other_loss, loss)
+                for other_loss in self._losses):
             return _suspicions.CrashEvidence.WEAK
         return _suspicions.CrashEvidence.STRONG
 
-    @staticmethod
-    def _has_unknown_cause(other_loss: WorkerLoss, loss: WorkerLoss) -> bool:
-        """Returns whether another loss may have the same external cause.
-
-        Another probation, or another member of the same gang, explains its own
-        loss.
-        """
-        return (other_loss.worker_id != loss.worker_id and
-                not other_loss.is_leaving and not other_loss.has_probation and
-                not loss.suspects & other_loss.suspects and
-                abs(other_loss.lost_at - loss.lost_at)
-                <= COMMON_CAUSE_WINDOW.total_seconds())
+    def adopt_run(self, job: _runs.JobRun, run: _runs.Run) -> None:
+        """Marks a run that a former leader started, perhaps on probation."""
+        run.is_adopted = True
+        suspicion = job.find_suspicion(get_blamed_task(run))
+        run.is_on_probation = (suspicion is not None and
+                               run.number in suspicion.crashes)
 
     def prove_run(self, run: _runs.Run) -> None:
         """Marks a run that did not crash its worker, and clears its task.
@@ -303,6 +299,19 @@
         ]
 
 
+def _may_have_common_cause(other_loss: WorkerLoss, loss: WorkerLoss) -> bool:
+    """Returns whether something else may have caused two losses at once.
+
+    The members of a gang may all crash their workers.
+    """
+    window_s = COMMON_CAUSE_WINDOW.total_seconds()
+    return (other_loss.worker_id != loss.worker_id and
+            not other_loss.is_leaving and
+            not loss.suspects & other_loss.suspects and
+            other_loss.lost_since <= loss.lost_at + window_s and
+            loss.lost_since <= other_loss.lost_at + window_s)
+
+
 def mark_claims_stored(jobs: dict[str, _runs.JobRun],
                        records: Iterable[_records.ProgressRecord]) -> bool:
     """Marks the claimed starts in records that the caller has stored.
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -168,12 +168,19 @@
             del self.workers[worker_id]
         return removed_ids
 
-    def mark_unreachable(self, worker_id: str, now: float) -> None:
-        """Marks a worker as unreachable after a status call without a reply."""
+    def mark_unreachable(self,
+                         worker_id: str,
+                         now: float,
+                         lost_since: float | None = None) -> None:
+        """Marks a worker as unreachable after a status call without a reply.
+
+        The worker was lost at `lost_since` or later; None stands for `now`.
+        """
         worker = self.workers.get(worker_id)
         if worker is not None:
             if worker.is_reachable or worker.runs:
-                self.crashes.record_loss(worker, now)
+                self.crashes.record_loss(
+                    worker, now if lost_since is None else lost_since, now)
             worker.is_reachable = False
 
     def remove_replaced_worker(self, worker_id: str, now: float) -> None:
@@ -298,10 +305,7 @@
         run.phase = _runs.RunPhase.RUNNING
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
-        run.is_adopted = True
-        suspicion = job.find_suspicion(_crashes.get_blamed_task(run))
-        run.is_on_probation = (suspicion is not None and
-                               run.number in suspicion.crashes)
+        self.crashes.adopt_run(job, run)
         step_run.waiting_indexes.discard(active_run.task.index)
         step_run.active_runs[active_run.task.index] = run
         worker.runs[(active_run.task, active_run.run)] = run
@@ -334,8 +338,7 @@
 
     def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
                        now: float) -> None:
-        evidence = self.crashes.assess_loss(worker, is_replaced,
-                                            len(self.workers), now)
+        evidence = self.crashes.assess_loss(worker, is_replaced, now)
         for run in list(worker.runs.values()):
             self._end_run(worker, run, evidence, now)
 
@@ -428,10 +431,8 @@
             return
         if run.start_attempts > 1:
             # The replaced worker may have executed the earlier order.
-            self._end_run(
-                worker, run,
-                self.crashes.assess_loss(worker, True, len(self.workers), now),
-                now)
+            self._end_run(worker, run,
+                          self.crashes.assess_loss(worker, True, now), now)
             return
         self._apply_refusal(worker, run, outcome, now)
 
--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -20,6 +20,10 @@
 """Share of a group's workers that may be kept for suspects; at least one worker
 may. The losses of the other workers show a common cause."""
 
+PROBATION_INTERVAL = datetime.timedelta(milliseconds=400)
+"""Time between the starts of two probations. It is longer than the window in
+which losses may have a common cause, so that two crashes are told apart."""
+
 PREPARATION_LIMIT = datetime.timedelta(seconds=3)
 """Time after which a worker that was kept for a suspect without a start is
 released, and the suspect counts as lacking capacity."""
@@ -48,6 +52,7 @@
         self._preparations: dict[model.TaskKey, tuple[str, float]] = {}
         self._kept_candidates: dict[str, _placement.Candidate] = {}
         self._free_slots = 0
+        self._next_start_at = 0.0
 
     def begin_pass(self, candidates: dict[str, _placement.Candidate],
                    now: float) -> None:
@@ -88,10 +93,6 @@
             worker_id in self._kept_candidates
         ]
 
-    def has_free_slot(self) -> bool:
-        """Returns whether another worker may be kept for suspects."""
-        return self._free_slots > 0
-
     def find_worker(self, task: model.TaskKey, step: model.Step,
                     eligible_candidates: list[_placement.Candidate],
                     task_counts: dict[str, int],
@@ -137,11 +138,19 @@
             return ProbationChoice(None, worker_id, False)
         if not fits(candidate):
             return ProbationChoice(None, worker_id, True)
+        if now < self._next_start_at:
+            return ProbationChoice(None, worker_id, False)
         return ProbationChoice(candidate, worker_id, False)
 
-    def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion) -> None:
+    def may_start_gang(self, now: float) -> bool:
+        """Returns whether a gang may start on probation now."""
+        return self._free_slots > 0 and now >= self._next_start_at
+
+    def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion,
+              now: float) -> None:
         """Marks the run of a suspect that now starts as a probation."""
         self._preparations.pop(_crashes.get_blamed_task(run), None)
+        self._next_start_at = now + PROBATION_INTERVAL.total_seconds()
         self._state.crashes.add_probation(run, suspicion)
 
 
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -293,7 +293,7 @@
                 continue
             self._start_task(job, step_run, index, candidate.worker,
                              suspicion.take_claim(), orders, now)
-            self._probation.begin(step_run.active_runs[index], suspicion)
+            self._probation.begin(step_run.active_runs[index], suspicion, now)
             task_counts[candidate.worker.worker_id] = task_counts.get(
                 candidate.worker.worker_id, 0) + 1
         return are_all_placed
@@ -339,7 +339,7 @@
                     job, model.TaskKey(job.job.job_id, *step_run.key, 0)):
                 return True
             if (now < suspicion.retry_at or
-                    not self._probation.has_free_slot()):
+                    not self._probation.may_start_gang(now)):
                 return True
         chosen_workers: list[_workers.WorkerState] = []
         rack_labels = None
@@ -371,7 +371,8 @@
             self._start_task(job, step_run, index, worker, run_number, orders,
                              now)
             if suspicion is not None:
-                self._probation.begin(step_run.active_runs[index], suspicion)
+                self._probation.begin(step_run.active_runs[index], suspicion,
+                                      now)
         for worker in chosen_workers:
             candidates[worker.worker_id] = _placement.build_candidate(worker)
         if suspicion is not None:
