Start tasks of a shared loss without probation; keep losses by instance

A loss of power makes each run of its last half second a suspect, and probations of dozens of tasks would take a group ten seconds or more. When two other workers were lost at about the same time, the evidence is now 'shared': the start is still stored ahead, but needs no worker of its own. A loss stays on record when another instance takes over its id.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -27,6 +27,9 @@
 loss of power. It closes their connections within milliseconds of each other,
 but a busy leader may notice that later."""
 
+SHARED_LOSSES = 2
+"""Number of other losses at about the same time that show a common cause."""
+
 LOSS_RETENTION = datetime.timedelta(seconds=20)
 """Time for which losses are kept for comparison: longer than a lease."""
 
@@ -67,6 +70,7 @@
 
     Attributes:
         worker_id: The worker.
+        born_ms: Start time of its instance in milliseconds since 1970.
         lost_since: Earliest time of the loss.
         lost_at: Latest time of the loss, at which the call failed.
         is_leaving: Whether the worker had announced that it leaves.
@@ -75,6 +79,7 @@
     """
 
     worker_id: str
+    born_ms: int
     lost_since: float
     lost_at: float
     is_leaving: bool
@@ -114,12 +119,13 @@
             now: Present monotonic time in seconds.
         """
         for loss in self._losses:
-            if loss.worker_id == worker.worker_id:
+            if (loss.worker_id, loss.born_ms) == (worker.worker_id,
+                                                  worker.born_ms):
                 return loss
         unproven_runs = [
             run for run in worker.runs.values() if not run.is_proven
         ]
-        loss = WorkerLoss(worker.worker_id, lost_since, now,
+        loss = WorkerLoss(worker.worker_id, worker.born_ms, lost_since, now,
                           worker.entry.is_draining,
                           frozenset(map(get_blamed_task, unproven_runs)))
         self._losses = [
@@ -134,10 +140,12 @@
                     job.is_dirty = True
         return loss
 
-    def withdraw_loss(self, worker_id: str) -> None:
-        """Forgets the loss of a worker that has replied again."""
+    def withdraw_loss(self, worker: _workers.WorkerState) -> None:
+        """Forgets the loss of a worker of which the same instance replied."""
         self._losses = [
-            loss for loss in self._losses if loss.worker_id != worker_id
+            loss for loss in self._losses
+            if (loss.worker_id, loss.born_ms) != (worker.worker_id,
+                                                  worker.born_ms)
         ]
 
     def assess_loss(self, worker: _workers.WorkerState, is_replaced: bool,
@@ -158,11 +166,12 @@
             worker, now if last_status_at is None else last_status_at, now)
         if loss.is_leaving:
             return None
-        if not is_replaced or len(loss.suspects) != 1:
-            return _suspicions.CrashEvidence.WEAK
-        if any(
-                _may_have_common_cause(other_loss, loss)
-                for other_loss in self._losses):
+        nearby_count = sum(
+            _may_have_common_cause(other_loss, loss)
+            for other_loss in self._losses)
+        if nearby_count >= SHARED_LOSSES:
+            return _suspicions.CrashEvidence.SHARED
+        if nearby_count or not is_replaced or len(loss.suspects) != 1:
             return _suspicions.CrashEvidence.WEAK
         return _suspicions.CrashEvidence.STRONG
 
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -5,14 +5,16 @@
 each order.
 """
 
-from typing import Callable
+from typing import Callable, Iterable
 
 from gentianlead.dispatch import _admission
+from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _orders
+from gentianlead.dispatch import _records
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _starting
@@ -105,6 +107,15 @@
                         _orders.ThrottleOrder(worker.worker_id, run.task,
                                               run.number, throttle_percent))
 
+    def mark_progress_stored(
+            self, records: Iterable[_records.ProgressRecord]) -> bool:
+        """Marks records of `take_dirty_progress` as stored.
+
+        Returns:
+            Whether starts waited for this.
+        """
+        return _crashes.mark_claims_stored(self.jobs, records)
+
     def summarize(self, now: float) -> _load.GroupSummary:
         """Returns a summary of the group for the log."""
         return _load.summarize_group(list(self.workers.values()),
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -211,12 +211,13 @@
         if worker.born_ms != status.born_ms:
             if worker.born_ms > status.born_ms:
                 return  # A late reply of a former instance.
-            self._end_lost_runs(worker, True, now)
+            if worker.born_ms:
+                self._end_lost_runs(worker, True, now)
             worker.reset_after_replacement(status.born_ms)
         worker.update_clock(status.clock_ms, now)
         worker.last_status_at = now
         worker.is_reachable = True
-        self.crashes.withdraw_loss(worker_id)
+        self.crashes.withdraw_loss(worker)
         if worker.first_status_at is None:
             worker.first_status_at = now
             # A former leader may have renewed the lease just before this reply.
@@ -548,15 +549,6 @@
                     job.build_progress(self.group, self.epoch))
         return progress_records
 
-    def mark_progress_stored(
-            self, records: Iterable[_records.ProgressRecord]) -> bool:
-        """Marks records of `take_dirty_progress` as stored.
-
-        Returns:
-            Whether starts waited for this.
-        """
-        return _crashes.mark_claims_stored(self.jobs, records)
-
     def list_movable_jobs(self) -> list[_runs.JobRun]:
         """Returns the jobs that may move to another group as a whole.
 
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -218,14 +218,14 @@
         service_and_image = (service, step.image)
         is_unrelaxed_best_effort = (step.is_best_effort and
                                     relaxation is _placement.Relaxation.NORMAL)
-        if all(map(step_run.is_suspect, step_run.waiting_indexes)):
+        if all(map(step_run.needs_probation, step_run.waiting_indexes)):
             return are_suspects_placed
         if (is_unrelaxed_best_effort and
                 step.cpu_millis >= self._least_unplaced_cpu_millis.get(
                     service_and_image, step.cpu_millis + 1)):
             return False
         for index in sorted(step_run.waiting_indexes):
-            if step_run.is_suspect(index):
+            if step_run.needs_probation(index):
                 continue
             chosen_candidate = _placement.choose_worker(
                 eligible_candidates, step,
@@ -236,9 +236,14 @@
                     self._least_unplaced_cpu_millis[
                         service_and_image] = step.cpu_millis
                 return False
+            run_number = self._choose_run_number(job, step_run, index, now)
+            if job.has_ended:
+                return True
+            if not run_number:
+                continue
             worker = chosen_candidate.worker
-            self._start_task(job, step_run, index, worker,
-                             self._allocate_run_number(job), orders, now)
+            self._start_task(job, step_run, index, worker, run_number, orders,
+                             now)
             if step.prefers_same_rack and rack_labels is None:
                 rack_labels = worker.entry.labels
             relaxation = _placement.Relaxation.NORMAL
@@ -268,7 +273,7 @@
         """
         are_all_placed = True
         for index in sorted(
-                filter(step_run.is_suspect, step_run.waiting_indexes)):
+                filter(step_run.needs_probation, step_run.waiting_indexes)):
             task = model.TaskKey(job.job.job_id, *step_run.key, index)
             suspicion = job.get_suspicion(task)
             if self._state.crashes.give_up_if_due(job, task):
@@ -298,6 +303,19 @@
                 candidate.worker.worker_id, 0) + 1
         return are_all_placed
 
+    def _choose_run_number(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                           index: int, now: float) -> int:
+        """Returns the number of a start without probation; 0 to start later."""
+        suspicion = step_run.suspicions.get(index)
+        if suspicion is None or not suspicion.is_active:
+            return self._allocate_run_number(job)
+        task = model.TaskKey(job.job.job_id, *step_run.key, index)
+        if (self._state.crashes.give_up_if_due(job, task) or
+                now < suspicion.retry_at or
+                not self._claim_run(job, suspicion)):
+            return 0
+        return suspicion.take_claim()
+
     def _claim_run(self, job: _runs.JobRun,
                    suspicion: _suspicions.Suspicion) -> bool:
         """Counts the next start of a suspect ahead; returns whether stored."""
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -30,14 +30,18 @@
     Attributes:
         UNRESOLVED: The start was stored ahead, or the worker is not reachable;
             the outcome is not known.
-        WEAK: The worker was lost, but other runs or losses may be the cause.
+        SHARED: Several other workers were lost at about the same time, so the
+            cause is probably another one.
+        WEAK: The worker was lost, but other runs, a cut or another loss may be
+            the cause.
         STRONG: The worker restarted, it was lost alone, and no other task was
             started there shortly before.
     """
 
     UNRESOLVED = 0
-    WEAK = 1
-    STRONG = 2
+    SHARED = 1
+    WEAK = 2
+    STRONG = 3
 
 
 class Suspicion:
@@ -69,6 +73,13 @@
         """Whether the task may be one that crashes its workers."""
         return bool(self.crashes)
 
+    @property
+    def needs_probation(self) -> bool:
+        """Whether the next start needs a worker that is kept for it."""
+        return any(evidence is not CrashEvidence.SHARED
+                   for run, evidence in self.crashes.items()
+                   if run != self.claimed_run)
+
     @property
     def should_give_up(self) -> bool:
         """Whether the evidence suffices to give up the task."""
