Test how nearby losses weaken the evidence against a task

Covers losses a second apart, a silent worker whose loss may have been earlier, an instance that returns under the same identifier, and tasks of a loss of power, which restart without a worker of their own.

--- a/src/gentianlead/dispatch/tests/test_crashes.py
+++ b/src/gentianlead/dispatch/tests/test_crashes.py
@@ -478,3 +478,81 @@
         (progress,) = self.driver.flush()
         crashed_runs = progress.unfinished_tasks[0].crashed_runs
         self.assertNotIn(order.run, [crashed.run for crashed in crashed_runs])
+
+
+class EvidenceTest(unittest.TestCase):
+    """Tests how nearby losses weaken the evidence of a crash.
+
+    Each of four workers has one run that has just been started.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(*(
+            builders.build_worker(f"w{i}", cpu_millis=1000) for i in range(4)))
+        self.driver.scheduler.put_job(
+            builders.build_job_entry(
+                builders.build_job(DEADLY_JOB_ID, builders.build_step(4))))
+        self.orders = {
+            order.worker_id: order for order in self.driver.start_all()
+        }
+
+    def find_evidence(self, worker_id: str) -> str:
+        """Ends the runs of a replaced worker; returns the counted evidence."""
+        self.driver.scheduler.crashes.events.clear()
+        self.driver.scheduler.remove_replaced_worker(worker_id, self.driver.now)
+        (event,) = self.driver.scheduler.crashes.events
+        return event.detail
+
+    def test_lone_loss_is_strong_evidence(self):
+        """Checks the evidence if losses are one second apart.
+
+        Guards against weak evidence while several deadly tasks run.
+        """
+        self.driver.scheduler.mark_unreachable("w0", self.driver.now)
+        self.driver.now += 1.0
+        self.driver.scheduler.mark_unreachable("w1", self.driver.now)
+        self.assertEqual(self.find_evidence("w0"), "strong")
+
+    def test_silent_loss_may_have_been_earlier(self):
+        """Checks the evidence beside a worker that was silent for a while.
+
+        It may have been lost together with the other one. Guards against a loss
+        of power that closes some connections only.
+        """
+        self.driver.scheduler.mark_unreachable("w0", self.driver.now)
+        self.driver.now += 1.0
+        self.driver.scheduler.mark_unreachable("w1", self.driver.now,
+                                               self.driver.now - 1.5)
+        self.assertEqual(self.find_evidence("w0"), "weak")
+
+    def test_instance_under_the_same_id_keeps_the_loss(self):
+        """Checks the evidence after the other lost worker is back.
+
+        Its new instance has the same identifier. Guards against forgetting the
+        first of two losses with one cause.
+        """
+        self.driver.scheduler.mark_unreachable("w0", self.driver.now)
+        self.driver.scheduler.mark_unreachable("w1", self.driver.now)
+        self.driver.apply_status("w1", born_ms=builders.INSTANCE_START_MS + 1)
+        self.assertEqual(self.find_evidence("w0"), "weak")
+
+    def test_shared_loss_needs_no_probation(self):
+        """Checks that tasks of a loss of power restart without probation.
+
+        They start at once when their starts are stored, several on a worker.
+        Guards against dozens of tasks that wait for a worker of their own.
+        """
+        for worker_id in ("w0", "w1", "w2"):
+            self.driver.scheduler.mark_unreachable(worker_id, self.driver.now)
+        for worker_id in ("w0", "w1", "w2"):
+            self.assertEqual(self.find_evidence(worker_id), "shared")
+        self.driver.add_worker(builders.build_worker("w4"))
+        self.driver.now += 1.0
+        self.driver.apply_status("w4")
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.flush()
+        self.assertEqual(
+            {(order.worker_id, order.task)
+             for order in self.driver.plan_starts()},
+            {("w4", self.orders[worker_id].task)
+             for worker_id in ("w0", "w1", "w2")})
