--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -19,6 +19,7 @@
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _report_sender
+from gentianlead.cluster import _takeover_wait
 
 ELECTION_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which this daemon checks which groups it should start to lead."""
@@ -300,9 +301,9 @@
             process_ended_at = dispatch.find_process_end(
                 leader_entry.former, job_table.members)
             leader.scheduler.limit_takeover_wait(
-                _group_leader.compute_takeover_end(self._get_lease_length(),
-                                                   leader_entry.former,
-                                                   process_ended_at))
+                _takeover_wait.compute_takeover_end(self._get_lease_length(),
+                                                    leader_entry.former,
+                                                    process_ended_at))
 
     def _get_lease_length(self) -> datetime.timedelta:
         return min(self._settings.max_lease, _group_leader.MAX_LEASE)
@@ -389,9 +390,9 @@
                         offset=leadership_offset,
                         reason=takeover_reason)
         lease_length = self._get_lease_length()
-        takeover_wait = (_group_leader.START_PERMISSION_PERIOD +
-                         lease_length * _group_leader.CLOCK_DRIFT_FACTOR +
-                         _group_leader.TAKEOVER_MARGIN)
+        takeover_wait = (_takeover_wait.START_PERMISSION_PERIOD +
+                         lease_length * _takeover_wait.CLOCK_DRIFT_FACTOR +
+                         _takeover_wait.TAKEOVER_MARGIN)
         timings = dispatch.GroupTimings(lease_length, takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -13,6 +13,7 @@
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _status_polls
+from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster import _wait_log
 
 MAX_LEASE = datetime.timedelta(milliseconds=5500)
@@ -20,18 +21,6 @@
 all daemons, whose restart and takeover take about 4 s. The lease also bounds
 how long the tasks of a dead worker wait before they are started elsewhere."""
 
-START_PERMISSION_PERIOD = datetime.timedelta(seconds=4)
-"""How long a leader may start runs, renew leases and move jobs after it sent
-its last successful append. It is part of the takeover wait; after that wait, a
-successor assumes that an unreachable worker has no runs of a former leader."""
-
-CLOCK_DRIFT_FACTOR = 1.02
-"""Multiplies the lease in the takeover wait: worker clocks may run 2 % slow."""
-
-TAKEOVER_MARGIN = datetime.timedelta(milliseconds=500)
-"""Longest time from a check of the start permission to the arrival of the order
-at the worker; part of the takeover wait."""
-
 MAX_PLAN_INTERVAL = datetime.timedelta(milliseconds=60)
 """Longest wait for an event; after it a planning pass runs without one."""
 
@@ -65,36 +54,6 @@
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
 
-def compute_takeover_end(lease: datetime.timedelta,
-                         former_leader: dispatch.LeaderEntry,
-                         process_ended_at: float | None) -> float:
-    """Returns when no run of a former leader can go on at a silent worker.
-
-    A leader may start runs until its start permission or its process ends. The
-    permission ends `START_PERMISSION_PERIOD` after the leader sent its last
-    record, which was before that record was read. Each leader before it sent
-    its own last record before the first record of the former leader was stored.
-
-    Args:
-        lease: Longest lease of a worker.
-        former_leader: The former leader, of which the store takes no record
-            any more.
-        process_ended_at: Monotonic time in seconds by which the process of the
-            former leader had ended; None if that is not known.
-
-    Returns:
-        Monotonic time in seconds.
-    """
-    permission_s = START_PERMISSION_PERIOD.total_seconds()
-    last_start_at = former_leader.last_record_read_at + permission_s
-    if process_ended_at is not None:
-        last_start_at = min(
-            last_start_at,
-            max(process_ended_at, former_leader.epoch_read_at + permission_s))
-    return last_start_at + (lease * CLOCK_DRIFT_FACTOR +
-                            TAKEOVER_MARGIN).total_seconds()
-
-
 class GroupLeader:
     """Carries out the scheduler's decisions for one group.
 
@@ -276,7 +235,7 @@
     def _is_start_allowed(self) -> bool:
         sent_at = self._topic_writer.last_success_sent_at
         return (sent_at is not None and self._clock.monotonic() - sent_at
-                <= START_PERMISSION_PERIOD.total_seconds())
+                <= _takeover_wait.START_PERMISSION_PERIOD.total_seconds())
 
     async def _plan_forever(self) -> None:
         while True:
@@ -311,6 +270,7 @@
             else:
                 self._spawn(self._send_throttle(order))
         self._log_run_ends()
+        self._log_crash_events()
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
             self._flush_requested.set()
         if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
@@ -329,6 +289,20 @@
                             cause=ended_run.cause,
                             seconds=round(ended_run.seconds, 3))
 
+    def _log_crash_events(self) -> None:
+        events = self.scheduler.crashes.events
+        self.scheduler.crashes.events = []
+        for event in events:
+            self._metrics.crash_events.inc({"event": event.type.value})
+            self._log.write(event.type.value,
+                            group=self.group,
+                            job=event.task.job_id,
+                            task=tuple(event.task[1:]),
+                            run=event.run,
+                            worker=event.worker_id,
+                            detail=event.detail,
+                            crashes=event.crashes)
+
     def _send_report(self, now: float) -> None:
         self._last_report_at = now
         self._log_load(now)
@@ -385,6 +359,8 @@
                                       self._incarnation,
                                       self._heartbeat_number))
         await self._store_records(records)
+        if self.scheduler.mark_progress_stored(progress_records):
+            self._plan_requested.set()
         if workers_record is not None:
             self.scheduler.mark_workers_recorded(workers_record)
             self._plan_requested.set()
@@ -422,10 +398,10 @@
                 return
             try:
                 if worker.is_reachable:
-                    await self._request_status(worker)
+                    has_replied = await self._request_status(worker)
                 else:
                     async with self._unreachable_poll_slots:
-                        await self._request_status(worker)
+                        has_replied = await self._request_status(worker)
             except ports.StaleFencingTokenError as error:
                 self._log.write("fenced",
                                 group=self.group,
@@ -444,8 +420,7 @@
                 self._flush_requested.set()
                 self._plan_requested.set()
                 return
-            except errors.WorkerError as error:
-                self._apply_no_reply(worker, str(error))
+            if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
             if worker.last_applied_end_number > worker.last_stored_end_number:
@@ -457,7 +432,8 @@
                 except TimeoutError:
                     pass
 
-    async def _request_status(self, worker: dispatch.WorkerState) -> None:
+    async def _request_status(self, worker: dispatch.WorkerState) -> bool:
+        """Polls a worker once; returns whether it gave a usable reply."""
         sent_at = self._clock.monotonic()
         expires_at_ms = None
         # A worker may renew its lease although its reply is lost. The lease of
@@ -465,10 +441,19 @@
         if worker.born_ms and worker.is_reachable and self._is_start_allowed():
             expires_at_ms = worker.extend_lease(sent_at, self._lease_length)
         status_wait = _status_polls.choose_wait(worker)
-        status = await self._worker_client.poll_status(
-            worker.entry, self.epoch, worker.last_stored_end_number,
-            expires_at_ms, status_wait,
-            status_wait + _status_polls.STATUS_REPLY_ALLOWANCE)
+        reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
+        try:
+            status = await self._worker_client.poll_status(
+                worker.entry, self.epoch, worker.last_stored_end_number,
+                expires_at_ms, status_wait, reply_timeout)
+        except errors.WorkerError as error:
+            now = self._clock.monotonic()
+            # A worker that gives no reply may have been lost at any time
+            # during the call; a broken connection shows a loss at once.
+            is_silent = now - sent_at >= reply_timeout.total_seconds()
+            self._apply_no_reply(worker, str(error),
+                                 sent_at if is_silent else now)
+            return False
         self._metrics.status_requests.inc({"outcome": "ok"})
         self._unreachable_worker_ids.discard(worker.worker_id)
         if not worker.is_reachable:
@@ -492,8 +477,10 @@
                 },
                 paces=worker.throttles)
         self._plan_requested.set()
+        return True
 
-    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str) -> None:
+    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str,
+                        lost_since: float) -> None:
         self._metrics.status_requests.inc({"outcome": "failed"})
         worker_id = worker.worker_id
         if worker.is_reachable or worker_id not in self._unreachable_worker_ids:
@@ -503,7 +490,10 @@
                             worker=worker.worker_id,
                             runs=len(worker.runs),
                             error=error)
-        self.scheduler.mark_unreachable(worker.worker_id)
+        self.scheduler.mark_unreachable(worker.worker_id,
+                                        self._clock.monotonic(), lost_since)
+        # The tasks that may have crashed the worker are stored at once.
+        self._flush_requested.set()
         self._plan_requested.set()
 
     # Orders to workers and requests for permits.
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -15,11 +15,13 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _workers
 
@@ -68,6 +70,8 @@
         queues: Queues of the configuration in force, by host and path prefix.
         interference: Estimated interference between images.
         timings: Durations that bound leases, takeovers and stops.
+        crashes: Counts crashes of workers against the tasks that may have
+            caused them.
     """
 
     def __init__(self, group: str, epoch: int, timings: _orders.GroupTimings,
@@ -93,6 +97,7 @@
         self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
+        self.crashes = _crashes.CrashTracker(self.jobs)
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
 
@@ -175,10 +180,19 @@
             del self.workers[worker_id]
         return removed_ids
 
-    def mark_unreachable(self, worker_id: str) -> None:
-        """Marks a worker as unreachable after a call without a usable reply."""
+    def mark_unreachable(self,
+                         worker_id: str,
+                         now: float,
+                         lost_since: float | None = None) -> None:
+        """Marks a worker as unreachable after a status call without a reply.
+
+        The worker was lost at `lost_since` or later; None stands for `now`.
+        """
         worker = self.workers.get(worker_id)
         if worker is not None:
+            if worker.is_reachable or worker.runs:
+                self.crashes.record_loss(
+                    worker, now if lost_since is None else lost_since, now)
             worker.is_reachable = False
 
     def remove_replaced_worker(self, worker_id: str, now: float) -> None:
@@ -186,7 +200,7 @@
         """
         worker = self.workers.pop(worker_id, None)
         if worker is not None:
-            self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+            self._end_lost_runs(worker, True, now)
 
     def apply_status(self, worker_id: str, status: ports.WorkerStatus,
                      sent_at: float, now: float) -> None:
@@ -209,11 +223,13 @@
         if worker.born_ms != status.born_ms:
             if worker.born_ms > status.born_ms:
                 return  # A late reply of a former instance.
-            self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+            if worker.born_ms:
+                self._end_lost_runs(worker, True, now)
             worker.reset_after_replacement(status.born_ms)
         worker.update_clock(status.clock_ms, now)
         worker.last_status_at = now
         worker.is_reachable = True
+        self.crashes.withdraw_loss(worker)
         if worker.first_status_at is None:
             # Until a report lists all ends, a former leader's runs may have
             # ended without this leader's knowledge.
@@ -247,6 +263,8 @@
                 job.mark_task_done(ended_run.task)
             elif job is not None and ended_run.cause is ports.EndCause.FAILED:
                 job.count_failure(ended_run.task, ended_run.run)
+            if job is not None:
+                self.crashes.apply_unknown_end(job, ended_run)
             return
         duration_s = now - run.start_sent_at
         self.ended_runs.append(
@@ -262,6 +280,7 @@
         if job is not None:
             job.apply_end(run, ended_run.cause, ended_run.checkpoint or
                           run.checkpoint)
+            self.crashes.apply_end(run, ended_run.cause, None, now)
 
     def _apply_active_run(self, worker: _workers.WorkerState,
                           active_run: ports.ActiveRun, now: float) -> None:
@@ -274,6 +293,9 @@
             run.phase = _runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
+        if (not run.is_proven and now - run.start_sent_at
+                >= _crashes.PROOF_DELAY.total_seconds()):
+            self.crashes.prove_run(run)
         run.checkpoint = active_run.checkpoint or run.checkpoint
         run.latency_ms_or_cpu_millis = active_run.latency_ms_or_cpu_millis
         if active_run.percent != run.progress_percent:
@@ -306,6 +328,7 @@
         run.phase = _runs.RunPhase.RUNNING
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
+        self.crashes.adopt_run(job, run)
         step_run.waiting_indexes.discard(active_run.task.index)
         step_run.active_runs[active_run.task.index] = run
         worker.runs[(active_run.task, active_run.run)] = run
@@ -321,10 +344,20 @@
                     run.confirmed_at > sent_at or run.phase
                     in (_runs.RunPhase.STARTING, _runs.RunPhase.UNKNOWN)):
                 continue
-            self._end_run(worker, run, ports.EndCause.LEASE_EXPIRED, now)
+            self.end_run(worker, run, None, now)
+
+    def end_run(self, worker: _workers.WorkerState, run: _runs.Run,
+                evidence: _suspicions.CrashEvidence | None, now: float) -> None:
+        """Ends a run that was lost with its worker or its lease.
 
-    def _end_run(self, worker: _workers.WorkerState, run: _runs.Run,
-                 cause: ports.EndCause, now: float) -> None:
+        Args:
+            worker: Worker of the run.
+            run: The run.
+            evidence: Evidence that the run crashed its worker; None if the
+                worker stayed up or has left as announced.
+            now: Present monotonic time in seconds.
+        """
+        cause = ports.EndCause.LEASE_EXPIRED
         worker.runs.pop((run.task, run.number), None)
         self.ended_runs.append(
             _orders.AppliedRunEnd(worker.worker_id, run.task, run.number,
@@ -332,11 +365,13 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             job.apply_end(run, cause, run.checkpoint)
+            self.crashes.apply_end(run, cause, evidence, now)
 
-    def _end_runs(self, worker: _workers.WorkerState, cause: ports.EndCause,
-                  now: float) -> None:
+    def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
+                       now: float) -> None:
+        evidence = self.crashes.assess_loss(worker, is_replaced, now)
         for run in list(worker.runs.values()):
-            self._end_run(worker, run, cause, now)
+            self.end_run(worker, run, evidence, now)
 
     # Jobs that the topic assigns to the group.
 
@@ -396,124 +431,6 @@
         for worker in self.workers.values():
             worker.enforces_capacity = worker.entry.service in services
 
-    # Replies to orders and requests.
-
-    def apply_start_reply(self, order: _orders.StartOrder,
-                          reply: ports.StartReply, now: float) -> None:
-        """Applies the outcome of a start order, also if no usable reply came.
-        """
-        worker = self.workers.get(order.worker_id)
-        run = worker.runs.get((order.task, order.run)) if worker else None
-        if run is None:
-            return
-        run.has_pending_order = False
-        if reply.clock_ms is not None:
-            worker.update_clock(reply.clock_ms, now)
-        outcome = reply.outcome
-        if outcome is ports.StartOutcome.STARTED:
-            worker.capacity_refusals = 0
-            if run.phase in (_runs.RunPhase.STARTING, _runs.RunPhase.UNKNOWN):
-                run.phase = _runs.RunPhase.RUNNING
-                run.start_attempts = 0
-                run.confirmed_at = now
-                run.progressed_at = now
-            job = self.jobs.get(order.task.job_id)
-            if job is not None:
-                job.mark_started()
-            return
-        if run.phase is _runs.RunPhase.RUNNING:
-            return  # A status report has confirmed the run meanwhile.
-        if outcome is ports.StartOutcome.UNKNOWN:
-            run.phase = _runs.RunPhase.UNKNOWN
-            worker.is_reachable = False
-            return
-        if (run.start_attempts > 1 and
-                outcome is not ports.StartOutcome.WORKER_REPLACED):
-            # The worker may execute the run because of an earlier start order,
-            # although it refused this one.
-            run.phase = _runs.RunPhase.UNKNOWN
-            run.start_attempts = max(run.start_attempts, MAX_START_ATTEMPTS)
-            return
-        self._apply_refusal(worker, run, outcome, now)
-
-    def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
-                       outcome: ports.StartOutcome, now: float) -> None:
-        backoffs = {
-            ports.StartOutcome.OUTDATED_RUN:
-                _workers.SHORT_REFUSAL_BACKOFF,
-            ports.StartOutcome.LEASE_ALREADY_EXPIRED:
-                _workers.SHORT_REFUSAL_BACKOFF,
-            ports.StartOutcome.WORKER_REPLACED:
-                _workers.LONG_REFUSAL_BACKOFF,
-            ports.StartOutcome.UNHEALTHY:
-                _workers.LONG_REFUSAL_BACKOFF,
-            ports.StartOutcome.INVALID:
-                _workers.LONG_REFUSAL_BACKOFF,
-            ports.StartOutcome.FENCED:
-                _workers.LONG_REFUSAL_BACKOFF,
-        }
-        if outcome in backoffs:
-            worker.paused_until = max(worker.paused_until,
-                                      now + backoffs[outcome].total_seconds())
-        elif outcome is ports.StartOutcome.NO_FREE_CAPACITY:
-            worker.record_capacity_refusal(now)
-        worker.runs.pop((run.task, run.number), None)
-        job = self.jobs.get(run.task.job_id)
-        if job is not None:
-            if outcome is ports.StartOutcome.NO_PERMIT:
-                job.get_step(run.task).permits.discard_permit(
-                    worker.worker_id, worker.born_ms)
-            job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
-            if outcome is ports.StartOutcome.OUTDATED_RUN:
-                job.last_run_number += RUN_NUMBERS_PER_EPOCH
-
-    def apply_stop_reply(self, order: _orders.StopOrder, has_succeeded: bool,
-                         now: float) -> None:
-        """Applies the result of a stop order to its run.
-
-        If the order for a known run failed, its worker counts as unreachable.
-        """
-        worker = self.workers.get(order.worker_id)
-        if worker is None:
-            return
-        unknown_run = worker.unknown_runs.get((order.task, order.run))
-        if unknown_run is not None:
-            unknown_run.has_pending_order = False
-            unknown_run.stop_answered_at = now
-        run = worker.runs.get((order.task, order.run))
-        if run is None:
-            return
-        run.has_pending_order = False
-        if has_succeeded:
-            # The reply to a status call sent from now on lists the run or its
-            # end; if it lists neither, the run has ended.
-            run.phase = _runs.RunPhase.STOPPING
-            run.confirmed_at = now
-        else:
-            worker.is_reachable = False
-
-    def apply_throttle_reply(self, order: _orders.ThrottleOrder,
-                             has_succeeded: bool) -> None:
-        """Applies the result of a throttle order to its run.
-
-        If the order failed, the throttle of the run counts as unknown.
-        """
-        worker = self.workers.get(order.worker_id)
-        run = worker.runs.get((order.task, order.run)) if worker else None
-        if run is not None:
-            run.has_pending_order = False
-            run.throttle_percent = (order.throttle_percent
-                                    if has_succeeded else -1)
-
-    def apply_permits(self, request: _orders.PermitRequest,
-                      reply: ports.PermitReply | None, sent_at: float,
-                      now: float) -> None:
-        """Applies the reply to a permit request; None stands for no reply."""
-        job = self.jobs.get(request.job_id)
-        if job is not None:
-            step_run = job.steps[request.occurrence, request.step]
-            step_run.permits.apply_reply(request.workers, reply, sent_at, now)
-
     # Expired leases, reconciliation, progress to store and tasks to move.
 
     def end_expired_runs(self, now: float) -> None:
@@ -521,7 +438,7 @@
         for worker in self.workers.values():
             if (worker.runs and not worker.is_reachable and
                     worker.is_lease_expired(now)):
-                self._end_runs(worker, ports.EndCause.LEASE_EXPIRED, now)
+                self._end_lost_runs(worker, False, now)
 
     def mark_jobs_reconciled(self, now: float) -> None:
         """Marks all jobs as reconciled once every run that may exist is known.
