Stop runs of jobs that ended before a takeover at once

Two leaders in a row waited UNKNOWN_RUN_GRACE (3 s) for the job to be read, although its end was stored. Meanwhile their workers refused starts for lack of room: 51 in all.

Cause: a leader does not keep jobs that have ended, so their runs were of an unknown job to it.

Evidence: UnknownRunTest.test_run_of_a_job_that_ended_before_the_takeover fails before the change with a start beside such a run, and without its stop.

Change: for a run of a job that the leader does not keep, it looks the job up in its copy of the topic. If the job has ended, the run is stopped at once. The size of the run counts, so that workers without guard need not wait for its end either unless it takes up the capacity.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -362,6 +362,7 @@
             self._metrics, self._publish_leader_report, self._stop_leading,
             lambda: self._job_service.load_reports, self._interference,
             self._registry_freshness.is_current)
+        leader.scheduler.find_job_entry = self._find_job_entry
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
             leader.put_job(job_entry)
@@ -374,6 +375,9 @@
         self._apply_operator_state()
         leader.start()
 
+    def _find_job_entry(self, job_id: str) -> dispatch.JobEntry | None:
+        return self._topic_reader.job_table.jobs.get(job_id)
+
     def _stop_leading(self, group: str, loss_reason: str) -> None:
         leader = self._leaders.pop(group, None)
         if leader is None:
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -11,7 +11,7 @@
 """
 
 import datetime
-from typing import Iterable
+from typing import Callable, Iterable
 
 from gentianlead import model
 from gentianlead import ports
@@ -66,6 +66,8 @@
         queues: Queues of the configuration in force, by host and path prefix.
         interference: Estimated interference between images.
         timings: Durations that bound leases, takeovers and stops.
+        find_job_entry: Returns the state of any job of the topic by identifier,
+            or None; also of jobs that have ended or belong to other groups.
     """
 
     def __init__(self, group: str, epoch: int, timings: _orders.GroupTimings,
@@ -90,6 +92,8 @@
         self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
+        self.find_job_entry: Callable[[str],
+                                      _table.JobEntry | None] = lambda _: None
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
 
@@ -285,8 +289,7 @@
                 active_run.task.index not in step_run.waiting_indexes):
             unknown_run = worker.unknown_runs.setdefault(
                 (active_run.task, active_run.run), _workers.UnknownRun(now))
-            if step_run is not None:
-                unknown_run.step = step_run.step
+            unknown_run.step = self._find_step(active_run.task)
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
         run = _runs.Run(active_run.task, step_run.step, active_run.run,
@@ -301,6 +304,13 @@
         job.mark_started()
         return run
 
+    def _find_step(self, task: model.TaskKey) -> model.Step | None:
+        job = self.jobs.get(task.job_id)
+        entry = job.entry if job else self.find_job_entry(task.job_id)
+        if entry is None or not 0 <= task.step < len(entry.job.steps):
+            return None
+        return entry.job.steps[task.step]
+
     def _end_vanished_runs(self, worker: _workers.WorkerState,
                            reported_runs: set, sent_at: float,
                            now: float) -> None:
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -12,8 +12,8 @@
 UNKNOWN_RUN_GRACE = datetime.timedelta(seconds=3)
 """Time for which a worker may report an unknown run before the run is stopped:
 the leader may not have read the run's job from the topic yet. If the leader
-knows the job, and the task does not wait for a start, it stops the run at once.
-"""
+knows that the job has ended, or that the task does not wait for a start, it
+stops the run at once."""
 
 STALL_LIMIT_FACTOR = 4.0
 """A run of a task that is not long-running is stopped if it has made no
@@ -95,7 +95,8 @@
     def _is_obsolete(self, task: model.TaskKey) -> bool:
         job = self._state.jobs.get(task.job_id)
         if job is None:
-            return False
+            entry = self._state.find_job_entry(task.job_id)
+            return entry is not None and entry.state.is_final
         step_run = job.get_step(task)
         return (job.has_ended or step_run is None or
                 task.index not in step_run.waiting_indexes)
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -135,6 +135,28 @@
                 self.report_runs(foreign_runs=(foreign_run,))
                 self.assertEqual(len(self.driver.plan_starts()), start_count)
 
+    def test_run_of_a_job_that_ended_before_the_takeover(self):
+        """Checks that such a run takes up capacity, and is stopped at once.
+
+        The job's end is stored, so the leader does not keep the job. Guards
+        against a cancelled job that runs on for a grace period with each new
+        leader, and against refused starts beside its runs.
+        """
+        step = builders.build_step(cpu_millis=6000)
+        entry = builders.build_job_entry(builders.build_job(
+            OTHER_JOB_ID, step))._replace(is_cancelled=True)
+        self.driver.scheduler.find_job_entry = {OTHER_JOB_ID: entry}.get
+        self.driver.scheduler.set_capacity_enforcing_services(frozenset({"svc"
+                                                                        }))
+        self.driver.scheduler.put_job(entry)
+        self.put_job(step)
+        foreign_run = build_foreign_run()
+        self.report_runs(foreign_runs=(foreign_run,))
+        (stop_order,) = self.driver.plan()
+        self.assertEqual(stop_order[1:3], foreign_run[:2])
+        self.report_runs()
+        self.assertEqual(len(self.driver.plan_starts()), 1)
+
     def test_start_follows_the_end_of_a_run_of_unknown_size(self):
         """Checks that such a run is stopped, and that a task starts then.
 
