Give the report interval of workers a default in the settings

What callers saw: nothing. test_slow_reads, which builds DaemonSettings itself, failed since because the field worker_report_interval had no default.

--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -67,7 +67,8 @@
     stop_limit: datetime.timedelta
     status_retention: datetime.timedelta
     stop_grace: datetime.timedelta
-    worker_report_interval: datetime.timedelta
+    worker_report_interval: datetime.timedelta = datetime.timedelta(
+        milliseconds=_DEFAULT_REPORT_INTERVAL_MS)
 
 
 def _read_bounds(document: dict[str, Any]) -> dict[str, float]:
