--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -11,7 +11,7 @@
 """
 
 import datetime
-from typing import Iterable
+from typing import Callable, Iterable
 
 from gentianlead import model
 from gentianlead import ports
@@ -59,8 +59,6 @@
             `forget_job`.
         workers: Workers of the group, by identifier; those removed from the
             registry stay until `drop_removed_workers`.
-        ended_job_ids: Identifiers of jobs that had ended according to the topic
-            when this leader first read of them; they are not among `jobs`.
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
         is_evacuated: Whether operators took the group out of service.
@@ -72,6 +70,8 @@
         timings: Durations that bound leases, takeovers and stops.
         crashes: Counts crashes of workers against the tasks that may have
             caused them.
+        find_job_entry: Returns the state of any job of the topic by identifier,
+            or None; also of jobs that have ended or belong to other groups.
     """
 
     def __init__(self, group: str, epoch: int, timings: _orders.GroupTimings,
@@ -81,7 +81,6 @@
         self.epoch = epoch
         self.jobs: dict[str, _runs.JobRun] = {}
         self.workers: dict[str, _workers.WorkerState] = {}
-        self.ended_job_ids: set[str] = set()
         self.ended_runs: list[_orders.AppliedRunEnd] = []
         self.is_evacuated = False
         self.is_registry_current = True
@@ -98,6 +97,8 @@
         self.interference = interference
         self.timings = timings
         self.crashes = _crashes.CrashTracker(self.jobs)
+        self.find_job_entry: Callable[[str],
+                                      _table.JobEntry | None] = lambda _: None
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
 
@@ -319,8 +320,7 @@
                 active_run.task.index not in step_run.waiting_indexes):
             unknown_run = worker.unknown_runs.setdefault(
                 (active_run.task, active_run.run), _workers.UnknownRun(now))
-            if step_run is not None:
-                unknown_run.step = step_run.step
+            unknown_run.step = self._find_step(active_run.task)
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
         run = _runs.Run(active_run.task, step_run.step, active_run.run,
@@ -336,6 +336,13 @@
         job.mark_started()
         return run
 
+    def _find_step(self, task: model.TaskKey) -> model.Step | None:
+        job = self.jobs.get(task.job_id)
+        entry = job.entry if job else self.find_job_entry(task.job_id)
+        if entry is None or not 0 <= task.step < len(entry.job.steps):
+            return None
+        return entry.job.steps[task.step]
+
     def _end_vanished_runs(self, worker: _workers.WorkerState,
                            reported_runs: set, sent_at: float,
                            now: float) -> None:
@@ -390,8 +397,6 @@
                 self.forget_job(job_id)
             return
         assignment_offset = entry.assignment_offsets.get(self.group, -1)
-        if entry.state.is_final:
-            self.ended_job_ids.add(job_id)
         if (entry.state.is_final or assignment_offset
                 <= self._departed_job_offsets.get(job_id, -1)):
             return
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -199,8 +199,10 @@
         The wait for the job to be read began again with each new leader.
         """
         driver = builders.GroupDriver(builders.build_worker())
-        entry = builders.build_job_entry(builders.build_job(JOB_ID), offset=40)
-        driver.scheduler.put_job(entry._replace(is_cancelled=True))
+        entry = builders.build_job_entry(builders.build_job(JOB_ID),
+                                         offset=40)._replace(is_cancelled=True)
+        driver.scheduler.put_job(entry)
+        driver.scheduler.find_job_entry = {JOB_ID: entry}.get
         active_run = ports.ActiveRun(model.TaskKey(JOB_ID, 0, 0, 0), 7, "", 0,
                                      None)
         driver.apply_status(running=(active_run,))
