--- a/standins/site.py
+++ b/standins/site.py
@@ -75,7 +75,8 @@
         self.store = site_store.SiteStore()
         self.notes: list[site_workers.RunNote] = []
         self.workers = [
-            site_workers.SiteWorker(place, self.notes) for place in workers
+            site_workers.SiteWorker(place, self.notes, self._register_worker)
+            for place in workers
         ]
         self.daemons: dict[str, _children.Child] = {}
         self._enforces_capacity = enforces_capacity
@@ -109,8 +110,7 @@
                          json.dumps(configuration).encode())
         for worker in self.workers:
             await worker.start()
-            self.store.write("keyed.servers", worker.place.worker_id,
-                             worker.build_entry(SERVICE))
+            self._register_worker(worker)
         for name in self._places:
             self._ports[name] = _DaemonPorts(
                 *(self._reservations.reserve() for _ in range(3)))
@@ -135,6 +135,10 @@
         await self._session.close()
         self._reservations.close()
 
+    def _register_worker(self, worker: site_workers.SiteWorker) -> None:
+        self.store.write("keyed.servers", worker.place.worker_id,
+                         worker.build_entry(SERVICE))
+
     def start_daemon(self, name: str) -> None:
         """Starts a daemon, at the ports that it had before."""
         path = self._directory / f"{name}.toml"
@@ -201,9 +205,23 @@
         except aiohttp.ClientError:
             return CallerReply(0, {})
 
-    async def submit(self, name: str, job_id: str, seconds: float, *counts:
-                     int) -> CallerReply:
-        """Submits a job of steps that follow each other."""
+    async def submit(
+        self,
+        name: str,
+        job_id: str,
+        seconds: float,
+        *counts: int,
+        deadly_tasks: Sequence[str] = ()) -> CallerReply:
+        """Submits a job of steps that follow each other.
+
+        Args:
+            name: Daemon that gets the job.
+            job_id: Identifier of the job.
+            seconds: Duration of each task.
+            *counts: Number of tasks of each step.
+            deadly_tasks: Tasks that crash each worker that starts them, each as
+                repetition, step and index, divided by dots.
+        """
         steps = [{
             "count": count,
             "cpu": _TASK_CPU_MILLIS,
@@ -218,7 +236,8 @@
                 "spec":
                     json.dumps({
                         "seconds": seconds,
-                        "cpu_millis": _TASK_CPU_MILLIS
+                        "cpu_millis": _TASK_CPU_MILLIS,
+                        "deadly_tasks": list(deadly_tasks)
                     }),
                 "steps":
                     steps
--- a/standins/site_workers.py
+++ b/standins/site_workers.py
@@ -7,7 +7,7 @@
 import asyncio
 import json
 import time
-from typing import Any, NamedTuple
+from typing import Any, Callable, NamedTuple
 
 from aiohttp import web
 
@@ -18,6 +18,8 @@
 _SHRINK_NOTICE_S = 4.5
 """Time after which a shrunk capacity counts: a report interval and the time
 that daemons have to notice it."""
+CRASH_DOWN_S = 1.5
+"""Seconds for which a crashed worker resets all connections."""
 
 
 class WorkerPlace(NamedTuple):
@@ -86,15 +88,22 @@
         address: `host:port`, once it is started.
         notes: All runs of all workers.
         stop_delay_s: How long a run goes on after its stop order, in seconds.
+        on_restart: Called when the worker has restarted after a crash.
     """
 
-    def __init__(self, place: WorkerPlace, notes: list[RunNote]):
+    def __init__(self,
+                 place: WorkerPlace,
+                 notes: list[RunNote],
+                 on_restart: Callable[["SiteWorker"], None] = lambda _: None):
         self.place = place
         self.address = ""
         self.notes = notes
         self.stop_delay_s = 0.0
         # Times of changes of the capacity, and the capacity from then on.
         self._capacities = [(0.0, place.cpu_millis)]
+        self.on_restart = on_restart
+        self._is_down = False
+        self._restart: asyncio.Task | None = None
         self._born_ms = int(time.time() * 1000)
         self._fence = 0
         self._lease_until = 0.0
@@ -117,6 +126,8 @@
     async def stop(self) -> None:
         """Stops."""
         self._clock.cancel()
+        if self._restart is not None:
+            self._restart.cancel()
         await self._runner.cleanup()
 
     def resize(self, cpu_millis: int) -> None:
@@ -174,9 +185,40 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def crash(self) -> None:
+        """Loses all runs and the fence, and restarts after `CRASH_DOWN_S`."""
+        now = time.monotonic()
+        for run in self._running.values():
+            self.notes[run.note] = self.notes[run.note]._replace(
+                ended_at=now, cause="crashed")
+        self._running.clear()
+        self._ended.clear()
+        self._end_number = 0
+        self._fence = 0
+        self._lease_until = 0.0
+        self._is_down = True
+        self._restart = asyncio.get_running_loop().create_task(
+            self._restart_later())
+        # Ends the status requests that wait for a change.
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _restart_later(self) -> None:
+        await asyncio.sleep(CRASH_DOWN_S)
+        self._born_ms = int(time.time() * 1000)
+        self._is_down = False
+        self.on_restart(self)
+
+    def _drop_connection(self, request: web.Request) -> web.Response:
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response()
+
     def _refuse(self, request: web.Request,
                 document: dict[str, Any]) -> web.Response | None:
         """Checks an order and takes over its lease; returns a refusal."""
+        if self._is_down:
+            return self._drop_connection(request)
         if request.headers.get(_INSTANCE_HEADER) != self.place.worker_id:
             return self._answer({}, 421)
         if document["fencing_token"] < self._fence:
@@ -205,6 +247,10 @@
                         *key,
                         now,
                         excess_cpu_millis=self._compute_excess(now)))
+            # The name of a task starts with its job.
+            if key[0].partition(".")[2] in spec.get("deadly_tasks", ()):
+                self.crash()
+                return self._drop_connection(request)
         return self._answer({})
 
     async def _stop_run(self, request: web.Request) -> web.Response:
@@ -237,6 +283,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
+        if self._is_down:
+            return self._drop_connection(request)
         now = time.monotonic()
         running = [[
             *key, "",
