Store counted crashes of progress that is too large with checkpoints

No caller saw this. A progress record that the store rejects as too large is stored without checkpoints, and only with tasks that have failures. Crashes counted against a task, also the one that is counted ahead of its next start, were left out, yet the start went on as if they were stored.

test_crashes_are_stored_without_checkpoints failed before.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -159,13 +159,13 @@
 
     async def _append_without_checkpoints(
             self, record: dispatch.ProgressRecord) -> None:
-        failed_tasks = tuple(
+        counted_tasks = tuple(
             task._replace(checkpoint="")
             for task in record.unfinished_tasks
-            if task.failures)
+            if task.failures or task.crashed_runs or task.proven_run)
         try:
             await self._enqueue(
-                [record._replace(unfinished_tasks=failed_tasks)],
+                [record._replace(unfinished_tasks=counted_tasks)],
                 PERSISTENT_APPEND_TIMEOUT, PERSISTENT_APPEND_TIMEOUT)
         except ports.RecordsRejectedError:
             # `append-rejected` has been logged. The tasks of the job run again
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -311,6 +311,26 @@
                           for task in progress.unfinished_tasks],
                          [(index, 1, "") for index in range(1, 300, 2)])
 
+    async def test_crashes_are_stored_without_checkpoints(self):
+        """Guards against a suspect whose next start is counted nowhere."""
+        self.store.record_bytes = 5_000
+        crashed_runs = (_records.CrashedRun(7, 1),)
+        unfinished_tasks = tuple(
+            _records.TaskProgress(0, 1, index, 0, "0" *
+                                  16, 0, (), crashed_runs if index == 5 else (
+                                  ), 3 if index == 6 else 0)
+            for index in range(300))
+        await self.writer.append_each([
+            dispatch.ProgressRecord(JOB_ID, "north-1", 64,
+                                    model.JobState.RUNNING, 7, (),
+                                    unfinished_tasks)
+        ])
+        (stored,) = self.store.records[dispatch.JOB_TOPIC]
+        progress = dispatch.decode_record(stored)
+        self.assertEqual([(task.index, task.crashed_runs, task.proven_run)
+                          for task in progress.unfinished_tasks],
+                         [(5, crashed_runs, 0), (6, (), 3)])
+
     async def test_former_writer_is_fenced(self):
         """Checks that an append fails once a writer of a higher epoch appended.
 
