Treat losses that slow polls notice late as losses at one time

With more than 40 polled workers the interval of the polls grows to a third of the lease, 5 s, so that a daemon notices the losses of a rack without power one after another. The fixed time of 3 s took some of them for lone crashes: each run that had just started became a suspect, and suspects start one by one.

The time is now 2 s more than the interval of the polls.

--- a/src/gentianlead/execution/_crashes.py
+++ b/src/gentianlead/execution/_crashes.py
@@ -14,9 +14,11 @@
 It is several times the interval at which workers are polled, so that a task
 that crashes its worker some seconds after its start is found too."""
 
-SHARED_LOSS_TIME = datetime.timedelta(seconds=3)
+SHARED_LOSS_MARGIN = datetime.timedelta(seconds=2)
 """Two workers were lost at about the same time if this daemon has noticed both
-losses within this time. It covers the interval at which workers are polled."""
+losses within this time and the interval at which it polls workers. A loss is
+noticed with the next poll, so losses at one time are noticed within one
+interval."""
 
 MAX_HEARTBEATS_BEFORE_TAKEOVER = 5
 """A run was taken over soon after its start if its first holder has sent at
@@ -51,27 +53,28 @@
             < EARLY_LOSS_TIME.total_seconds())
 
 
-def is_cause_known(session: _worker_session.WorkerSession, now: float) -> bool:
-    """Returns whether losses of other workers have been noticed by now."""
-    return now - session.lost_at >= SHARED_LOSS_TIME.total_seconds()
+def compute_shared_loss_time(poll_interval: datetime.timedelta) -> float:
+    """Returns the greatest time between two shared losses, in seconds."""
+    return (poll_interval + SHARED_LOSS_MARGIN).total_seconds()
 
 
-def classify(
-        run: _held_run.HeldRun, session: _worker_session.WorkerSession,
-        sessions: Iterable[_worker_session.WorkerSession]
-) -> model.ReleaseReason:
+def classify_crash(run: _held_run.HeldRun,
+                   session: _worker_session.WorkerSession,
+                   sessions: Iterable[_worker_session.WorkerSession],
+                   shared_loss_time: float) -> model.ReleaseReason:
     """Returns the release reason of a run that was lost early.
 
     Args:
         run: The run.
         session: Session of its worker.
         sessions: Sessions of all workers.
+        shared_loss_time: Result of `compute_shared_loss_time`. This time must
+            have passed since the loss of the worker.
     """
     if run.start_ordered_at is None:
         return model.ReleaseReason.SHARED_CRASH
     was_another_lost = any(
-        abs(other.lost_at -
-            session.lost_at) <= SHARED_LOSS_TIME.total_seconds()
+        abs(other.lost_at - session.lost_at) <= shared_loss_time
         for other in sessions
         if other is not session)
     return (model.ReleaseReason.SHARED_CRASH
--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -303,10 +303,13 @@
         is_suspect = model.is_suspect(job.crashes.get(live_run.task, ()))
         if not _crashes.was_lost_early(run, is_suspect):
             return True
-        if not _crashes.is_cause_known(session, now):
+        shared_loss_time = _crashes.compute_shared_loss_time(
+            self._get_renew_interval())
+        if now - session.lost_at < shared_loss_time:
             return False
-        run.end_reason = _crashes.classify(run, session,
-                                           self._sessions.values())
+        run.end_reason = _crashes.classify_crash(run, session,
+                                                 self._sessions.values(),
+                                                 shared_loss_time)
         run.was_lost_with_worker = False
         return True
 
--- a/src/gentianlead/execution/tests/test_crashes.py
+++ b/src/gentianlead/execution/tests/test_crashes.py
@@ -11,6 +11,7 @@
 from gentianlead import ports
 from gentianlead import state
 from gentianlead import streams
+from gentianlead.execution import _crashes
 
 _LEASE_LENGTH = datetime.timedelta(seconds=15)
 _REFUSED = errors.WorkerError("refused", errors.Verdict.DID_NOT_RUN)
@@ -186,3 +187,33 @@
                 self.assertEqual(self.get_reason("w0"), reason)
                 self.apply(model.JobClosed("job", 9, "cancelled"))
                 self.state_machine.tombstones.clear()
+
+
+class SharedLossTest(unittest.TestCase):
+    """Tests which losses of workers count as losses at one time."""
+
+    def test_losses_noticed_by_slow_polls(self) -> None:
+        """Guards against strong evidence when a large domain loses power.
+
+        With many workers each is polled rarely, so that losses at one time are
+        noticed one after another.
+        """
+        run = mock.Mock(start_ordered_at=1.0)
+        for interval_seconds, gap, reason in (
+            (1.0, 2.9, model.ReleaseReason.SHARED_CRASH),
+            (1.0, 3.1, model.ReleaseReason.LONE_CRASH),
+            (5.0, 6.9, model.ReleaseReason.SHARED_CRASH),
+            (5.0, 7.1, model.ReleaseReason.LONE_CRASH),
+        ):
+            shared_loss_time = _crashes.compute_shared_loss_time(
+                datetime.timedelta(seconds=interval_seconds))
+            for sign in (-1, 1):
+                sessions = [
+                    mock.Mock(lost_at=100.0),
+                    mock.Mock(lost_at=100.0 + sign * gap),
+                    mock.Mock(lost_at=float("-inf"))
+                ]
+                self.assertIs(
+                    _crashes.classify_crash(run, sessions[0], sessions,
+                                            shared_loss_time), reason,
+                    (interval_seconds, sign * gap))
