Store suspects without a heartbeat at each failed poll

Each failed status call asked for a flush, which appends a heartbeat if nothing changed: one call to the store each 150 ms and lost worker. The planning pass that follows the call asks for it when a job has changed. The log line 'probation-ended' is written for probations only.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -479,8 +479,6 @@
                             error=error)
         self.scheduler.mark_unreachable(worker.worker_id,
                                         self._clock.monotonic(), lost_since)
-        # The tasks that may have crashed the worker are stored at once.
-        self._flush_requested.set()
         self._plan_requested.set()
 
     # Orders to workers and requests for permits.
--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -200,9 +200,10 @@
                     any(not other_run.is_proven for other_run in sibling_runs)):
                 return
         if suspicion.is_active:
-            self._add_event(CrashEventType.PROBATION_ENDED, run, "survived",
-                            suspicion)
             job.is_dirty = True
+            if run.is_on_probation:
+                self._add_event(CrashEventType.PROBATION_ENDED, run, "survived",
+                                suspicion)
         suspicion.clear(run.number)
 
     def apply_end(self, run: _runs.Run, cause: ports.EndCause,
