--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -24,8 +24,8 @@
 
 MAX_STRONG_CRASH_DELAY = datetime.timedelta(milliseconds=100)
 """A loss is strong evidence only if it may have followed the start order within
-this time. A task that crashes its worker did so within 55 ms; a loss of power
-that hits one worker of each group rarely does."""
+this time: most tasks that crash their workers do so as they start. A loss of
+power that hits one worker of each group rarely comes as soon."""
 
 COMMON_CAUSE_WINDOW = datetime.timedelta(milliseconds=300)
 """Losses of several workers within this time may have a common cause, such as a
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -25,8 +25,8 @@
 """Time for which a worker gets no starts after it refused one for lack of
 capacity, an outdated run number or an expired lease: about two status calls. It
 doubles, up to `LONG_REFUSAL_BACKOFF`, with each refusal for lack of capacity
-in a row: the worker has less capacity than the registry shows, and a refused
-start is priced."""
+in a row: the worker has less capacity than the registry shows, and each refused
+start delays its task."""
 
 LONG_REFUSAL_BACKOFF = datetime.timedelta(seconds=1)
 """Time for which a worker gets no starts after it refused one because it is
--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -22,6 +22,8 @@
 suffix of a name is its unit."""
 
 _DEFAULT_REPORT_INTERVAL_MS = 1500
+"""Interval in milliseconds at which workers report to the registry, if the
+settings do not name it."""
 
 
 class DaemonSettings(NamedTuple):
