Measure the proof of a run from its confirmed start

A task that crashes its workers could be cleared by a report from just before the crash, so that its starts were counted from zero again.

Cause: a run counted as proven if a status report listed it 0.5 s after the first start order. The first order may have timed out (0.8 s); the run then began with the late execution of that order, or with the repeated one. A report that any other end on the worker causes lists such a run at once.

Change: the 0.5 s count from the reply or report that first confirmed the run.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -18,9 +18,9 @@
 from gentianlead.dispatch import _workers
 
 PROOF_DELAY = datetime.timedelta(milliseconds=500)
-"""A run that a status report lists this long after its start order, or later,
-does not crash its worker. A task that does so crashes it within milliseconds;
-the rest covers the delay of the order and of the report."""
+"""A run that a status report lists this long after its start was confirmed, or
+later, does not crash its worker. A task that does so crashes it within
+milliseconds; the rest covers the delay of the report."""
 
 COMMON_CAUSE_WINDOW = datetime.timedelta(milliseconds=300)
 """Losses of several workers within this time may have a common cause, such as a
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -294,8 +294,12 @@
             run.phase = _runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
-        if (not run.is_proven and now - run.start_sent_at
-                >= _crashes.PROOF_DELAY.total_seconds()):
+        # The worker may have executed an order without reply late, or only a
+        # repeated one, so the age of the first order is no proof.
+        running_since = (run.confirmed_at if run.phase is _runs.RunPhase.RUNNING
+                         else run.start_sent_at)
+        if (not run.is_proven and
+                now - running_since >= _crashes.PROOF_DELAY.total_seconds()):
             self.crashes.prove_run(run)
         run.checkpoint = active_run.checkpoint or run.checkpoint
         run.latency_ms_or_cpu_millis = active_run.latency_ms_or_cpu_millis
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -0,0 +1,55 @@
+"""Tests of what counts against suspects, and of how long they wait."""
+
+import unittest
+
+from gentianlead import ports
+from gentianlead.dispatch.tests import builders
+
+JOB_ID = "00000000000000dd"
+
+
+class LateStartTest(unittest.TestCase):
+    """Tests runs that began long after their first start order."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID)
+        (self.order,) = self.driver.plan_starts()
+        self.driver.now += 0.8
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.UNKNOWN)
+
+    def check_crash_counts(self) -> None:
+        """Reports the run just after its start, and checks that a crash counts.
+        """
+        self.driver.apply_status(self.order.worker_id,
+                                 running=(builders.build_active_run(
+                                     self.order),))
+        self.driver.now += 0.01
+        self.driver.scheduler.remove_replaced_worker(self.order.worker_id,
+                                                     self.driver.now)
+        (progress,) = self.driver.flush()
+        self.assertEqual([
+            crashed.run
+            for task_progress in progress.unfinished_tasks
+            for crashed in task_progress.crashed_runs
+        ], [self.order.run])
+
+    def test_order_that_is_executed_late_is_no_proof(self):
+        """Checks that the age of an order does not count as time of running.
+
+        Guards against clearing a task by a report from just before the crash.
+        """
+        self.check_crash_counts()
+
+    def test_repeated_order_is_no_proof(self):
+        """Checks that a run does not count from the first of two orders.
+
+        Guards against clearing a task that the second order has started.
+        """
+        self.driver.apply_status(self.order.worker_id)
+        (repeated_order,) = self.driver.plan_starts()
+        self.assertEqual(repeated_order.run, self.order.run)
+        self.driver.apply_start_outcome(repeated_order,
+                                        ports.StartOutcome.STARTED)
+        self.check_crash_counts()
