Drop the claims of a job that moves

A healthy suspect that waited in several groups could come one crash closer to being given up with each move, though nothing ran: its job would be shown as failed.

Cause: the next start of a suspect is stored ahead and counts as a crash. If the worker is lost, paused or no longer fits before the order, the claim stays; a move then hands it to the next group, whose leader cannot know that nothing ran. A job that came back before the move was read also kept the claimed number, which may lie below `proven_run`, where a crash under it would not count.

Evidence: MovedClaimTest fails without the change: the progress of a job with one crash and a move lists two crashed runs.

Change: the beginning of a move drops the claims of the job. The progress that is stored with the move replaces the record with the claim.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -341,9 +341,14 @@
     def begin_move(self) -> int:
         """Begins a move of tasks; no task starts until the topic shows it.
 
+        Starts that were counted ahead and not ordered do not count any more.
+
         Returns:
             Run number that identifies the move.
         """
+        for step_run in self.steps.values():
+            for suspicion in step_run.suspicions.values():
+                suspicion.drop_claim()
         self.last_run_number += 1
         self.pending_move_number = self.last_run_number
         return self.last_run_number
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -136,6 +136,10 @@
         self.is_claim_stored = False
         return run_number
 
+    def drop_claim(self) -> None:
+        """Stops counting the claimed start, if any; it must not be ordered."""
+        self.crashes.pop(self.take_claim(), None)
+
     def restore(self, progress: _records.TaskProgress) -> None:
         """Adds what a leader has stored; leaders of other groups may have, too.
         """
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -2,10 +2,12 @@
 
 import unittest
 
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000dd"
+TASK = model.TaskKey(JOB_ID, 0, 0, 0)
 
 
 class LateStartTest(unittest.TestCase):
@@ -53,3 +55,30 @@
         self.driver.apply_start_outcome(repeated_order,
                                         ports.StartOutcome.STARTED)
         self.check_crash_counts()
+
+
+class MovedClaimTest(unittest.TestCase):
+    """Tests starts that are stored ahead and then not ordered."""
+
+    def test_move_drops_a_start_that_was_not_ordered(self):
+        """Checks that a claimed start does not count after the job has moved.
+
+        Guards against giving up a healthy task that only moves and waits.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.put_job(JOB_ID)
+        (order,) = driver.start_all()
+        driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
+        driver.now += 1.0
+        driver.apply_status("w2" if order.worker_id == "w1" else "w1")
+        self.assertEqual(driver.plan_starts(), [])
+        driver.flush()
+        job = driver.scheduler.jobs[JOB_ID]
+        self.assertTrue(job.get_suspicion(TASK).is_claim_stored)
+        job.begin_move()
+        (task_progress,) = job.build_progress("north-1",
+                                              builders.EPOCH).unfinished_tasks
+        self.assertEqual(
+            [crashed.run for crashed in task_progress.crashed_runs],
+            [order.run])
