Let other suspects start while one does not fit

In a small group, a healthy task that had been on a crashed worker could wait for as long as the tasks on the workers ran, though capacity for it was free; it did not count as lacking capacity, so it did not move either.

Cause: one worker in three may be kept for suspects. A larger suspect that fits only after other tasks have ended held that place for the 3 s of PREPARATION_LIMIT, and took it again in the pass that released it.

Evidence: PreparationTest fails without the change: with three workers, a suspect of 100 MiB does not start within 10 s beside one of 9000 MiB.

Change: if another suspect waited meanwhile, no worker is kept again for the released one for 3 s times the number of its releases, unless it fits there at once. Until then it counts as lacking capacity. Nothing changes while no other suspect waits.

Result: the test passes, as do test_crashes, test_group, test_moves, test_order, test_quarantine, test_lasting and test_fleets of dispatch.

--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -26,7 +26,23 @@
 
 PREPARATION_LIMIT = datetime.timedelta(seconds=3)
 """Time after which a worker that was kept for a suspect without a start is
-released, and the suspect counts as lacking capacity."""
+released. If another suspect waits for a worker, no worker is kept for this one
+for as long, times the number of such releases, unless it fits there at once.
+Otherwise suspects that do not fit would keep all others from starting for as
+long as the tasks on the kept workers run."""
+
+
+class _Lapse(NamedTuple):
+    """Releases of workers that were kept for a suspect in vain.
+
+    Attributes:
+        count: Number of releases.
+        ends_at: Monotonic time in seconds from which a worker may be kept again
+            although the suspect does not fit there yet.
+    """
+
+    count: int
+    ends_at: float
 
 
 class ProbationChoice(NamedTuple):
@@ -51,7 +67,10 @@
         # Worker kept for each suspect, and the time since which it is kept.
         self._preparations: dict[model.TaskKey, tuple[str, float]] = {}
         self._kept_candidates: dict[str, _placement.Candidate] = {}
+        self._lapses: dict[model.TaskKey, _Lapse] = {}
         self._free_slots = 0
+        # Whether a suspect found all workers in use that may be kept.
+        self._has_refused = False
         self._next_start_at = 0.0
 
     def begin_pass(self, candidates: dict[str, _placement.Candidate],
@@ -64,8 +83,11 @@
                 candidates.pop(worker.worker_id, None)
                 used_slots += worker.is_reachable
         for task, (worker_id, kept_since) in list(self._preparations.items()):
-            if (worker_id not in candidates or not self._is_waiting(task) or
-                    now - kept_since > PREPARATION_LIMIT.total_seconds()):
+            is_overdue = now - kept_since > PREPARATION_LIMIT.total_seconds()
+            if is_overdue and self._has_refused:
+                self._add_lapse(task, now)
+            if (is_overdue or worker_id not in candidates or
+                    not self._is_waiting(task)):
                 del self._preparations[task]
         for worker_id, _ in self._preparations.values():
             if worker_id in candidates:
@@ -74,6 +96,18 @@
                         used_slots)
         self._free_slots = (max(1, int(MAX_PROBATION_SHARE * usable_count)) -
                             used_slots - len(self._kept_candidates))
+        self._has_refused = False
+        self._lapses = {
+            task: lapse
+            for task, lapse in self._lapses.items()
+            if self._is_waiting(task)
+        }
+
+    def _add_lapse(self, task: model.TaskKey, now: float) -> None:
+        lapse = self._lapses.get(task)
+        count = 1 + (lapse.count if lapse is not None else 0)
+        self._lapses[task] = _Lapse(
+            count, now + count * PREPARATION_LIMIT.total_seconds())
 
     def _is_waiting(self, task: model.TaskKey) -> bool:
         job = self._state.jobs.get(task.job_id)
@@ -102,7 +136,8 @@
 
         No worker is kept if enough workers are kept for suspects. Prefers a
         worker on which the task fits now, and then the one on which a crash
-        would cost least.
+        would cost least. A task for which a worker was lately kept in vain gets
+        only a worker on which it fits now.
 
         Args:
             task: The task.
@@ -113,13 +148,17 @@
             now: Present monotonic time in seconds.
         """
         if task not in self._preparations:
+            lapse = self._lapses.get(task)
+            has_lapsed = lapse is not None and now < lapse.ends_at
             if self._free_slots <= 0:
-                return ProbationChoice(None, "", False)
+                self._has_refused |= not has_lapsed
+                return ProbationChoice(None, "", has_lapsed)
             usable_candidates = [
                 candidate for candidate in eligible_candidates
                 if candidate.worker.worker_id not in self._kept_candidates and
                 (fits(candidate) or
-                 _placement.may_fit_later(candidate, step, task_counts))
+                 (not has_lapsed and
+                  _placement.may_fit_later(candidate, step, task_counts)))
             ]
             if not usable_candidates:
                 return ProbationChoice(None, "", True)
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -4,6 +4,7 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000dd"
@@ -82,3 +83,41 @@
         self.assertEqual(
             [crashed.run for crashed in task_progress.crashed_runs],
             [order.run])
+
+
+class PreparationTest(unittest.TestCase):
+    """Tests suspects that wait for the few workers kept for suspects."""
+
+    def test_suspect_that_does_not_fit_lets_others_start(self):
+        """Checks that a suspect starts although a larger one does not fit yet.
+
+        Guards against a kept worker that is chosen again at once, for as long
+        as the tasks there run.
+        """
+        driver = builders.GroupDriver(
+            *(builders.build_worker(f"w{i}") for i in range(3)))
+        driver.put_job("00000000000000aa",
+                       builders.build_step(3, memory_mib=6000),
+                       accepted_at_ms=builders.NOW_MS - 200)
+        busy_orders = driver.start_all()
+        self.assertEqual(len({order.worker_id for order in busy_orders}), 3)
+        driver.put_job("00000000000000bb",
+                       builders.build_step(memory_mib=9000),
+                       accepted_at_ms=builders.NOW_MS - 100)
+        driver.put_job(JOB_ID)
+        for job_id in ("00000000000000bb", JOB_ID):
+            suspicion = driver.scheduler.jobs[job_id].get_suspicion(
+                TASK._replace(job_id=job_id))
+            suspicion.add_crash(1, _suspicions.CrashEvidence.WEAK, driver.now)
+        started_jobs = set()
+        for _ in range(100):
+            driver.now += 0.1
+            for order in busy_orders:
+                driver.apply_status(order.worker_id,
+                                    running=(builders.build_active_run(order),))
+                driver.scheduler.workers[order.worker_id].extend_lease(
+                    driver.now, builders.LEASE)
+            driver.flush()
+            started_jobs.update(
+                order.task.job_id for order in driver.start_all())
+        self.assertEqual(started_jobs, {JOB_ID})
