Take cut-off workers for no evidence of a crash

A healthy job could be shown as failed after one crash: its first worker was cut off past its lease, and the worker of its next start crashed.

Cause: the end of a lease gave weak evidence, and any two counted crashes sufficed if the last one was strong. The count stayed when the worker came back and reported the end of the run itself.

Change: a worker that is not replaced leaves the run unresolved, so that the report of its end removes it; a job is given up at the second crash only if both have weak or strong evidence. Shared losses do not count there either: they may be a cut of many workers. The limit of four crashes on any evidence is unchanged; a deadly task may be started once more within it, if one of its first two crashes was shared or its worker not replaced in time.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -171,7 +171,9 @@
             for other_loss in self._losses)
         if nearby_count >= SHARED_LOSSES:
             return _suspicions.CrashEvidence.SHARED
-        if nearby_count or not is_replaced or len(loss.suspects) != 1:
+        if not is_replaced:
+            return _suspicions.CrashEvidence.UNRESOLVED
+        if nearby_count or len(loss.suspects) != 1:
             return _suspicions.CrashEvidence.WEAK
         return _suspicions.CrashEvidence.STRONG
 
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -12,8 +12,9 @@
 first start may not have been counted, since that start is not stored ahead."""
 
 CONFIRMED_CRASHES = 2
-"""Crashes after which a task is given up if the evidence of the last one is
-strong."""
+"""Crashes with weak or strong evidence after which a task is given up if the
+evidence of the last one is strong. Others may be no crashes: a worker that is
+cut off runs on."""
 
 FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=250)
 RETRY_DELAY_FACTOR = 4
@@ -28,12 +29,12 @@
     The values are stored in records.
 
     Attributes:
-        UNRESOLVED: The start was stored ahead, or the worker is not reachable;
-            the outcome is not known.
+        UNRESOLVED: The start was stored ahead, or the worker is not reachable
+            and may only be cut off; the outcome is not known.
         SHARED: Several other workers were lost at about the same time, so the
             cause is probably another one.
-        WEAK: The worker was lost, but other runs, a cut or another loss may be
-            the cause.
+        WEAK: The worker restarted, but other runs or another loss may be the
+            cause.
         STRONG: The worker restarted, it was lost alone, and no other task was
             started there shortly before.
     """
@@ -86,8 +87,12 @@
         counted_runs = [run for run in self.crashes if run != self.claimed_run]
         if len(counted_runs) >= MAX_COUNTED_CRASHES:
             return True
-        return (len(counted_runs) >= CONFIRMED_CRASHES and
-                self.crashes[max(counted_runs)] is CrashEvidence.STRONG)
+        if not counted_runs or self.crashes[max(
+                counted_runs)] is not CrashEvidence.STRONG:
+            return False
+        certain_count = sum(
+            self.crashes[run] >= CrashEvidence.WEAK for run in counted_runs)
+        return certain_count >= CONFIRMED_CRASHES
 
     def add_crash(self, run_number: int, evidence: CrashEvidence,
                   now: float) -> None:
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -121,3 +121,52 @@
             started_jobs.update(
                 order.task.job_id for order in driver.start_all())
         self.assertEqual(started_jobs, {JOB_ID})
+
+
+class CutOffWorkerTest(unittest.TestCase):
+    """Tests losses after which the worker may still be up."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID)
+        (self.order,) = self.driver.start_all()
+        self.other_id = "w2" if self.order.worker_id == "w1" else "w1"
+        self.driver.scheduler.mark_unreachable(self.order.worker_id,
+                                               self.driver.now)
+        self.driver.now += 10.0
+        self.driver.apply_status(self.other_id)
+        self.driver.plan()
+
+    def test_cut_and_crash_are_not_two_crashes(self):
+        """Checks that a job outlives a cut and the crash of one worker.
+
+        Guards against giving up a task under which one worker has crashed.
+        """
+        self.driver.flush()
+        self.driver.now += 1.0
+        self.driver.apply_status(self.other_id)
+        self.driver.plan()
+        self.driver.flush()
+        (order,) = self.driver.start_all()
+        self.assertEqual(order.worker_id, self.other_id)
+        self.driver.now += 0.1
+        self.driver.scheduler.remove_replaced_worker(order.worker_id,
+                                                     self.driver.now)
+        self.assertFalse(self.driver.scheduler.jobs[JOB_ID].has_ended)
+
+    def test_returned_worker_clears_the_task(self):
+        """Checks that a cut does not count once the worker reports the end.
+
+        Guards against counting a worker that has never crashed.
+        """
+        self.driver.apply_status(self.order.worker_id,
+                                 ended=(builders.build_ended_run(
+                                     self.order,
+                                     cause=ports.EndCause.LEASE_EXPIRED),))
+        (progress,) = self.driver.flush()
+        self.assertEqual([
+            task_progress.crashed_runs
+            for task_progress in progress.unfinished_tasks
+            if task_progress.crashed_runs
+        ], [])
