Count the wait of suspects that do not fit on a kept worker

A suspect in a busy group could wait for ever.

Cause: while the worker kept for it had an unproven run, the suspect counted as placed even if it did not fit there, and its wait began anew. A kept worker is released every 3 s and then gets new runs.

Evidence: test_unproven_runs_do_not_hide_a_lack_of_capacity fails without the change: the job's wait is 0 s after 4 s without capacity.

Change: whether the suspect fits is decided before whether the worker is prepared.

Result: the test and all other test modules of dispatch pass.

--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -173,11 +173,11 @@
         worker_id, _ = self._preparations[task]
         candidate = next((candidate for candidate in eligible_candidates
                           if candidate.worker.worker_id == worker_id), None)
-        if candidate is None or not _is_prepared(candidate.worker):
+        if candidate is None:
             return ProbationChoice(None, worker_id, False)
         if not fits(candidate):
             return ProbationChoice(None, worker_id, True)
-        if now < self._next_start_at:
+        if not _is_prepared(candidate.worker) or now < self._next_start_at:
             return ProbationChoice(None, worker_id, False)
         return ProbationChoice(candidate, worker_id, False)
 
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -122,6 +122,32 @@
                 order.task.job_id for order in driver.start_all())
         self.assertEqual(started_jobs, {JOB_ID})
 
+    def test_unproven_runs_do_not_hide_a_lack_of_capacity(self):
+        """Checks that a suspect still lacks capacity when its worker is in use.
+
+        Each released worker gets new runs. Guards against a wait that begins
+        anew each time, so that the rules for long waits never apply.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job("00000000000000aa", builders.build_step(memory_mib=6000))
+        (order,) = driver.start_all()
+        driver.put_job(JOB_ID, builders.build_step(memory_mib=9000))
+        job = driver.scheduler.jobs[JOB_ID]
+        job.get_suspicion(TASK).add_crash(1, _suspicions.CrashEvidence.WEAK,
+                                          driver.now)
+        running = [order]
+        for tick in range(40):
+            driver.now += 0.1
+            if tick == 25:
+                driver.put_job("00000000000000bb",
+                               accepted_at_ms=builders.NOW_MS - 500)
+            driver.apply_status(
+                running=tuple(map(builders.build_active_run, running)))
+            driver.flush()
+            running += driver.start_all()
+        self.assertEqual(len(running), 2)
+        self.assertGreater(job.compute_waited_s(driver.now), 3.0)
+
 
 class CutOffWorkerTest(unittest.TestCase):
     """Tests losses after which the worker may still be up."""
