--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -18,9 +18,9 @@
 from gentianlead.dispatch import _workers
 
 PROOF_DELAY = datetime.timedelta(milliseconds=500)
-"""A run that a status report lists this long after its start order, or later,
-does not crash its worker. A task that does so crashes it within milliseconds;
-the rest covers the delay of the order and of the report."""
+"""A run that a status report lists this long after its start was confirmed, or
+later, does not crash its worker. A task that does so crashes it within
+milliseconds; the rest covers the delay of the report."""
 
 MAX_STRONG_CRASH_DELAY = datetime.timedelta(milliseconds=100)
 """A loss is strong evidence only if it may have followed the start order within
@@ -181,8 +181,10 @@
             for other_loss in self._losses)
         if nearby_count >= SHARED_LOSSES:
             return _suspicions.CrashEvidence.SHARED
+        if not is_replaced:
+            return _suspicions.CrashEvidence.UNRESOLVED
         crash_delay_s = loss.lost_since - loss.last_start_at
-        if (nearby_count or not is_replaced or len(loss.suspects) != 1 or
+        if (nearby_count or len(loss.suspects) != 1 or
                 crash_delay_s > MAX_STRONG_CRASH_DELAY.total_seconds()):
             return _suspicions.CrashEvidence.WEAK
         return _suspicions.CrashEvidence.STRONG
