Store that a leader is the sole one after its takeover wait

Cause: the successor has just loaded the topic.

A leader whose own takeover wait is over now says so in its record. Runs of earlier leaders cannot go on then, so a successor need not wait for their permission. Older daemons do not read the longer record. test_no_earlier_leader_beside_a_sole_one expects the end of the process as the last start; before, it was 4 s after the load.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -121,6 +121,7 @@
         self._last_report_at = 0.0
         self._load_logged_at = 0.0
         self._heartbeat_number = 1
+        self._is_sole_stored = False
         self._is_stopped = False
 
     def start(self) -> None:
@@ -352,12 +353,14 @@
         workers_record = self.scheduler.build_workers_record()
         if workers_record is not None:
             records.append(workers_record)
-        if not records:
+        is_sole = self.scheduler.is_takeover_over(self._clock.monotonic())
+        if not records or is_sole != self._is_sole_stored:
             self._heartbeat_number += 1
             records.append(
                 dispatch.LeaderRecord(self.group, self.epoch, self._daemon_name,
-                                      self._incarnation,
-                                      self._heartbeat_number))
+                                      self._incarnation, self._heartbeat_number,
+                                      is_sole))
+            self._is_sole_stored = is_sole
         await self._store_records(records)
         if self.scheduler.mark_progress_stored(progress_records):
             self._plan_requested.set()
--- a/src/gentianlead/cluster/_takeover_wait.py
+++ b/src/gentianlead/cluster/_takeover_wait.py
@@ -25,7 +25,8 @@
     A leader may start runs until its start permission or its process ends. The
     permission ends `START_PERMISSION_PERIOD` after the leader sent its last
     record, which was before that record was read. Each leader before it sent
-    its own last record before the first record of the former leader was stored.
+    its own last record before the first record of the former leader was stored;
+    its runs do not matter if the former leader was the sole one.
 
     Args:
         lease: Longest lease of a worker.
@@ -40,8 +41,9 @@
     permission_s = START_PERMISSION_PERIOD.total_seconds()
     last_start_at = former_leader.last_record_read_at + permission_s
     if process_ended_at is not None:
-        last_start_at = min(
-            last_start_at,
-            max(process_ended_at, former_leader.epoch_read_at + permission_s))
+        earlier_start_at = (0.0 if former_leader.record.is_sole else
+                            former_leader.epoch_read_at + permission_s)
+        last_start_at = min(last_start_at,
+                            max(process_ended_at, earlier_start_at))
     return last_start_at + (lease * CLOCK_DRIFT_FACTOR +
                             TAKEOVER_MARGIN).total_seconds()
--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -1,10 +1,13 @@
 """Tests of how long a new leader waits for workers that do not reply."""
 
+import asyncio
 import datetime
 import unittest
 
 from gentianlead import dispatch
 from gentianlead.cluster import _takeover_wait
+from gentianlead.cluster.tests import daemons
+from gentianlead.cluster.tests import fakes
 
 LEASE = datetime.timedelta(seconds=5)
 PERMISSION_S = _takeover_wait.START_PERMISSION_PERIOD.total_seconds()
@@ -17,10 +20,13 @@
     200 s.
     """
 
-    def compute_last_start(self, process_ended_at: float | None) -> float:
+    def compute_last_start(self,
+                           process_ended_at: float | None,
+                           is_sole: bool = False) -> float:
         """Returns the last time at which the former leader may start a run."""
         former_leader = dispatch.LeaderEntry(
-            dispatch.LeaderRecord("n1", 70, "a", "a#1", 1), 5, 200.0, 100.0)
+            dispatch.LeaderRecord("n1", 70, "a", "a#1", 1, is_sole), 5, 200.0,
+            100.0)
         takeover_end = _takeover_wait.compute_takeover_end(
             LEASE, former_leader, process_ended_at)
         return takeover_end - (LEASE * _takeover_wait.CLOCK_DRIFT_FACTOR +
@@ -49,3 +55,38 @@
         """
         self.assertAlmostEqual(self.compute_last_start(101.0),
                                100.0 + PERMISSION_S)
+
+    def test_no_earlier_leader_beside_a_sole_one(self):
+        """Guards against a full wait by a daemon that just loaded the topic.
+
+        Such a daemon takes the time of its load for that of the first record.
+        """
+        self.assertAlmostEqual(self.compute_last_start(101.0, is_sole=True),
+                               101.0)
+
+
+class SoleLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """Tests when a leader states that no earlier leader's run can go on."""
+
+    async def test_sole_leader_is_stored_after_the_takeover_wait(self):
+        """Guards against a successor that relies on an unfinished wait."""
+        store = fakes.FakeStore()
+        daemon = daemons.start_daemon(self, "entry-1", store)
+        async with asyncio.timeout(10):
+            # pylint: disable-next=protected-access
+            while not (leaders := daemon._leaders):
+                await asyncio.sleep(0.02)
+            self.assertFalse(any(self.list_sole_flags(store)))
+            leaders[daemons.GROUP].scheduler.limit_takeover_wait(0.0)
+            while not any(self.list_sole_flags(store)):
+                await asyncio.sleep(0.02)
+
+    def list_sole_flags(self, store: fakes.FakeStore) -> list[bool]:
+        """Returns `is_sole` of all stored records of leaders."""
+        records = map(dispatch.decode_record,
+                      store.records.get(dispatch.JOB_TOPIC, ()))
+        return [
+            record.is_sole
+            for record in records
+            if isinstance(record, dispatch.LeaderRecord)
+        ]
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -462,6 +462,10 @@
         for job in self.jobs.values():
             job.is_reconciled = True
 
+    def is_takeover_over(self, now: float) -> bool:
+        """Returns whether no run of an earlier leader can go on any more."""
+        return now >= self._takeover_ends_at
+
     def limit_takeover_wait(self, ends_at: float) -> None:
         """Ends the takeover wait at a monotonic time, or earlier if it is due.
         """
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -176,6 +176,8 @@
         node: Name of the daemon; empty when the leader resigned.
         incarnation: Identity of the daemon's process.
         heartbeat_number: Number that rises with each heartbeat of the leader.
+        is_sole: Whether no run of an earlier leader can go on any more, also on
+            workers that do not reply. Records of older daemons lack it.
     """
 
     group: str
@@ -183,6 +185,7 @@
     node: str
     incarnation: str
     heartbeat_number: int
+    is_sole: bool = False
 
 
 class MemberRecord(NamedTuple):
