Let a restarted leader claim its group later than the next member

Both daemons of the domain had restarted; the group started nothing until 22.3 s, 10.1 s after the claim, as if nothing were known of the former leader.

Cause: the further delay of a restarted leader equals the delay between two ranks since the latter grew to 0.4 s, so both claim at once. The one that loses counts as a former leader whose process goes on. By the log this fits (the wait counts from 12.2 s); the losing claim leaves no line.

The further delay is two ranks now. The new test failed before: both members were due at the same time.

--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -34,11 +34,12 @@
 of the group's own domain. It is longer than the read that would show the
 takeover by that member."""
 
-OWN_RESTART_DELAY = datetime.timedelta(milliseconds=400)
+OWN_RESTART_DELAY = 2 * RANK_DELAY
 """Further delay for a daemon that led the group before it was restarted, while
 it can reach another member of the group's own domain. That member has followed
 the topic for longer, so as a leader it knows sooner that no run of a former
-leader can go on."""
+leader can go on. The delay exceeds that of the member that ranks next, so that
+the two do not claim the group at once."""
 
 FAILBACK_DELAY = datetime.timedelta(seconds=2)
 """Time that a member of the group's own domain waits after joining before it
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -150,6 +150,42 @@
                         GROUP, build_leader("a", incarnation="a#0"), view)
                     self.assertEqual(bool(reason), takes_over or is_late)
 
+    def test_restarted_leader_claims_later_than_the_next_member(self):
+        """Guards against two claims at once, each of which waits anew.
+
+        The other member sees the restart as soon as the restarted leader knows
+        that it has joined.
+        """
+
+        def find_delay(node: str, former_node: str) -> float:
+            members = {
+                name:
+                    build_member(name,
+                                 incarnation=f"{name}#1")._replace(seen_at=100.0
+                                                                  )
+                for name in ("a", "b")
+            }
+            leader = build_leader(former_node,
+                                  last_record_read_at=100.0,
+                                  incarnation=f"{former_node}#0")
+            return next(
+                tenth / 10
+                for tenth in range(50)
+                if dispatch.find_reason_to_lead(
+                    GROUP, leader,
+                    build_election_view(node,
+                                        100.0 + tenth / 10,
+                                        members=members,
+                                        reachable_nodes=frozenset(members) -
+                                        {node},
+                                        joined_at=100.0)))
+
+        for former_node, other_node in (("a", "b"), ("b", "a")):
+            with self.subTest(former_node):
+                self.assertGreaterEqual(
+                    find_delay(former_node, former_node) -
+                    find_delay(other_node, former_node), 0.35)
+
     def test_end_of_a_process(self):
         """Guards against an end that is assumed of a process that may run on.
         """
