--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -0,0 +1,198 @@
+"""Tests of what counts against suspects, and of how long they wait."""
+
+import unittest
+
+from gentianlead import model
+from gentianlead import ports
+from gentianlead.dispatch import _suspicions
+from gentianlead.dispatch.tests import builders
+
+JOB_ID = "00000000000000dd"
+TASK = model.TaskKey(JOB_ID, 0, 0, 0)
+
+
+class LateStartTest(unittest.TestCase):
+    """Tests runs that began long after their first start order."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID)
+        (self.order,) = self.driver.plan_starts()
+        self.driver.now += 0.8
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.UNKNOWN)
+
+    def check_crash_counts(self) -> None:
+        """Reports the run just after its start, and checks that a crash counts.
+        """
+        self.driver.apply_status(self.order.worker_id,
+                                 running=(builders.build_active_run(
+                                     self.order),))
+        self.driver.now += 0.01
+        self.driver.scheduler.remove_replaced_worker(self.order.worker_id,
+                                                     self.driver.now)
+        (progress,) = self.driver.flush()
+        self.assertEqual([
+            crashed.run
+            for task_progress in progress.unfinished_tasks
+            for crashed in task_progress.crashed_runs
+        ], [self.order.run])
+
+    def test_order_that_is_executed_late_is_no_proof(self):
+        """Checks that the age of an order does not count as time of running.
+
+        Guards against clearing a task by a report from just before the crash.
+        """
+        self.check_crash_counts()
+
+    def test_repeated_order_is_no_proof(self):
+        """Checks that a run does not count from the first of two orders.
+
+        Guards against clearing a task that the second order has started.
+        """
+        self.driver.apply_status(self.order.worker_id)
+        (repeated_order,) = self.driver.plan_starts()
+        self.assertEqual(repeated_order.run, self.order.run)
+        self.driver.apply_start_outcome(repeated_order,
+                                        ports.StartOutcome.STARTED)
+        self.check_crash_counts()
+
+
+class MovedClaimTest(unittest.TestCase):
+    """Tests starts that are stored ahead and then not ordered."""
+
+    def test_move_drops_a_start_that_was_not_ordered(self):
+        """Checks that a claimed start does not count after the job has moved.
+
+        Guards against giving up a healthy task that only moves and waits.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"),
+                                      builders.build_worker("w2"))
+        driver.put_job(JOB_ID)
+        (order,) = driver.start_all()
+        driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
+        driver.now += 1.0
+        driver.apply_status("w2" if order.worker_id == "w1" else "w1")
+        self.assertEqual(driver.plan_starts(), [])
+        driver.flush()
+        job = driver.scheduler.jobs[JOB_ID]
+        self.assertTrue(job.get_suspicion(TASK).is_claim_stored)
+        job.begin_move()
+        (task_progress,) = job.build_progress("north-1",
+                                              builders.EPOCH).unfinished_tasks
+        self.assertEqual(
+            [crashed.run for crashed in task_progress.crashed_runs],
+            [order.run])
+
+
+class PreparationTest(unittest.TestCase):
+    """Tests suspects that wait for the few workers kept for suspects."""
+
+    def test_suspect_that_does_not_fit_lets_others_start(self):
+        """Checks that a suspect starts although a larger one does not fit yet.
+
+        Guards against a kept worker that is chosen again at once, for as long
+        as the tasks there run.
+        """
+        driver = builders.GroupDriver(
+            *(builders.build_worker(f"w{i}") for i in range(3)))
+        driver.put_job("00000000000000aa",
+                       builders.build_step(3, memory_mib=6000),
+                       accepted_at_ms=builders.NOW_MS - 200)
+        busy_orders = driver.start_all()
+        self.assertEqual(len({order.worker_id for order in busy_orders}), 3)
+        driver.put_job("00000000000000bb",
+                       builders.build_step(memory_mib=9000),
+                       accepted_at_ms=builders.NOW_MS - 100)
+        driver.put_job(JOB_ID)
+        for job_id in ("00000000000000bb", JOB_ID):
+            suspicion = driver.scheduler.jobs[job_id].get_suspicion(
+                TASK._replace(job_id=job_id))
+            suspicion.add_crash(1, _suspicions.CrashEvidence.WEAK, driver.now)
+        started_jobs = set()
+        for _ in range(100):
+            driver.now += 0.1
+            for order in busy_orders:
+                driver.apply_status(order.worker_id,
+                                    running=(builders.build_active_run(order),))
+                driver.scheduler.workers[order.worker_id].extend_lease(
+                    driver.now, builders.LEASE)
+            driver.flush()
+            started_jobs.update(
+                order.task.job_id for order in driver.start_all())
+        self.assertEqual(started_jobs, {JOB_ID})
+
+    def test_unproven_runs_do_not_hide_a_lack_of_capacity(self):
+        """Checks that a suspect still lacks capacity when its worker is in use.
+
+        Each released worker gets new runs. Guards against a wait that begins
+        anew each time, so that the rules for long waits never apply.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job("00000000000000aa", builders.build_step(memory_mib=6000))
+        (order,) = driver.start_all()
+        driver.put_job(JOB_ID, builders.build_step(memory_mib=9000))
+        job = driver.scheduler.jobs[JOB_ID]
+        job.get_suspicion(TASK).add_crash(1, _suspicions.CrashEvidence.WEAK,
+                                          driver.now)
+        running = [order]
+        for tick in range(40):
+            driver.now += 0.1
+            if tick == 25:
+                driver.put_job("00000000000000bb",
+                               accepted_at_ms=builders.NOW_MS - 500)
+            driver.apply_status(
+                running=tuple(map(builders.build_active_run, running)))
+            driver.flush()
+            running += driver.start_all()
+        self.assertEqual(len(running), 2)
+        self.assertGreater(job.compute_waited_s(driver.now), 3.0)
+
+
+class CutOffWorkerTest(unittest.TestCase):
+    """Tests losses after which the worker may still be up."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID)
+        (self.order,) = self.driver.start_all()
+        self.other_id = "w2" if self.order.worker_id == "w1" else "w1"
+        self.driver.scheduler.mark_unreachable(self.order.worker_id,
+                                               self.driver.now)
+        self.driver.now += 10.0
+        self.driver.apply_status(self.other_id)
+        self.driver.plan()
+
+    def test_cut_and_crash_are_not_two_crashes(self):
+        """Checks that a job outlives a cut and the crash of one worker.
+
+        Guards against giving up a task under which one worker has crashed.
+        """
+        self.driver.flush()
+        self.driver.now += 1.0
+        self.driver.apply_status(self.other_id)
+        self.driver.plan()
+        self.driver.flush()
+        (order,) = self.driver.start_all()
+        self.assertEqual(order.worker_id, self.other_id)
+        self.driver.now += 0.1
+        self.driver.scheduler.remove_replaced_worker(order.worker_id,
+                                                     self.driver.now)
+        self.assertFalse(self.driver.scheduler.jobs[JOB_ID].has_ended)
+
+    def test_returned_worker_clears_the_task(self):
+        """Checks that a cut does not count once the worker reports the end.
+
+        Guards against counting a worker that has never crashed.
+        """
+        self.driver.apply_status(self.order.worker_id,
+                                 ended=(builders.build_ended_run(
+                                     self.order,
+                                     cause=ports.EndCause.LEASE_EXPIRED),))
+        (progress,) = self.driver.flush()
+        self.assertEqual([
+            task_progress.crashed_runs
+            for task_progress in progress.unfinished_tasks
+            if task_progress.crashed_runs
+        ], [])
