--- a/src/gentianlead/cluster/tests/test_crashing_tasks.py
+++ b/src/gentianlead/cluster/tests/test_crashing_tasks.py
@@ -13,9 +13,9 @@
            site_module.DaemonPlace("entry-a2", "north-a"),
            site_module.DaemonPlace("entry-b1", "north-b"))
 DAEMON_NAMES = [daemon.name for daemon in DAEMONS]
-DEADLY_JOB_ID = "5c0e7a21d94b36f8"
+CRASHING_JOB_ID = "5c0e7a21d94b36f8"
 OTHER_JOB_ID = "5c0e7a21d94b36f9"
-DEADLY_TASK = f"{DEADLY_JOB_ID}.0.0.1"
+CRASHING_TASK = f"{CRASHING_JOB_ID}.0.0.1"
 
 MAX_STARTS = 5
 """Starts of a task before users call it a broken promise: three that crash
@@ -45,45 +45,45 @@
             while len(self.site.find_leaders()) < 2:
                 await asyncio.sleep(0.05)
 
-    def count_deadly_starts(self) -> int:
-        """Returns how often the deadly task was started."""
-        return sum(note.task == DEADLY_TASK for note in self.site.notes)
+    def count_crashing_starts(self) -> int:
+        """Returns how often the crashing task was started."""
+        return sum(note.task == CRASHING_TASK for note in self.site.notes)
 
     async def submit(
         self,
         job_id: str,
         run_seconds: float,
         task_count: int,
-        deadly_tasks: tuple[str, ...] = ()) -> None:
+        crashing_tasks: tuple[str, ...] = ()) -> None:
         """Submits a job, and repeats this until it is accepted."""
         async with asyncio.timeout(15):
-            while (await
-                   self.site.submit("entry-b1",
-                                    job_id,
-                                    run_seconds,
-                                    task_count,
-                                    deadly_tasks=deadly_tasks)).status != 200:
+            while (await self.site.submit(
+                    "entry-b1",
+                    job_id,
+                    run_seconds,
+                    task_count,
+                    crashing_tasks=crashing_tasks)).status != 200:
                 await asyncio.sleep(0.1)
 
     async def wait_for_failure(self, max_starts: int, seconds: float) -> None:
-        """Waits until the deadly job is shown as failed, and checks starts."""
+        """Waits until the job is shown as failed, and checks the starts."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            self.assertLessEqual(self.count_deadly_starts(), max_starts)
+            self.assertLessEqual(self.count_crashing_starts(), max_starts)
             try:
                 await self.site.wait_state(list(self.site.daemons),
-                                           DEADLY_JOB_ID, "failed", 0.2)
+                                           CRASHING_JOB_ID, "failed", 0.2)
                 break
             except TimeoutError:
                 pass
         else:
-            self.fail(f"not failed after {self.count_deadly_starts()} starts")
+            self.fail(f"not failed after {self.count_crashing_starts()} starts")
         await asyncio.sleep(3.0)
-        self.assertLessEqual(self.count_deadly_starts(), max_starts)
+        self.assertLessEqual(self.count_crashing_starts(), max_starts)
 
     async def test_job_fails_after_few_crashes(self):
         """Guards against a task that crashes worker after worker for ever."""
-        await self.submit(DEADLY_JOB_ID, 0.3, 3, ("0.0.1",))
+        await self.submit(CRASHING_JOB_ID, 0.3, 3, ("0.0.1",))
         await self.submit(OTHER_JOB_ID, 0.5, 6)
         await self.wait_for_failure(MAX_STARTS, 40)
         await self.site.wait_state(DAEMON_NAMES, OTHER_JOB_ID, "completed", 20)
@@ -94,13 +94,13 @@
         The leader of the worker's group is killed as soon as the worker has
         crashed, for the first two crashes.
         """
-        await self.submit(DEADLY_JOB_ID, 0.3, 2, ("0.0.1",))
+        await self.submit(CRASHING_JOB_ID, 0.3, 2, ("0.0.1",))
         for start_count in (1, 2):
             async with asyncio.timeout(25):
-                while self.count_deadly_starts() < start_count:
+                while self.count_crashing_starts() < start_count:
                     await asyncio.sleep(0.001)
             note = [
-                note for note in self.site.notes if note.task == DEADLY_TASK
+                note for note in self.site.notes if note.task == CRASHING_TASK
             ][start_count - 1]
             leader = self.site.find_leaders()[self.domain_by_worker[
                 note.worker_id]]
--- a/src/gentianlead/dispatch/tests/crashing.py
+++ b/src/gentianlead/dispatch/tests/crashing.py
@@ -53,14 +53,14 @@
 class SimulatedCluster:
     """Runs one group's leader against simulated workers and a stored topic.
 
-    A task of `deadly_tasks` crashes each worker that starts it.
+    A task of `crashing_tasks` crashes each worker that starts it.
 
     Attributes:
         driver: Driver of the present leader.
         workers: Workers by identifier; a worker that has crashed is replaced by
             one with another identifier.
         table: State of the job topic.
-        deadly_tasks: Tasks that crash their workers.
+        crashing_tasks: Tasks that crash their workers.
         silent_tasks: Tasks whose start orders get no reply.
         starts: All start orders that reached a worker.
     """
@@ -71,7 +71,7 @@
             entry.worker_id: SimulatedWorker(entry) for entry in entries
         }
         self.driver = builders.GroupDriver(*entries)
-        self.deadly_tasks: set[model.TaskKey] = set()
+        self.crashing_tasks: set[model.TaskKey] = set()
         self.silent_tasks: set[model.TaskKey] = set()
         self.starts: list[dispatch.StartOrder] = []
         self._task_s = task_s
@@ -171,7 +171,7 @@
         self.driver.apply_start_outcome(
             order, ports.StartOutcome.UNKNOWN
             if order.task in self.silent_tasks else ports.StartOutcome.STARTED)
-        if order.task in self.deadly_tasks:
+        if order.task in self.crashing_tasks:
             self.crash(order.worker_id)
 
     def _break_gang(self, lost_order: dispatch.StartOrder) -> None:
--- a/src/gentianlead/dispatch/tests/test_crashes.py
+++ b/src/gentianlead/dispatch/tests/test_crashes.py
@@ -8,8 +8,8 @@
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import crashing
 
-DEADLY_JOB_ID = "00000000000000dd"
-DEADLY_TASK = model.TaskKey(DEADLY_JOB_ID, 0, 0, 0)
+CRASHING_JOB_ID = "00000000000000dd"
+CRASHING_TASK = model.TaskKey(CRASHING_JOB_ID, 0, 0, 0)
 MAX_STARTS = 5
 """Starts of a task that crashes each worker: three, and then two more."""
 
@@ -33,26 +33,26 @@
     return job_ids
 
 
-def accept_deadly_job(cluster: crashing.SimulatedCluster,
-                      step: model.Step | None = None,
-                      **fields) -> None:
+def accept_crashing_job(cluster: crashing.SimulatedCluster,
+                        step: model.Step | None = None,
+                        **fields) -> None:
     """Accepts a job whose first task crashes its workers."""
-    cluster.deadly_tasks.add(DEADLY_TASK)
+    cluster.crashing_tasks.add(CRASHING_TASK)
     cluster.accept(
-        builders.build_job(DEADLY_JOB_ID, step or builders.build_step(),
+        builders.build_job(CRASHING_JOB_ID, step or builders.build_step(),
                            **fields))
 
 
-class DeadlyTaskTest(unittest.TestCase):
+class CrashingTaskTest(unittest.TestCase):
     """Tests how often a task that crashes its workers is started."""
 
     def check_given_up(self, step: model.Step, **fields) -> None:
-        """Checks that a job with a deadly first task fails in time."""
+        """Checks that a job with a crashing first task fails in time."""
         cluster = build_cluster()
-        accept_deadly_job(cluster, step, **fields)
+        accept_crashing_job(cluster, step, **fields)
         cluster.run_for(40.0)
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
-        self.assertLessEqual(cluster.count_starts(DEADLY_TASK), MAX_STARTS)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
+        self.assertLessEqual(cluster.count_starts(CRASHING_TASK), MAX_STARTS)
 
     def test_lone_task_is_given_up_after_two_crashes(self):
         """Checks that a job fails at the second crash under its only task.
@@ -60,22 +60,22 @@
         Guards against a task that takes down worker after worker.
         """
         cluster = build_cluster()
-        accept_deadly_job(cluster)
+        accept_crashing_job(cluster)
         cluster.run_for(40.0)
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
-        self.assertEqual(cluster.count_starts(DEADLY_TASK), 2)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
+        self.assertEqual(cluster.count_starts(CRASHING_TASK), 2)
 
-    def test_neighbours_of_a_deadly_task_succeed(self):
-        """Checks that jobs beside a deadly task complete, and only it fails.
+    def test_neighbours_of_a_crashing_task_succeed(self):
+        """Checks that jobs beside a crashing task complete, and only it fails.
 
         Guards against blaming the other tasks of a crashed worker.
         """
         cluster = build_cluster()
         job_ids = accept_healthy_jobs(cluster, 10)
-        accept_deadly_job(cluster)
+        accept_crashing_job(cluster)
         cluster.run_for(60.0)
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
-        self.assertLessEqual(cluster.count_starts(DEADLY_TASK), 3)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
+        self.assertLessEqual(cluster.count_starts(CRASHING_TASK), 3)
         self.assertEqual({cluster.get_state(job_id) for job_id in job_ids},
                          {model.JobState.COMPLETED})
 
@@ -180,7 +180,7 @@
         """
         driver = builders.GroupDriver(builders.build_worker())
         driver.scheduler.put_job(
-            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+            builders.build_job_entry(builders.build_job(CRASHING_JOB_ID)))
         (order,) = driver.start_all()
         driver.flush()
         driver.scheduler.mark_unreachable("w1", driver.now)
@@ -204,7 +204,7 @@
         driver = builders.GroupDriver(builders.build_worker("w1"),
                                       builders.build_worker("w2"))
         driver.scheduler.put_job(
-            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+            builders.build_job_entry(builders.build_job(CRASHING_JOB_ID)))
         (order,) = driver.start_all()
         driver.scheduler.put_worker(
             builders.build_worker(order.worker_id, is_draining=True))
@@ -237,7 +237,7 @@
         in memory.
         """
         cluster = build_cluster()
-        accept_deadly_job(cluster)
+        accept_crashing_job(cluster)
         start_count = 0
         for _ in range(400):
             cluster.run_for(0.1)
@@ -245,7 +245,7 @@
                 start_count = len(cluster.starts)
                 cluster.run_for(1.0)
                 cluster.change_leader()
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
         self.assertLessEqual(start_count, MAX_STARTS)
 
     def test_order_of_a_dead_leader_counts(self):
@@ -255,14 +255,14 @@
         its order. Guards against a count that is stored only after a crash.
         """
         cluster = build_cluster()
-        accept_deadly_job(cluster)
+        accept_crashing_job(cluster)
         cluster.run_for(1.0)
         for _ in range(800):
             start_count = len(cluster.starts)
             cluster.run_for(crashing.TICK_S)
             if len(cluster.starts) > start_count:
                 cluster.change_leader()
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
         self.assertLessEqual(len(cluster.starts), MAX_STARTS)
 
     def test_order_without_reply_counts(self):
@@ -271,11 +271,11 @@
         Guards against counting only runs whose start was confirmed.
         """
         cluster = build_cluster()
-        cluster.silent_tasks.add(DEADLY_TASK)
-        accept_deadly_job(cluster)
+        cluster.silent_tasks.add(CRASHING_TASK)
+        accept_crashing_job(cluster)
         cluster.run_for(40.0)
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
-        self.assertLessEqual(cluster.count_starts(DEADLY_TASK), 3)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
+        self.assertLessEqual(cluster.count_starts(CRASHING_TASK), 3)
 
     def test_count_moves_with_the_job(self):
         """Checks that a job keeps its count when it moves to another group.
@@ -283,19 +283,19 @@
         Guards against three more starts in each group.
         """
         cluster = build_cluster()
-        accept_deadly_job(cluster)
+        accept_crashing_job(cluster)
         cluster.run_for(5.0)
         starts_before_move = len(cluster.starts)
-        job = cluster.driver.scheduler.jobs.get(DEADLY_JOB_ID)
+        job = cluster.driver.scheduler.jobs.get(CRASHING_JOB_ID)
         if job is not None:
             cluster.store(
-                dispatch.MovedRecord(DEADLY_JOB_ID, "north-1", (), "north-2",
+                dispatch.MovedRecord(CRASHING_JOB_ID, "north-1", (), "north-2",
                                      job.begin_move()))
             cluster.change_leader("north-2")
             cluster.run_for(40.0)
         self.assertGreaterEqual(starts_before_move, 1)
-        self.assertIs(cluster.get_state(DEADLY_JOB_ID), model.JobState.FAILED)
-        self.assertLessEqual(cluster.count_starts(DEADLY_TASK), 3)
+        self.assertIs(cluster.get_state(CRASHING_JOB_ID), model.JobState.FAILED)
+        self.assertLessEqual(cluster.count_starts(CRASHING_TASK), 3)
 
     def test_next_start_is_stored_ahead(self):
         """Checks that a suspect starts only after its start is stored.
@@ -305,7 +305,7 @@
         driver = builders.GroupDriver(builders.build_worker("w1"),
                                       builders.build_worker("w2"))
         driver.scheduler.put_job(
-            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+            builders.build_job_entry(builders.build_job(CRASHING_JOB_ID)))
         (order,) = driver.start_all()
         driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
         driver.now += 1.0
@@ -327,7 +327,7 @@
         """
         driver = builders.GroupDriver(builders.build_worker())
         driver.scheduler.put_job(
-            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+            builders.build_job_entry(builders.build_job(CRASHING_JOB_ID)))
         driver.scheduler.set_capacity_enforcing_services(frozenset({"svc"}))
         (order,) = driver.plan_starts()
         driver.apply_start_outcome(order, ports.StartOutcome.UNKNOWN)
@@ -346,8 +346,8 @@
         Guards against jobs that stop when the daemons are upgraded.
         """
         stored = ports.KeyedRecord(
-            f"p/{DEADLY_JOB_ID}/north-1",
-            dispatch.encode_value((DEADLY_JOB_ID, "north-1", 64, "running", 7,
+            f"p/{CRASHING_JOB_ID}/north-1",
+            dispatch.encode_value((CRASHING_JOB_ID, "north-1", 64, "running", 7,
                                    (), ((0, 0, 0, 1, "", 7, (7,)),))))
         record = dispatch.decode_record(stored)
         self.assertEqual(record.unfinished_tasks[0],
@@ -359,7 +359,7 @@
         The group already had another task of the job. Guards against a count
         that only new jobs restore.
         """
-        job = builders.build_job(DEADLY_JOB_ID,
+        job = builders.build_job(CRASHING_JOB_ID,
                                  builders.build_step(2, is_long_running=True),
                                  assignment=("north-1", "north-2"))
         entry = builders.build_job_entry(job)
@@ -378,7 +378,7 @@
                            progress_by_group={
                                "north-2":
                                    dispatch.ProgressRecord(
-                                       DEADLY_JOB_ID, "north-2", 64,
+                                       CRASHING_JOB_ID, "north-2", 64,
                                        model.JobState.RUNNING, 3, (),
                                        (task_progress,))
                            }))
@@ -390,7 +390,7 @@
 
         Guards against tasks that run on for a job that is shown as failed.
         """
-        job = builders.build_job(DEADLY_JOB_ID,
+        job = builders.build_job(CRASHING_JOB_ID,
                                  builders.build_step(2, is_long_running=True),
                                  assignment=("north-1", "north-2"))
         entry = builders.build_job_entry(job)
@@ -401,7 +401,7 @@
             entry._replace(
                 progress_by_group={
                     "north-2":
-                        dispatch.ProgressRecord(DEADLY_JOB_ID, "north-2", 64,
+                        dispatch.ProgressRecord(CRASHING_JOB_ID, "north-2", 64,
                                                 model.JobState.FAILED)
                 }))
         self.assertEqual([stop.task for stop in driver.plan_stops()],
@@ -415,7 +415,7 @@
         self.driver = builders.GroupDriver(builders.build_worker("w1"),
                                            builders.build_worker("w2"))
         self.driver.scheduler.put_job(
-            builders.build_job_entry(builders.build_job(DEADLY_JOB_ID)))
+            builders.build_job_entry(builders.build_job(CRASHING_JOB_ID)))
         (order,) = self.driver.start_all()
         self.driver.scheduler.remove_replaced_worker(order.worker_id,
                                                      self.driver.now)
@@ -462,7 +462,7 @@
         for worker in self.driver.scheduler.workers.values():
             worker.entry = worker.entry._replace(cpu_millis=500)
         self.driver.plan()
-        job = self.driver.scheduler.jobs[DEADLY_JOB_ID]
+        job = self.driver.scheduler.jobs[CRASHING_JOB_ID]
         self.driver.now += 0.5
         self.assertTrue(job.has_unplaced_tasks(self.driver.now, 0.4))
 
@@ -492,7 +492,7 @@
             builders.build_worker(f"w{i}", cpu_millis=1000) for i in range(4)))
         self.driver.scheduler.put_job(
             builders.build_job_entry(
-                builders.build_job(DEADLY_JOB_ID, builders.build_step(4))))
+                builders.build_job(CRASHING_JOB_ID, builders.build_step(4))))
         self.orders = {
             order.worker_id: order for order in self.driver.start_all()
         }
@@ -507,7 +507,7 @@
     def test_lone_loss_is_strong_evidence(self):
         """Checks the evidence if losses are one second apart.
 
-        Guards against weak evidence while several deadly tasks run.
+        Guards against weak evidence while several crashing tasks run.
         """
         self.driver.scheduler.mark_unreachable("w0", self.driver.now)
         self.driver.now += 1.0
--- a/src/gentianlead/execution/_crashes.py
+++ b/src/gentianlead/execution/_crashes.py
@@ -33,7 +33,7 @@
     The holder of a run that was taken over does not know when the run started.
     Such a loss counts only if the first holder failed soon after the claim, or
     if other losses have made the task a suspect: the other runs of a daemon
-    that failed together with its workers are most likely innocent.
+    that failed together with its workers are most likely not the cause.
 
     Args:
         run: Run that has ended.
--- a/src/gentianlead/model/_crashes.py
+++ b/src/gentianlead/model/_crashes.py
@@ -19,7 +19,7 @@
 SUSPECT_EVIDENCE = 2
 """Evidence from which a task starts only alone: one lone crash, or two shared
 ones. After a single shared crash the cause is likely a common one, such as a
-loss of power, and most of the tasks that were lost are innocent."""
+loss of power, and most of the tasks that were lost did not cause it."""
 
 GIVEN_UP_CODE = "TASK_GIVEN_UP"
 """Error code at the start of the detail of a job that failed for this."""
--- a/src/gentianlead/scheduling/_suspects.py
+++ b/src/gentianlead/scheduling/_suspects.py
@@ -190,7 +190,8 @@
     def _choose_due_task(self, now: float) -> _decisions.TaskKey | None:
         """Returns the task with the least evidence against it, or None.
 
-        Innocent tasks thus do not wait for those that crash again and again.
+        Tasks that are not the cause thus do not wait for those that crash their
+        workers again and again.
         """
         due_tasks = []
         for task_key, start_after in self._start_after_by_task.items():
@@ -228,12 +229,12 @@
         job_id, task = task_key
         crashes = self._domain_index.job_states[job_id].job.crashes[task]
         runs = self._domain_index.runs_by_worker.get(worker.name, {})
-        precious_run_count = sum(not self._domain_index.is_batch_job(run.job_id)
-                                 for run in runs.values())
+        service_run_count = sum(not self._domain_index.is_batch_job(run.job_id)
+                                for run in runs.values())
         return (any(crash.worker == worker.name for crash in crashes),
                 self._quarantine.has_recent_failure_on(job_id, worker.name),
                 bool(self._workload_history.get_services_on(worker.name)),
-                precious_run_count, self._count_runs(worker.name),
+                service_run_count, self._count_runs(worker.name),
                 worker.appearance_order)
 
     def _count_runs(self, worker: str) -> int:
--- a/standins/site.py
+++ b/standins/site.py
@@ -211,7 +211,7 @@
         job_id: str,
         seconds: float,
         *counts: int,
-        deadly_tasks: Sequence[str] = ()) -> CallerReply:
+        crashing_tasks: Sequence[str] = ()) -> CallerReply:
         """Submits a job of steps that follow each other.
 
         Args:
@@ -219,8 +219,8 @@
             job_id: Identifier of the job.
             seconds: Duration of each task.
             *counts: Number of tasks of each step.
-            deadly_tasks: Tasks that crash each worker that starts them, each as
-                repetition, step and index, divided by dots.
+            crashing_tasks: Tasks that crash each worker that starts them, each
+                as repetition, step and index, divided by dots.
         """
         steps = [{
             "count": count,
@@ -237,7 +237,7 @@
                     json.dumps({
                         "seconds": seconds,
                         "cpu_millis": _TASK_CPU_MILLIS,
-                        "deadly_tasks": list(deadly_tasks)
+                        "crashing_tasks": list(crashing_tasks)
                     }),
                 "steps":
                     steps
--- a/standins/site_workers.py
+++ b/standins/site_workers.py
@@ -248,7 +248,7 @@
                         now,
                         excess_cpu_millis=self._compute_excess(now)))
             # The name of a task starts with its job.
-            if key[0].partition(".")[2] in spec.get("deadly_tasks", ()):
+            if key[0].partition(".")[2] in spec.get("crashing_tasks", ()):
                 self.crash()
                 return self._drop_connection(request)
         return self._answer({})
