Record missing workers for urgent work beside a dead scheduler

Callers saw: an urgent job started only when the member timeout of 6 s had passed, not within 3.5 s.

Cause: only the preferred scheduler records workers. If it ends between joining and the append of its first WorkerPut records, the domain's state has no worker. The member of rank 1 opens the urgent job after 0.5 s but finds no worker for its task until it is the preferred scheduler itself. The test kills the preferred scheduler about 40 ms after it became that.

Change: a member of rank k records the workers of a current list of VMs that are missing from the domain's state while urgent work has waited for 0.5 s times k. Changes and removals of workers stay with the preferred scheduler.

--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -49,6 +49,11 @@
 is short because `URGENT_START_DELAY` begins only when the job is open: the two
 delays add up."""
 
+MAX_VM_LIST_AGE_FOR_URGENT_WORK = datetime.timedelta(seconds=5)
+"""Greatest age of the list of VMs with which a member of rank 1 or higher
+records workers. With an older one it could add again, round after round, a
+worker that the preferred scheduler has removed."""
+
 MEMBER_REMOVAL_TIMEOUT = datetime.timedelta(seconds=60)
 """Time without a heartbeat after which the preferred scheduler removes a member
 from the domain."""
@@ -81,9 +86,10 @@
     have sent no heartbeat for more than `MEMBER_REMOVAL_TIMEOUT`.
 
     Any other live member opens urgent jobs and claims urgent tasks only if the
-    preferred scheduler has not done so in time. It claims tasks without delay
-    for workers that its own `scheduler` has reserved for their job group. It
-    does no other shared work.
+    preferred scheduler has not done so in time. While urgent work waits too
+    long, it also records workers that are missing from the domain's state. It
+    claims tasks without delay for workers that its own `scheduler` has reserved
+    for their job group. It does no other shared work.
 
     Args:
         incarnation: Incarnation of this daemon.
@@ -275,6 +281,7 @@
             self._write_snapshots(now)
             self._claim_tasks(now)
             return
+        self._record_missing_workers(rank, now)
         self._open_urgent_jobs(rank, now)
         self._claim_overdue_urgent_tasks(rank, now)
 
@@ -375,9 +382,7 @@
             worker = self._domain_state_machine.workers.get(name)
             if worker is None or worker.capacity != capacity or (worker.rack
                                                                  != vm.rack):
-                self._append_in_background(
-                    ("worker", name), self._domain_stream_client,
-                    model.WorkerPut(name, vm.rack, capacity))
+                self._record_worker(vm)
         if self._vm_inventory.updated_at is None:
             return
         for name, worker in self._domain_state_machine.workers.items():
@@ -386,6 +391,35 @@
                                            self._domain_stream_client,
                                            model.WorkerRemoved(name))
 
+    def _record_worker(self, vm: model.VM) -> None:
+        self._append_in_background(
+            ("worker", vm.name), self._domain_stream_client,
+            model.WorkerPut(vm.name, vm.rack, self._compute_task_capacity(vm)))
+
+    def _record_missing_workers(self, rank: int, now: float) -> None:
+        """Records the missing workers if urgent work waits for too long.
+
+        The preferred scheduler may have failed before it recorded them. Changed
+        and removed workers are left to the preferred scheduler.
+        """
+        vm_list_updated_at = self._vm_inventory.updated_at
+        if vm_list_updated_at is None or not self.may_start():
+            return
+        max_age_s = MAX_VM_LIST_AGE_FOR_URGENT_WORK.total_seconds()
+        waiting_before = now - rank * URGENT_OPEN_DELAY.total_seconds()
+        if now - vm_list_updated_at > max_age_s or not (
+                self._has_urgent_work(waiting_before)):
+            return
+        for vm in self._vm_inventory.list_workers(self._domain_name):
+            if vm.name not in self._domain_state_machine.workers:
+                self._record_worker(vm)
+
+    def _has_urgent_work(self, waiting_before: float) -> bool:
+        """Returns whether urgent work waits since before a monotonic time."""
+        return any(read_at < waiting_before
+                   for read_at in self._unopened_urgent_jobs_read_at.values()
+                  ) or self._scheduler.has_urgent_work(waiting_before)
+
     def _compute_task_capacity(self, vm: model.VM) -> model.Resources:
         capacity = vm.capacity
         for service in self.configuration.services.values():
--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -146,6 +146,7 @@
         scheduler.plan_evictions.return_value = []
         scheduler.plan_starts.return_value = []
         scheduler.plan_urgent_starts.return_value = []
+        scheduler.has_urgent_work.return_value = False
         return scheduler
 
     def build_run_manager(self) -> execution.RunManager:
--- a/src/gentianlead/control/tests/simulated_domains.py
+++ b/src/gentianlead/control/tests/simulated_domains.py
@@ -302,12 +302,14 @@
                      job_id: str,
                      script: TaskScript,
                      tasks: int = 1,
-                     kind: model.JobKind = model.JobKind.BATCH) -> None:
+                     kind: model.JobKind = model.JobKind.BATCH,
+                     is_urgent: bool = False) -> None:
         """Submits a job to the first domain."""
         spec = model.JobSpec(job_id,
                              kind=kind.value,
                              tasks=tasks,
                              resources=TASK_SIZE,
+                             is_urgent=is_urgent,
                              payload=script.encode())
         await self._config_client.submit(model.JobSubmitted(
             spec, DOMAINS[0], 0))
--- a/src/gentianlead/scheduling/_scheduler.py
+++ b/src/gentianlead/scheduling/_scheduler.py
@@ -325,6 +325,14 @@
                 starts.append(start)
         return starts
 
+    def has_urgent_work(self, waiting_before: float) -> bool:
+        """Returns whether a queued urgent job waits since before a time.
+
+        Args:
+            waiting_before: Monotonic seconds.
+        """
+        return bool(self._domain_index.list_waiting_urgent_jobs(waiting_before))
+
     def plan_urgent_evictions(self, now: float) -> list[_decisions.Eviction]:
         """Returns evictions for urgent tasks that could not be placed.
 
