Keep an ended run at its worker until its end is recorded

Callers saw: after an outage of the log, tasks that had finished during it ran a second time. In ConfigurationTest.test_log_down_and_slow this is "4 != 2" starts, or "single finish" violations when the second runs end, which also fail the other tests of the class.

Cause: a daemon told the worker to forget an ended run as soon as it no longer held the run, also when the run had been taken over before its end was recorded. The new holder then got "unknown" from the worker and released the run as lost, and as evidence of a crash against the task.

Evidence: a run of the test on the code before, with the daemons' logs and the streams kept: both runs finish in the outage; after it the domain's stream has HolderChanged, then TaskFinished of the former holder (rejected), then TaskReleased "shared-crash" of the new holder 5 s later, then claims of run 2, which start and finish again.

Change: the former holder tells the worker to forget a run only when the run is no longer live in the domain's state.

Result: execution.tests.test_manager passes; without the change test_run_taken_over fails with "Expected 'forget' to not have been called. Called 1 times".

--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -157,11 +157,12 @@
     def on_run_changed(self, key: tuple[str, int]) -> None:
         live_run = self._state_machine.runs.get(key)
         held_run = self.get_run(key)
-        if held_run is not None and (live_run is None or
-                                     live_run.run != held_run.live_run.run or
-                                     live_run.holder != self._incarnation):
-            self._remove_run(held_run)
-            held_run = None
+        if held_run is not None:
+            is_end_recorded = (live_run is None or
+                               live_run.run != held_run.live_run.run)
+            if is_end_recorded or live_run.holder != self._incarnation:
+                self._remove_run(held_run, is_end_recorded)
+                held_run = None
         if live_run is None or live_run.holder != self._incarnation:
             return
         if held_run is not None:
@@ -197,12 +198,14 @@
         self._workers_by_task_key[task_key] = live_run.worker
         self._wake_session_loop(live_run.worker)
 
-    def _remove_run(self, run: _held_run.HeldRun) -> None:
+    def _remove_run(self, run: _held_run.HeldRun,
+                    is_end_recorded: bool) -> None:
         task_key = (run.live_run.job_id, run.live_run.task)
         session = self._sessions[run.live_run.worker]
         del session.runs[task_key]
         del self._workers_by_task_key[task_key]
-        if run.phase is _held_run.RunPhase.ENDED:
+        # A new holder learns only from the worker how an ended run has ended.
+        if is_end_recorded and run.phase is _held_run.RunPhase.ENDED:
             self._run_in_background(session.forget(run))
 
     def _get_or_create_session(self,
