Let a suspect gang start while a larger suspect does not fit

Cause: a worker that is kept in vain for a suspect is released for others only if another suspect was refused meanwhile. A gang without a free place for a probation was not noted as refused, so the larger suspect took the place again in the pass that released it.

Change: a gang that finds no free place counts as refused.

Result: the test passes, as do test_crashes, test_crash_proofs, test_group, test_order, test_quarantine, test_moves, test_lasting, test_fleets and test_exclusions of dispatch.

--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -183,7 +183,10 @@
 
     def may_start_gang(self, now: float) -> bool:
         """Returns whether a gang may start on probation now."""
-        return self._free_slots > 0 and now >= self._next_start_at
+        if self._free_slots <= 0:
+            self._has_refused = True
+            return False
+        return now >= self._next_start_at
 
     def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion,
               now: float) -> None:
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -94,6 +94,21 @@
         Guards against a kept worker that is chosen again at once, for as long
         as the tasks there run.
         """
+        self.check_start_beside_larger_suspect(builders.build_step())
+
+    def test_suspect_that_does_not_fit_lets_gangs_start(self):
+        """Checks that a gang starts although a larger suspect does not fit yet.
+
+        Guards against a gang that does not count among the waiting suspects.
+        """
+        self.check_start_beside_larger_suspect(
+            builders.build_step(2, is_gang=True))
+
+    def check_start_beside_larger_suspect(self, step: model.Step) -> None:
+        """Checks that only a step of two suspect ones starts within 10 s.
+
+        The other one, which comes first, fits on none of the three workers.
+        """
         driver = builders.GroupDriver(
             *(builders.build_worker(f"w{i}") for i in range(3)))
         driver.put_job("00000000000000aa",
@@ -104,7 +119,7 @@
         driver.put_job("00000000000000bb",
                        builders.build_step(memory_mib=9000),
                        accepted_at_ms=builders.NOW_MS - 100)
-        driver.put_job(JOB_ID)
+        driver.put_job(JOB_ID, step)
         for job_id in ("00000000000000bb", JOB_ID):
             suspicion = driver.scheduler.jobs[job_id].get_suspicion(
                 TASK._replace(job_id=job_id))
