Repeat no start order on a worker that is to get no starts

What callers may see: a task that starts on a draining worker or in an evacuated group seconds after that was acknowledged (rules DRAIN and EVAC).

Cause: a start order without a reply is repeated without a look at whether its worker drains or its group is evacuated.

Evidence: both tests of ClosedWorkerTest fail without the change, with a repeated start order for each kind of worker.

Change: on such a worker nothing is repeated. If its next report does not list the run, the run is stopped, so that the worker refuses a late execution of the first order.

Result: the tests pass, as do test_capacity, test_group, test_crashes, test_order, test_moves, test_lasting and test_fleets of dispatch.

--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -84,13 +84,15 @@
                     job = self.jobs.get(run.task.job_id)
                     if job is None or job.has_ended:
                         continue
-                    if not worker.enforces_capacity:
-                        # The worker would start the run even if it has shrunk,
-                        # or if a smaller instance has replaced it.
+                    is_closed = worker.entry.is_draining or self.is_evacuated
+                    if is_closed or not worker.enforces_capacity:
+                        # The worker would start the run although it is to get
+                        # none any more, has shrunk, or has been replaced by a
+                        # smaller instance.
                         if (not worker.is_reachable or
                                 not self.is_registry_current):
                             continue
-                        if (worker.is_over_capacity() or
+                        if (is_closed or worker.is_over_capacity() or
                                 worker.may_exceed_capacity):
                             run.start_attempts = _group_state.MAX_START_ATTEMPTS
                             continue
