Start long-running tasks of a worker that is gone all at once

A run that was not proven when its worker was lost makes its task a suspect although the worker was not replaced, which gives no evidence against the task. After the lease of 5.5 s, all of them queue for the third of the group's workers that may be kept for suspects, one task a worker, each until a status report proves it.

Evidence: test_tasks_of_a_lost_worker_start_together fails without the change: 3 of 8 tasks run 2 s after the end of the lease.

Change: only a crash with evidence makes a long-running task wait for a kept worker. Each start is still stored ahead and counts, so the bound of four counted crashes stays. A deadly long-running task whose crashed worker is not replaced before its lease ends may crash a worker that runs others.

--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -74,10 +74,17 @@
         """Whether the task may be one that crashes its workers."""
         return bool(self.crashes)
 
-    @property
-    def needs_probation(self) -> bool:
-        """Whether the next start needs a worker that is kept for it."""
-        return any(evidence is not CrashEvidence.SHARED
+    def needs_probation(self, is_long_running: bool) -> bool:
+        """Returns whether the next start needs a worker that is kept for it.
+
+        A crash without evidence does not suffice for a long-running task: all
+        such tasks of a worker that is gone would queue for the few workers that
+        are kept, without a run beside free capacity.
+        """
+        sufficient_evidence = {CrashEvidence.WEAK, CrashEvidence.STRONG}
+        if not is_long_running:
+            sufficient_evidence.add(CrashEvidence.UNRESOLVED)
+        return any(evidence in sufficient_evidence
                    for run, evidence in self.crashes.items()
                    if run != self.claimed_run)
 
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -6,6 +6,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import crashing
 
 JOB_ID = "00000000000000dd"
 TASK = model.TaskKey(JOB_ID, 0, 0, 0)
@@ -211,3 +212,30 @@
             for task_progress in progress.unfinished_tasks
             if task_progress.crashed_runs
         ], [])
+
+
+class LostLongRunningTest(unittest.TestCase):
+    """Tests long-running tasks that had just started on a worker that is gone.
+    """
+
+    def test_tasks_of_a_lost_worker_start_together(self):
+        """Checks that all eight tasks run 2 s after the lease of their worker.
+
+        Guards against tasks without a run beside free capacity, which queue for
+        the one worker that is kept for suspects.
+        """
+        cluster = crashing.SimulatedCluster(
+            *(builders.build_worker(f"w{i}") for i in range(4)))
+        cluster.accept(
+            builders.build_job(JOB_ID,
+                               builders.build_step(8,
+                                                   is_long_running=True,
+                                                   image="image",
+                                                   tail_latency_limit_ms=20),
+                               assignment=("north-1",) * 8))
+        cluster.run_for(0.3)
+        (worker_id,) = {order.worker_id for order in cluster.starts}
+        cluster.remove(worker_id)
+        cluster.run_for(builders.LEASE.total_seconds() + 2.0)
+        self.assertEqual(
+            sum(len(worker.runs) for worker in cluster.workers.values()), 8)
