--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -6,6 +6,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import crashing
 
 JOB_ID = "00000000000000dd"
 TASK = model.TaskKey(JOB_ID, 0, 0, 0)
@@ -94,6 +95,21 @@
         Guards against a kept worker that is chosen again at once, for as long
         as the tasks there run.
         """
+        self.check_start_beside_larger_suspect(builders.build_step())
+
+    def test_suspect_that_does_not_fit_lets_gangs_start(self):
+        """Checks that a gang starts although a larger suspect does not fit yet.
+
+        Guards against a gang that does not count among the waiting suspects.
+        """
+        self.check_start_beside_larger_suspect(
+            builders.build_step(2, is_gang=True))
+
+    def check_start_beside_larger_suspect(self, step: model.Step) -> None:
+        """Checks that only a step of two suspect ones starts within 10 s.
+
+        The other one, which comes first, fits on none of the three workers.
+        """
         driver = builders.GroupDriver(
             *(builders.build_worker(f"w{i}") for i in range(3)))
         driver.put_job("00000000000000aa",
@@ -104,7 +120,7 @@
         driver.put_job("00000000000000bb",
                        builders.build_step(memory_mib=9000),
                        accepted_at_ms=builders.NOW_MS - 100)
-        driver.put_job(JOB_ID)
+        driver.put_job(JOB_ID, step)
         for job_id in ("00000000000000bb", JOB_ID):
             suspicion = driver.scheduler.jobs[job_id].get_suspicion(
                 TASK._replace(job_id=job_id))
@@ -196,3 +212,30 @@
             for task_progress in progress.unfinished_tasks
             if task_progress.crashed_runs
         ], [])
+
+
+class LostLongRunningTest(unittest.TestCase):
+    """Tests long-running tasks that had just started on a worker that is gone.
+    """
+
+    def test_tasks_of_a_lost_worker_start_together(self):
+        """Checks that all eight tasks run 2 s after the lease of their worker.
+
+        Guards against tasks without a run beside free capacity, which queue for
+        the one worker that is kept for suspects.
+        """
+        cluster = crashing.SimulatedCluster(
+            *(builders.build_worker(f"w{i}") for i in range(4)))
+        cluster.accept(
+            builders.build_job(JOB_ID,
+                               builders.build_step(8,
+                                                   is_long_running=True,
+                                                   image="image",
+                                                   tail_latency_limit_ms=20),
+                               assignment=("north-1",) * 8))
+        cluster.run_for(0.3)
+        (worker_id,) = {order.worker_id for order in cluster.starts}
+        cluster.remove(worker_id)
+        cluster.run_for(builders.LEASE.total_seconds() + 2.0)
+        self.assertEqual(
+            sum(len(worker.runs) for worker in cluster.workers.values()), 8)
