Compare the losses of workers across groups before a task is given up

Cause: losses were compared within a group only.

Change: leaders list their recent losses, as ages, in their reports to all daemons. A loss near one of another group is weak evidence. No evidence is strong before one second after the loss, so that three reports can arrive; a start that the evidence may forbid waits as long. The verdict is logged as crash-confirmed.

Evidence: with the comparison and the delay switched off, five of the eight tests of dispatch/tests/test_loss_reports.py fail, among them test_loss_of_power_in_two_groups_keeps_the_task and test_late_report_keeps_the_task ("True is not false": the job has failed). With the change all pass, as do test_crashes (29), test_crash_proofs (7), test_group (29), cluster test_reports (6) and the three process tests of cluster test_crashing_tasks.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -93,6 +93,7 @@
         self._topic_writer = _job_topic.JobTopicWriter(
             store, ports.Producer(f"n/{self._incarnation}", 1), clock, log,
             self._metrics)
+        self._reported_losses = dispatch.ReportedLosses()
         self._peering = _peering.Peering(self._incarnation, settings.domain,
                                          clock, random_source)
         self._report_sender = _report_sender.ReportSender(
@@ -412,6 +413,7 @@
             lambda: self._job_service.load_reports, self._interference,
             self._registry_freshness.is_current)
         leader.scheduler.find_job_entry = self._find_job_entry
+        leader.scheduler.crashes.reported_losses = self._reported_losses
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
             leader.put_job(job_entry)
@@ -444,9 +446,14 @@
 
     def _publish_leader_report(self,
                                report: _peer_messages.LeaderReport) -> None:
-        self._job_service.apply_leader_report(report)
+        self._apply_leader_report(report)
         self._report_sender.publish(report)
 
+    def _apply_leader_report(self, report: _peer_messages.LeaderReport) -> None:
+        self._job_service.apply_leader_report(report)
+        self._reported_losses.add(report.group, report.losses,
+                                  self._clock.monotonic())
+
     async def _send_notice(self, peer_name: str, subject: str,
                            notice: object) -> None:
         try:
@@ -496,7 +503,7 @@
 
     async def _serve_leader_report(self, payload: bytes) -> object:
         report = dispatch.decode_value(payload, _peer_messages.LeaderReport)
-        self._job_service.apply_leader_report(report)
+        self._apply_leader_report(report)
         self._interference.merge(report.interference_pairs)
         return True
 
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -311,7 +311,8 @@
         self._on_report(
             _peer_messages.LeaderReport(
                 self.group, self.epoch, self.get_load(now), tuple(job_states),
-                tuple(self._interference.take_changed_estimates())))
+                tuple(self._interference.take_changed_estimates()),
+                self.scheduler.crashes.build_loss_reports(now)))
 
     def _log_load(self, now: float) -> None:
         if now - self._load_logged_at < LOAD_LOG_INTERVAL.total_seconds():
--- a/src/gentianlead/cluster/_peer_messages.py
+++ b/src/gentianlead/cluster/_peer_messages.py
@@ -61,6 +61,7 @@
         interference_pairs: Estimates of how much best-effort images raise the
             latency of other images. Contains only estimates that changed since
             the sending daemon's previous report for any group.
+        losses: Workers of the group that were lost lately.
     """
 
     group: str
@@ -68,6 +69,7 @@
     load: dispatch.GroupLoad
     states: tuple[JobStateNotice, ...]
     interference_pairs: tuple[dispatch.InterferenceEstimate, ...] = ()
+    losses: tuple[dispatch.LossReport, ...] = ()
 
 
 class RelayedSubmission(NamedTuple):
--- a/src/gentianlead/cluster/tests/test_reports.py
+++ b/src/gentianlead/cluster/tests/test_reports.py
@@ -9,6 +9,7 @@
 from gentianlead import errors
 from gentianlead import model
 from gentianlead import platform
+from gentianlead import ports
 from gentianlead.cluster import _daemon
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster.tests import fakes
@@ -58,8 +59,12 @@
                 platform.parse_settings(test_formats.SETTINGS_TEXT),
                 fakes.FakeStore(), None, None, adapters.SystemClock(),
                 adapters.SystemRandom(), fakes.build_log())
-        # pylint: disable-next=protected-access
+        # pylint: disable=protected-access
         self.publish = daemon._publish_leader_report
+        self.serve_report = daemon._serve_leader_report
+        self.start_leading = daemon._start_leading
+        self.leaders = daemon._leaders
+        self.reported_losses = daemon._reported_losses
 
     def build_report(self,
                      number: int,
@@ -116,6 +121,51 @@
                           for report, _ in self.peering.list_calls("entry-2")],
                          [("north-1", 0), ("north-1", 1), ("north-2", 2)])
 
+    async def test_reports_carry_losses(self):
+        """Checks that a daemon keeps the losses in its own and peers' reports.
+
+        Guards against a leader that cannot compare the losses of other groups.
+        """
+        for group, is_peer in (("north-1", False), ("north-2", True)):
+            with self.subTest(group=group):
+                report = self.build_report(0, group)._replace(
+                    losses=(dispatch.LossReport(f"{group}-w1", 7, 50, 20),))
+                if is_peer:
+                    await self.serve_report(dispatch.encode_value(report))
+                else:
+                    self.publish(report)
+                now = adapters.SystemClock().monotonic()
+                other_groups = {"north-1", "north-2"} - {group}
+                self.assertTrue(
+                    self.reported_losses.has_loss_between(
+                        now - 0.1, now, other_groups.pop()))
+
+    async def test_leader_compares_the_losses_of_its_daemon(self):
+        """Checks that a leader reports its losses, and sees those of the peers.
+
+        Guards against leaders that compare the losses of their group only.
+        """
+        self.start_leading("north-1", 64, 0, 0.0, "test")
+        leader = self.leaders["north-1"]
+        self.addAsyncCleanup(leader.stop)
+        crashes = leader.scheduler.crashes
+        self.assertIs(crashes.reported_losses, self.reported_losses)
+        now = adapters.SystemClock().monotonic()
+        entry = ports.WorkerEntry("w1", "service", "10.0.0.1:80", "north-1",
+                                  False, 1000, 1000, 0, frozenset())
+        leader.scheduler.put_worker(entry)
+        leader.scheduler.workers["w1"].is_reachable = True
+        leader.scheduler.mark_unreachable("w1", now)
+        async with asyncio.timeout(10):
+            while not any(report.losses for _, report, _ in self.peering.calls):
+                for _, _, reply in self.peering.calls:
+                    if not reply.done():
+                        reply.set_result(True)
+                await asyncio.sleep(0.05)
+        self.assertTrue(
+            self.reported_losses.has_loss_between(now - 0.1, now + 0.1,
+                                                  "north-2"))
+
     async def test_reports_go_on_after_a_failure(self):
         """Guards against a peer that gets no reports after a failed one."""
         self.publish(self.build_report(0))
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -28,6 +28,8 @@
 from gentianlead.dispatch._load import add_job_to_load
 from gentianlead.dispatch._load import GroupLoad
 from gentianlead.dispatch._load import ImageCapacity
+from gentianlead.dispatch._loss_reports import LossReport
+from gentianlead.dispatch._loss_reports import ReportedLosses
 from gentianlead.dispatch._moves import JOB_MOVE_DELAY
 from gentianlead.dispatch._moves import PlannedMove
 from gentianlead.dispatch._orders import AppliedRunEnd
--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -12,6 +12,7 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _loss_reports
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _suspicions
@@ -35,14 +36,17 @@
 SHARED_LOSSES = 2
 """Number of other losses at about the same time that show a common cause."""
 
-LOSS_RETENTION = datetime.timedelta(seconds=20)
-"""Time for which losses are kept for comparison: longer than a lease."""
+LOSS_REPORT_DELAY = datetime.timedelta(seconds=1)
+"""Time after a loss until the losses of the other groups at that moment are
+known: three intervals of the leaders' reports. Until then, no loss is strong
+evidence."""
 
 
 class CrashEventType(enum.Enum):
     """Kind of a `CrashEvent`; the value is the name of its log line."""
 
     COUNTED = "crash-counted"
+    CONFIRMED = "crash-confirmed"
     PROBATION_BEGUN = "probation-begun"
     PROBATION_ENDED = "probation-ended"
     GIVEN_UP = "task-given-up"
@@ -94,6 +98,21 @@
     last_start_at: float
 
 
+class _UnconfirmedCrash(NamedTuple):
+    """Crash that becomes strong evidence unless another group reports a loss.
+
+    Attributes:
+        loss: Loss of the worker.
+        run: Run that may have caused it.
+        confirmed_at: Monotonic time in seconds at which the reports of the
+            other groups should have arrived.
+    """
+
+    loss: WorkerLoss
+    run: _runs.Run
+    confirmed_at: float
+
+
 def get_blamed_task(run: _runs.Run) -> model.TaskKey:
     """Returns the task that is blamed for a crash under a run.
 
@@ -107,12 +126,18 @@
 
     Attributes:
         events: Decisions since the caller last emptied this list.
+        reported_losses: Losses that the leaders of all groups have reported.
     """
 
-    def __init__(self, jobs: dict[str, _runs.JobRun]):
+    def __init__(self, group: str, jobs: dict[str, _runs.JobRun]):
         self.events: list[CrashEvent] = []
+        self.reported_losses = _loss_reports.ReportedLosses()
+        self._group = group
         self._jobs = jobs
         self._losses: list[WorkerLoss] = []
+        # By blamed task and number of the run.
+        self._unconfirmed_crashes: dict[tuple[model.TaskKey, int],
+                                        _UnconfirmedCrash] = {}
 
     def record_loss(self, worker: _workers.WorkerState, lost_since: float,
                     now: float) -> WorkerLoss:
@@ -139,8 +164,9 @@
             frozenset(map(get_blamed_task, unproven_runs)),
             max((run.start_sent_at for run in unproven_runs), default=0.0))
         self._losses = [
-            *(old_loss for old_loss in self._losses
-              if now - old_loss.lost_at <= LOSS_RETENTION.total_seconds()), loss
+            *(old_loss for old_loss in self._losses if now -
+              old_loss.lost_at <= _loss_reports.LOSS_RETENTION.total_seconds()),
+            loss
         ]
         for run in () if loss.is_leaving else unproven_runs:
             job = self._jobs.get(run.task.job_id)
@@ -158,6 +184,19 @@
                                                   worker.born_ms)
         ]
 
+    def build_loss_reports(self,
+                           now: float) -> tuple[_loss_reports.LossReport, ...]:
+        """Returns the recent losses for the report to the other groups."""
+        oldest_at = now - _loss_reports.REPORTED_LOSS_AGE.total_seconds()
+        recent_losses = [
+            loss for loss in self._losses
+            if not loss.is_leaving and loss.lost_at >= oldest_at
+        ]
+        return tuple(
+            _loss_reports.build_loss_report(loss.worker_id, loss.born_ms,
+                                            loss.lost_since, loss.lost_at, now)
+            for loss in recent_losses[-_loss_reports.MAX_REPORTED_LOSSES:])
+
     def assess_loss(self, worker: _workers.WorkerState, is_replaced: bool,
                     now: float) -> _suspicions.CrashEvidence | None:
         """Returns the evidence that a lost worker gives against its suspects.
@@ -176,18 +215,58 @@
             worker, now if last_status_at is None else last_status_at, now)
         if loss.is_leaving:
             return None
-        nearby_count = sum(
-            _may_have_common_cause(other_loss, loss)
-            for other_loss in self._losses)
+        nearby_count = self._count_nearby_losses(loss)
         if nearby_count >= SHARED_LOSSES:
             return _suspicions.CrashEvidence.SHARED
         if not is_replaced:
             return _suspicions.CrashEvidence.UNRESOLVED
         crash_delay_s = loss.lost_since - loss.last_start_at
         if (nearby_count or len(loss.suspects) != 1 or
-                crash_delay_s > MAX_STRONG_CRASH_DELAY.total_seconds()):
+                crash_delay_s > MAX_STRONG_CRASH_DELAY.total_seconds() or
+                self._is_loss_reported_nearby(loss)):
             return _suspicions.CrashEvidence.WEAK
-        return _suspicions.CrashEvidence.STRONG
+        confirmed_at = loss.lost_at + LOSS_REPORT_DELAY.total_seconds()
+        if now >= confirmed_at:
+            return _suspicions.CrashEvidence.STRONG
+        for run in worker.runs.values():
+            if not run.is_proven:
+                self._unconfirmed_crashes[get_blamed_task(run),
+                                          run.number] = _UnconfirmedCrash(
+                                              loss, run, confirmed_at)
+        return _suspicions.CrashEvidence.WEAK
+
+    def _count_nearby_losses(self, loss: WorkerLoss) -> int:
+        return sum(
+            _may_have_common_cause(other_loss, loss)
+            for other_loss in self._losses)
+
+    def _is_loss_reported_nearby(self, loss: WorkerLoss) -> bool:
+        window_s = COMMON_CAUSE_WINDOW.total_seconds()
+        return self.reported_losses.has_loss_between(loss.lost_since - window_s,
+                                                     loss.lost_at + window_s,
+                                                     self._group)
+
+    def confirm_crashes(self, now: float) -> None:
+        """Makes crashes strong evidence that no other loss has explained.
+
+        Fails the jobs of the tasks that have to be given up then.
+        """
+        for key, crash in list(self._unconfirmed_crashes.items()):
+            if now < crash.confirmed_at:
+                continue
+            del self._unconfirmed_crashes[key]
+            task, run_number = key
+            job = self._jobs.get(task.job_id)
+            suspicion = job.find_suspicion(task) if job is not None else None
+            if (suspicion is None or job.has_ended or
+                    self._count_nearby_losses(crash.loss) or
+                    self._is_loss_reported_nearby(crash.loss) or
+                    not suspicion.confirm_crash(run_number)):
+                continue
+            job.is_dirty = True
+            self._add_event(CrashEventType.CONFIRMED, crash.run, "strong",
+                            suspicion)
+            self.give_up_if_due(job, task, crash.run)
 
     def adopt_run(self, job: _runs.JobRun, run: _runs.Run) -> None:
         """Marks a run that a former leader started, perhaps on probation."""
@@ -256,6 +335,9 @@
         if run.number <= suspicion.proven_run:
             return
         suspicion.add_crash(run.number, evidence, now)
+        unconfirmed_crash = self._unconfirmed_crashes.get((task, run.number))
+        if unconfirmed_crash is not None:
+            suspicion.delay_next_start(unconfirmed_crash.confirmed_at)
         job.is_dirty = True
         self._add_event(CrashEventType.COUNTED, run, evidence.name.lower(),
                         suspicion)
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -47,7 +47,8 @@
         """Returns the orders to send now.
 
         Before that, it ends the runs of unreachable workers whose lease has
-        expired, and marks the jobs as reconciled if they are.
+        expired, marks the jobs as reconciled if they are, and fails those with
+        a task that has to be given up by now.
 
         Args:
             now: Present monotonic time in seconds.
@@ -57,6 +58,7 @@
         """
         self.end_expired_runs(now)
         self.mark_jobs_reconciled(now)
+        self.crashes.confirm_crashes(now)
         orders: list[_orders.Order] = []
         self._stop_planner.plan(orders, now)
         if may_start:
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -96,7 +96,7 @@
         self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
-        self.crashes = _crashes.CrashTracker(self.jobs)
+        self.crashes = _crashes.CrashTracker(group, self.jobs)
         self.find_job_entry: Callable[[str],
                                       _table.JobEntry | None] = lambda _: None
         self._leadership_offset = leadership_offset
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -90,8 +90,12 @@
         if not counted_runs or self.crashes[max(
                 counted_runs)] is not CrashEvidence.STRONG:
             return False
-        certain_count = sum(
-            self.crashes[run] >= CrashEvidence.WEAK for run in counted_runs)
+        return self._has_enough_certain_crashes
+
+    @property
+    def _has_enough_certain_crashes(self) -> bool:
+        certain_count = sum(evidence >= CrashEvidence.WEAK
+                            for evidence in self.crashes.values())
         return certain_count >= CONFIRMED_CRASHES
 
     def add_crash(self, run_number: int, evidence: CrashEvidence,
@@ -104,6 +108,24 @@
             FIRST_RETRY_DELAY * RETRY_DELAY_FACTOR**(len(self.crashes) - 1))
         self.retry_at = now + delay.total_seconds()
 
+    def confirm_crash(self, run_number: int) -> bool:
+        """Makes the weak evidence of a crash strong; returns whether it was.
+        """
+        if self.crashes.get(run_number) is not CrashEvidence.WEAK:
+            return False
+        self.crashes[run_number] = CrashEvidence.STRONG
+        return True
+
+    def delay_next_start(self, confirmed_at: float) -> None:
+        """Delays the next start if strong evidence would give up the task.
+
+        Args:
+            confirmed_at: Monotonic time in seconds at which weak evidence may
+                become strong.
+        """
+        if self._has_enough_certain_crashes:
+            self.retry_at = max(self.retry_at, confirmed_at)
+
     def add_unresolved(self, run_number: int) -> bool:
         """Counts a run whose outcome is not known; returns whether it is new.
         """
