Do not count starts that a dead leader stored ahead and never ordered

A healthy job is shown as failed after the loss of one worker and three deaths of leaders, each between the record of the next start and its order. The time between them is usually some milliseconds, but up to seconds while several suspects wait for their turn.

Cause: a successor cannot tell a start that was stored ahead and not ordered from one that crashed its worker, so both counted.

Change: a start that is only stored ahead has a degree of evidence of its own, -1 in the records, which older daemons read as 0. Once a successor has heard from each recorded worker, and all instances are the recorded ones, such a run without trace crashed none of them and is dropped. If a worker was lost unseen or its recorded start time is unknown, the run counts as one without known outcome; that is stored before the record of workers loses the worker.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -273,9 +273,47 @@
     def record_unseen_loss(self, service: str) -> None:
         """Records that a worker was lost before it showed this leader its runs.
 
-        A former leader may have started runs there that it did not store.
+        A former leader may have started runs there that it did not store, and
+        claimed ones. The latter count from now on, as the next record of
+        workers does not list the worker any more.
         """
         self._unseen_loss_services.add(service)
+        for job in self._jobs.values():
+            if job.job.queue.service == service and not job.is_reconciled:
+                self._resolve_claims(job, True)
+
+    def resolve_claims(self, job: _runs.JobRun,
+                       are_workers_known: bool) -> None:
+        """Decides whether the claims of former leaders count as crashes.
+
+        They do if a worker was lost unseen. Otherwise the runs were never
+        ordered, or have ended on workers that are up. All runs of former
+        leaders that still exist are known.
+
+        Args:
+            job: The job, which this leader has not started yet.
+            are_workers_known: Whether this leader knows the instances of all
+                workers on which claimed runs may have started.
+        """
+        is_crash_possible = (not are_workers_known or job.job.queue.service
+                             in self._unseen_loss_services)
+        self._resolve_claims(job, is_crash_possible)
+
+    def _resolve_claims(self, job: _runs.JobRun,
+                        is_crash_possible: bool) -> None:
+        for step_run in job.steps.values():
+            active_runs = {run.number for run in step_run.active_runs.values()}
+            for index, suspicion in step_run.suspicions.items():
+                if not job.entry.has_task(job.group, index):
+                    continue
+                for run_number in suspicion.list_claimed_runs():
+                    if run_number in active_runs:
+                        continue
+                    if is_crash_possible:
+                        suspicion.add_unresolved(run_number)
+                    else:
+                        suspicion.remove_unresolved(run_number)
+                    job.is_dirty = True
 
     def mark_uncertain_tasks(self, job: _runs.JobRun) -> None:
         """Marks the tasks of a job that may have crashed an unseen worker.
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -96,6 +96,8 @@
         # Start time of the instance of each recorded worker that has not shown
         # its runs to this leader, by identifier; 0 if it is not known.
         self._unseen_workers: dict[str, int] = {}
+        # Whether the start times of all these instances were recorded.
+        self._are_instances_known = True
         self._capacity_enforcing_services: frozenset[str] = frozenset()
         self.interference = interference
         self.timings = timings
@@ -219,6 +221,8 @@
             return
         if not has_replied or recorded_born_ms not in (0, born_ms):
             self.crashes.record_unseen_loss(worker.entry.service)
+        elif not recorded_born_ms:
+            self._are_instances_known = False
 
     def apply_status(self, worker_id: str, status: ports.WorkerStatus,
                      sent_at: float, now: float) -> None:
@@ -482,6 +486,7 @@
                 self._mark_seen(self.workers[worker_id], False)
         for job in self.jobs.values():
             if not job.is_reconciled:
+                self.crashes.resolve_claims(job, self._are_instances_known)
                 self.crashes.mark_uncertain_tasks(job)
             job.is_reconciled = True
 
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -64,9 +64,9 @@
 
     Attributes:
         run: Number of the run.
-        evidence: Value of a `_suspicions.CrashEvidence`. It is 0 for a run
-            whose outcome was not known; such a record may be older than the
-            run's start order.
+        evidence: Value of a `_suspicions.CrashEvidence`. It is -1 or 0 for a
+            run whose outcome was not known; a record with -1 may be older than
+            the run's start order.
     """
 
     run: int
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -29,8 +29,10 @@
     The values are stored in records.
 
     Attributes:
-        UNRESOLVED: The start was stored ahead, or the worker is not reachable
-            and may only be cut off; the outcome is not known.
+        CLAIMED: The start was stored ahead, and its leader saw no loss of a
+            worker since; the order may not have been sent.
+        UNRESOLVED: The worker is not reachable and may only be cut off; the
+            outcome is not known.
         SHARED: Several other workers were lost at about the same time, so the
             cause is probably another one.
         WEAK: The worker restarted, but other runs or another loss may be the
@@ -39,6 +41,7 @@
             and no other task was started there shortly before.
     """
 
+    CLAIMED = -1
     UNRESOLVED = 0
     SHARED = 1
     WEAK = 2
@@ -106,7 +109,7 @@
     def add_crash(self, run_number: int, evidence: CrashEvidence,
                   now: float) -> None:
         """Counts the crash under a run, and delays the next start."""
-        known_evidence = self.crashes.get(run_number, CrashEvidence.UNRESOLVED)
+        known_evidence = self.crashes.get(run_number, CrashEvidence.CLAIMED)
         self.crashes[run_number] = max(known_evidence, evidence)
         delay = min(
             MAX_RETRY_DELAY,
@@ -132,9 +135,14 @@
             self.retry_at = max(self.retry_at, confirmed_at)
 
     def add_unresolved(self, run_number: int) -> bool:
-        """Counts a run whose outcome is not known; returns whether it is new.
+        """Counts a run that may have crashed its worker.
+
+        Returns:
+            Whether it did not count before, or only as claimed.
         """
-        if run_number in self.crashes or run_number <= self.proven_run:
+        known_evidence = self.crashes.get(run_number, CrashEvidence.CLAIMED)
+        if (known_evidence is not CrashEvidence.CLAIMED or
+                run_number <= self.proven_run):
             return False
         self.crashes[run_number] = CrashEvidence.UNRESOLVED
         return True
@@ -145,7 +153,8 @@
         Returns:
             Whether the run was counted without evidence.
         """
-        if self.crashes.get(run_number) is not CrashEvidence.UNRESOLVED:
+        known_evidence = self.crashes.get(run_number, CrashEvidence.SHARED)
+        if known_evidence > CrashEvidence.UNRESOLVED:
             return False
         del self.crashes[run_number]
         return True
@@ -160,7 +169,14 @@
         """Counts the next start ahead, to be stored before its order."""
         self.claimed_run = run_number
         self.is_claim_stored = False
-        self.crashes[run_number] = CrashEvidence.UNRESOLVED
+        self.crashes[run_number] = CrashEvidence.CLAIMED
+
+    def list_claimed_runs(self) -> list[int]:
+        """Returns the runs of which no leader saw more than the claim."""
+        return [
+            run for run, evidence in self.crashes.items()
+            if evidence is CrashEvidence.CLAIMED
+        ]
 
     def take_claim(self) -> int:
         """Returns the number of the claimed start, which now begins."""
@@ -177,10 +193,11 @@
         """
         for crashed_run in progress.crashed_runs:
             evidence = CrashEvidence(
-                min(max(crashed_run.evidence, 0), CrashEvidence.STRONG))
+                min(max(crashed_run.evidence, CrashEvidence.CLAIMED),
+                    CrashEvidence.STRONG))
             self.crashes[crashed_run.run] = max(
                 evidence,
-                self.crashes.get(crashed_run.run, CrashEvidence.UNRESOLVED))
+                self.crashes.get(crashed_run.run, CrashEvidence.CLAIMED))
         self.clear(max(self.proven_run, progress.proven_run))
 
     def list_crashed_runs(self) -> tuple[_records.CrashedRun, ...]:
