Start long-running tasks of a worker that is gone all at once

They did not count as lacking capacity, so they did not move.

A run that was not proven when its worker was lost makes its task a suspect although the worker was not replaced, which gives no evidence against the task. After the lease of 5.5 s, all of them queue for the third of the group's workers that may be kept for suspects, one task a worker, each until a status report proves it.

Evidence: test_tasks_of_a_lost_worker_start_together fails without the change: 3 of 8 tasks run 2 s after the end of the lease.

Change: the first crash without evidence does not make a long-running task wait for a kept worker. Each start is still stored ahead and counts, so the bound of four counted crashes stays. A second crash does: otherwise all tasks that start together with a deadly one would be given up with it. The test of that fails if any number of such crashes needs no kept worker.

--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -154,7 +154,8 @@
     def needs_probation(self, index: int) -> bool:
         """Returns whether a task must start on a worker kept for it."""
         suspicion = self.suspicions.get(0 if self.step.is_gang else index)
-        return suspicion is not None and suspicion.needs_probation
+        return suspicion is not None and suspicion.needs_probation(
+            self.step.is_long_running)
 
     def count_runs_by_worker(self) -> dict[str, int]:
         """Returns the number of active runs by worker identifier."""
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -74,12 +74,22 @@
         """Whether the task may be one that crashes its workers."""
         return bool(self.crashes)
 
-    @property
-    def needs_probation(self) -> bool:
-        """Whether the next start needs a worker that is kept for it."""
-        return any(evidence is not CrashEvidence.SHARED
-                   for run, evidence in self.crashes.items()
-                   if run != self.claimed_run)
+    def needs_probation(self, is_long_running: bool) -> bool:
+        """Returns whether the next start needs a worker that is kept for it.
+
+        The first crash without evidence does not suffice for a long-running
+        task: all such tasks of a worker that is gone would queue for the few
+        workers that are kept, without a run beside free capacity. If they start
+        together and crash again, they have to be told apart.
+        """
+        evidences = [
+            evidence for run, evidence in self.crashes.items()
+            if run != self.claimed_run
+        ]
+        if evidences == [CrashEvidence.UNRESOLVED] and is_long_running:
+            return False
+        return any(
+            evidence is not CrashEvidence.SHARED for evidence in evidences)
 
     @property
     def should_give_up(self) -> bool:
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -6,6 +6,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import crashing
 
 JOB_ID = "00000000000000dd"
 TASK = model.TaskKey(JOB_ID, 0, 0, 0)
@@ -211,3 +212,53 @@
             for task_progress in progress.unfinished_tasks
             if task_progress.crashed_runs
         ], [])
+
+
+class LostLongRunningTest(unittest.TestCase):
+    """Tests long-running tasks that had just started on a worker that is gone.
+    """
+
+    def setUp(self):
+        self.cluster = crashing.SimulatedCluster(
+            *(builders.build_worker(f"w{i}") for i in range(4)))
+        self.cluster.accept(
+            builders.build_job(JOB_ID,
+                               builders.build_step(8,
+                                                   is_long_running=True,
+                                                   image="image",
+                                                   tail_latency_limit_ms=20),
+                               assignment=("north-1",) * 8))
+        self.cluster.run_for(0.3)
+
+    def remove_worker_in_use(self) -> None:
+        """Removes the only worker with runs, and waits for its lease to end."""
+        (worker_id,) = [
+            worker_id for worker_id, worker in self.cluster.workers.items()
+            if worker.runs
+        ]
+        self.cluster.remove(worker_id)
+        self.cluster.run_for(builders.LEASE.total_seconds() + 0.3)
+
+    def test_tasks_of_a_lost_worker_start_together(self):
+        """Checks that all eight tasks run 2 s after the lease of their worker.
+
+        Guards against tasks without a run beside free capacity, which queue for
+        the one worker that is kept for suspects.
+        """
+        self.remove_worker_in_use()
+        self.cluster.run_for(2.0)
+        self.assertEqual(
+            sum(len(worker.runs) for worker in self.cluster.workers.values()),
+            8)
+
+    def test_tasks_of_two_lost_workers_start_alone(self):
+        """Checks that a second loss makes the tasks start one by one.
+
+        Guards against giving up all of them for one that crashes its workers.
+        """
+        self.remove_worker_in_use()
+        self.cluster.run_for(0.4)
+        self.remove_worker_in_use()
+        starts = len(self.cluster.starts)
+        self.cluster.run_for(1.5)
+        self.assertEqual(len(self.cluster.starts) - starts, 1)
