Move later steps of long-running jobs to other groups

Cause: moves for lack of capacity looked at the first step of the first repetition only, and only if it is long-running. A job with several steps is assigned to one group as a whole, so that nothing of it could move while one of its tasks ran.

Evidence: test_step_moves on the code before fails in 5 of 6 tests: no move is planned for a later long-running step of an idle job, for a short step of an idle long-running job, and for a long-running step beside another one that runs; and each group of a job counts the CPU of all its steps (n1 6000, n2 12000 instead of 1000, 6000). The seventh test fails without `_list_idle_indexes`: a task that runs in another repetition would move and run twice.

Change: each waiting step of a long-running job is considered. Tasks of long-running steps move alone if another task of the job runs, or if no group has the labels of all waiting steps; for this the assignment of a job with several steps may give each task its group, by its number among the tasks of all steps. Stored records of jobs with one step keep their meaning. A short step moves its idle job after 1.8 s. A group needs only the labels of the tasks that wait in it.

test_lasting: `list_unplaced_tasks` became `list_unplaced_steps`, which returns the step instead of its waiting indexes; the test compares the same indexes.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -3,7 +3,7 @@
 import datetime
 import hashlib
 import types
-from typing import Iterable, Mapping, NamedTuple
+from typing import AbstractSet, Iterable, Mapping, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _load
@@ -185,24 +185,33 @@
 
     Args:
         entries: Pairs of a job that has not ended and its assignment: either
-            one group for the whole job, or the group of each task.
+            one group for the whole job, or the group of each task by
+            `SteppedJob.compute_task_number`.
 
     Returns:
         CPU in thousandths of a core by group.
     """
     cpu_millis_by_group: dict[str, int] = {}
     for job, assignment in entries:
-        for step in job.steps:
+        for index, step in enumerate(job.steps):
             if not step.is_long_running:
                 continue
-            needed_cpu_millis = (step.count if len(assignment) == 1 else
-                                 1) * step.cpu_millis
-            for group in assignment:
+            for group in _list_step_groups(job, index, assignment):
                 cpu_millis_by_group[group] = cpu_millis_by_group.get(
-                    group, 0) + needed_cpu_millis
+                    group, 0) + step.cpu_millis
     return cpu_millis_by_group
 
 
+def _list_step_groups(job: model.SteppedJob, step_index: int,
+                      assignment: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the group of each task of a step."""
+    task_count = job.steps[step_index].count
+    if len(assignment) == 1:
+        return assignment * task_count
+    first_number = job.compute_task_number(step_index, 0)
+    return assignment[first_number:first_number + task_count]
+
+
 def include_unreported_jobs(
         reports: dict[str, GroupReport],
         long_running_cpu_millis_by_group: dict[str,
@@ -358,7 +367,7 @@
 
 
 class FallbackGroup(NamedTuple):
-    """Group to which long-running tasks move if their own group is full.
+    """Group to which tasks of a step move if their own group is full.
 
     Attributes:
         group: Name of the group; empty when no other group has capacity.
@@ -377,9 +386,11 @@
     own_group: str,
     reports: dict[str, GroupReport],
     now: float,
-    last_move_numbers: Mapping[str, int] = types.MappingProxyType({})
+    last_move_numbers: Mapping[str, int] = types.MappingProxyType({}),
+    step_index: int = 0,
+    required_labels: AbstractSet[str] = frozenset()
 ) -> FallbackGroup:
-    """Returns a group for long-running tasks that their own group cannot place.
+    """Returns a group for tasks of a step that their own group cannot place.
 
     Other groups in which a task fits on one worker at present come first.
     A group in which a task fits only after short tasks have ended is chosen
@@ -390,9 +401,13 @@
     move in a circle between the groups that look best.
 
     Groups are left out if they are not usable, have no recent load report, lack
-    the required label, or have reached the step's limit of tasks per worker.
+    the label of the step or one of `required_labels`, or have reached the
+    step's limit of tasks per worker.
     """
-    step = job.steps[0]
+    step = job.steps[step_index]
+    if step.required_label:
+        required_labels = required_labels | {step.required_label}
+    step_groups = _list_step_groups(job, step_index, assignment)
     best_group = ""
     best_sort_key = (False, 0, 0)
     own_report = reports.get(own_group)
@@ -405,9 +420,9 @@
         if (group == own_group or not load.is_usable or
                 now - report.reported_at > MAX_REPORT_AGE.total_seconds()):
             continue
-        if step.required_label and step.required_label not in load.labels:
+        if not required_labels <= set(load.labels):
             continue
-        if step.max_tasks_per_worker and assignment.count(
+        if step.max_tasks_per_worker and step_groups.count(
                 group) >= load.worker_count * step.max_tasks_per_worker:
             continue
         free_cpu_millis = _load.find_free_cpu(load, step)
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -43,7 +43,8 @@
 
 RESERVED_TASK_MOVE_DELAY = datetime.timedelta(milliseconds=1800)
 """Replaces `TASK_MOVE_DELAY` while a worker starts no short tasks, so that a
-long-running task fits there soon: most short tasks end within this time."""
+long-running task fits there soon, and for tasks that are not long-running
+themselves: most short tasks end within this time."""
 
 
 class GroupState:
@@ -497,31 +498,31 @@
             job.pending_move_number is None and not job.list_active_runs()
         ]
 
-    def list_unplaced_tasks(self,
-                            now: float) -> list[tuple[_runs.JobRun, list[int]]]:
-        """Returns long-running tasks that should move for lack of capacity.
+    def list_unplaced_steps(
+            self, now: float) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
+        """Returns steps whose tasks should move for lack of capacity.
 
-        Only the first step of a job is considered. Its tasks have lacked
-        capacity for `TASK_MOVE_DELAY`, or for `RESERVED_TASK_MOVE_DELAY` while
-        a worker is reserved for one of them. Jobs that have ended, are not
-        reconciled or have a pending move are left out.
-
-        Returns:
-            Pairs of a job and the indexes of the step's waiting tasks.
+        The steps are those of long-running jobs. Their tasks have lacked
+        capacity for `TASK_MOVE_DELAY`, or for `RESERVED_TASK_MOVE_DELAY` if a
+        worker is reserved for one of them or they are not long-running. Such
+        steps of a job that has active runs are left out, and so are jobs that
+        have ended, are not reconciled or have a pending move.
         """
-        unplaced_tasks = []
+        unplaced_steps = []
         for job in self.jobs.values():
-            step_run = job.steps.get((0, 0))
             if (job.has_ended or job.pending_move_number is not None or
-                    not job.is_reconciled):
-                continue
-            if step_run is None or not step_run.step.is_long_running:
+                    not job.is_reconciled or not job.job.is_long_running):
                 continue
-            move_delay = (RESERVED_TASK_MOVE_DELAY
-                          if step_run.reserved_worker else TASK_MOVE_DELAY)
-            if (step_run.waiting_indexes and
-                    step_run.unplaced_since is not None and
-                    now - step_run.unplaced_since
-                    >= move_delay.total_seconds()):
-                unplaced_tasks.append((job, sorted(step_run.waiting_indexes)))
-        return unplaced_tasks
+            is_idle = not job.list_active_runs()
+            for step_run in job.steps.values():
+                is_long_running = step_run.step.is_long_running
+                move_delay = (TASK_MOVE_DELAY if is_long_running and
+                              not step_run.reserved_worker else
+                              RESERVED_TASK_MOVE_DELAY)
+                if (step_run.waiting_indexes and
+                    (is_long_running or is_idle) and
+                        step_run.unplaced_since is not None and
+                        now - step_run.unplaced_since
+                        >= move_delay.total_seconds()):
+                    unplaced_steps.append((job, step_run))
+        return unplaced_steps
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -2,7 +2,7 @@
 
 import datetime
 import enum
-from typing import Callable, NamedTuple
+from typing import AbstractSet, Callable, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _admission
@@ -44,7 +44,7 @@
         FREE_ROOM: Best-effort tasks wait, and some could start in another group
             at once.
         LESS_LOADED: A job waits, and another group is less loaded.
-        NO_CAPACITY: Long-running tasks do not fit on any worker of the group.
+        NO_CAPACITY: Tasks do not fit on any worker of the group.
     """
 
     GROUP_UNUSABLE = "group-unusable"
@@ -143,21 +143,12 @@
                                                       now))
                 own_load = _load.subtract_demand_from_load(own_load, demand)
                 _add_demand_to_report(reports, choice.group, demand)
-        for job, indexes in self._state.list_unplaced_tasks(now):
-            fallback_group = _admission.choose_fallback_group(
-                job.job, job.entry.assignment, job.group, reports, now,
-                job.entry.last_move_numbers)
-            if not fallback_group.group:
-                continue
-            is_spread = len(job.entry.assignment) > 1
-            if is_spread or not job.list_active_runs():
-                moved_indexes = (tuple(indexes[:fallback_group.max_tasks])
-                                 if is_spread else ())
-                moves.append(
-                    _begin_move(
-                        job, moved_indexes,
-                        MoveChoice(fallback_group.group,
-                                   MoveReason.NO_CAPACITY), reports, now))
+        for job, step_run in self._state.list_unplaced_steps(now):
+            if job.pending_move_number is not None:
+                continue  # Another step of the job has just begun to move.
+            move = _plan_step_move(job, step_run, reports, now)
+            if move is not None:
+                moves.append(move)
         return moves
 
     def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
@@ -195,6 +186,75 @@
     return PlannedMove(job, record, choice, report_age_s)
 
 
+def _plan_step_move(job: _runs.JobRun, step_run: _runs.StepRun,
+                    reports: dict[str, _admission.GroupReport],
+                    now: float) -> PlannedMove | None:
+    """Begins a move of tasks that lack capacity; None if no group has any.
+
+    The whole job moves if it has no active runs, unless its tasks are in
+    several groups or no group has the labels of all its waiting steps. Else
+    only tasks of the step move: all those of a gang, or as many as fit on one
+    worker of the other group.
+    """
+    is_whole = len(job.entry.assignment) == 1 and not job.list_active_runs()
+    step_index = step_run.key[1]
+    fallback_group = _admission.FallbackGroup("")
+    if is_whole:
+        fallback_group = _choose_fallback_group(job, step_index,
+                                                _list_needed_labels(job),
+                                                reports, now)
+        indexes = []
+    if not fallback_group.group and (step_run.step.is_long_running or
+                                     not is_whole):
+        fallback_group = _choose_fallback_group(job, step_index, frozenset(),
+                                                reports, now)
+        indexes = _list_idle_indexes(job, step_run)
+        if not step_run.step.is_gang:
+            indexes = indexes[:fallback_group.max_tasks]
+        elif len(indexes) < step_run.step.count:
+            return None
+        if not indexes:
+            return None
+    if not fallback_group.group:
+        return None
+    return _begin_move(
+        job,
+        tuple(
+            job.job.compute_task_number(step_index, index)
+            for index in indexes),
+        MoveChoice(fallback_group.group, MoveReason.NO_CAPACITY), reports, now)
+
+
+def _list_idle_indexes(job: _runs.JobRun, step_run: _runs.StepRun) -> list[int]:
+    """Returns the waiting tasks of a step that run in no other repetition.
+
+    An assignment to a group holds for all repetitions.
+    """
+    active_indexes = {
+        index for (_, step_index), other in job.steps.items()
+        if step_index == step_run.key[1] for index in other.active_runs
+    }
+    return sorted(step_run.waiting_indexes - active_indexes)
+
+
+def _choose_fallback_group(job: _runs.JobRun, step_index: int,
+                           required_labels: AbstractSet[str],
+                           reports: dict[str, _admission.GroupReport],
+                           now: float) -> _admission.FallbackGroup:
+    return _admission.choose_fallback_group(job.job, job.entry.assignment,
+                                            job.group, reports, now,
+                                            job.entry.last_move_numbers,
+                                            step_index, required_labels)
+
+
+def _list_needed_labels(job: _runs.JobRun) -> frozenset[str]:
+    """Returns the labels that the waiting tasks of a job require."""
+    return frozenset(
+        step_run.step.required_label
+        for step_run in job.steps.values()
+        if step_run.waiting_indexes and step_run.step.required_label)
+
+
 def compute_move_delay(moves_without_start: int) -> datetime.timedelta:
     """Returns how long a job must lack capacity in a group before it moves."""
     return min(MAX_JOB_MOVE_DELAY,
@@ -218,10 +278,7 @@
         reports: Newest load reports by group.
         now: Present monotonic time in seconds.
     """
-    needed_labels = {
-        step.required_label for step in job.job.steps if step.required_label
-    }
-    if own_load.is_usable and needed_labels <= set(own_load.labels):
+    if own_load.is_usable and _list_needed_labels(job) <= set(own_load.labels):
         if job.job.is_long_running:
             return _STAY
         delay = compute_move_delay(job.moves_without_start)
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -142,8 +142,9 @@
         job_id: Identifier of the job.
         source_group: The group that hands the tasks over; tasks of other
             groups are not affected.
-        task_indexes: Indexes of the moved tasks, for a job whose only step is
-            long-running; empty if all tasks of the job in the source group
+        task_indexes: Numbers of the moved tasks by
+            `SteppedJob.compute_task_number`, which are the indexes if the job
+            has one step; empty if all tasks of the job in the source group
             move.
         destination_group: The group that receives the tasks.
         move_number: Run number of the job that the source group took for this
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -251,10 +251,9 @@
         # Crashes of a task that stays here are known better by this leader.
         for progress in entry.progress_by_group.values():
             for task_progress in progress.unfinished_tasks:
-                if has_returned or (entry.has_task(self.group,
-                                                   task_progress.index) and
-                                    not self.entry.has_task(
-                                        self.group, task_progress.index)):
+                task = (task_progress.step, task_progress.index)
+                if has_returned or (entry.has_task(self.group, *task) and
+                                    not self.entry.has_task(self.group, *task)):
                     self._restore_suspicion(task_progress)
         self.entry = entry._replace(is_cancelled=is_cancelled)
         # The move number shows whether the topic contains the move. The tasks
@@ -268,8 +267,9 @@
         for step_run in self.steps.values():
             step_run.waiting_indexes = {
                 index for index in range(step_run.step.count)
-                if index not in step_run.done_indexes and index not in
-                step_run.active_runs and entry.has_task(self.group, index)
+                if index not in step_run.done_indexes and
+                index not in step_run.active_runs and
+                entry.has_task(self.group, step_run.key[1], index)
             }
             if not step_run.waiting_indexes:
                 # Tasks that come back later have not waited since.
@@ -522,7 +522,7 @@
             step_run.last_failed_workers[index] = run.worker_id
             self.count_failure(run.task, run.number)
         if (index not in step_run.active_runs and
-                self.entry.has_task(self.group, index)):
+                self.entry.has_task(self.group, run.task.step, index)):
             step_run.waiting_indexes.add(index)
 
     def count_failure(self, task: model.TaskKey, run_number: int) -> None:
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -17,8 +17,8 @@
         job: The job as it was accepted.
         offset: Offset of the acceptance that took effect.
         assignment: Present groups of the tasks: either one group that has all
-            tasks of the job, or the group of each task of the job's only step,
-            by index of the task.
+            tasks of the job, or the group of each task, by the number that
+            `SteppedJob.compute_task_number` returns.
         assignment_offsets: For each group that has tasks of the job, the offset
             of the acceptance or move from which on it has had any.
         last_run_number: Highest run number in the job's progress records and
@@ -66,13 +66,13 @@
         """All groups that have tasks of the job, without repetitions."""
         return tuple(dict.fromkeys(self.assignment))
 
-    def has_task(self, group: str, index: int) -> bool:
-        """Returns whether the task with index `index` is assigned to `group`.
-        """
+    def has_task(self, group: str, step_index: int, task_index: int) -> bool:
+        """Returns whether a task is assigned to `group`."""
         if len(self.assignment) == 1:
             return self.assignment[0] == group
-        return (index < len(self.assignment) and
-                self.assignment[index] == group)
+        number = self.job.compute_task_number(step_index, task_index)
+        return (number < len(self.assignment) and
+                self.assignment[number] == group)
 
 
 def build_job_entry(job: model.SteppedJob, offset: int) -> JobEntry:
@@ -313,10 +313,13 @@
 
 def _apply_move(entry: JobEntry, offset: int,
                 record: _records.MovedRecord) -> JobEntry:
+    assignment = entry.assignment
+    if record.task_indexes and len(assignment) == 1:
+        assignment *= entry.job.task_count
     assignment = tuple(
         record.destination_group if group == record.source_group and
-        (not record.task_indexes or index in record.task_indexes) else group
-        for index, group in enumerate(entry.assignment))
+        (not record.task_indexes or number in record.task_indexes) else group
+        for number, group in enumerate(assignment))
     assignment_offsets = {
         group: entry.assignment_offsets.get(group, offset)
         for group in assignment
--- a/src/gentianlead/dispatch/tests/test_lasting.py
+++ b/src/gentianlead/dispatch/tests/test_lasting.py
@@ -100,9 +100,10 @@
         self.assertEqual(self.driver.plan_starts(), [])
         self.driver.now += 0.8
         self.driver.plan()
-        ((job, indexes),) = self.driver.scheduler.list_unplaced_tasks(
+        ((job, step_run),) = self.driver.scheduler.list_unplaced_steps(
             self.driver.now)
-        self.assertEqual((job.job.job_id, indexes), (SERVICE_JOB_ID, [0, 1]))
+        self.assertEqual((job.job.job_id, step_run.waiting_indexes),
+                         (SERVICE_JOB_ID, {0, 1}))
 
 
 class ReturnedTaskTest(unittest.TestCase):
@@ -128,7 +129,7 @@
         driver.plan()
         driver.scheduler.put_job(entry)
         driver.plan()
-        self.assertEqual(driver.scheduler.list_unplaced_tasks(driver.now), [])
+        self.assertEqual(driver.scheduler.list_unplaced_steps(driver.now), [])
 
 
 class LeavingWorkerTest(unittest.TestCase):
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_step_moves.py
@@ -0,0 +1,185 @@
+"""Tests of moves of jobs with several steps between groups."""
+
+import unittest
+
+from gentianlead import dispatch
+from gentianlead import model
+from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import test_lasting
+from gentianlead.dispatch.tests import test_moves
+
+JOB_ID = "00000000000000aa"
+
+
+class TwoGroups:
+    """Simulates the leaders of a small group and of one with free capacity.
+
+    The worker of `north-1` has four cores, that of `north-2` ten.
+
+    Attributes:
+        table: Job table that both leaders read.
+        own: Driver of the scheduler of `north-1`.
+        other: Driver of the scheduler of `north-2`.
+    """
+
+    def __init__(self,
+                 *steps: model.Step,
+                 occurrences: int = 1,
+                 **other_fields):
+        self.own = builders.GroupDriver(builders.build_worker(cpu_millis=4000))
+        self.other = builders.GroupDriver(builders.build_worker(
+            "w2", domain="north-2", **other_fields),
+                                          group="north-2")
+        self._topic = test_moves.JobTopic()
+        self.table = self._topic.table
+        self.add(
+            dispatch.AcceptedRecord(
+                builders.build_job(JOB_ID, *steps, occurrences=occurrences),
+                "a#1"))
+
+    def add(self, *records: dispatch.Record) -> None:
+        """Stores records, which both leaders read at once."""
+        self._topic.add(*records)
+        for driver in (self.own, self.other):
+            driver.scheduler.put_job(self.table.jobs[JOB_ID])
+
+    def finish(self, *orders: dispatch.StartOrder) -> None:
+        """Reports that the runs of some orders in `north-1` are done."""
+        self.own.now += 0.1
+        self.own.apply_status(ended=tuple(
+            builders.build_ended_run(order, number)
+            for number, order in enumerate(orders, 1)))
+
+    def pass_time(self, duration_s: float, *running:
+                  dispatch.StartOrder) -> None:
+        """Lets time pass, with the runs of some orders in `north-1` active."""
+        self.own.plan()
+        self.own.now += duration_s
+        self.other.now = self.own.now
+        self.own.apply_status(
+            running=tuple(map(builders.build_active_run, running)))
+        self.other.apply_status("w2")
+        self.own.plan()
+
+    def plan_moves(self) -> list[dispatch.MovedRecord]:
+        """Plans the moves out of `north-1`; does not store them."""
+        reports = {
+            driver.scheduler.group:
+                dispatch.GroupReport(driver.scheduler.compute_load(driver.now),
+                                     driver.now)
+            for driver in (self.own, self.other)
+        }
+        return [
+            move.record for move in self.own.scheduler.plan_moves(
+                lambda: reports["north-1"].load, reports, self.own.now)
+        ]
+
+
+class IdleJobTest(unittest.TestCase):
+    """Tests long-running jobs that have no run in their group."""
+
+    def test_later_step_moves(self):
+        """Guards against a later long-running step that waits for good."""
+        groups = TwoGroups(
+            builders.build_step(),
+            test_lasting.build_service_step(cpu_millis=6000, depends_on=(0,)))
+        groups.finish(*groups.own.start_all())
+        groups.pass_time(1.0)
+        (move,) = groups.plan_moves()
+        groups.add(
+            groups.own.scheduler.jobs[JOB_ID].build_progress(
+                "north-1", builders.EPOCH), move)
+        (order,) = groups.other.start_all()
+        self.assertEqual(order.task, model.TaskKey(JOB_ID, 0, 1, 0))
+
+    def test_short_step_moves(self):
+        """Guards against a job whose short step keeps it in a full group."""
+        groups = TwoGroups(builders.build_step(cpu_millis=6000),
+                           test_lasting.build_service_step(depends_on=(0,)))
+        groups.pass_time(2.0)
+        (move,) = groups.plan_moves()
+        groups.add(move)
+        (order,) = groups.other.start_all()
+        self.assertEqual(order.task, model.TaskKey(JOB_ID, 0, 0, 0))
+
+    def test_job_does_not_move_where_it_lacks_a_label(self):
+        """Guards against moves to and fro for the labels of different steps.
+        """
+        groups = TwoGroups(builders.build_step(cpu_millis=6000),
+                           test_lasting.build_service_step(depends_on=(0,),
+                                                           required_label="a"),
+                           labels=frozenset())
+        groups.pass_time(2.0)
+        self.assertEqual(groups.plan_moves(), [])
+
+
+class RunningJobTest(unittest.TestCase):
+    """Tests long-running steps that wait while another step of the job runs."""
+
+    def test_tasks_of_another_step_move_alone(self):
+        """Guards against tasks that wait for as long as another step runs."""
+        groups = TwoGroups(test_lasting.build_service_step(cpu_millis=3000),
+                           test_lasting.build_service_step(2,
+                                                           cpu_millis=5000,
+                                                           required_label="b"),
+                           labels=frozenset({"b"}))
+        orders = groups.own.start_all()
+        self.assertEqual([order.task.step for order in orders], [0])
+        groups.pass_time(1.0, *orders)
+        (move,) = groups.plan_moves()
+        self.assertEqual(move.task_indexes, (1, 2))
+        groups.add(move)
+        self.assertEqual([order.task for order in groups.other.start_all()],
+                         [model.TaskKey(JOB_ID, 0, 1, i) for i in range(2)])
+        self.assertEqual(groups.own.plan_starts(), [])
+        job_run = groups.own.scheduler.jobs[JOB_ID]
+        self.assertEqual(len(job_run.list_active_runs()), 1)
+        self.assertEqual(job_run.steps[0, 1].waiting_indexes, set())
+
+    def test_moved_task_stays_without_labels_of_other_steps(self):
+        """Guards against a move back for a label that only other tasks need."""
+        groups = TwoGroups(test_lasting.build_service_step(cpu_millis=3000,
+                                                           required_label="a"),
+                           test_lasting.build_service_step(cpu_millis=5000),
+                           labels=frozenset())
+        groups.pass_time(1.0, *groups.own.start_all())
+        groups.add(*groups.plan_moves())
+        scheduler = groups.other.scheduler
+        reports = {
+            "north-1":
+                dispatch.GroupReport(
+                    groups.own.scheduler.compute_load(groups.own.now),
+                    groups.own.now)
+        }
+        self.assertEqual(
+            scheduler.plan_moves(
+                lambda: scheduler.compute_load(groups.other.now), reports,
+                groups.other.now), [])
+        self.assertEqual(len(groups.other.start_all()), 1)
+
+    def test_task_that_runs_in_another_repetition_stays(self):
+        """Guards against two runs of a task, in both groups.
+
+        An assignment does not tell the repetitions of a job apart.
+        """
+        groups = TwoGroups(test_lasting.build_service_step(cpu_millis=3000),
+                           occurrences=2)
+        orders = groups.own.start_all()
+        self.assertEqual(len(orders), 1)
+        groups.pass_time(1.0, *orders)
+        self.assertEqual(groups.plan_moves(), [])
+
+
+class ReservedCpuTest(unittest.TestCase):
+    """Tests the CPU that accepted long-running jobs need in each group."""
+
+    def test_steps_in_different_groups(self):
+        """Guards against CPU that counts in all groups of a job."""
+        job = builders.build_job(
+            JOB_ID, test_lasting.build_service_step(2, cpu_millis=1000),
+            test_lasting.build_service_step(cpu_millis=5000))
+        self.assertEqual(
+            dispatch.sum_long_running_cpu([(job, ("n1", "n2", "n2"))]), {
+                "n1": 1000,
+                "n2": 6000
+            })
--- a/src/gentianlead/model/_stepped_jobs.py
+++ b/src/gentianlead/model/_stepped_jobs.py
@@ -136,7 +136,7 @@
         payload: Opaque text that each task receives.
         steps: Steps of the job; a `TaskKey` names them by index.
         assignment: Names of the worker groups that run the job first: one for
-            the whole job, or one for each task if a step is long-running.
+            the whole job, or one for each task by `compute_task_number`.
         accepted_at_ms: Time of acceptance in milliseconds since 1970.
         first_run_ms: Start time of the first occurrence in milliseconds since
             1970; 0 to start at once.
@@ -164,6 +164,15 @@
         """Whether the occurrences start at given times."""
         return self.first_run_ms > 0
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of all steps in one occurrence."""
+        return sum(step.count for step in self.steps)
+
+    def compute_task_number(self, step_index: int, task_index: int) -> int:
+        """Returns the number of a task among those of all steps, from 0."""
+        return sum(step.count for step in self.steps[:step_index]) + task_index
+
 
 class JobState(enum.Enum):
     """State of a job as reported to callers."""
