Move idle jobs that do not fit on the workers of their group

Cause: a job that is not long-running moved only to a group with less backlog by a factor of 1.5, or for a best-effort job with more spare CPU. Memory, accelerators and the size of single workers did not count.

Evidence: test_job_moves on the code before plans no move in all of its three cases (CPU, accelerators, accelerators of a best-effort task).

The CPU that moved tasks will reserve counts in the reports until these include it; without that, test_jobs_do_not_all_move_to_one_worker sees two moves instead of one.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -502,16 +502,16 @@
             self, now: float) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
         """Returns steps whose tasks should move for lack of capacity.
 
-        The steps are those of long-running jobs. Their tasks have lacked
-        capacity for `TASK_MOVE_DELAY`, or for `RESERVED_TASK_MOVE_DELAY` if a
-        worker is reserved for one of them or they are not long-running. Such
-        steps of a job that has active runs are left out, and so are jobs that
-        have ended, are not reconciled or have a pending move.
+        Their tasks have lacked capacity for `TASK_MOVE_DELAY`, or for
+        `RESERVED_TASK_MOVE_DELAY` if a worker is reserved for one of them or
+        they are not long-running. Such steps of a job that has active runs are
+        left out, and so are jobs that have ended, are not reconciled or have
+        a pending move.
         """
         unplaced_steps = []
         for job in self.jobs.values():
             if (job.has_ended or job.pending_move_number is not None or
-                    not job.is_reconciled or not job.job.is_long_running):
+                    not job.is_reconciled):
                 continue
             is_idle = not job.list_active_runs()
             for step_run in job.steps.values():
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -170,11 +170,14 @@
         waiting_best_effort_cpu_millis: CPU in thousandths of a core that
             best-effort tasks declare which wait although all steps on which
             they depend are done.
+        reserved_cpu_millis: CPU in thousandths of a core that tasks will
+            reserve which move for lack of capacity.
     """
 
     short_work: int
     best_effort_work: int
     waiting_best_effort_cpu_millis: int
+    reserved_cpu_millis: int = 0
 
 
 def summarize_group(workers: Iterable[_workers.WorkerState],
@@ -217,7 +220,17 @@
     """Returns the most free CPU on a worker where a task of a step fits.
 
     It is in thousandths of a core, and -1 if a task fits nowhere at present.
+    For a best-effort task it is the room for its image.
     """
+    if step.is_best_effort:
+        has_room = any(
+            room._replace(cpu_millis=step.cpu_millis).has_room_for(step)
+            for room in load.free_rooms)
+        image_room_cpu_millis = get_image_room(load, step.image)
+        return (image_room_cpu_millis if has_room and
+                image_room_cpu_millis >= step.cpu_millis else -1)
+    if load.capacity_cpu_millis - load.reserved_cpu_millis < step.cpu_millis:
+        return -1
     if not load.reclaimable_rooms:
         # The report of a leader that does not list the capacity of workers.
         return (load.largest_free_cpu_millis
@@ -292,10 +305,21 @@
     return JobDemand(short_work, best_effort_work, best_effort_cpu_millis)
 
 
+def compute_step_demand(step: model.Step, task_count: int) -> JobDemand:
+    """Computes the demand of waiting tasks that are about to start."""
+    cpu_millis = task_count * step.cpu_millis
+    work = cpu_millis * step.estimate_ms
+    if step.is_best_effort:
+        return JobDemand(0, work, cpu_millis)
+    return JobDemand(0 if step.is_long_running else work, 0, 0, cpu_millis)
+
+
 def add_demand_to_load(load: GroupLoad, demand: JobDemand) -> GroupLoad:
     """Returns the load of a group increased by the demand of a job."""
     capacity_cpu_millis = max(1, load.best_effort_capacity_cpu_millis)
     return load._replace(
+        reserved_cpu_millis=load.reserved_cpu_millis +
+        demand.reserved_cpu_millis,
         short_backlog_ms=load.short_backlog_ms +
         demand.short_work // capacity_cpu_millis,
         total_backlog_ms=load.total_backlog_ms +
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -147,8 +147,15 @@
             if job.pending_move_number is not None:
                 continue  # Another step of the job has just begun to move.
             move = _plan_step_move(job, step_run, reports, now)
-            if move is not None:
-                moves.append(move)
+            if move is None:
+                continue
+            moves.append(move)
+            demand = _load.compute_step_demand(
+                step_run.step,
+                len(move.record.task_indexes) or len(step_run.waiting_indexes))
+            self._recent_moves.append(
+                _RecentMove(move.choice.group, demand, now))
+            _add_demand_to_report(reports, move.choice.group, demand)
         return moves
 
     def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
--- a/src/gentianlead/dispatch/tests/test_step_moves.py
+++ b/src/gentianlead/dispatch/tests/test_step_moves.py
@@ -113,6 +113,51 @@
         self.assertEqual(groups.plan_moves(), [])
 
 
+class UnsuitableGroupTest(unittest.TestCase):
+    """Tests jobs that are not long-running and fit in the other group only.
+
+    Both groups have the same CPU and no other work.
+    """
+
+    def build_groups(self, step: model.Step) -> TwoGroups:
+        """Builds groups and lets a job of one step wait in `north-1`."""
+        groups = TwoGroups(step, cpu_millis=8000, accelerators=1)
+        groups.own.add_worker(builders.build_worker("w3", cpu_millis=4000))
+        groups.pass_time(2.0)
+        groups.own.apply_status("w3")
+        return groups
+
+    def test_job_moves(self):
+        """Guards against a job that waits for good, as no group is less loaded.
+        """
+        for fields in ({
+                "cpu_millis": 6000
+        }, {
+                "accelerators": 1
+        }, {
+                "accelerators": 1,
+                "is_best_effort": True
+        }):
+            with self.subTest(fields):
+                groups = self.build_groups(builders.build_step(**fields))
+                (move,) = groups.plan_moves()
+                groups.add(move)
+                self.assertEqual(len(groups.other.start_all()), 1)
+
+    def test_jobs_do_not_all_move_to_one_worker(self):
+        """Guards against moves of more jobs than fit in the other group."""
+        groups = TwoGroups(builders.build_step(4, estimate_ms=0),
+                           cpu_millis=8000)
+        running = groups.own.start_all()
+        self.assertEqual(len(running), 4)
+        for number in range(2):
+            groups.own.put_job(
+                f"{number:016x}",
+                builders.build_step(2, cpu_millis=3000, estimate_ms=0))
+        groups.pass_time(2.0, *running)
+        self.assertEqual(len(groups.plan_moves()), 1)
+
+
 class RunningJobTest(unittest.TestCase):
     """Tests long-running steps that wait while another step of the job runs."""
 
