Try steps behind many that do not fit in turn

Cause: a planning pass ended after 24 steps without capacity, and each pass began with the same ones.

Evidence: test_short_steps_are_tried_in_turn on the code before starts nothing in 72 passes, for memory and for a label that no worker has.

Change: after these steps, a pass tries the others in turn, those first that were tried the longest ago, until 12 more have found no capacity. Long-running steps count nowhere, as before. test_urgent_steps_are_tried_in_each_pass keeps the order of urgent steps; it also passes on the code before.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -29,10 +29,13 @@
 may receive starts is reserved."""
 
 MAX_UNPLACED_STEPS_PER_PASS = 24
-"""A planning pass ends after this number of steps with a task that found no
-capacity; less urgent steps then wait for a later pass. Steps of long-running
-tasks do not count: they wait until other such tasks end, so that the first ones
-could keep all others from being tried."""
+"""A planning pass tries steps by urgency until this number of them have a task
+that found no capacity. Steps of long-running tasks do not count, as any number
+of them may wait until other such tasks end."""
+
+MAX_LATER_UNPLACED_STEPS_PER_PASS = 12
+"""Likewise for the less urgent steps, which are tried in turn: the first ones
+may never fit, and would keep all others from being tried."""
 
 
 class StartPlanner:
@@ -51,6 +54,10 @@
         # or accelerators that the long-running task needs.
         self._fully_reserved_workers: set[str] = set()
         self._is_busy = False
+        self._pass_number = 0
+        # Number of the pass that last tried each of the less urgent steps, by
+        # job identifier and key of the step; 0 for one that was not tried.
+        self._last_passes: dict[tuple[str, tuple[int, int]], int] = {}
         self._probation = _probation.ProbationPlanner(state)
 
     def plan(self, orders: list[_orders.Order], now: float,
@@ -73,13 +80,39 @@
         self._is_busy = (capacity_cpu_millis - free_cpu_millis
                          >= BUSY_RESERVED_SHARE * capacity_cpu_millis)
         self._probation.begin_pass(candidates, now)
-        unplaced_step_count = 0
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
         self._fully_reserved_workers.clear()
-        for job, step_run in self._list_startable_steps(now_ms):
-            if unplaced_step_count >= MAX_UNPLACED_STEPS_PER_PASS:
-                break
+        later_steps = self._start_steps(self._list_startable_steps(now_ms),
+                                        MAX_UNPLACED_STEPS_PER_PASS, candidates,
+                                        orders, now)
+        self._pass_number += 1
+        self._last_passes = {
+            _get_step_key(step): self._last_passes.get(_get_step_key(step), 0)
+            for step in later_steps
+        }
+        later_steps.sort(
+            key=lambda step: self._last_passes[_get_step_key(step)])
+        untried_steps = self._start_steps(later_steps,
+                                          MAX_LATER_UNPLACED_STEPS_PER_PASS,
+                                          candidates, orders, now)
+        for step in later_steps[:len(later_steps) - len(untried_steps)]:
+            self._last_passes[_get_step_key(step)] = self._pass_number
+
+    def _start_steps(self, steps: list[_step_priority.WaitingStep],
+                     max_unplaced_steps: int,
+                     candidates: dict[str, _placement.Candidate],
+                     orders: list[_orders.Order],
+                     now: float) -> list[_step_priority.WaitingStep]:
+        """Starts tasks of steps until too many steps have found no capacity.
+
+        Returns:
+            The steps that were not tried.
+        """
+        unplaced_step_count = 0
+        for number, (job, step_run) in enumerate(steps):
+            if unplaced_step_count >= max_unplaced_steps:
+                return steps[number:]
             if self._start_step(job, step_run, candidates, orders, now):
                 step_run.unplaced_since = None
                 step_run.reserved_worker = ""
@@ -90,6 +123,7 @@
                 self._reserve_worker(job, step_run, candidates)
             else:
                 unplaced_step_count += 1
+        return []
 
     def _mark_all_unplaced(self, now: float, now_ms: int) -> None:
         """Marks all startable steps as lacking capacity.
@@ -456,6 +490,12 @@
             (step_run.checkpoints[i] for i in sorted(step_run.checkpoints)), "")
 
 
+def _get_step_key(
+        step: _step_priority.WaitingStep) -> tuple[str, tuple[int, int]]:
+    job, step_run = step
+    return job.job.job_id, step_run.key
+
+
 def _update_candidate(candidates: dict[str, _placement.Candidate],
                       worker: _workers.WorkerState, now: float) -> None:
     """Updates the capacity of a worker after a start; may remove the worker.
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -102,6 +102,42 @@
         (order,) = driver.plan_starts()
         self.assertEqual(order.task.job_id, "f" * 16)
 
+    def test_short_steps_are_tried_in_turn(self):
+        """Guards against a step that is never tried behind many that never fit.
+
+        No worker has their memory or their label.
+        """
+        step_count = 3 * _starting.MAX_UNPLACED_STEPS_PER_PASS
+        for fields in ({"memory_mib": 20_000}, {"required_label": "b"}):
+            with self.subTest(fields):
+                driver = builders.GroupDriver(builders.build_worker())
+                for number in range(step_count):
+                    driver.put_job(f"{number:016x}",
+                                   builders.build_step(**fields))
+                driver.put_job("f" * 16, builders.build_step())
+                orders = []
+                for _ in range(step_count):
+                    orders += driver.start_all()
+                self.assertEqual([order.task.job_id for order in orders],
+                                 ["f" * 16])
+
+    def test_urgent_steps_are_tried_in_each_pass(self):
+        """Guards against turns in which urgent steps have to wait.
+
+        They fit as soon as the worker has more memory.
+        """
+        driver = builders.GroupDriver(builders.build_worker(cpu_millis=2000))
+        step_count = 3 * _starting.MAX_UNPLACED_STEPS_PER_PASS
+        for number in range(step_count):
+            driver.put_job(f"{number:016x}",
+                           builders.build_step(memory_mib=20_000))
+        for _ in range(5):
+            self.assertEqual(driver.start_all(), [])
+        driver.scheduler.put_worker(
+            builders.build_worker(cpu_millis=2000, memory_mib=40_000))
+        self.assertEqual([order.task.job_id for order in driver.start_all()],
+                         [f"{number:016x}" for number in range(2)])
+
 
 class ProbationTest(unittest.TestCase):
     """Tests what planning expects of a worker on probation."""
