Accept a worker whose new instance has an earlier start time

Cause: a status report with an earlier start time than the last one counted as a late reply of a former instance.

Evidence: test_instance_with_an_earlier_start_time on the code before plans no start on the new instance.

Change: the order of calls decides. A report of another instance that answers a call sent after the last report arrived comes from a later instance; one that answers an earlier call is ignored, whatever its start time. The daemon polls a worker one call after the other, so the next report decides. Without this, the late reply of an instance with a later start time would end the runs of the present one: test_late_reply_of_the_former_instance.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -208,9 +208,10 @@
                      sent_at: float, now: float) -> None:
         """Applies a status report of a worker to its runs, clock and throttles.
 
-        Has no effect if the worker is not known, or if the report comes from a
-        former instance. A report of a new instance ends all runs of the old
-        one.
+        Has no effect if the worker is not known, or if the report comes from
+        another instance than the last one although the call was sent before
+        that report arrived. Otherwise, a report of another instance ends all
+        runs of the last one.
 
         Args:
             worker_id: Identifier of the worker.
@@ -223,8 +224,11 @@
         if worker is None:
             return
         if worker.born_ms != status.born_ms:
-            if worker.born_ms > status.born_ms:
-                return  # A late reply of a former instance.
+            if (worker.last_status_at is not None and
+                    sent_at < worker.last_status_at):
+                # Either may be the later instance: start times do not tell, as
+                # clocks jump.
+                return
             if worker.born_ms:
                 self._end_lost_runs(worker, True, now)
             worker.reset_after_replacement(status.born_ms)
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -33,6 +33,45 @@
         self.assertEqual(len(driver.plan_starts()), 1)
 
 
+class ReplacedWorkerTest(unittest.TestCase):
+    """Tests a worker that another instance replaces, after a jump of its clock.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(JOB_ID, builders.build_step())
+        (self.order,) = self.driver.start_all()
+        self.driver.now += 1.0
+        self.driver.apply_status(
+            running=(builders.build_active_run(self.order),))
+        self.driver.now += 0.5
+
+    def test_instance_with_an_earlier_start_time(self):
+        """Guards against a worker that is ignored as its clock went back."""
+        self.driver.apply_status(born_ms=builders.INSTANCE_START_MS - 500,
+                                 clock_ms=10)
+        (new_order,) = self.driver.plan_starts()
+        self.assertGreater(new_order.run, self.order.run)
+
+    def test_late_reply_of_the_former_instance(self):
+        """Guards against a second run of a task that the new instance runs."""
+        for change_ms in (-500, 500):
+            with self.subTest(change_ms):
+                self.setUp()
+                self.driver.apply_status(born_ms=builders.INSTANCE_START_MS +
+                                         change_ms,
+                                         clock_ms=10)
+                (new_order,) = self.driver.start_all()
+                self.driver.now += 0.1
+                self.driver.apply_status(sent_ago_s=0.3,
+                                         running=(builders.build_active_run(
+                                             self.order),))
+                worker = self.driver.scheduler.workers["w1"]
+                self.assertEqual(list(worker.runs),
+                                 [(new_order.task, new_order.run)])
+                self.assertEqual(worker.unknown_runs, {})
+
+
 class OutdatedReportTest(unittest.TestCase):
     """Tests long-running jobs that were accepted without recent load reports.
     """
