Send tasks to tested workers before those on probation

Cause: a worker on probation counted in load reports like any other between two of its tests.

Evidence: on the code before, a group with an idle worker on probation is chosen before one with a sound worker (n2 instead of n3), for up to ten tasks at once instead of one.

Change: reports list the free capacity of workers on probation by itself. A group in which only such a worker fits comes after groups with free capacity and gets one task at a time, so that the worker is still tested. Best-effort jobs do not move there for room alone. Whole capacity and labels count as before, so that admission is not changed.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -392,7 +392,8 @@
 ) -> FallbackGroup:
     """Returns a group for tasks of a step that their own group cannot place.
 
-    Other groups in which a task fits on one worker at present come first.
+    Other groups in which a task fits on one worker at present come first, then
+    those in which it fits on a worker on probation, which one task may test.
     A group in which a task fits only after short tasks have ended is chosen
     only if a task does not fit in the own group even then. Of several such
     groups, the one that tasks of the job left the longest ago is chosen, or
@@ -409,7 +410,7 @@
         required_labels = required_labels | {step.required_label}
     step_groups = _list_step_groups(job, step_index, assignment)
     best_group = ""
-    best_sort_key = (False, 0, 0)
+    best_sort_key = (0, 0, 0)
     own_report = reports.get(own_group)
     may_fit_in_own_group = (own_report is not None and
                             own_report.load.is_usable and
@@ -427,13 +428,15 @@
             continue
         free_cpu_millis = _load.find_free_cpu(load, step)
         reclaimable_cpu_millis = _load.find_reclaimable_cpu(load, step)
-        has_free_capacity = free_cpu_millis >= 0
-        if not has_free_capacity and (may_fit_in_own_group or
-                                      reclaimable_cpu_millis < 0):
+        if free_cpu_millis >= 0:
+            rank, usable_cpu_millis = 2, free_cpu_millis
+        elif _load.has_probation_room(load, step):
+            rank, usable_cpu_millis = 1, step.cpu_millis
+        elif may_fit_in_own_group or reclaimable_cpu_millis < 0:
             continue
-        sort_key = (has_free_capacity, -last_move_numbers.get(group, 0),
-                    free_cpu_millis
-                    if has_free_capacity else reclaimable_cpu_millis)
+        else:
+            rank, usable_cpu_millis = 0, reclaimable_cpu_millis
+        sort_key = (rank, -last_move_numbers.get(group, 0), usable_cpu_millis)
         if not best_group or sort_key > best_sort_key:
             best_group, best_sort_key = group, sort_key
     if step.max_tasks_per_worker:
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -36,7 +36,7 @@
     Attributes:
         image: Image of the task; empty for all images without an estimate.
         cpu_millis: CPU of the largest task that the rules of placement allow on
-            any worker, in thousandths of a core.
+            any worker that is not on probation, in thousandths of a core.
     """
 
     image: str
@@ -86,7 +86,8 @@
         total_backlog_ms: The same time for short and best-effort tasks
             together.
         worker_count: Number of usable workers.
-        largest_free_cpu_millis: Most unreserved CPU on one usable worker.
+        largest_free_cpu_millis: Most unreserved CPU on one usable worker that
+            is not on probation.
         best_effort_cpu_millis: CPU declared by best-effort tasks that run on
             usable workers, or that wait although all steps on which they depend
             are done. Of the waiting tasks of a job with a start time, only
@@ -101,10 +102,12 @@
             worker have ended.
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
-        free_rooms: Free capacity of the usable workers, without those whose
-            capacity another one covers.
+        free_rooms: Free capacity of the usable workers that are not on
+            probation, without those whose capacity another one covers.
         reclaimable_rooms: Capacity of the usable workers that no long-running
-            task holds, likewise.
+            task holds, likewise; also of those on probation.
+        probation_rooms: Free capacity of the usable workers on probation, which
+            receive one start at a time and may fail it, likewise.
     """
 
     is_usable: bool
@@ -122,6 +125,7 @@
     image_rooms: tuple[ImageRoom, ...] = ()
     free_rooms: tuple[WorkerRoom, ...] = ()
     reclaimable_rooms: tuple[WorkerRoom, ...] = ()
+    probation_rooms: tuple[WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -251,6 +255,11 @@
     return _find_largest_room(load.reclaimable_rooms, step)
 
 
+def has_probation_room(load: GroupLoad, step: model.Step) -> bool:
+    """Returns whether a task of a step may test a worker on probation."""
+    return _find_largest_room(load.probation_rooms, step) >= 0
+
+
 def _find_largest_room(rooms: tuple[WorkerRoom, ...], step: model.Step) -> int:
     return max((room.cpu_millis for room in rooms if room.has_room_for(step)),
                default=-1)
@@ -359,6 +368,7 @@
     labels: set[str] = set()
     free_rooms: dict[frozenset[str], list[_Resources]] = {}
     reclaimable_rooms: dict[frozenset[str], list[_Resources]] = {}
+    probation_rooms: dict[frozenset[str], list[_Resources]] = {}
     for worker in workers:
         if worker.can_receive_starts(now):
             load = worker.compute_load()
@@ -369,9 +379,10 @@
             latency_critical_cpu_millis += min(load.latency_critical_cpu_millis,
                                                worker.entry.cpu_millis)
             best_effort_cpu_millis += load.best_effort_cpu_millis
-            largest_free_cpu_millis = max(
-                largest_free_cpu_millis,
-                worker.entry.cpu_millis - load.reserved_cpu_millis)
+            if not worker.is_on_probation:
+                largest_free_cpu_millis = max(
+                    largest_free_cpu_millis,
+                    worker.entry.cpu_millis - load.reserved_cpu_millis)
             largest_reclaimable_cpu_millis = max(
                 largest_reclaimable_cpu_millis,
                 worker.entry.cpu_millis - load.long_running_cpu_millis)
@@ -391,14 +402,17 @@
             for image, room_cpu_millis in image_rooms.items():
                 # Interference only lowers the room, so it needs no look if the
                 # spare CPU is not above the room on another worker.
-                if spare_room_cpu_millis > room_cpu_millis:
+                if (spare_room_cpu_millis > room_cpu_millis and
+                        not worker.is_on_probation):
                     image_rooms[image] = max(
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
             worker_labels = worker.entry.labels
             if candidate.free_cpu_millis >= 0:
-                _add_room(free_rooms.setdefault(worker_labels, []),
+                rooms = (probation_rooms
+                         if worker.is_on_probation else free_rooms)
+                _add_room(rooms.setdefault(worker_labels, []),
                           (candidate.free_cpu_millis, candidate.free_memory_mib,
                            candidate.free_accelerators))
             _add_room(reclaimable_rooms.setdefault(worker_labels, []),
@@ -426,7 +440,8 @@
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
-        _list_rooms(free_rooms), _list_rooms(reclaimable_rooms))
+        _list_rooms(free_rooms), _list_rooms(reclaimable_rooms),
+        _list_rooms(probation_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/tests/test_quarantine.py
+++ b/src/gentianlead/dispatch/tests/test_quarantine.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
@@ -13,6 +14,51 @@
 FAILING_JOB_ID = "00000000000000cc"
 
 
+class ReportTest(unittest.TestCase):
+    """Tests the load reports of groups with an idle worker on probation."""
+
+    def build_report(self, is_on_probation: bool,
+                     **fields) -> dispatch.GroupReport:
+        """Builds the report of a group of one worker."""
+        driver = builders.GroupDriver(builders.build_worker(**fields))
+        if is_on_probation:
+            worker = driver.scheduler.workers["w1"]
+            for _ in range(_workers.FAILURES_TO_QUARANTINE):
+                worker.record_result(False, 0.0)
+            self.assertTrue(worker.can_receive_starts(driver.now))
+        return dispatch.GroupReport(driver.scheduler.compute_load(driver.now),
+                                    driver.now)
+
+    def choose_group(self, step: model.Step,
+                     **reports: dispatch.GroupReport) -> dispatch.FallbackGroup:
+        """Chooses the group to which tasks of the group `own` may move."""
+        return dispatch.choose_fallback_group(
+            builders.build_job(SERVICE_JOB_ID, step), ("own",) * step.count,
+            "own", reports, 100.0)
+
+    def test_tasks_go_to_tested_workers_first(self):
+        """Guards against tasks that wait for tests of a worker that fails."""
+        for step in (test_lasting.build_service_step(4),
+                     builders.build_step(4, is_best_effort=True)):
+            fallback_group = self.choose_group(step,
+                                               n2=self.build_report(True),
+                                               n3=self.build_report(
+                                                   False, cpu_millis=4000))
+            self.assertEqual(fallback_group.group, "n3")
+
+    def test_untested_worker_is_tested_by_one_task(self):
+        """Guards against many tasks that wait for one start each 2 s.
+
+        Also guards against a worker that stays untested, as no task moves to
+        its group.
+        """
+        for step in (test_lasting.build_service_step(4),
+                     builders.build_step(4, is_best_effort=True)):
+            self.assertEqual(
+                self.choose_group(step, n2=self.build_report(True)),
+                dispatch.FallbackGroup("n2", 1))
+
+
 class QuarantineTest(unittest.TestCase):
     """Tests a worker that runs a long-running task while others fail on it."""
 
