Reserve workers only for long-running tasks with a permit

Cause: a worker is reserved for a waiting long-running task on which the task fits, without regard to permits. The refusal of a permit holds for the life of the worker, so that the reservation never ended.

Evidence: test_worker_is_not_reserved_for_it on the code before plans no start on the free worker.

Change: a worker is reserved only if the step has a valid permit for it.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -120,7 +120,7 @@
             if step_run.unplaced_since is None:
                 step_run.unplaced_since = now
             if step_run.step.is_long_running:
-                self._reserve_worker(job, step_run, candidates)
+                self._reserve_worker(job, step_run, candidates, now)
             else:
                 unplaced_step_count += 1
         return []
@@ -136,7 +136,8 @@
                 step_run.unplaced_since = now
 
     def _reserve_worker(self, job: _runs.JobRun, step_run: _runs.StepRun,
-                        candidates: dict[str, _placement.Candidate]) -> None:
+                        candidates: dict[str, _placement.Candidate],
+                        now: float) -> None:
         """Reserves a worker for the next long-running task of a step.
 
         No short task starts there until the long-running one fits. Otherwise
@@ -144,14 +145,16 @@
         a long-running task that needs more cores would never fit. If it lacks
         memory or accelerators, no best-effort task starts there either. Nothing
         is reserved if the task would not fit even when all tasks that are not
-        long-running have ended.
+        long-running have ended, or lacks the permit for the worker.
         """
-        service = self._find_current_queue(job).service
+        queue = self._find_current_queue(job)
         task_counts = step_run.count_runs_by_worker()
         eligible_candidates = [
             candidate for candidate in candidates.values()
-            if candidate.worker.entry.service == service and
+            if candidate.worker.entry.service == queue.service and
             candidate.worker.worker_id not in self._reserved_workers and
+            (not queue.needs_permit or step_run.permits.find_permit(
+                candidate.worker.worker_id, candidate.worker.born_ms, now)) and
             _placement.may_fit_later(candidate, step_run.step, task_counts)
         ]
         if not eligible_candidates:
--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -1,5 +1,6 @@
 """Tests that workers and tasks which planning leaves out come back into it."""
 
+import datetime
 import unittest
 
 from gentianlead import dispatch
@@ -127,6 +128,24 @@
         self.assertEqual(fallback_group.group, "n2")
 
 
+class RefusedPermitTest(unittest.TestCase):
+    """Tests a long-running task that may not run on the only worker."""
+
+    def test_worker_is_not_reserved_for_it(self):
+        """Guards against a free worker that starts no short task for good."""
+        driver = builders.GroupDriver(builders.build_worker())
+        job = builders.build_job(JOB_ID, test_lasting.build_service_step())
+        queue = builders.QUEUE._replace(path_prefix="/p/", needs_permit=True)
+        driver.scheduler.put_job(
+            builders.build_job_entry(job._replace(queue=queue)))
+        (request,) = driver.plan()
+        driver.scheduler.apply_permits(
+            request, ports.PermitReply({}, datetime.timedelta(seconds=10)),
+            driver.now, driver.now)
+        driver.put_job(JOB_ID[::-1], builders.build_step())
+        self.assertEqual(len(driver.plan_starts()), 1)
+
+
 class ManyWaitingStepsTest(unittest.TestCase):
     """Tests a group in which more steps wait than a planning pass may try."""
 
