--- a/src/gentianlead/dispatch/tests/test_exclusions.py
+++ b/src/gentianlead/dispatch/tests/test_exclusions.py
@@ -1,5 +1,6 @@
 """Tests that workers and tasks which planning leaves out come back into it."""
 
+import datetime
 import unittest
 
 from gentianlead import dispatch
@@ -33,6 +34,45 @@
         self.assertEqual(len(driver.plan_starts()), 1)
 
 
+class ReplacedWorkerTest(unittest.TestCase):
+    """Tests a worker that another instance replaces, after a jump of its clock.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(JOB_ID, builders.build_step())
+        (self.order,) = self.driver.start_all()
+        self.driver.now += 1.0
+        self.driver.apply_status(
+            running=(builders.build_active_run(self.order),))
+        self.driver.now += 0.5
+
+    def test_instance_with_an_earlier_start_time(self):
+        """Guards against a worker that is ignored as its clock went back."""
+        self.driver.apply_status(born_ms=builders.INSTANCE_START_MS - 500,
+                                 clock_ms=10)
+        (new_order,) = self.driver.plan_starts()
+        self.assertGreater(new_order.run, self.order.run)
+
+    def test_late_reply_of_the_former_instance(self):
+        """Guards against a second run of a task that the new instance runs."""
+        for change_ms in (-500, 500):
+            with self.subTest(change_ms):
+                self.setUp()
+                self.driver.apply_status(born_ms=builders.INSTANCE_START_MS +
+                                         change_ms,
+                                         clock_ms=10)
+                (new_order,) = self.driver.start_all()
+                self.driver.now += 0.1
+                self.driver.apply_status(sent_ago_s=0.3,
+                                         running=(builders.build_active_run(
+                                             self.order),))
+                worker = self.driver.scheduler.workers["w1"]
+                self.assertEqual(list(worker.runs),
+                                 [(new_order.task, new_order.run)])
+                self.assertEqual(worker.unknown_runs, {})
+
+
 class OutdatedReportTest(unittest.TestCase):
     """Tests long-running jobs that were accepted without recent load reports.
     """
@@ -88,6 +128,24 @@
         self.assertEqual(fallback_group.group, "n2")
 
 
+class RefusedPermitTest(unittest.TestCase):
+    """Tests a long-running task that may not run on the only worker."""
+
+    def test_worker_is_not_reserved_for_it(self):
+        """Guards against a free worker that starts no short task for good."""
+        driver = builders.GroupDriver(builders.build_worker())
+        job = builders.build_job(JOB_ID, test_lasting.build_service_step())
+        queue = builders.QUEUE._replace(path_prefix="/p/", needs_permit=True)
+        driver.scheduler.put_job(
+            builders.build_job_entry(job._replace(queue=queue)))
+        (request,) = driver.plan()
+        driver.scheduler.apply_permits(
+            request, ports.PermitReply({}, datetime.timedelta(seconds=10)),
+            driver.now, driver.now)
+        driver.put_job(JOB_ID[::-1], builders.build_step())
+        self.assertEqual(len(driver.plan_starts()), 1)
+
+
 class ManyWaitingStepsTest(unittest.TestCase):
     """Tests a group in which more steps wait than a planning pass may try."""
 
@@ -102,6 +160,42 @@
         (order,) = driver.plan_starts()
         self.assertEqual(order.task.job_id, "f" * 16)
 
+    def test_short_steps_are_tried_in_turn(self):
+        """Guards against a step that is never tried behind many that never fit.
+
+        No worker has their memory or their label.
+        """
+        step_count = 3 * _starting.MAX_UNPLACED_STEPS_PER_PASS
+        for fields in ({"memory_mib": 20_000}, {"required_label": "b"}):
+            with self.subTest(fields):
+                driver = builders.GroupDriver(builders.build_worker())
+                for number in range(step_count):
+                    driver.put_job(f"{number:016x}",
+                                   builders.build_step(**fields))
+                driver.put_job("f" * 16, builders.build_step())
+                orders = []
+                for _ in range(step_count):
+                    orders += driver.start_all()
+                self.assertEqual([order.task.job_id for order in orders],
+                                 ["f" * 16])
+
+    def test_urgent_steps_are_tried_in_each_pass(self):
+        """Guards against turns in which urgent steps have to wait.
+
+        They fit as soon as the worker has more memory.
+        """
+        driver = builders.GroupDriver(builders.build_worker(cpu_millis=2000))
+        step_count = 3 * _starting.MAX_UNPLACED_STEPS_PER_PASS
+        for number in range(step_count):
+            driver.put_job(f"{number:016x}",
+                           builders.build_step(memory_mib=20_000))
+        for _ in range(5):
+            self.assertEqual(driver.start_all(), [])
+        driver.scheduler.put_worker(
+            builders.build_worker(cpu_millis=2000, memory_mib=40_000))
+        self.assertEqual([order.task.job_id for order in driver.start_all()],
+                         [f"{number:016x}" for number in range(2)])
+
 
 class ProbationTest(unittest.TestCase):
     """Tests what planning expects of a worker on probation."""
