Give the run that a test resumes a lease that lasts

Callers saw: WorkerTest.test_resumed_run_continues failed beside load with "0.0 not greater than or equal to 60".

Cause: in the test's preparation. The first run has a lease of 100 ms and is checkpointed after a sleep of 60 ms. When the sleep takes more than 100 ms, the worker ends the run when its lease expires, as it must, and takes no checkpoint.

Change: the lease of the first run and the run time of both are 60 s. The progress and the remaining time are checked with the same margins.

It still fails ("0.0 not greater than or equal to 60") when runs ignore their checkpoint.

--- a/standins/tests/test_workers.py
+++ b/standins/tests/test_workers.py
@@ -19,6 +19,7 @@
 _KEY = ports.RunKey("j", 0, 1)
 _LIMITS = workers.WorkerLimits(model.Resources(1000, 1000, 0), 8, 64, 0.0)
 _LEASE_MS = 100
+_LONG_MS = 60_000
 
 
 class WorkerTest(unittest.IsolatedAsyncioTestCase):
@@ -59,15 +60,23 @@
         self.assertEqual(interval.ends_at, end)
 
     async def test_resumed_run_continues(self) -> None:
-        """Guards against a resumed run that starts from the beginning."""
-        self.table.start(_KEY, self.order(1000))
+        """Guards against a resumed run that starts from the beginning.
+
+        The lease and the run are long, because a run that has ended before the
+        checkpoint has no progress to resume.
+        """
+        expires_at_ms = self.table.clock.read_ms() + _LONG_MS
+        self.table.start(_KEY, self.order(_LONG_MS,
+                                          expires_at_ms=expires_at_ms))
         await asyncio.sleep(0.06)
         checkpoint = self.table.checkpoint(_KEY).checkpoint
         self.table.stop(_KEY, {})
         second = _KEY._replace(run=2)
-        run = self.table.start(second, self.order(1000, checkpoint=checkpoint))
+        run = self.table.start(second,
+                               self.order(_LONG_MS, checkpoint=checkpoint))
         self.assertGreaterEqual(run.progress_ms, 60)
-        self.assertLess(run.find_finish() - time.monotonic(), 0.95)
+        self.assertLess(run.find_finish() - time.monotonic(),
+                        _LONG_MS / 1000 - 0.05)
 
     async def test_orders_are_refused(self) -> None:
         """Guards against a worker that accepts late or stale orders."""
