Wait for a delayed start order before a test removes a domain

Callers saw: RemovedDomainTest.test_start_order_delayed failed once in a while with "'start_by_ms has passed' not found in []".

Cause: in the test's preparation. It takes the domain out 0.3 s after start orders begin to be held back. The daemons send the orders in bursts, about 0.3 s apart on this machine and further apart when it is busy. When no order falls in that time, none can be refused later.

Change: the stand-ins note delayed requests in their journals, and the test waits for a delayed start order in place of the 0.3 s. The check is the same.

--- a/src/gentianlead/daemon/tests/test_state_failures.py
+++ b/src/gentianlead/daemon/tests/test_state_failures.py
@@ -35,6 +35,14 @@
         self.wait_for("end of the load",
                       lambda: self.get_job(job_id)["state"] == "cancelled")
 
+    def list_delayed_start_orders(self) -> list[dict[str, Any]]:
+        """Returns the journal entries of start orders that were held back."""
+        return [
+            entry for entry in self.cluster.read_journals()
+            if entry["kind"] == "request_delayed" and
+            entry["path"].endswith("/start")
+        ]
+
     def test_cut_off_from_log(self) -> None:
         """Guards against task starts by daemons that cannot read the removal.
 
@@ -83,7 +91,7 @@
         self.start_short_tasks("delayed")
         rack = self.cluster.racks["domain-1-rack"]
         rack.control("fault", kind="slow", path="/start", ms=6000)
-        time.sleep(0.3)
+        self.wait_for("a delayed start order", self.list_delayed_start_orders)
         self.take_domain_out("domain-1", via_daemon="entry-4")
         time.sleep(REMOVAL_DEADLINE_SECONDS + 3)
         refusals = [
--- a/standins/_endpoint.py
+++ b/standins/_endpoint.py
@@ -171,6 +171,10 @@
         # Read first: a delayed request takes effect although its sender has
         # given up in the meantime.
         await request.read()
+        if _faults.FaultKind.SLOW in plan.rules:
+            self._journal.add("request_delayed",
+                              endpoint=self.name,
+                              path=request.path)
         await asyncio.sleep(plan.get_delay(_faults.FaultKind.SLOW))
         if _faults.FaultKind.CLOSE in plan.rules or transport in self._aborted:
             return _reset(transport)
