Leave log outages out of heartbeat ages when the log replies again

Callers saw: after an outage of the log that is longer than the member timeout, a domain is without a preferred scheduler until new heartbeats are read, and members take over the runs of others that are live. A takeover at that moment led to the second runs of finished tasks in test_log_down_and_slow.

Cause: the age of a heartbeat is measured to the last read of the stream's end. That time stands still in an outage, but the first read after it moves it by the whole outage at once, before any member can have appended a heartbeat.

Evidence: in a run of test_log_down_and_slow on the code before, with logs, the preferred scheduler of each domain lost its rank at the first read after 31 s and had it again 0.8 s later. In another run the member that read first took over both runs of the other.

Change: a time of more than half the member timeout between two reads adds to no age if no heartbeat was appended in it. A member that failed in the outage is noticed one member timeout after it.

Without it test_end_of_log_outage_changes_no_rank fails with "None != 0".

--- a/src/gentianlead/membership/_tracker.py
+++ b/src/gentianlead/membership/_tracker.py
@@ -2,7 +2,9 @@
 
 The age of a heartbeat is measured up to the last time at which the domain's
 stream was known to be current. During an outage of the log no member can append
-heartbeats, so the length of the outage must not add to their heartbeat ages.
+heartbeats, so the length of the outage must not add to their heartbeat ages. It
+does not, because a long time without a successful read is left out unless a
+heartbeat was appended in it.
 """
 
 import datetime
@@ -20,6 +22,9 @@
 
     def __init__(self, heartbeat_timeout: datetime.timedelta):
         self._heartbeat_timeout_s = heartbeat_timeout.total_seconds()
+        # A shorter gap and the interval of heartbeats, a third of the timeout,
+        # do not add up to the timeout.
+        self._max_read_gap_s = self._heartbeat_timeout_s / 2
         # By incarnation: offset of the last heartbeat, and the value of
         # `_fresh_as_of`, in monotonic seconds, at the first update with it.
         self._last_heartbeats: dict[str, tuple[int, float]] = {}
@@ -36,7 +41,12 @@
                 current, in monotonic seconds. If an earlier call passed a later
                 time, that time is used instead.
         """
+        gap_s = fresh_as_of - self._fresh_as_of
         self._fresh_as_of = max(self._fresh_as_of, fresh_as_of)
+        if gap_s > self._max_read_gap_s and not (
+                self._has_new_heartbeat(members)):
+            for incarnation, (offset, as_of) in self._last_heartbeats.items():
+                self._last_heartbeats[incarnation] = (offset, as_of + gap_s)
         for member in members.values():
             last_heartbeat = self._last_heartbeats.get(member.member)
             if last_heartbeat is None or last_heartbeat[
@@ -51,13 +61,22 @@
         self._members = sorted(members.values(),
                                key=lambda member: member.join_offset)
 
+    def _has_new_heartbeat(self, members: dict[str, state.Member]) -> bool:
+        known_offsets = {
+            incarnation: offset
+            for incarnation, (offset, _) in self._last_heartbeats.items()
+        }
+        return any(
+            member.last_heartbeat_offset != known_offsets.get(incarnation)
+            for incarnation, member in members.items())
+
     def get_heartbeat_age(self, incarnation: str) -> datetime.timedelta:
         """Returns the age of a member's last heartbeat.
 
         The age is the difference of two values of `fresh_as_of`: that of the
-        last update minus that of the first update with the heartbeat. Joining
-        counts as a heartbeat. The age is `timedelta.max` if the member is
-        unknown.
+        last update minus that of the first update with the heartbeat, less the
+        outages of the log between them. Joining counts as a heartbeat. The age
+        is `timedelta.max` if the member is unknown.
         """
         last_heartbeat = self._last_heartbeats.get(incarnation)
         if last_heartbeat is None:
--- a/src/gentianlead/membership/tests/test_tracker.py
+++ b/src/gentianlead/membership/tests/test_tracker.py
@@ -61,3 +61,25 @@
         for _ in range(100):
             self.update_tracker(1.0, a=1, b=2)
         self.assertEqual(self.tracker.get_rank("a"), 0)
+
+    def test_end_of_log_outage_changes_no_rank(self) -> None:
+        """Checks the ranks when the log replies again after 28 s.
+
+        The first read after the outage cannot show a heartbeat yet. Guards
+        against members that take over each other's runs after each outage.
+        """
+        self.update_tracker(1.0, a=1, b=2)
+        self.update_tracker(29.0, a=1, b=2)
+        self.assertEqual(self.tracker.get_rank("a"), 0)
+        self.assertEqual(self.tracker.get_rank("b"), 1)
+
+    def test_failure_in_log_outage(self) -> None:
+        """Checks that a member loses its rank 7 s after an outage of 28 s.
+
+        Guards against a member that failed in the outage and counts as live.
+        """
+        self.update_tracker(1.0, a=1, b=2)
+        for second in range(29, 37):
+            self.update_tracker(float(second), a=1, b=second)
+        self.assertIsNone(self.tracker.get_rank("a"))
+        self.assertEqual(self.tracker.get_rank("b"), 0)
