Join moves of steps with the count of crashes; look for due moves first

Steps that are due for a move are now found before the active runs of their job are listed, which took time for each job in each planning pass. 225 tests of dispatch pass.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -304,7 +304,7 @@
         for step_run in job.steps.values():
             active_runs = {run.number for run in step_run.active_runs.values()}
             for index, suspicion in step_run.suspicions.items():
-                if not job.entry.has_task(job.group, index):
+                if not job.entry.has_task(job.group, step_run.key[1], index):
                     continue
                 for run_number in suspicion.list_claimed_runs():
                     if run_number in active_runs:
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -536,25 +536,31 @@
 
         Their tasks have lacked capacity for `TASK_MOVE_DELAY`, or for
         `RESERVED_TASK_MOVE_DELAY` if a worker is reserved for one of them or
-        they are not long-running. Such steps of a job that has active runs are
-        left out, and so are jobs that have ended, are not reconciled or have
-        a pending move.
+        they are not long-running. Steps that are not long-running are left out
+        if their job has active runs. Jobs that have ended, are not reconciled
+        or have a pending move are left out, too.
         """
         unplaced_steps = []
         for job in self.jobs.values():
             if (job.has_ended or job.pending_move_number is not None or
                     not job.is_reconciled):
                 continue
-            is_idle = not job.list_active_runs()
-            for step_run in job.steps.values():
-                is_long_running = step_run.step.is_long_running
-                move_delay = (TASK_MOVE_DELAY if is_long_running and
-                              not step_run.reserved_worker else
-                              RESERVED_TASK_MOVE_DELAY)
-                if (step_run.waiting_indexes and
-                    (is_long_running or is_idle) and
-                        step_run.unplaced_since is not None and
-                        now - step_run.unplaced_since
-                        >= move_delay.total_seconds()):
-                    unplaced_steps.append((job, step_run))
+            step_runs = [
+                step_run for step_run in job.steps.values()
+                if _is_move_due(step_run, now)
+            ]
+            if step_runs and job.list_active_runs():
+                step_runs = [
+                    step_run for step_run in step_runs
+                    if step_run.step.is_long_running
+                ]
+            unplaced_steps.extend((job, step_run) for step_run in step_runs)
         return unplaced_steps
+
+
+def _is_move_due(step_run: _runs.StepRun, now: float) -> bool:
+    if step_run.unplaced_since is None or not step_run.waiting_indexes:
+        return False
+    move_delay = (TASK_MOVE_DELAY if step_run.step.is_long_running and
+                  not step_run.reserved_worker else RESERVED_TASK_MOVE_DELAY)
+    return now - step_run.unplaced_since >= move_delay.total_seconds()
