Test that crashing tasks of all kinds are given up

The simulation now grants permits. Speculative copies are parsed and never started, so such a task takes the path of a short one.

--- a/src/gentianlead/dispatch/tests/crashing.py
+++ b/src/gentianlead/dispatch/tests/crashing.py
@@ -1,5 +1,6 @@
 """Simulated workers that crash, and the store through which leaders change."""
 
+import datetime
 from typing import NamedTuple
 
 from gentianlead import dispatch
@@ -13,6 +14,8 @@
 RESTART_S = 3.0
 """Time in seconds after which a crashed worker is replaced by a new one."""
 
+PERMIT_VALIDITY = datetime.timedelta(seconds=30)
+
 
 class SimulatedRun(NamedTuple):
     """Run on a simulated worker; times are in seconds.
@@ -158,6 +161,12 @@
                 self._start(order)
             elif isinstance(order, dispatch.StopOrder):
                 self._stop(order)
+            elif isinstance(order, dispatch.PermitRequest):
+                self.driver.scheduler.apply_permits(
+                    order,
+                    ports.PermitReply(dict.fromkeys(order.workers, "permit"),
+                                      PERMIT_VALIDITY), self.driver.now,
+                    self.driver.now)
 
     def get_state(self, job_id: str) -> model.JobState:
         """Returns the stored state of a job."""
