Log a claim of a group that another daemon's claim supersedes

Operators saw a leader wait 10.1 s for workers that are gone, while the log did not show why: it had taken over just after another daemon.

Cause: a daemon whose claim is stored, but not the newest when it reads the topic back, gave up without a line. Only claims that the store refuses were logged.

It now writes lead-not-taken, with the epoch and the writer of the later claim.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -373,6 +373,14 @@
                     read_back_record.incarnation) == (epoch, self._incarnation):
                 self._start_leading(group, epoch, leadership_offset, claimed_at,
                                     takeover_reason)
+            else:
+                self._log.write(
+                    "lead-not-taken",
+                    group=group,
+                    reason=takeover_reason,
+                    epoch=epoch,
+                    error=f"{read_back_record.incarnation or 'another daemon'} "
+                    f"claimed the group with epoch {read_back_record.epoch}")
         except ports.StoreError as error:
             self._log.write("lead-not-taken",
                             group=group,
