Let a claim that never led a group cost no takeover wait

Callers saw long-running tasks without a run beside free capacity (LOST): the winner of two claims within one append of each other waited 10.1 s for workers that are gone, instead of what was left of the wait for the last leader.

Cause: a leader could start runs from the moment it read its claim back, so the loser of two claims counted as a former leader whose process goes on. The same held for a claim whose reply was lost.

A claim now has heartbeat number 0, and it gives no start permission. The leader gets that with its first append after the claim, which begins with its next leader record. The store refuses this append once a later claim is stored, so a claim without such a record before the next claim has led to no run: the successor waits for the leader before it, or, if it has not read that leader's records, for a permission that counts from the read of the claim. A frozen or repeated append changes nothing of this: it is stored before the later claim, which then shows it, or never; the permission counts from its first call. Claims of older daemons have number 1 and count as before.

Cost: starts and renewals of leases begin one append later (and 20 ms).

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -357,8 +357,7 @@
                 self._settings.node)
             leader_record = dispatch.LeaderRecord(group, epoch,
                                                   self._settings.node,
-                                                  self._incarnation, 1)
-            claimed_at = self._clock.monotonic()
+                                                  self._incarnation, 0)
             leadership_offset = await self._store.append(
                 dispatch.JOB_TOPIC, [dispatch.encode_record(leader_record)],
                 ports.Producer(f"g/{group}", epoch), 1,
@@ -371,7 +370,7 @@
                 group].record
             if (read_back_record.epoch,
                     read_back_record.incarnation) == (epoch, self._incarnation):
-                self._start_leading(group, epoch, leadership_offset, claimed_at,
+                self._start_leading(group, epoch, leadership_offset,
                                     takeover_reason)
             else:
                 self._log.write(
@@ -390,7 +389,7 @@
             self._acquiring_groups.discard(group)
 
     def _start_leading(self, group: str, epoch: int, leadership_offset: int,
-                       claimed_at: float, takeover_reason: str) -> None:
+                       takeover_reason: str) -> None:
         self._metrics.leadership_changes.inc({"change": "taken"})
         self._log.write("lead-taken",
                         group=group,
@@ -411,7 +410,6 @@
                                                         self._log,
                                                         self._metrics,
                                                         first_sequence=2)
-        leader_topic_writer.last_success_sent_at = claimed_at
         leader = _group_leader.GroupLeader(
             group, epoch, leadership_offset, timings,
             (self._settings.node, self._incarnation), self._worker_client,
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -120,7 +120,7 @@
         self._load_computed_at = 0.0
         self._last_report_at = 0.0
         self._load_logged_at = 0.0
-        self._heartbeat_number = 1
+        self._heartbeat_number = 0
         self._is_sole_stored = False
         self._is_stopped = False
 
@@ -234,6 +234,8 @@
     # Planning of orders and moves, appends to the job topic, and reports.
 
     def _is_start_allowed(self) -> bool:
+        # The claim is not counted: the first append of this leader holds the
+        # record by which its successors know that it may have started runs.
         sent_at = self._topic_writer.last_success_sent_at
         return (sent_at is not None and self._clock.monotonic() - sent_at
                 <= _takeover_wait.START_PERMISSION_PERIOD.total_seconds())
@@ -354,9 +356,13 @@
         if workers_record is not None:
             records.append(workers_record)
         is_sole = self.scheduler.is_takeover_over(self._clock.monotonic())
-        if not records or is_sole != self._is_sole_stored:
+        if (not records or is_sole != self._is_sole_stored or
+                not self._heartbeat_number):
             self._heartbeat_number += 1
-            records.append(
+            # It comes first, as only the first records are sure to be in the
+            # first call to the store, whose success allows starts.
+            records.insert(
+                0,
                 dispatch.LeaderRecord(self.group, self.epoch, self._daemon_name,
                                       self._incarnation, self._heartbeat_number,
                                       is_sole))
--- a/src/gentianlead/cluster/_takeover_wait.py
+++ b/src/gentianlead/cluster/_takeover_wait.py
@@ -26,7 +26,8 @@
     permission ends `START_PERMISSION_PERIOD` after the leader sent its last
     record, which was before that record was read. Each leader before it sent
     its own last record before the first record of the former leader was stored;
-    its runs do not matter if the former leader was the sole one.
+    its runs do not matter if the former leader was the sole one. A daemon that
+    only claimed the group has started no runs itself.
 
     Args:
         lease: Longest lease of a worker.
@@ -40,7 +41,9 @@
     """
     permission_s = START_PERMISSION_PERIOD.total_seconds()
     last_start_at = former_leader.last_record_read_at + permission_s
-    if process_ended_at is not None:
+    if former_leader.record.is_claim:
+        last_start_at = former_leader.epoch_read_at + permission_s
+    elif process_ended_at is not None:
         earlier_start_at = (0.0 if former_leader.record.is_sole else
                             former_leader.epoch_read_at + permission_s)
         last_start_at = min(last_start_at,
--- a/src/gentianlead/cluster/tests/test_claims.py
+++ b/src/gentianlead/cluster/tests/test_claims.py
@@ -6,9 +6,14 @@
 from typing import Sequence
 
 from gentianlead import dispatch
+from gentianlead import errors
 from gentianlead import ports
+from gentianlead.cluster import _daemon
+from gentianlead.cluster import _group_leader
+from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch.tests import builders
 
 RIVAL = "entry-2"
 
@@ -73,3 +78,106 @@
         self.assertEqual(fields["group"], daemons.GROUP)
         self.assertIn(f"{RIVAL}#1", fields["error"])
         self.assertNotIn(daemons.GROUP, daemon._leaders)
+
+
+class ClaimWaitTest(unittest.IsolatedAsyncioTestCase):
+    """Tests the wait of a leader after a claim that led to no leadership."""
+
+    async def test_losing_claim_costs_no_wait(self):
+        """Guards against a full wait because another daemon claimed as well.
+
+        The process of the last leader has ended, and only its lease counts.
+        """
+        store = RivalStore(-1)
+        write_former_leader(store)
+        daemon = daemons.start_daemon(self, "entry-1", store)
+        leader = await wait_for_leader(daemon)
+        # pylint: disable=protected-access
+        lease = daemon._get_lease_length()
+        wait = (lease * _takeover_wait.CLOCK_DRIFT_FACTOR +
+                _takeover_wait.TAKEOVER_MARGIN)
+        self.assertTrue(store.has_rival_claimed)
+        self.assertTrue(
+            leader.scheduler.is_takeover_over(daemon._clock.monotonic() +
+                                              wait.total_seconds()))
+        self.assertFalse(
+            leader.scheduler.is_takeover_over(daemon._clock.monotonic()))
+
+
+class FirstRecordTest(unittest.IsolatedAsyncioTestCase):
+    """Tests what a leader does before its successors know that it leads."""
+
+    async def test_no_start_before_the_first_record(self):
+        """Guards against a second run beside one that no record announces.
+
+        A successor does not wait for runs of a daemon that only claimed the
+        group.
+        """
+        store = PausingStore()
+        write_former_leader(store)
+        daemon = daemons.start_daemon(self, "entry-1", store)
+        leader = await wait_for_leader(daemon)
+        async with asyncio.timeout(5):
+            await store.has_paused.wait()
+        # pylint: disable=protected-access
+        self.assertTrue(daemon._topic_reader.job_table.leaders[
+            daemons.GROUP].record.is_claim)
+        self.assertFalse(leader._is_start_allowed())
+        store.may_continue.set()
+        async with asyncio.timeout(5):
+            while not leader._is_start_allowed():
+                await asyncio.sleep(0.01)
+        # The first call to the store may be the only one that succeeds.
+        self.assertIsInstance(store.paused_records[0], dispatch.LeaderRecord)
+        self.assertFalse(store.paused_records[0].is_claim)
+
+
+class PausingStore(fakes.FakeStore):
+    """Store that delays the first append of a leader after its claim.
+
+    Attributes:
+        has_paused: Set when the append has arrived.
+        may_continue: Set by the test to let it be stored.
+        paused_records: Records of the append.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.has_paused = asyncio.Event()
+        self.may_continue = asyncio.Event()
+        self.paused_records: list[dispatch.Record | None] = []
+
+    async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
+                     producer: ports.Producer, sequence: int,
+                     timeout: datetime.timedelta) -> int:
+        if producer.name == f"g/{daemons.GROUP}" and sequence == 2:
+            self.paused_records = [
+                dispatch.decode_record(record) for record in records
+            ]
+            self.has_paused.set()
+            await self.may_continue.wait()
+        return await super().append(topic, records, producer, sequence, timeout)
+
+
+def write_former_leader(store: fakes.FakeStore) -> None:
+    """Stores a sole leader with one worker, whose process has ended since."""
+    store.write(
+        dispatch.JOB_TOPIC,
+        *(dispatch.encode_record(record) for record in (
+            dispatch.LeaderRecord(daemons.GROUP, 5, "entry-1", "entry-1#0", 9,
+                                  True),
+            dispatch.WorkersRecord(daemons.GROUP, 5, (
+                builders.build_worker("w1"),)),
+        )))
+
+
+async def wait_for_leader(
+        daemon: _daemon.ClusterDaemon) -> _group_leader.GroupLeader:
+    """Waits until a daemon without reachable workers leads the only group."""
+    # pylint: disable=protected-access
+    daemon._worker_client.poll_status.side_effect = errors.WorkerError(
+        "no reply", errors.Verdict.MAY_HAVE_RUN)
+    async with asyncio.timeout(10):
+        while daemons.GROUP not in daemon._leaders:
+            await asyncio.sleep(0.01)
+    return daemon._leaders[daemons.GROUP]
--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -56,6 +56,23 @@
         self.assertAlmostEqual(self.compute_last_start(101.0),
                                100.0 + PERMISSION_S)
 
+    def test_claim_counts_for_the_leaders_before_it(self):
+        """Guards against a second run beside one of a leader that is not known.
+
+        The former leader only claimed the group. It has started no runs, but
+        the leader before it could until the claim was stored.
+        """
+        former_leader = dispatch.LeaderEntry(
+            dispatch.LeaderRecord("n1", 70, "a", "a#1", 0), 5, 200.0, 100.0)
+        for process_ended_at in (None, 101.0, 210.0):
+            with self.subTest(process_ended_at):
+                takeover_end = _takeover_wait.compute_takeover_end(
+                    LEASE, former_leader, process_ended_at)
+                self.assertAlmostEqual(
+                    takeover_end, 100.0 + PERMISSION_S +
+                    (LEASE * _takeover_wait.CLOCK_DRIFT_FACTOR +
+                     _takeover_wait.TAKEOVER_MARGIN).total_seconds())
+
     def test_no_earlier_leader_beside_a_sole_one(self):
         """Guards against a full wait by a daemon that just loaded the topic.
 
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -167,7 +167,7 @@
 
 
 class LeaderRecord(NamedTuple):
-    """States that a daemon leads a group, or that its leader has resigned.
+    """States that a daemon claims or leads a group, or that it has resigned.
 
     Attributes:
         group: Name of the group.
@@ -175,7 +175,10 @@
             leader's orders.
         node: Name of the daemon; empty when the leader resigned.
         incarnation: Identity of the daemon's process.
-        heartbeat_number: Number that rises with each heartbeat of the leader.
+        heartbeat_number: Number that rises with each heartbeat of the leader;
+            0 in a claim. The writer of a claim starts no run, renews no lease
+            and moves no job before it has stored a record with a higher number.
+            Claims of older daemons have 1 and promise nothing.
         is_sole: Whether no run of an earlier leader can go on any more, also on
             workers that do not reply. Records of older daemons lack it.
     """
@@ -187,6 +190,11 @@
     heartbeat_number: int
     is_sole: bool = False
 
+    @property
+    def is_claim(self) -> bool:
+        """Whether the writer may not have acted as the leader yet."""
+        return self.heartbeat_number == 0
+
 
 class MemberRecord(NamedTuple):
     """Announces a running daemon and the address at which peers reach it.
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -94,7 +94,8 @@
             read a record of the leader.
         former: Entry of the former leader, which can write no record any more,
             without that leader's own `former`; None if this process has read
-            none.
+            none. A daemon that has only claimed the group counts only if no
+            earlier leader is known.
     """
 
     record: _records.LeaderRecord
@@ -257,8 +258,11 @@
                                                      now,
                                                      epoch_read_at=now)
         elif record.epoch > known_leader.record.epoch:
+            former = known_leader
+            if known_leader.record.is_claim and known_leader.former is not None:
+                former = known_leader.former
             self.leaders[record.group] = LeaderEntry(
-                record, offset, now, now, known_leader._replace(former=None))
+                record, offset, now, now, former._replace(former=None))
         else:
             self.leaders[record.group] = known_leader._replace(
                 record=record, last_record_read_at=now)
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -241,6 +241,31 @@
                 self.assertEqual(leader.epoch_read_at, 13.0)
                 self.assertEqual(leader.last_record_read_at, 14.0)
 
+    def test_claims_do_not_hide_the_former_leader(self):
+        """Guards against a wait for the runs of daemons that started none."""
+        topic = TopicBuilder()
+        topic.add(dispatch.LeaderRecord("north-1", 64, "a", "a#1", 7),
+                  dispatch.LeaderRecord("north-1", 512, "b", "b#1", 0),
+                  dispatch.LeaderRecord("north-1", 513, "c", "c#1", 0),
+                  dispatch.LeaderRecord("north-1", 1024, "b", "b#1", 0))
+        self.assertEqual(topic.table.leaders["north-1"].former.record.node, "a")
+
+    def test_claimant_that_led_is_the_former_leader(self):
+        """Guards against a second run beside one of a short leadership."""
+        topic = TopicBuilder()
+        topic.add(dispatch.LeaderRecord("north-1", 64, "a", "a#1", 7),
+                  dispatch.LeaderRecord("north-1", 512, "b", "b#1", 0),
+                  dispatch.LeaderRecord("north-1", 512, "b", "b#1", 1),
+                  dispatch.LeaderRecord("north-1", 1024, "c", "c#1", 0))
+        self.assertEqual(topic.table.leaders["north-1"].former.record.node, "b")
+
+    def test_claim_stands_for_unknown_leaders(self):
+        """Guards against a wait that is cut short without any evidence."""
+        topic = TopicBuilder()
+        topic.add(dispatch.LeaderRecord("north-1", 512, "b", "b#1", 0),
+                  dispatch.LeaderRecord("north-1", 1024, "c", "c#1", 0))
+        self.assertEqual(topic.table.leaders["north-1"].former.record.node, "b")
+
     def test_first_leader_has_no_former_one(self):
         """Guards against a wait that is cut short without any evidence."""
         topic = TopicBuilder()
