Wait after a takeover only for workers that a former leader stored

Callers could see tasks without a run beside free capacity (LOST): after a takeover, a worker that the registry listed but that never replied kept all known jobs of the group from starting until the wait was over (10.1 s), also if the worker was new.

Cause: the leader waited for the first reply of every worker. But a leader starts runs only on workers in a WorkersRecord that it has stored, and the store takes no record of it after its successor's claim, so a successor has read the names of all workers that may have runs of former leaders.

It now waits for these workers only. test_successor_does_not_wait_for_a_worker_ without_former_runs failed before: 0 starts instead of 1. The tests that wait for a recorded worker, and the seeded model of leader changes (test_fleets), pass unchanged.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -129,6 +129,7 @@
             worker.removed_at = now
             self.workers[entry.worker_id] = worker
         worker.is_recorded = True
+        worker.may_have_former_runs = True
 
     def build_workers_record(self) -> _records.WorkersRecord | None:
         """Returns a record of the present workers, which the caller stores.
@@ -452,11 +453,12 @@
     def mark_jobs_reconciled(self, now: float) -> None:
         """Marks all jobs as reconciled once every run that may exist is known.
 
-        That is so when every worker has replied to this leader, or when the
-        takeover wait is over. Until then, nothing is marked.
+        That is so when every worker on which a former leader may have started
+        runs has replied to this leader, or when the takeover wait is over.
+        Until then, nothing is marked.
         """
         if now < self._takeover_ends_at and any(
-                worker.first_status_at is None
+                worker.may_have_former_runs and worker.first_status_at is None
                 for worker in self.workers.values()):
             return
         for job in self.jobs.values():
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -150,6 +150,8 @@
         removed_at: Time at which the leader last saw that the worker was
             removed from the registry; 0 before that.
         is_recorded: Whether the stored `WorkersRecord` contains the worker.
+        may_have_former_runs: Whether a former leader stored the worker, without
+            which it could start no runs there.
         enforces_capacity: Whether the worker refuses a start for which it lacks
             capacity; False until the configuration says so.
         born_ms: Start time of the worker's instance that sent the last status
@@ -190,6 +192,7 @@
         self.is_registered = True
         self.removed_at = 0.0
         self.is_recorded = False
+        self.may_have_former_runs = False
         self.enforces_capacity = False
         self.born_ms = 0
         self.runs: dict[tuple, _runs.Run] = {}
--- a/src/gentianlead/dispatch/tests/test_group.py
+++ b/src/gentianlead/dispatch/tests/test_group.py
@@ -81,6 +81,19 @@
         driver.apply_status("w2", running=(active_run,))
         self.assertEqual(driver.plan_starts(), [])
 
+    def test_successor_does_not_wait_for_a_worker_without_former_runs(self):
+        """Guards against jobs that wait for a new worker that never replies.
+
+        No former leader stored this worker, so none has started a run on it.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"))
+        driver.scheduler.put_worker(builders.build_worker("w2"))
+        driver.scheduler.put_job(
+            builders.build_job_entry(builders.build_job(JOB_ID), offset=40))
+        driver.scheduler.mark_workers_recorded(
+            driver.scheduler.build_workers_record())
+        self.assertEqual(len(driver.plan_starts()), 1)
+
     def test_successor_stops_waiting_after_the_longest_lease(self):
         """Checks that jobs start after the takeover wait without all replies.
 
