Test that a leader stores at once, and once, that it is the sole one

Three changes of their lines went unnoticed by the tests: no statement beside other records, a statement in each append, and a statement before the takeover wait is over. The last was checked only after the claim, which never holds the statement.

test_busy_leader_stores_once_that_it_is_sole fails with the first two (0 and 3 statements instead of 1). test_sole_leader_is_stored_after_the_takeover_wait now waits for the leader's first record as well, and fails with the third. No change of logic.

--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 from gentianlead import dispatch
 from gentianlead.cluster import _takeover_wait
@@ -93,11 +94,43 @@
             # pylint: disable-next=protected-access
             while not (leaders := daemon._leaders):
                 await asyncio.sleep(0.02)
+            # The claim and the first record of the leader.
+            while len(self.list_sole_flags(store)) < 2:
+                await asyncio.sleep(0.02)
             self.assertFalse(any(self.list_sole_flags(store)))
             leaders[daemons.GROUP].scheduler.limit_takeover_wait(0.0)
             while not any(self.list_sole_flags(store)):
                 await asyncio.sleep(0.02)
 
+    async def test_busy_leader_stores_once_that_it_is_sole(self):
+        """Guards against a long wait after a leader that always has records.
+
+        It writes no other heartbeats, and the statement is not repeated.
+        """
+        store = fakes.FakeStore()
+        daemon = daemons.start_daemon(self, "entry-1", store)
+        async with asyncio.timeout(10):
+            # pylint: disable-next=protected-access
+            while not (leaders := daemon._leaders):
+                await asyncio.sleep(0.02)
+            leader = leaders[daemons.GROUP]
+            # The claim and the first record of the leader.
+            while len(self.list_sole_flags(store)) < 2:
+                await asyncio.sleep(0.02)
+            workers_record = dispatch.WorkersRecord(daemons.GROUP, leader.epoch,
+                                                    ())
+            with mock.patch.object(leader.scheduler,
+                                   "build_workers_record",
+                                   return_value=workers_record):
+                leader.scheduler.limit_takeover_wait(0.0)
+                key = dispatch.build_key(workers_record)
+                while [
+                        stored.key
+                        for stored in store.records[dispatch.JOB_TOPIC]
+                ].count(key) < 3:
+                    await asyncio.sleep(0.02)
+        self.assertEqual(self.list_sole_flags(store).count(True), 1)
+
     def list_sole_flags(self, store: fakes.FakeStore) -> list[bool]:
         """Returns `is_sole` of all stored records of leaders."""
         records = map(dispatch.decode_record,
