--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 from gentianlead import dispatch
 from gentianlead.cluster import _takeover_wait
@@ -56,6 +57,23 @@
         self.assertAlmostEqual(self.compute_last_start(101.0),
                                100.0 + PERMISSION_S)
 
+    def test_claim_counts_for_the_leaders_before_it(self):
+        """Guards against a second run beside one of a leader that is not known.
+
+        The former leader only claimed the group. It has started no runs, but
+        the leader before it could until the claim was stored.
+        """
+        former_leader = dispatch.LeaderEntry(
+            dispatch.LeaderRecord("n1", 70, "a", "a#1", 0), 5, 200.0, 100.0)
+        for process_ended_at in (None, 101.0, 210.0):
+            with self.subTest(process_ended_at):
+                takeover_end = _takeover_wait.compute_takeover_end(
+                    LEASE, former_leader, process_ended_at)
+                self.assertAlmostEqual(
+                    takeover_end, 100.0 + PERMISSION_S +
+                    (LEASE * _takeover_wait.CLOCK_DRIFT_FACTOR +
+                     _takeover_wait.TAKEOVER_MARGIN).total_seconds())
+
     def test_no_earlier_leader_beside_a_sole_one(self):
         """Guards against a full wait by a daemon that just loaded the topic.
 
@@ -76,11 +94,43 @@
             # pylint: disable-next=protected-access
             while not (leaders := daemon._leaders):
                 await asyncio.sleep(0.02)
+            # The claim and the first record of the leader.
+            while len(self.list_sole_flags(store)) < 2:
+                await asyncio.sleep(0.02)
             self.assertFalse(any(self.list_sole_flags(store)))
             leaders[daemons.GROUP].scheduler.limit_takeover_wait(0.0)
             while not any(self.list_sole_flags(store)):
                 await asyncio.sleep(0.02)
 
+    async def test_busy_leader_stores_once_that_it_is_sole(self):
+        """Guards against a long wait after a leader that always has records.
+
+        It writes no other heartbeats, and the statement is not repeated.
+        """
+        store = fakes.FakeStore()
+        daemon = daemons.start_daemon(self, "entry-1", store)
+        async with asyncio.timeout(10):
+            # pylint: disable-next=protected-access
+            while not (leaders := daemon._leaders):
+                await asyncio.sleep(0.02)
+            leader = leaders[daemons.GROUP]
+            # The claim and the first record of the leader.
+            while len(self.list_sole_flags(store)) < 2:
+                await asyncio.sleep(0.02)
+            workers_record = dispatch.WorkersRecord(daemons.GROUP, leader.epoch,
+                                                    ())
+            with mock.patch.object(leader.scheduler,
+                                   "build_workers_record",
+                                   return_value=workers_record):
+                leader.scheduler.limit_takeover_wait(0.0)
+                key = dispatch.build_key(workers_record)
+                while [
+                        stored.key
+                        for stored in store.records[dispatch.JOB_TOPIC]
+                ].count(key) < 3:
+                    await asyncio.sleep(0.02)
+        self.assertEqual(self.list_sole_flags(store).count(True), 1)
+
     def list_sole_flags(self, store: fakes.FakeStore) -> list[bool]:
         """Returns `is_sole` of all stored records of leaders."""
         records = map(dispatch.decode_record,
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -135,6 +135,7 @@
             worker.removed_at = now
             self.workers[entry.worker_id] = worker
         worker.is_recorded = True
+        worker.may_have_former_runs = True
         self._unseen_workers[entry.worker_id] = entry.born_ms
 
     def build_workers_record(self) -> _records.WorkersRecord | None:
@@ -479,11 +480,12 @@
     def mark_jobs_reconciled(self, now: float) -> None:
         """Marks all jobs as reconciled once every run that may exist is known.
 
-        That is so when every worker has replied to this leader, or when the
-        takeover wait is over. Until then, nothing is marked.
+        That is so when every worker on which a former leader may have started
+        runs has replied to this leader, or when the takeover wait is over.
+        Until then, nothing is marked.
         """
         if now < self._takeover_ends_at and any(
-                worker.first_status_at is None
+                worker.may_have_former_runs and worker.first_status_at is None
                 for worker in self.workers.values()):
             return
         for worker_id in list(self._unseen_workers):
