Start long-running tasks of a worker that restarts all at once

Long-running tasks that had just started on a worker that crashes and comes back could stay without a run beside free capacity for more than the 9 s that rule LOST allows.

Cause: the crash of a worker with several unproven runs is weak evidence against each of their tasks, and each then queues for one of the few workers that are kept for suspects. They do not count as lacking capacity, so they do not move.

Evidence: test_tasks_of_a_restarted_worker_start_together fails without the change: 2 of 8 tasks run 1 s after the restart.

Change: the first crash makes a long-running task wait for a kept worker only if the evidence is strong. A deadly task may crash one more worker that also runs others.

--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -85,16 +85,18 @@
     def needs_probation(self, is_long_running: bool) -> bool:
         """Returns whether the next start needs a worker that is kept for it.
 
-        The first crash without evidence does not suffice for a long-running
-        task: all such tasks of a worker that is gone would queue for the few
-        workers that are kept, without a run beside free capacity. If they start
-        together and crash again, they have to be told apart.
+        The first crash does not suffice for a long-running task unless the
+        evidence is strong: all such tasks of a worker that is gone or has
+        restarted would queue for the few workers that are kept, without a run
+        beside free capacity. If they start together and crash again, they have
+        to be told apart.
         """
         evidences = [
             evidence for run, evidence in self.crashes.items()
             if run != self.claimed_run
         ]
-        if evidences == [CrashEvidence.UNRESOLVED] and is_long_running:
+        if (is_long_running and len(evidences) == 1 and
+                evidences[0] in (CrashEvidence.UNRESOLVED, CrashEvidence.WEAK)):
             return False
         return any(
             evidence is not CrashEvidence.SHARED for evidence in evidences)
--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -215,7 +215,7 @@
 
 
 class LostLongRunningTest(unittest.TestCase):
-    """Tests long-running tasks that had just started on a worker that is gone.
+    """Tests long-running tasks that had just started on a worker that is lost.
     """
 
     def setUp(self):
@@ -230,13 +230,21 @@
                                assignment=("north-1",) * 8))
         self.cluster.run_for(0.3)
 
-    def remove_worker_in_use(self) -> None:
-        """Removes the only worker with runs, and waits for its lease to end."""
+    def find_worker_in_use(self) -> str:
+        """Returns the only worker with runs."""
         (worker_id,) = [
             worker_id for worker_id, worker in self.cluster.workers.items()
             if worker.runs
         ]
-        self.cluster.remove(worker_id)
+        return worker_id
+
+    def count_runs(self) -> int:
+        """Returns the number of runs on all workers."""
+        return sum(len(worker.runs) for worker in self.cluster.workers.values())
+
+    def remove_worker_in_use(self) -> None:
+        """Removes the only worker with runs, and waits for its lease to end."""
+        self.cluster.remove(self.find_worker_in_use())
         self.cluster.run_for(builders.LEASE.total_seconds() + 0.3)
 
     def test_tasks_of_a_lost_worker_start_together(self):
@@ -247,9 +255,17 @@
         """
         self.remove_worker_in_use()
         self.cluster.run_for(2.0)
-        self.assertEqual(
-            sum(len(worker.runs) for worker in self.cluster.workers.values()),
-            8)
+        self.assertEqual(self.count_runs(), 8)
+
+    def test_tasks_of_a_restarted_worker_start_together(self):
+        """Checks that all eight tasks run 1 s after the restart of their worker.
+
+        Guards against the same queue after a crash of the worker, which is weak
+        evidence against each of the tasks.
+        """
+        self.cluster.crash(self.find_worker_in_use())
+        self.cluster.run_for(crashing.RESTART_S + 1.0)
+        self.assertEqual(self.count_runs(), 8)
 
     def test_tasks_of_two_lost_workers_start_alone(self):
         """Checks that a second loss makes the tasks start one by one.
