--- a/src/gentianlead/cluster/tests/test_reports.py
+++ b/src/gentianlead/cluster/tests/test_reports.py
@@ -145,7 +145,7 @@
 
         Guards against leaders that compare the losses of their group only.
         """
-        self.start_leading("north-1", 64, 0, 0.0, "test")
+        self.start_leading("north-1", 64, 0, "test")
         leader = self.leaders["north-1"]
         self.addAsyncCleanup(leader.stop)
         crashes = leader.scheduler.crashes
