--- a/src/gentianlead/dispatch/tests/test_crash_proofs.py
+++ b/src/gentianlead/dispatch/tests/test_crash_proofs.py
@@ -258,7 +258,7 @@
         self.assertEqual(self.count_runs(), 8)
 
     def test_tasks_of_a_restarted_worker_start_together(self):
-        """Checks that all eight tasks run 1 s after the restart of their worker.
+        """Checks that all tasks run 1 s after the restart of their worker.
 
         Guards against the same queue after a crash of the worker, which is weak
         evidence against each of the tasks.
