Let test callers rely on fresh replies of /readyz only

Cause: in the test's preparation. The callers of the load send to each daemon that the last poll found ready, however old that is; the drain wait of these daemons is 300 ms, and the polls of all daemons, one after the other, took longer beside load. A stopping daemon refuses requests after the drain wait, as it should.

Change: a reply of /readyz counts for 150 ms, half of the drain wait, from when the poll was sent. Each daemon is polled by itself, so that one that is paused does not keep the others out. The check is the same.

--- a/src/gentianlead/daemon/tests/request_support.py
+++ b/src/gentianlead/daemon/tests/request_support.py
@@ -27,6 +27,10 @@
 DEPLOYMENT_OPTIONS = deployment.Options(daemon_arguments=("--drain-wait",
                                                           "300ms"))
 _POLL_INTERVAL_SECONDS = 0.05
+_READINESS_VALIDITY_SECONDS = 0.15
+"""Half of the drain wait of the daemons. A caller that relies on an older reply
+of `/readyz` may send a request when the drain wait is over, which a stopping
+daemon refuses as it should."""
 _CALL_TIMEOUT_SECONDS = 40.0
 
 
@@ -262,7 +266,9 @@
             name: seat.caller_port
             for name, seat in test.deployment.seats.items()
         }
-        self._ready_daemons = set(self._ports)
+        # Monotonic seconds at which the last poll was sent that found a daemon
+        # ready, by its name.
+        self._ready_at = dict.fromkeys(self._ports, time.monotonic())
         self._callers = callers
         self._work_ms = work_ms
         self._headers = headers or {}
@@ -309,28 +315,34 @@
             # aiohttp must not repeat a request that a daemon failed to answer,
             # since that would hide the failure.
             session._retry_connection = False  # pylint: disable=protected-access
-            readiness_poller = asyncio.create_task(
-                self._poll_readiness(session))
+            readiness_pollers = [
+                asyncio.create_task(self._poll_readiness(session, name, port))
+                for name, port in self._ports.items()
+            ]
             await asyncio.gather(
                 *(self._run_caller(session) for _ in range(self._callers)))
-            readiness_poller.cancel()
+            for readiness_poller in readiness_pollers:
+                readiness_poller.cancel()
 
-    async def _poll_readiness(self, session: aiohttp.ClientSession) -> None:
+    async def _poll_readiness(self, session: aiohttp.ClientSession, name: str,
+                              port: int) -> None:
         while True:
-            for name, port in self._ports.items():
-                try:
-                    async with session.get(
-                            f"http://127.0.0.1:{port}/readyz") as http_response:
-                        is_ready = http_response.status == 200
-                except (aiohttp.ClientError, OSError):
-                    is_ready = False
-                (self._ready_daemons.add
-                 if is_ready else self._ready_daemons.discard)(name)
+            sent_at = time.monotonic()
+            try:
+                async with session.get(
+                        f"http://127.0.0.1:{port}/readyz") as http_response:
+                    is_ready = http_response.status == 200
+            except (aiohttp.ClientError, OSError):
+                is_ready = False
+            self._ready_at[name] = sent_at if is_ready else 0.0
             await asyncio.sleep(_POLL_INTERVAL_SECONDS)
 
     async def _run_caller(self, session: aiohttp.ClientSession) -> None:
         while not self._stop_requested.is_set():
-            ready_daemons = sorted(self._ready_daemons)
+            ready_since = time.monotonic() - _READINESS_VALIDITY_SECONDS
+            ready_daemons = sorted(
+                name for name, ready_at in self._ready_at.items()
+                if ready_at >= ready_since)
             if not ready_daemons:
                 await asyncio.sleep(_POLL_INTERVAL_SECONDS)
                 continue
