Claim one probation at a time, as only one may start

Healthy jobs could be shown as failed although at most one worker was lost under their task, when leaders died at the starts of other, deadly tasks.

Cause: every suspect with a worker that may start it claimed its run in the same pass, but only one starts in each 0.4 s. The others waited with a claim that was stored. If the leader died at the start of a deadly task, its successor saw that a worker was lost unseen and counted all these claims as crashes.

Evidence: test_suspects_claim_one_start_at_a_time fails without the change with "3 not less than or equal to 1", for single tasks and for gangs.

Change: a probation whose claim is not stored yet keeps the next start in this pass, so that no other suspect claims one.

--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -72,11 +72,16 @@
         # Whether a suspect found all workers in use that may be kept.
         self._has_refused = False
         self._next_start_at = 0.0
+        # Whether the next start is kept for a suspect whose claim is not stored
+        # yet. A claim that waits for its turn would count as a crash if the
+        # leader died.
+        self._is_next_start_claimed = False
 
     def begin_pass(self, candidates: dict[str, _placement.Candidate],
                    now: float) -> None:
         """Removes the workers that are kept for suspects from `candidates`."""
         self._kept_candidates.clear()
+        self._is_next_start_claimed = False
         used_slots = 0
         for worker in self._state.workers.values():
             if has_probation(worker):
@@ -177,7 +182,7 @@
             return ProbationChoice(None, worker_id, False)
         if not fits(candidate):
             return ProbationChoice(None, worker_id, True)
-        if not _is_prepared(candidate.worker) or now < self._next_start_at:
+        if not _is_prepared(candidate.worker) or not self._may_start(now):
             return ProbationChoice(None, worker_id, False)
         return ProbationChoice(candidate, worker_id, False)
 
@@ -186,7 +191,17 @@
         if self._free_slots <= 0:
             self._has_refused = True
             return False
-        return now >= self._next_start_at
+        return self._may_start(now)
+
+    def _may_start(self, now: float) -> bool:
+        return now >= self._next_start_at and not self._is_next_start_claimed
+
+    def keep_next_start(self) -> None:
+        """Lets no other suspect start in this pass.
+
+        Only one suspect may start in each `PROBATION_INTERVAL`.
+        """
+        self._is_next_start_claimed = True
 
     def begin(self, run: _runs.Run, suspicion: _suspicions.Suspicion,
               now: float) -> None:
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -347,7 +347,7 @@
             if choice.is_unplaced:
                 are_all_placed = False
             candidate = choice.candidate
-            if candidate is None or not self._claim_run(job, suspicion):
+            if candidate is None or not self._claim_run(job, suspicion, True):
                 continue
             self._start_task(job, step_run, index, candidate.worker,
                              suspicion.take_claim(), orders, now)
@@ -365,16 +365,18 @@
         suspicion = job.get_suspicion(task)
         if (self._state.crashes.give_up_if_due(job, task) or
                 now < suspicion.retry_at or
-                not self._claim_run(job, suspicion)):
+                not self._claim_run(job, suspicion, False)):
             return 0
         return suspicion.take_claim()
 
-    def _claim_run(self, job: _runs.JobRun,
-                   suspicion: _suspicions.Suspicion) -> bool:
+    def _claim_run(self, job: _runs.JobRun, suspicion: _suspicions.Suspicion,
+                   is_probation: bool) -> bool:
         """Counts the next start of a suspect ahead; returns whether stored."""
         if not suspicion.claimed_run:
             suspicion.claim(self._allocate_run_number(job))
             job.is_dirty = True
+        if is_probation and not suspicion.is_claim_stored:
+            self._probation.keep_next_start()
         return suspicion.is_claim_stored
 
     def _choose_relaxation(self, job: _runs.JobRun, step_run: _runs.StepRun,
@@ -437,7 +439,7 @@
                 candidate, step)
         if suspicion is None:
             run_number = self._allocate_run_number(job)
-        elif self._claim_run(job, suspicion):
+        elif self._claim_run(job, suspicion, is_probation):
             run_number = suspicion.take_claim()
         else:
             return True
