Store the start of a gang ahead whose first member runs on

A gang that crashes its workers could be started once more without being counted.

Cause: a gang is blamed as its first task. A successor that finds a worker lost unseen marked the waiting members as uncertain; if the first one still ran at the takeover, it was not among them, and the next start was not stored ahead.

Evidence: test_gang_whose_first_member_was_adopted fails without the change: the gang starts before anything is stored ("Lists differ: [StartOrder(...)] != []").

Change: a gang with a waiting member is marked as its first task.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -325,8 +325,10 @@
             return
         for step_run in job.steps.values():
             if job.is_step_ready(step_run):
+                # A gang is blamed as its first task, which may be running.
                 self._uncertain_tasks.update(
-                    model.TaskKey(job.job.job_id, *step_run.key, index)
+                    model.TaskKey(job.job.job_id, *step_run.key,
+                                  0 if step_run.step.is_gang else index)
                     for index in step_run.waiting_indexes)
 
     def needs_stored_start(self, job: _runs.JobRun,
--- a/src/gentianlead/dispatch/tests/test_unstored_starts.py
+++ b/src/gentianlead/dispatch/tests/test_unstored_starts.py
@@ -3,6 +3,7 @@
 import unittest
 
 from gentianlead import model
+from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import crashing
 from gentianlead.dispatch.tests import test_crashes
@@ -76,3 +77,38 @@
         driver.put_job(test_crashes.CRASHING_JOB_ID, offset=40)
         driver.scheduler.remove_replaced_worker("w2", driver.now)
         self.assertEqual(len(driver.plan_starts()), 1)
+
+    def test_gang_whose_first_member_was_adopted(self):
+        """Checks that a gang is stored ahead after the loss of another member.
+
+        Guards against a gang whose start is not counted since its first member
+        still runs when the leader takes over.
+        """
+        task = test_crashes.CRASHING_TASK
+        driver = builders.GroupDriver()
+        for worker_id in ("w0", "w1", "w2"):
+            driver.scheduler.put_recorded_worker(
+                builders.build_worker(worker_id,
+                                      born_ms=builders.INSTANCE_START_MS),
+                driver.now)
+        driver.put_job(task.job_id,
+                       builders.build_step(2, is_gang=True),
+                       offset=40)
+        for worker_id, running in (("w0",
+                                    (ports.ActiveRun(task, 7, "", 0,
+                                                     None),)), ("w2", ())):
+            driver.scheduler.put_worker(
+                builders.build_worker(worker_id,
+                                      born_ms=builders.INSTANCE_START_MS))
+            driver.apply_status(worker_id, running=running)
+        driver.scheduler.remove_replaced_worker("w1", driver.now)
+        driver.scheduler.mark_workers_recorded(
+            driver.scheduler.build_workers_record())
+        self.assertEqual(driver.plan_starts(), [])
+        driver.apply_status("w0",
+                            ended=(ports.EndedRun(
+                                1, task, 7, ports.EndCause.GANG_MEMBER_ENDED,
+                                ""),))
+        self.assertEqual(driver.plan_starts(), [])
+        driver.flush()
+        self.assertEqual(len(driver.plan_starts()), 2)
