Give a long-running gang one group, and start none that is divided

Cause: the tasks of a long-running job with one step are spread over the groups, also those of a gang. A leader that has some of them starts the gang as a whole.

Evidence: on the code before, test_long_running_gang_gets_one_group gets an assignment of a group for each task, and test_gang_does_not_start two start orders in a group that has one of two tasks.

Change: a gang is assigned as a whole. A leader starts a gang only if all its tasks wait in its group, as an older daemon may have stored a divided one; such a gang then stays without a run until it is cancelled.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -89,10 +89,10 @@
     """Chooses the groups for a job, or refuses it.
 
     Eligible groups are usable, have a recent load report and have all labels
-    that the job requires. The tasks of a long-running job with one step are
-    spread over them. Any other job goes to one eligible group: if possible, one
-    that has a rack which the job prefers; among these, the one with the lowest
-    load score, less `OWN_GROUP_BONUS` for the own group.
+    that the job requires. The tasks of a long-running job with one step that is
+    no gang are spread over them. Any other job goes to one eligible group: if
+    possible, one that has a rack which the job prefers; among these, the one
+    with the lowest load score, less `OWN_GROUP_BONUS` for the own group.
 
     A job is refused if no group is eligible, unless the reports of all usable
     groups are too old. It is also refused if it would exceed
@@ -164,7 +164,8 @@
 
 def _may_be_spread(job: model.SteppedJob) -> bool:
     """Returns whether the tasks of a job may be in different groups."""
-    return job.is_long_running and len(job.steps) == 1
+    return (job.is_long_running and len(job.steps) == 1 and
+            not job.steps[0].is_gang)
 
 
 def _has_long_running_capacity(job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -399,10 +399,11 @@
                     orders: list[_orders.Order], now: float) -> bool:
         """Starts all tasks of a gang, or none; returns whether they started.
 
-        Nothing starts while a former run of a task of the gang is active.
+        Nothing starts while a former run of a task of the gang is active, or
+        while a task of it is assigned to another group.
         """
         step = step_run.step
-        if step_run.active_runs:
+        if (step_run.active_runs or len(step_run.waiting_indexes) < step.count):
             return False
         task = model.TaskKey(job.job.job_id, *step_run.key, 0)
         suspicion = (job.get_suspicion(task)
--- a/src/gentianlead/dispatch/tests/test_admission.py
+++ b/src/gentianlead/dispatch/tests/test_admission.py
@@ -161,6 +161,17 @@
         self.assertEqual(task_counts["n1"], 1)
         self.assertEqual(sorted(task_counts.values()), [1, 2, 3])
 
+    def test_long_running_gang_gets_one_group(self):
+        """Guards against a gang that each of two groups starts as a whole."""
+        admission = decide_at_n1({
+            "n1": build_report(),
+            "n2": build_report()
+        },
+                                 count=14,
+                                 is_long_running=True,
+                                 is_gang=True)
+        self.assertEqual(admission.assignment, ("n1",))
+
     def test_assigned_job_increases_the_load(self):
         """Checks how much an assigned job increases the load of its group.
 
--- a/src/gentianlead/dispatch/tests/test_step_moves.py
+++ b/src/gentianlead/dispatch/tests/test_step_moves.py
@@ -215,6 +215,19 @@
         self.assertEqual(groups.plan_moves(), [])
 
 
+class DividedGangTest(unittest.TestCase):
+    """Tests a gang whose tasks a stored assignment gives to two groups."""
+
+    def test_gang_does_not_start(self):
+        """Guards against two runs of each task of the gang, one in each group.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.put_job(JOB_ID,
+                       test_lasting.build_service_step(2, is_gang=True),
+                       assignment=("north-1", "north-2"))
+        self.assertEqual(driver.plan_starts(), [])
+
+
 class ReservedCpuTest(unittest.TestCase):
     """Tests the CPU that accepted long-running jobs need in each group."""
 
