--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -12,7 +12,9 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _scheduler_log
 from gentianlead.cluster import _status_polls
+from gentianlead.cluster import _takeover_log
 from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster import _wait_log
 
@@ -107,6 +109,9 @@
                                               self.get_load, get_load_reports,
                                               self._store_records, self._spawn)
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
+        self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
+                                                       clock.monotonic(), log,
+                                                       metrics)
         self._unreachable_worker_ids: set[str] = set()
         self._background_tasks: set[asyncio.Task] = set()
         self._unreachable_poll_slots = asyncio.Semaphore(
@@ -143,6 +148,7 @@
 
     async def resign(self) -> None:
         """Stores that the group has no leader, so a daemon can take it over."""
+        self._takeover_log.write_resignation()
         resignation = dispatch.LeaderRecord(self.group, self.epoch, "", "",
                                             self._heartbeat_number + 1)
         try:
@@ -263,6 +269,7 @@
                 poller.cancel()
         self.scheduler.is_registry_current = self._is_registry_current(now)
         orders = self.scheduler.plan(now, now_ms, self._is_start_allowed())
+        self._takeover_log.write(now)
         for order in orders:
             if isinstance(order, dispatch.StartOrder):
                 self._spawn(self._send_start(order))
@@ -272,40 +279,14 @@
                 self._spawn(self._request_permits(order))
             else:
                 self._spawn(self._send_throttle(order))
-        self._log_run_ends()
-        self._log_crash_events()
+        _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
+        _scheduler_log.report_crash_events(self.scheduler, self._log,
+                                           self._metrics)
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
             self._flush_requested.set()
         if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
             self._send_report(now)
 
-    def _log_run_ends(self) -> None:
-        ended_runs = self.scheduler.ended_runs
-        self.scheduler.ended_runs = []
-        for ended_run in ended_runs:
-            self._metrics.run_ends.inc({"cause": ended_run.cause})
-            self._log.write("run-ended",
-                            job=ended_run.task.job_id,
-                            task=tuple(ended_run.task[1:]),
-                            run=ended_run.run,
-                            worker=ended_run.worker_id,
-                            cause=ended_run.cause,
-                            seconds=round(ended_run.seconds, 3))
-
-    def _log_crash_events(self) -> None:
-        events = self.scheduler.crashes.events
-        self.scheduler.crashes.events = []
-        for event in events:
-            self._metrics.crash_events.inc({"event": event.type.value})
-            self._log.write(event.type.value,
-                            group=self.group,
-                            job=event.task.job_id,
-                            task=tuple(event.task[1:]),
-                            run=event.run,
-                            worker=event.worker_id,
-                            detail=event.detail,
-                            crashes=event.crashes)
-
     def _send_report(self, now: float) -> None:
         self._last_report_at = now
         self._log_load(now)
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -1,12 +1,18 @@
 """Metrics of a daemon: counters, duration histograms and a gauge."""
 
+from typing import Sequence
+
 import aioprometheus
 
-LATENCY_BUCKETS = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]
+LATENCY_BUCKETS = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 """Upper bounds of the histogram buckets in seconds. The lowest bound suits the
 duration of an append to an idle store, the highest the longest deadline of a
 caller."""
 
+TAKEOVER_WAIT_BUCKETS = (0.05, 0.2, 0.5, 1.0, 2.0, 4.0, 6.0, 8.0, 10.0, 12.0)
+"""Upper bounds of the histogram buckets in seconds. Long-running tasks should
+run again within 6 s; the longest wait is a start permission and a lease."""
+
 
 class ClusterMetrics:
     """Registers and renders the metrics of a daemon for Prometheus.
@@ -43,6 +49,8 @@
         leadership_changes: Number of times that this daemon took or lost the
             leadership of a group, by change (`taken` or `lost`). Resignations
             at the stop of the daemon are not counted.
+        takeover_wait_seconds: Time in seconds from a takeover until the new
+            leader knew all runs of former leaders, or could exclude them.
         longest_wait_seconds: Longest time for which a due task has waited for
             its start in a group that this daemon leads, by group and by whether
             the task is long-running (`long-running` or `other`).
@@ -79,6 +87,10 @@
                                                  "Looks at workers")
         self.leadership_changes = self._add_counter(
             "lead_changes_total", "Changes of the lead of a group")
+        self.takeover_wait_seconds = self._add_histogram(
+            "takeover_wait_seconds",
+            "Wait of a new leader for the runs of former leaders",
+            TAKEOVER_WAIT_BUCKETS)
         self.longest_wait_seconds = aioprometheus.Gauge(
             "gentianlead_longest_wait_seconds",
             "Longest wait of a due task for its start",
@@ -93,12 +105,16 @@
                                      help_text,
                                      registry=self.registry)
 
-    def _add_histogram(self, name: str,
-                       help_text: str) -> aioprometheus.Histogram:
+    def _add_histogram(
+            self,
+            name: str,
+            help_text: str,
+            buckets: Sequence[float] = LATENCY_BUCKETS
+    ) -> aioprometheus.Histogram:
         return aioprometheus.Histogram(f"gentianlead_{name}",
                                        help_text,
                                        registry=self.registry,
-                                       buckets=LATENCY_BUCKETS)
+                                       buckets=list(buckets))
 
     def render(self) -> bytes:
         """Returns the values of all metrics in the Prometheus text format."""
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -63,6 +63,7 @@
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
         is_evacuated: Whether operators took the group out of service.
+        is_reconciled: Whether `mark_jobs_reconciled` has marked the jobs.
         is_registry_current: Whether the registry entries show the present
             capacity of the workers. If not, only workers that enforce their
             capacity may receive starts.
@@ -84,6 +85,7 @@
         self.workers: dict[str, _workers.WorkerState] = {}
         self.ended_runs: list[_orders.AppliedRunEnd] = []
         self.is_evacuated = False
+        self.is_reconciled = False
         self.is_registry_current = True
         self.queues: dict[tuple[str, str], model.Queue] = {}
         # Jobs that were forgotten because they ended or left this group, by
@@ -484,10 +486,9 @@
         runs has replied to this leader, or when the takeover wait is over.
         Until then, nothing is marked.
         """
-        if now < self._takeover_ends_at and any(
-                worker.may_have_former_runs and worker.first_status_at is None
-                for worker in self.workers.values()):
+        if now < self._takeover_ends_at and self.list_silent_workers():
             return
+        self.is_reconciled = True
         for worker_id in list(self._unseen_workers):
             if worker_id in self.workers:
                 self._mark_seen(self.workers[worker_id], False)
@@ -497,6 +498,20 @@
                 self.crashes.mark_uncertain_tasks(job)
             job.is_reconciled = True
 
+    def list_silent_workers(self) -> list[_workers.WorkerState]:
+        """Returns workers that may have former leaders' runs and are silent.
+
+        They have not shown their runs to this leader.
+        """
+        return [
+            worker for worker in self.workers.values()
+            if worker.may_have_former_runs and worker.first_status_at is None
+        ]
+
+    def compute_takeover_remaining_s(self, now: float) -> float:
+        """Returns the rest of the takeover wait in seconds, at least 0."""
+        return max(0.0, self._takeover_ends_at - now)
+
     def is_takeover_over(self, now: float) -> bool:
         """Returns whether no run of an earlier leader can go on any more."""
         return now >= self._takeover_ends_at
