--- a/standins/site.py
+++ b/standins/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import time
 from typing import NamedTuple, Sequence
@@ -79,6 +80,7 @@
             for place in workers
         ]
         self.daemons: dict[str, _children.Child] = {}
+        self._terminated: list[_children.Child] = []
         self._enforces_capacity = enforces_capacity
         self._directory = directory
         self._places = {place.name: place for place in daemons}
@@ -127,7 +129,7 @@
 
     async def stop(self) -> None:
         """Stops all parts."""
-        for child in self.daemons.values():
+        for child in [*self.daemons.values(), *self._terminated]:
             child.kill()
         for worker in self.workers:
             await worker.stop()
@@ -152,6 +154,18 @@
         """Kills a daemon with SIGKILL."""
         self.daemons.pop(name).kill()
 
+    def terminate_daemon(self, name: str) -> None:
+        """Stops a daemon with SIGTERM; its process may go on for seconds."""
+        child = self.daemons.pop(name)
+        child.send(signal.SIGTERM)
+        self._terminated.append(child)
+
+    async def remove_worker(self, worker: site_workers.SiteWorker) -> None:
+        """Ends a worker without runs for good, and removes its entry."""
+        self.workers.remove(worker)
+        await worker.stop()
+        self.store.write("keyed.servers", worker.place.worker_id, b"")
+
     def _build_settings(self, name: str) -> str:
         place = self._places[name]
         ports = self._ports[name]
