--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -12,6 +12,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _order_sender
 from gentianlead.cluster import _scheduler_log
 from gentianlead.cluster import _status_polls
 from gentianlead.cluster import _takeover_log
@@ -43,18 +44,12 @@
 LOAD_LOG_INTERVAL = datetime.timedelta(seconds=1)
 """Shortest time between two `group-load` log lines of a group."""
 
-ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
-"""Longest wait for the reply to an order. A worker in another domain that is
-not overloaded replies within 10 ms."""
-
-PERMIT_TIMEOUT = datetime.timedelta(seconds=4)
-"""Longest wait for a reply about permits. The advisory service needs time for
-each worker in a request and for the requests queued before it."""
-
 ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Longest wait for reported run ends to be stored, so that the next status
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
+STALE_TOKEN_REASON = "a worker has a higher fencing token"
+
 
 class GroupLeader:
     """Carries out the scheduler's decisions for one group.
@@ -95,10 +90,8 @@
                                                  interference)
         self._interference = interference
         self._is_registry_current = is_registry_current
-        self._lease_length = timings.lease
         self._daemon_name, self._incarnation = identity
         self._worker_client = worker_client
-        self._permit_service = permit_service
         self._topic_writer = topic_writer
         self._clock = clock
         self._log = log
@@ -108,6 +101,11 @@
         self._job_mover = _job_moves.JobMover(self.scheduler, clock, log,
                                               self.get_load, get_load_reports,
                                               self._store_records, self._spawn)
+        self._plan_requested = asyncio.Event()
+        self._order_sender = _order_sender.OrderSender(
+            self.scheduler, worker_client, permit_service, clock, log, metrics,
+            self._plan_requested.set,
+            lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
                                                        clock.monotonic(), log,
@@ -117,7 +115,6 @@
         self._unreachable_poll_slots = asyncio.Semaphore(
             _status_polls.MAX_UNREACHABLE_POLLS)
         self._status_pollers: dict[str, asyncio.Task] = {}
-        self._plan_requested = asyncio.Event()
         self._flush_requested = asyncio.Event()
         self._flush_done = asyncio.Event()
         self._unsent_job_states: list[_peer_messages.JobStateNotice] = []
@@ -271,14 +268,7 @@
         orders = self.scheduler.plan(now, now_ms, self._is_start_allowed())
         self._takeover_log.write(now)
         for order in orders:
-            if isinstance(order, dispatch.StartOrder):
-                self._spawn(self._send_start(order))
-            elif isinstance(order, dispatch.StopOrder):
-                self._spawn(self._send_stop(order))
-            elif isinstance(order, dispatch.PermitRequest):
-                self._spawn(self._request_permits(order))
-            else:
-                self._spawn(self._send_throttle(order))
+            self._spawn(self._order_sender.send(order))
         _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
         _scheduler_log.report_crash_events(self.scheduler, self._log,
                                            self._metrics)
@@ -398,7 +388,7 @@
                                 group=self.group,
                                 epoch=self.epoch,
                                 error=str(error))
-                self._abandon_leadership("a worker has a higher fencing token")
+                self._abandon_leadership(STALE_TOKEN_REASON)
                 return
             except ports.WorkerReplacedError as error:
                 self._log.write("worker-gone",
@@ -430,7 +420,8 @@
         # A worker may renew its lease although its reply is lost. The lease of
         # an unreachable worker is therefore not renewed until it replies.
         if worker.born_ms and worker.is_reachable and self._is_start_allowed():
-            expires_at_ms = worker.extend_lease(sent_at, self._lease_length)
+            expires_at_ms = worker.extend_lease(sent_at,
+                                                self.scheduler.timings.lease)
         status_wait = _status_polls.choose_wait(worker)
         reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
         try:
@@ -484,95 +475,3 @@
         self.scheduler.mark_unreachable(worker.worker_id,
                                         self._clock.monotonic(), lost_since)
         self._plan_requested.set()
-
-    # Orders to workers and requests for permits.
-
-    async def _send_start(self, order: dispatch.StartOrder) -> None:
-        worker = self.scheduler.workers.get(order.worker_id)
-        if worker is None:
-            return
-        sent_at = self._clock.monotonic()
-        leased_order = ports.LeasedStartOrder(
-            order.task, order.run, order.payload,
-            worker.extend_lease(sent_at, self._lease_length), self.epoch,
-            order.checkpoint, order.permit)
-        reply = await self._worker_client.start(worker.entry, leased_order,
-                                                ORDER_TIMEOUT)
-        now = self._clock.monotonic()
-        self._metrics.start_orders.inc({"outcome": reply.outcome.value})
-        self._metrics.start_order_seconds.observe({}, now - sent_at)
-        self._log.write("run-ordered",
-                        job=order.task.job_id,
-                        task=tuple(order.task[1:]),
-                        run=order.run,
-                        worker=order.worker_id,
-                        outcome=reply.outcome.value,
-                        detail=reply.detail,
-                        ms=round((now - sent_at) * 1000, 1))
-        if reply.outcome is ports.StartOutcome.FENCED:
-            self._abandon_leadership("a worker has a higher fencing token")
-            return
-        self.scheduler.apply_start_reply(order, reply, now)
-        self._plan_requested.set()
-
-    async def _request_permits(self, request: dispatch.PermitRequest) -> None:
-        sent_at = self._clock.monotonic()
-        reply = None
-        error = ""
-        try:
-            reply = await self._permit_service.request_permits(
-                request.job_id, request.occurrence, request.step,
-                tuple(request.workers), PERMIT_TIMEOUT)
-        except ports.PermitError as permit_error:
-            error = str(permit_error)
-        now = self._clock.monotonic()
-        self._log.write("permits-requested",
-                        job=request.job_id,
-                        step=(request.occurrence, request.step),
-                        asked=len(request.workers),
-                        granted=len(reply.permits) if reply else None,
-                        error=error,
-                        ms=round((now - sent_at) * 1000, 1))
-        self.scheduler.apply_permits(request, reply, sent_at, now)
-        self._plan_requested.set()
-
-    async def _send_stop(self, order: dispatch.StopOrder) -> None:
-        is_delivered = await self._send_order(
-            order, lambda entry: self._worker_client.stop(
-                entry, order.task, order.run, self.epoch, ORDER_TIMEOUT))
-        self._log.write("run-stopped",
-                        job=order.task.job_id,
-                        task=tuple(order.task[1:]),
-                        run=order.run,
-                        worker=order.worker_id,
-                        reason=order.reason,
-                        done=is_delivered)
-        self.scheduler.apply_stop_reply(order, is_delivered,
-                                        self._clock.monotonic())
-        self._plan_requested.set()
-
-    async def _send_throttle(self, order: dispatch.ThrottleOrder) -> None:
-        is_delivered = await self._send_order(
-            order, lambda entry: self._worker_client.set_throttle(
-                entry, order.task, order.run, order.throttle_percent, self.
-                epoch, ORDER_TIMEOUT))
-        self.scheduler.apply_throttle_reply(order, is_delivered)
-
-    async def _send_order(
-            self, order: dispatch.Order, send: Callable[[ports.WorkerEntry],
-                                                        Coroutine]) -> bool:
-        worker = self.scheduler.workers.get(order.worker_id)
-        if worker is None:
-            return False
-        try:
-            await send(worker.entry)
-            return True
-        except ports.StaleFencingTokenError:
-            self._abandon_leadership("a worker has a higher fencing token")
-        except (errors.WorkerError, ports.WorkerReplacedError) as error:
-            self._log.write("order-failed",
-                            worker=order.worker_id,
-                            job=order.task.job_id,
-                            run=order.run,
-                            error=str(error))
-        return False
--- /dev/null
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -0,0 +1,151 @@
+"""Sending of orders to workers and of requests for permits."""
+
+import datetime
+from typing import Callable, Coroutine
+
+from gentianlead import dispatch
+from gentianlead import errors
+from gentianlead import ports
+from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _metrics
+
+ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
+"""Longest wait for the reply to an order. A worker in another domain that is
+not overloaded replies within 10 ms."""
+
+PERMIT_TIMEOUT = datetime.timedelta(seconds=4)
+"""Longest wait for a reply about permits. The advisory service needs time for
+each worker in a request and for the requests queued before it."""
+
+
+class OrderSender:
+    """Sends the orders of a group's scheduler and applies the replies."""
+
+    def __init__(self, scheduler: dispatch.GroupScheduler,
+                 worker_client: ports.LeasedWorkerClient,
+                 permit_service: ports.PermitService, clock: ports.Clock,
+                 log: _decision_log.DecisionLog,
+                 metrics: _metrics.ClusterMetrics,
+                 on_applied: Callable[[], None], on_fenced: Callable[[], None]):
+        """Creates a sender.
+
+        Args:
+            scheduler: Scheduler of the group.
+            worker_client: Client for the orders.
+            permit_service: Client for the requests for permits.
+            clock: Clock of the daemon.
+            log: Decision log.
+            metrics: Metrics of the daemon.
+            on_applied: Called after a reply was applied.
+            on_fenced: Called when a worker has refused the fencing token.
+        """
+        self._scheduler = scheduler
+        self._worker_client = worker_client
+        self._permit_service = permit_service
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._on_applied = on_applied
+        self._on_fenced = on_fenced
+
+    async def send(self, order: dispatch.Order) -> None:
+        """Sends an order or request, and applies the reply or its absence."""
+        if isinstance(order, dispatch.StartOrder):
+            await self._send_start(order)
+        elif isinstance(order, dispatch.StopOrder):
+            await self._send_stop(order)
+        elif isinstance(order, dispatch.PermitRequest):
+            await self._request_permits(order)
+        else:
+            await self._send_throttle(order)
+
+    async def _send_start(self, order: dispatch.StartOrder) -> None:
+        worker = self._scheduler.workers.get(order.worker_id)
+        if worker is None:
+            return
+        sent_at = self._clock.monotonic()
+        leased_order = ports.LeasedStartOrder(
+            order.task, order.run, order.payload,
+            worker.extend_lease(sent_at, self._scheduler.timings.lease),
+            self._scheduler.epoch, order.checkpoint, order.permit)
+        reply = await self._worker_client.start(worker.entry, leased_order,
+                                                ORDER_TIMEOUT)
+        now = self._clock.monotonic()
+        self._metrics.start_orders.inc({"outcome": reply.outcome.value})
+        self._metrics.start_order_seconds.observe({}, now - sent_at)
+        self._log.write("run-ordered",
+                        job=order.task.job_id,
+                        task=tuple(order.task[1:]),
+                        run=order.run,
+                        worker=order.worker_id,
+                        outcome=reply.outcome.value,
+                        detail=reply.detail,
+                        ms=round((now - sent_at) * 1000, 1))
+        if reply.outcome is ports.StartOutcome.FENCED:
+            self._on_fenced()
+            return
+        self._scheduler.apply_start_reply(order, reply, now)
+        self._on_applied()
+
+    async def _request_permits(self, request: dispatch.PermitRequest) -> None:
+        sent_at = self._clock.monotonic()
+        reply = None
+        error = ""
+        try:
+            reply = await self._permit_service.request_permits(
+                request.job_id, request.occurrence, request.step,
+                tuple(request.workers), PERMIT_TIMEOUT)
+        except ports.PermitError as permit_error:
+            error = str(permit_error)
+        now = self._clock.monotonic()
+        self._log.write("permits-requested",
+                        job=request.job_id,
+                        step=(request.occurrence, request.step),
+                        asked=len(request.workers),
+                        granted=len(reply.permits) if reply else None,
+                        error=error,
+                        ms=round((now - sent_at) * 1000, 1))
+        self._scheduler.apply_permits(request, reply, sent_at, now)
+        self._on_applied()
+
+    async def _send_stop(self, order: dispatch.StopOrder) -> None:
+        is_delivered = await self._send_order(
+            order, lambda entry: self._worker_client.stop(
+                entry, order.task, order.run, self._scheduler.epoch,
+                ORDER_TIMEOUT))
+        self._log.write("run-stopped",
+                        job=order.task.job_id,
+                        task=tuple(order.task[1:]),
+                        run=order.run,
+                        worker=order.worker_id,
+                        reason=order.reason,
+                        done=is_delivered)
+        self._scheduler.apply_stop_reply(order, is_delivered,
+                                         self._clock.monotonic())
+        self._on_applied()
+
+    async def _send_throttle(self, order: dispatch.ThrottleOrder) -> None:
+        is_delivered = await self._send_order(
+            order, lambda entry: self._worker_client.set_throttle(
+                entry, order.task, order.run, order.throttle_percent, self.
+                _scheduler.epoch, ORDER_TIMEOUT))
+        self._scheduler.apply_throttle_reply(order, is_delivered)
+
+    async def _send_order(
+            self, order: dispatch.Order, send: Callable[[ports.WorkerEntry],
+                                                        Coroutine]) -> bool:
+        worker = self._scheduler.workers.get(order.worker_id)
+        if worker is None:
+            return False
+        try:
+            await send(worker.entry)
+            return True
+        except ports.StaleFencingTokenError:
+            self._on_fenced()
+        except (errors.WorkerError, ports.WorkerReplacedError) as error:
+            self._log.write("order-failed",
+                            worker=order.worker_id,
+                            job=order.task.job_id,
+                            run=order.run,
+                            error=str(error))
+        return False
