End the start permission of a leader with its resignation

Callers saw long-running tasks without a run for more than 10 s after a planned restart of the leader (LOST).

The permission could not be taken as ended: the leader went on to plan, to start runs and to renew leases until the store had replied. It now ends planning, orders and polls before it stores its resignation, and waits up to 200 ms for replies to its orders. Leaders of several groups resign at the same time.

The wait after a resignation is now the lease with drift and 0.5 s.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -177,9 +177,12 @@
     async def _resign_leaderships(self) -> None:
         leaders = list(self._leaders.values())
         self._leaders.clear()
-        for leader in leaders:
-            await leader.resign()
-            await leader.stop()
+        await asyncio.gather(*map(self._resign_leadership, leaders))
+
+    @staticmethod
+    async def _resign_leadership(leader: _group_leader.GroupLeader) -> None:
+        await leader.resign()
+        await leader.stop()
 
     def _spawn(self, coroutine: Coroutine) -> None:
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -44,6 +44,14 @@
 LOAD_LOG_INTERVAL = datetime.timedelta(seconds=1)
 """Shortest time between two `group-load` log lines of a group."""
 
+ORDER_END_TIMEOUT = datetime.timedelta(milliseconds=200)
+"""Longest time for which a resigning leader waits for replies to its orders. A
+worker that is not overloaded replies within 10 ms."""
+
+RESIGNATION_TIMEOUT = datetime.timedelta(milliseconds=400)
+"""Longest wait for the store to take a resignation. Without it the group gets a
+new leader when the old one has been silent for long enough."""
+
 ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Longest wait for reported run ends to be stored, so that the next status
 request acknowledges them. After a timeout it acknowledges only stored ones."""
@@ -104,7 +112,7 @@
         self._plan_requested = asyncio.Event()
         self._order_sender = _order_sender.OrderSender(
             self.scheduler, worker_client, permit_service, clock, log, metrics,
-            self._plan_requested.set,
+            self._spawn, self._plan_requested.set,
             lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
@@ -124,6 +132,7 @@
         self._load_logged_at = 0.0
         self._heartbeat_number = 0
         self._is_sole_stored = False
+        self._is_resigning = False
         self._is_stopped = False
 
     def start(self) -> None:
@@ -144,22 +153,42 @@
         await self._topic_writer.stop()
 
     async def resign(self) -> None:
-        """Stores that the group has no leader, so a daemon can take it over."""
+        """Ends all orders, then stores that the group has no leader.
+
+        The resignation ends the start permission at once. So nothing is sent to
+        a worker after it, also if its reply is lost.
+        """
         self._takeover_log.write_resignation()
-        resignation = dispatch.LeaderRecord(self.group, self.epoch, "", "",
-                                            self._heartbeat_number + 1)
+        await self._end_calls()
+        resignation = dispatch.LeaderRecord(
+            self.group, self.epoch, "", "", self._heartbeat_number + 1,
+            self.scheduler.is_takeover_over(self._clock.monotonic()))
         try:
-            await self._topic_writer.append(
-                [resignation], datetime.timedelta(milliseconds=400))
+            await self._topic_writer.append([resignation], RESIGNATION_TIMEOUT)
         except ports.StoreError as error:
             self._log.write("resignation-not-stored",
                             group=self.group,
                             error=str(error))
 
-    def _spawn(self, coroutine: Coroutine) -> None:
+    async def _end_calls(self) -> None:
+        """Ends planning, orders and polls.
+
+        Orders may still take effect if their replies have not arrived after
+        `ORDER_END_TIMEOUT`.
+        """
+        self._is_resigning = True
+        await self._order_sender.end(ORDER_END_TIMEOUT)
+        pollers = list(self._status_pollers.values())
+        for poller in pollers:
+            poller.cancel()
+        if pollers:
+            await asyncio.wait(pollers)
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background_tasks.add(task)
         task.add_done_callback(self._handle_background_task_end)
+        return task
 
     def _handle_background_task_end(self, task: asyncio.Task) -> None:
         self._background_tasks.discard(task)
@@ -188,7 +217,7 @@
 
     def _start_status_poller(self, worker_id: str) -> None:
         poller = self._status_pollers.get(worker_id)
-        if poller is None or poller.done():
+        if not self._is_resigning and (poller is None or poller.done()):
             self._status_pollers[worker_id] = (
                 asyncio.get_running_loop().create_task(
                     self._poll_status_forever(worker_id)))
@@ -240,7 +269,8 @@
         # The claim is not counted: the first append of this leader holds the
         # record by which its successors know that it may have started runs.
         sent_at = self._topic_writer.last_success_sent_at
-        return (sent_at is not None and self._clock.monotonic() - sent_at
+        return (not self._is_resigning and sent_at is not None and
+                self._clock.monotonic() - sent_at
                 <= _takeover_wait.START_PERMISSION_PERIOD.total_seconds())
 
     async def _plan_forever(self) -> None:
@@ -255,6 +285,8 @@
             await self._clock.sleep(MIN_PLAN_INTERVAL)
 
     def _run_planning_pass(self) -> None:
+        if self._is_resigning:
+            return
         now = self._clock.monotonic()
         now_ms = int(self._clock.now().timestamp() * 1000)
         if self._is_start_allowed() and self._job_mover.start_moves():
@@ -268,7 +300,7 @@
         orders = self.scheduler.plan(now, now_ms, self._is_start_allowed())
         self._takeover_log.write(now)
         for order in orders:
-            self._spawn(self._order_sender.send(order))
+            self._order_sender.send(order)
         _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
         _scheduler_log.report_crash_events(self.scheduler, self._log,
                                            self._metrics)
--- a/src/gentianlead/cluster/_job_moves.py
+++ b/src/gentianlead/cluster/_job_moves.py
@@ -16,7 +16,7 @@
                  get_load_reports: Callable[[], dict[str,
                                                      dispatch.GroupReport]],
                  store_records: Callable[[list[dispatch.Record]], Coroutine],
-                 spawn: Callable[[Coroutine], None]):
+                 spawn: Callable[[Coroutine], object]):
         self._scheduler = scheduler
         self._clock = clock
         self._log = log
--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -1,5 +1,6 @@
 """Sending of orders to workers and of requests for permits."""
 
+import asyncio
 import datetime
 from typing import Callable, Coroutine
 
@@ -26,6 +27,7 @@
                  permit_service: ports.PermitService, clock: ports.Clock,
                  log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics,
+                 spawn: Callable[[Coroutine], asyncio.Task],
                  on_applied: Callable[[], None], on_fenced: Callable[[], None]):
         """Creates a sender.
 
@@ -36,6 +38,7 @@
             clock: Clock of the daemon.
             log: Decision log.
             metrics: Metrics of the daemon.
+            spawn: Starts a background task of the leader.
             on_applied: Called after a reply was applied.
             on_fenced: Called when a worker has refused the fencing token.
         """
@@ -45,11 +48,37 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._spawn = spawn
         self._on_applied = on_applied
         self._on_fenced = on_fenced
+        self._unanswered_orders: set[asyncio.Task] = set()
 
-    async def send(self, order: dispatch.Order) -> None:
+    def send(self, order: dispatch.Order) -> None:
         """Sends an order or request, and applies the reply or its absence."""
+        task = self._spawn(self._send(order))
+        self._unanswered_orders.add(task)
+        task.add_done_callback(self._unanswered_orders.discard)
+
+    async def end(self, timeout: datetime.timedelta) -> None:
+        """Waits for the replies to all orders, and gives up those without one.
+
+        An order that is given up may take effect all the same. The caller sends
+        no further orders.
+
+        Args:
+            timeout: Longest wait for the replies.
+        """
+        if not self._unanswered_orders:
+            return
+        await asyncio.wait(self._unanswered_orders,
+                           timeout=timeout.total_seconds())
+        orders = list(self._unanswered_orders)
+        for order in orders:
+            order.cancel()
+        if orders:
+            await asyncio.wait(orders)
+
+    async def _send(self, order: dispatch.Order) -> None:
         if isinstance(order, dispatch.StartOrder):
             await self._send_start(order)
         elif isinstance(order, dispatch.StopOrder):
--- a/src/gentianlead/cluster/_takeover_wait.py
+++ b/src/gentianlead/cluster/_takeover_wait.py
@@ -22,7 +22,8 @@
                          process_ended_at: float | None) -> float:
     """Returns when no run of a former leader can go on at a silent worker.
 
-    A leader may start runs until its start permission or its process ends. The
+    A leader may start runs until its start permission or its process ends, or
+    until it has resigned: it sends nothing after its resignation. The
     permission ends `START_PERMISSION_PERIOD` after the leader sent its last
     record, which was before that record was read. Each leader before it sent
     its own last record before the first record of the former leader was stored;
@@ -41,6 +42,8 @@
     """
     permission_s = START_PERMISSION_PERIOD.total_seconds()
     last_start_at = former_leader.last_record_read_at + permission_s
+    if former_leader.record.has_resigned:
+        process_ended_at = former_leader.last_record_read_at
     if former_leader.record.is_claim:
         last_start_at = former_leader.epoch_read_at + permission_s
     elif process_ended_at is not None:
--- a/src/gentianlead/cluster/tests/test_takeover.py
+++ b/src/gentianlead/cluster/tests/test_takeover.py
@@ -57,6 +57,27 @@
         self.assertAlmostEqual(self.compute_last_start(101.0),
                                100.0 + PERMISSION_S)
 
+    def test_permission_ends_with_the_resignation(self):
+        """Guards against a wait for starts of a leader that has resigned.
+
+        Only a leader before it may still have a permission, unless the one that
+        resigned was the sole one.
+        """
+        for is_sole, first_read_at, last_start_at in ((True, 199.0, 200.0),
+                                                      (False, 100.0, 200.0),
+                                                      (False, 199.0,
+                                                       199.0 + PERMISSION_S)):
+            with self.subTest(is_sole=is_sole, first_read_at=first_read_at):
+                former_leader = dispatch.LeaderEntry(
+                    dispatch.LeaderRecord("n1", 70, "", "", 9, is_sole), 5,
+                    200.0, first_read_at)
+                takeover_end = _takeover_wait.compute_takeover_end(
+                    LEASE, former_leader, None)
+                self.assertAlmostEqual(
+                    takeover_end, last_start_at +
+                    (LEASE * _takeover_wait.CLOCK_DRIFT_FACTOR +
+                     _takeover_wait.TAKEOVER_MARGIN).total_seconds())
+
     def test_claim_counts_for_the_leaders_before_it(self):
         """Guards against a second run beside one of a leader that is not known.
 
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -184,7 +184,7 @@
     silence_s = now - leader.last_record_read_at
     is_store_recovered = (now - view.store_available_since
                           >= STORE_RECOVERY_WAIT.total_seconds())
-    if not record.node:
+    if record.has_resigned:
         return "leader resigned", leader.last_record_read_at
     if record.node == view.node and record.incarnation != view.incarnation:
         return _OWN_RESTART_REASON, view.joined_at
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -174,7 +174,8 @@
         group: Name of the group.
         epoch: Number that rises with each new leader; fencing token of the
             leader's orders.
-        node: Name of the daemon; empty when the leader resigned.
+        node: Name of the daemon; empty when the leader resigned. A leader sends
+            no order and renews no lease after its resignation.
         incarnation: Identity of the daemon's process.
         heartbeat_number: Number that rises with each heartbeat of the leader;
             0 in a claim. The writer of a claim starts no run, renews no lease
@@ -196,6 +197,11 @@
         """Whether the writer may not have acted as the leader yet."""
         return self.heartbeat_number == 0
 
+    @property
+    def has_resigned(self) -> bool:
+        """Whether the leader has stopped in order."""
+        return not self.node
+
 
 class MemberRecord(NamedTuple):
     """Announces a running daemon and the address at which peers reach it.
