Take a worker that leaves out of the stored list once its runs have ended

Callers saw tasks of known jobs wait for workers that had left (LOST). A worker stayed in the stored list until the registry had not listed it for 2.5 s, although the leader had seen all its runs end and could start none there.

A worker that drains or is not listed any more is now left out of the next record, if it has no run, reports none that the leader does not track, and can have none of an earlier leader. It gets no start from the moment at which that record is built until it is recorded anew.

--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -13,16 +13,16 @@
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _moves
-from gentianlead.dispatch import _order_replies
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _starting
 from gentianlead.dispatch import _stopping
+from gentianlead.dispatch import _succession
 
 
-class GroupScheduler(_order_replies.RepliedGroupState):
+class GroupScheduler(_succession.StoredGroupState):
     """Decides which runs to start, stop and throttle in one group.
 
     Example:
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -95,7 +95,6 @@
         # record may still assign the job here; `put_job` ignores an assignment
         # whose offset is not higher.
         self._departed_job_offsets: dict[str, int] = {}
-        self._recorded_workers: set[str] = set()
         # Start time of the instance of each recorded worker that has not shown
         # its runs to this leader, by identifier; 0 if it is not known.
         self._unseen_workers: dict[str, int] = {}
@@ -140,29 +139,6 @@
         worker.may_have_former_runs = True
         self._unseen_workers[entry.worker_id] = entry.born_ms
 
-    def build_workers_record(self) -> _records.WorkersRecord | None:
-        """Returns a record of the present workers, which the caller stores.
-
-        Returns None if the record that this leader stored last lists the same
-        workers, or if it stored none and there are no workers. A worker that
-        was dropped and listed again since then has to be recorded anew.
-        """
-        if self._recorded_workers == set(self.workers) and all(
-                worker.is_recorded for worker in self.workers.values()):
-            return None
-        return _records.WorkersRecord(
-            self.group, self.epoch,
-            tuple(worker.entry for worker in self.workers.values()))
-
-    def mark_workers_recorded(self, record: _records.WorkersRecord) -> None:
-        """Marks the workers in `record` as recorded after it was stored.
-
-        Only recorded workers may receive start orders.
-        """
-        self._recorded_workers = {entry.worker_id for entry in record.workers}
-        for worker_id in self._recorded_workers & set(self.workers):
-            self.workers[worker_id].is_recorded = True
-
     def mark_worker_removed(self, worker_id: str, now: float) -> None:
         """Marks a worker as removed from the registry."""
         worker = self.workers.get(worker_id)
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -316,10 +316,10 @@
         """
         if not self.is_registered:
             return StartObstacle.NOT_REGISTERED
-        if not self.is_recorded:
-            return StartObstacle.NOT_RECORDED
         if self.entry.is_draining:
             return StartObstacle.DRAINING
+        if not self.is_recorded:
+            return StartObstacle.NOT_RECORDED
         if not self.is_reachable or self.first_status_at is None:
             return StartObstacle.UNREACHABLE
         if self.entry.born_ms and self.entry.born_ms != self.born_ms:
