Hand over the runs of a leader that stops to its successor

Callers saw long-running tasks without a run for more than 10 s after planned restarts of the daemons, while workers left (LOST). The successor knew only which workers might have runs.

A leader that stops in order now stores which runs have not certainly ended, with the rest of each worker's lease, and what is left of its own wait, in one append with its resignation. Its successor tracks these runs as its own: each blocks its task until its worker reports its end, does not list it, was replaced, or has been silent for the rest of the lease. Everything else starts at once. Without the record, the takeover wait counts as before.

Ruled out: a shorter permission or lease, and storing the worker of each start.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -432,6 +432,9 @@
         for listed_entry in self._worker_registry.entries.values():
             if listed_entry.domain == group:
                 leader.put_worker(listed_entry)
+        handover = self._topic_reader.job_table.find_handover(group)
+        if handover is not None:
+            leader.apply_handover(handover)
         self._apply_operator_state()
         self._limit_takeover_waits()
         leader.start()
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -156,20 +156,47 @@
         """Ends all orders, then stores that the group has no leader.
 
         The resignation ends the start permission at once. So nothing is sent to
-        a worker after it, also if its reply is lost.
+        a worker after it, also if its reply is lost. The runs that have not
+        ended are stored with it.
         """
         self._takeover_log.write_resignation()
         await self._end_calls()
+        is_progress_stored = await self._store_last_progress()
+        now = self._clock.monotonic()
         resignation = dispatch.LeaderRecord(
             self.group, self.epoch, "", "", self._heartbeat_number + 1,
-            self.scheduler.is_takeover_over(self._clock.monotonic()))
+            self.scheduler.is_takeover_over(now))
         try:
+            if is_progress_stored:
+                try:
+                    await self._topic_writer.append(
+                        [self.scheduler.build_handover(now), resignation],
+                        RESIGNATION_TIMEOUT)
+                    return
+                except ports.RecordsRejectedError as error:
+                    self._log.write("handover-not-stored",
+                                    group=self.group,
+                                    error=str(error))
             await self._topic_writer.append([resignation], RESIGNATION_TIMEOUT)
         except ports.StoreError as error:
             self._log.write("resignation-not-stored",
                             group=self.group,
                             error=str(error))
 
+    async def _store_last_progress(self) -> bool:
+        """Stores progress that is not stored yet; returns whether it is."""
+        progress_records = self.scheduler.take_dirty_progress()
+        try:
+            async with asyncio.timeout(RESIGNATION_TIMEOUT.total_seconds()):
+                await self._topic_writer.append_each(progress_records)
+        except (TimeoutError, ports.StoreError) as error:
+            self._log.write("handover-not-stored",
+                            group=self.group,
+                            error=_decision_log.format_error(error))
+            return False
+        self._report_states(progress_records)
+        return True
+
     async def _end_calls(self) -> None:
         """Ends planning, orders and polls.
 
@@ -205,6 +232,26 @@
 
     # Updates that the daemon read from topics, and the load of the group.
 
+    def apply_handover(self, handover: dispatch.HandoverEntry) -> None:
+        """Takes over the runs that the former leader has left.
+
+        All jobs and recorded workers have been added before.
+        """
+        now = self._clock.monotonic()
+        self.scheduler.apply_handover(handover.record, handover.read_at, now)
+        for handed_over in handover.record.workers:
+            self._start_status_poller(handed_over.entry.worker_id)
+        self._log.write(
+            "handover-applied",
+            group=self.group,
+            epoch=self.epoch,
+            former_epoch=handover.record.epoch,
+            age_s=round(now - handover.read_at, 3),
+            workers=len(handover.record.workers),
+            runs=sum(len(worker.runs) for worker in handover.record.workers),
+            unseen_workers=len(handover.record.unseen_worker_ids),
+            unseen_wait_ms=handover.record.unseen_wait_ms)
+
     def put_worker(self, entry: ports.WorkerEntry) -> None:
         """Adds a worker that the registry lists, or updates its entry."""
         self.scheduler.put_worker(entry)
--- a/src/gentianlead/cluster/tests/leading.py
+++ b/src/gentianlead/cluster/tests/leading.py
@@ -3,7 +3,7 @@
 import asyncio
 import datetime
 import unittest
-from typing import Callable
+from typing import Callable, Sequence
 from unittest import mock
 
 from gentianlead import adapters
@@ -41,8 +41,17 @@
         self.silent_workers: set[str] = set()
         self.unanswered_kinds: set[str] = set()
         self.running: dict[str, set[tuple]] = {}
+        self._ended: dict[str, list[ports.EndedRun]] = {}
         self._clock = adapters.SystemClock()
 
+    def end_runs(self, worker_id: str) -> None:
+        """Ends all runs of a worker as done."""
+        ended_runs = self._ended.setdefault(worker_id, [])
+        for task, run in self.running.pop(worker_id, ()):
+            ended_runs.append(
+                ports.EndedRun(
+                    len(ended_runs) + 1, task, run, ports.EndCause.DONE, ""))
+
     @property
     def clock_ms(self) -> int:
         """Time on the clocks of all workers in milliseconds."""
@@ -84,7 +93,8 @@
             self.clock_ms,
             tuple(
                 ports.ActiveRun(task, run, "", 100, None)
-                for task, run in self.running.get(entry.worker_id, ())))
+                for task, run in self.running.get(entry.worker_id, ())),
+            tuple(self._ended.get(entry.worker_id, ())))
 
     async def set_throttle(self, entry: ports.WorkerEntry, task: tuple,
                            run: int, percent: int, fence_token: int,
@@ -93,11 +103,10 @@
 
 
 def start_leader(test: unittest.IsolatedAsyncioTestCase, store: fakes.FakeStore,
-                 workers: FakeWorkers, *worker_ids:
-                 str) -> _group_leader.GroupLeader:
+                 workers: FakeWorkers, log: fakes.RecordingLog,
+                 worker_ids: Sequence[str]) -> _group_leader.GroupLeader:
     """Starts the first leader of a group; it is stopped after the test."""
     clock = adapters.SystemClock()
-    log = fakes.RecordingLog()
     metrics = _metrics.ClusterMetrics()
     writer = _job_topic.JobTopicWriter(
         store, ports.Producer(f"g/{GROUP}", builders.EPOCH), clock, log,
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -47,6 +47,9 @@
 from gentianlead.dispatch._records import decode_value
 from gentianlead.dispatch._records import encode_record
 from gentianlead.dispatch._records import encode_value
+from gentianlead.dispatch._records import HandedOverRun
+from gentianlead.dispatch._records import HandedOverWorker
+from gentianlead.dispatch._records import HandoverRecord
 from gentianlead.dispatch._records import LeaderRecord
 from gentianlead.dispatch._records import MemberRecord
 from gentianlead.dispatch._records import MovedRecord
@@ -64,6 +67,7 @@
 from gentianlead.dispatch._runs import Run
 from gentianlead.dispatch._runs import RunPhase
 from gentianlead.dispatch._table import build_job_entry
+from gentianlead.dispatch._table import HandoverEntry
 from gentianlead.dispatch._table import JobEntry
 from gentianlead.dispatch._table import JobTable
 from gentianlead.dispatch._table import LeaderEntry
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -108,6 +108,7 @@
                                       _table.JobEntry | None] = lambda _: None
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
+        self._handed_over_runs_end_at = 0.0
 
     # Registry entries and status reports of workers.
 
@@ -333,16 +334,23 @@
             unknown_run.step = self._find_step(active_run.task)
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
-        run = _runs.Run(active_run.task, step_run.step, active_run.run,
-                        worker.worker_id, now)
+        return self.track_former_run(worker, job, active_run.task,
+                                     active_run.run, now)
+
+    def track_former_run(self, worker: _workers.WorkerState, job: _runs.JobRun,
+                         task: model.TaskKey, run_number: int,
+                         now: float) -> _runs.Run:
+        """Tracks a run of a former leader whose task waits in this group."""
+        step_run = job.get_step(task)
+        run = _runs.Run(task, step_run.step, run_number, worker.worker_id, now)
         run.phase = _runs.RunPhase.RUNNING
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
         self.crashes.adopt_run(job, run)
-        step_run.waiting_indexes.discard(active_run.task.index)
-        step_run.active_runs[active_run.task.index] = run
-        worker.runs[(active_run.task, active_run.run)] = run
-        job.last_run_number = max(job.last_run_number, active_run.run)
+        step_run.waiting_indexes.discard(task.index)
+        step_run.active_runs[task.index] = run
+        worker.runs[(task, run_number)] = run
+        job.last_run_number = max(job.last_run_number, run_number)
         job.mark_started()
         return run
 
@@ -469,10 +477,13 @@
             if worker_id in self.workers:
                 self._mark_seen(self.workers[worker_id], False)
         for job in self.jobs.values():
-            if not job.is_reconciled:
-                self.crashes.resolve_claims(job, self._are_instances_known)
-                self.crashes.mark_uncertain_tasks(job)
-            job.is_reconciled = True
+            self._mark_reconciled(job)
+
+    def _mark_reconciled(self, job: _runs.JobRun) -> None:
+        if not job.is_reconciled:
+            self.crashes.resolve_claims(job, self._are_instances_known)
+            self.crashes.mark_uncertain_tasks(job)
+        job.is_reconciled = True
 
     def list_silent_workers(self) -> list[_workers.WorkerState]:
         """Returns workers that may have former leaders' runs and are silent.
@@ -489,8 +500,11 @@
         return max(0.0, self._takeover_ends_at - now)
 
     def is_takeover_over(self, now: float) -> bool:
-        """Returns whether no run of an earlier leader can go on any more."""
-        return now >= self._takeover_ends_at
+        """Returns whether no run of an earlier leader can go on any more.
+
+        Runs that this leader tracks on workers that reply do not count.
+        """
+        return now >= max(self._takeover_ends_at, self._handed_over_runs_end_at)
 
     def limit_takeover_wait(self, ends_at: float) -> None:
         """Ends the takeover wait at a monotonic time, or earlier if it is due.
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -239,6 +239,63 @@
     workers: tuple[ports.WorkerEntry, ...]
 
 
+class HandedOverRun(NamedTuple):
+    """A run that had not certainly ended when its leader resigned.
+
+    Attributes:
+        task: The task.
+        number: Number of the run.
+        is_proven: Whether the run has shown that it does not crash its worker.
+    """
+
+    task: model.TaskKey
+    number: int
+    is_proven: bool
+
+
+class HandedOverWorker(NamedTuple):
+    """A worker with runs that had not certainly ended.
+
+    Attributes:
+        entry: Last registry entry of the worker.
+        born_ms: Start time of the instance with the runs, in milliseconds since
+            1970; 0 if the leader has not seen it.
+        lease_ms: Longest time in milliseconds for which the runs can go on
+            after the record was built, if the worker does not reply.
+        runs: The runs.
+    """
+
+    entry: ports.WorkerEntry
+    born_ms: int
+    lease_ms: int
+    runs: tuple[HandedOverRun, ...]
+
+
+class HandoverRecord(NamedTuple):
+    """Lists the runs that a resigning leader leaves to its successor.
+
+    The leader sends no order and renews no lease after it has built the record.
+
+    Attributes:
+        group: Name of the group.
+        epoch: Epoch of the leader that resigns.
+        workers: Workers with runs that have not certainly ended.
+        unseen_worker_ids: Workers on which other runs may exist: earlier
+            leaders may have started them, and this leader has not seen them.
+        unseen_wait_ms: Longest time in milliseconds for which such other runs
+            can go on after the record was built.
+        known_until_offset: Jobs that the group got at a higher offset have no
+            such other runs.
+    """
+
+    group: str
+    epoch: int
+    workers: tuple[HandedOverWorker, ...]
+    unseen_worker_ids: tuple[str, ...]
+    unseen_wait_ms: int
+    known_until_offset: int
+
+
 class RemovedKey(NamedTuple):
     """Deletes the record under a key from the topic.
 
@@ -250,7 +307,8 @@
 
 
 Record = (AcceptedRecord | CancelledRecord | ProgressRecord | MovedRecord |
-          LeaderRecord | MemberRecord | WorkersRecord | RemovedKey)
+          LeaderRecord | MemberRecord | WorkersRecord | HandoverRecord |
+          RemovedKey)
 
 _RECORD_TYPES: dict[str, type] = {
     "j": AcceptedRecord,
@@ -260,6 +318,7 @@
     "g": LeaderRecord,
     "n": MemberRecord,
     "w": WorkersRecord,
+    "h": HandoverRecord,
 }
 
 
@@ -275,6 +334,8 @@
         return f"n/{record.node}"
     if isinstance(record, WorkersRecord):
         return f"w/{record.group}"
+    if isinstance(record, HandoverRecord):
+        return f"h/{record.group}"
     if isinstance(record, CancelledRecord):
         return f"c/{record.job_id}"
     if isinstance(record, ProgressRecord):
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -1,5 +1,7 @@
 """What a leader stores so that its successor knows the runs of the group."""
 
+import math
+
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _order_replies
 from gentianlead.dispatch import _orders
@@ -60,3 +62,105 @@
         self._recorded_workers = {entry.worker_id for entry in record.workers}
         for worker_id in self._recorded_workers & set(self.workers):
             self.workers[worker_id].is_recorded = True
+
+    def build_handover(self, now: float) -> _records.HandoverRecord:
+        """Returns what the successor of this leader has to know.
+
+        The caller sends no order and renews no lease from now on, and has
+        stored all progress, before it stores the record.
+
+        Args:
+            now: Present monotonic time in seconds.
+        """
+        unseen_worker_ids: tuple[str, ...] = ()
+        unseen_wait_s = 0.0
+        if not self.is_reconciled:
+            unseen_wait_s = self.compute_takeover_remaining_s(now)
+            unseen_worker_ids = tuple(
+                worker.worker_id for worker in self.list_silent_workers())
+        workers = []
+        for worker in self.workers.values():
+            runs = self._list_handed_over_runs(worker)
+            if runs:
+                workers.append(
+                    _records.HandedOverWorker(
+                        worker.entry, worker.born_ms,
+                        math.ceil(1000 * worker.compute_lease_rest_s(now)),
+                        runs))
+        return _records.HandoverRecord(self.group, self.epoch, tuple(workers),
+                                       unseen_worker_ids,
+                                       math.ceil(1000 * unseen_wait_s),
+                                       self._leadership_offset)
+
+    def _list_handed_over_runs(
+            self,
+            worker: _workers.WorkerState) -> tuple[_records.HandedOverRun, ...]:
+        runs = [
+            _records.HandedOverRun(run.task, run.number, run.is_proven)
+            for run in worker.runs.values()
+        ]
+        for task, run_number in worker.unknown_runs:
+            job = self.jobs.get(task.job_id)
+            step_run = job.get_step(task) if job is not None else None
+            # This leader may not have read the job yet, or its return to the
+            # group. In all other cases the task needs no further run here.
+            if job is None or (step_run is not None and
+                               task.index in step_run.waiting_indexes):
+                runs.append(_records.HandedOverRun(task, run_number, False))
+        return tuple(runs)
+
+    def apply_handover(self, record: _records.HandoverRecord, read_at: float,
+                       now: float) -> None:
+        """Takes over the runs that the former leader has left.
+
+        A run that its worker neither reports as running nor as ended has ended;
+        so it has when the worker does not reply until the lease has expired.
+        All jobs and recorded workers have been added before.
+
+        Args:
+            record: Record of the direct former leader.
+            read_at: Monotonic time in seconds at which the record was read.
+            now: Present monotonic time in seconds.
+        """
+        for handed_over in record.workers:
+            worker = self._add_handed_over_worker(handed_over, now)
+            lease_ends_at = read_at + handed_over.lease_ms / 1000
+            worker.set_handed_over_lease(lease_ends_at)
+            self._handed_over_runs_end_at = max(self._handed_over_runs_end_at,
+                                                lease_ends_at)
+            for handed_over_run in handed_over.runs:
+                self._track_handed_over_run(worker, handed_over_run, now)
+        for worker in self.workers.values():
+            if worker.worker_id not in record.unseen_worker_ids:
+                worker.may_have_former_runs = False
+                self._unseen_workers.pop(worker.worker_id, None)
+        self.limit_takeover_wait(read_at + record.unseen_wait_ms / 1000)
+        self._leadership_offset = record.known_until_offset
+        for job in self.jobs.values():
+            if job.entry.assignment_offsets.get(self.group,
+                                                -1) > record.known_until_offset:
+                self._mark_reconciled(job)
+
+    def _add_handed_over_worker(self, handed_over: _records.HandedOverWorker,
+                                now: float) -> _workers.WorkerState:
+        worker_id = handed_over.entry.worker_id
+        if worker_id not in self.workers:
+            self.put_recorded_worker(handed_over.entry, now)
+        worker = self.workers[worker_id]
+        if not worker.is_registered:
+            # The stored list may be older than the announcement of the leave.
+            worker.entry = handed_over.entry
+        worker.born_ms = handed_over.born_ms
+        return worker
+
+    def _track_handed_over_run(self, worker: _workers.WorkerState,
+                               handed_over: _records.HandedOverRun,
+                               now: float) -> None:
+        job = self.jobs.get(handed_over.task.job_id)
+        step_run = (job.get_step(handed_over.task) if job is not None else None)
+        if (step_run is None or job.has_ended or
+                handed_over.task.index not in step_run.waiting_indexes):
+            return
+        run = self.track_former_run(worker, job, handed_over.task,
+                                    handed_over.number, now)
+        run.is_proven = handed_over.is_proven
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -105,6 +105,19 @@
     former: "LeaderEntry | None" = None
 
 
+class HandoverEntry(NamedTuple):
+    """What a leader left to its successor when it resigned.
+
+    Attributes:
+        record: The record of the leader.
+        read_at: Monotonic time in seconds at which it was read, which is after
+            the leader built it.
+    """
+
+    record: _records.HandoverRecord
+    read_at: float
+
+
 class MemberEntry(NamedTuple):
     """A daemon that announced itself in the topic.
 
@@ -132,6 +145,8 @@
         members: Daemons that announced themselves, by name.
         recorded_workers: Registry entries of the workers on which runs may
             exist, by group.
+        handovers: Newest record that a resigning leader of the group left to
+            its successor, by group.
         position: Offset of the next record to read.
         changed_jobs: Identifiers of jobs that changed or were removed since the
             last `take_changed_jobs`.
@@ -144,6 +159,7 @@
         self.leaders: dict[str, LeaderEntry] = {}
         self.members: dict[str, MemberEntry] = {}
         self.recorded_workers: dict[str, tuple[ports.WorkerEntry, ...]] = {}
+        self.handovers: dict[str, HandoverEntry] = {}
         self.position = 0
         self.changed_jobs: set[str] = set()
         self.keys_by_job: dict[str, set[str]] = {}
@@ -171,6 +187,9 @@
         elif isinstance(record, _records.WorkersRecord):
             self.recorded_workers[record.group] = record.workers
             self.mark_leader_alive(record.group, record.epoch, now)
+        elif isinstance(record, _records.HandoverRecord):
+            self.handovers[record.group] = HandoverEntry(record, now)
+            self.mark_leader_alive(record.group, record.epoch, now)
         elif isinstance(record, _records.AcceptedRecord):
             self._add_key(stored.key)
             self._apply_accepted(stored.offset, record)
@@ -192,6 +211,7 @@
         self.leaders.clear()
         self.members.clear()
         self.recorded_workers.clear()
+        self.handovers.clear()
         self._early_records.clear()
         self.keys_by_job.clear()
         decode_errors = []
@@ -220,6 +240,19 @@
                 entry.last_record_read_at < now):
             self.leaders[group] = entry._replace(last_record_read_at=now)
 
+    def find_handover(self, group: str) -> HandoverEntry | None:
+        """Returns what the former leader of a group left, or None.
+
+        The former leader is the one before the present leader, without daemons
+        that have only claimed the group.
+        """
+        leader = self.leaders.get(group)
+        entry = self.handovers.get(group)
+        if (leader is None or leader.former is None or entry is None or
+                entry.record.epoch != leader.former.record.epoch):
+            return None
+        return entry
+
     def is_superseded(self, group: str, epoch: int) -> bool:
         """Returns whether the group has a leader with a higher epoch."""
         entry = self.leaders.get(group)
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -213,6 +213,9 @@
         self._clock_ms = 0
         self._clock_read_at = 0.0
         self._lease_expiry_ms = 0
+        # Monotonic time in seconds by which the lease that a former leader
+        # handed over has expired, also if this leader has not seen the worker.
+        self._handed_over_lease_ends_at = 0.0
 
     @property
     def worker_id(self) -> str:
@@ -281,9 +284,28 @@
 
         This is so `LEASE_EXPIRY_MARGIN_MS` after the end of the lease.
         """
-        return (self.get_min_clock_ms(now)
+        return (now >= self._handed_over_lease_ends_at and
+                self.get_min_clock_ms(now)
                 >= self._lease_expiry_ms + LEASE_EXPIRY_MARGIN_MS)
 
+    def compute_lease_rest_s(self, now: float) -> float:
+        """Returns after which time `is_lease_expired` is true, in seconds."""
+        rest_s = self._handed_over_lease_ends_at - now
+        if self._lease_expiry_ms:
+            rest_ms = (self._lease_expiry_ms + LEASE_EXPIRY_MARGIN_MS -
+                       self.get_min_clock_ms(now))
+            rest_s = max(rest_s,
+                         rest_ms / 1000 / (1 - MAX_RELATIVE_CLOCK_DRIFT))
+        return max(0.0, rest_s)
+
+    def set_handed_over_lease(self, ends_at: float) -> None:
+        """Sets when the lease of a former leader has certainly expired.
+
+        Args:
+            ends_at: Monotonic time in seconds.
+        """
+        self._handed_over_lease_ends_at = ends_at
+
     def reset_after_replacement(self, born_ms: int) -> None:
         """Resets the state that depends on the instance of the worker.
 
@@ -302,6 +324,7 @@
         self.best_effort_usage = _interference.DecayedUsage()
         self._clock_ms = 0
         self._lease_expiry_ms = 0
+        self._handed_over_lease_ends_at = 0.0
 
     def find_start_obstacle(self, now: float) -> StartObstacle | None:
         """Returns why no start order may be sent to the worker now, or None.
