Pause before a stop order that failed is sent again

Cause: a failed stop leaves the run as it was, with the time at which an earlier stop was accepted, so that the next planning pass, 4 ms later, ordered it again until the lease of the worker had expired. Every other reason for a stop had the same fault: nothing but the reply to the last order was waited for.

Each run now has a pause after a failed stop. It begins with 0.1 s and doubles up to 1 s, as a worker whose replies are lost carries out what it receives. A status report of a worker that was unreachable ends the pause, but not earlier than 0.1 s after the failure. An accepted stop begins anew with 0.1 s. The pauses have no random part, as the scheduler has no source of random numbers; orders that fail together are repeated together, at most one for each run.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -258,7 +258,7 @@
             worker.reset_after_replacement(status.born_ms)
         worker.update_clock(status.clock_ms, now)
         worker.last_status_at = now
-        worker.is_reachable = True
+        worker.mark_reachable()
         self.crashes.withdraw_loss(worker)
         if worker.first_status_at is None:
             # Until a report lists all ends, a former leader's runs may have
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -103,6 +103,7 @@
         if run is None:
             return
         run.has_pending_order = False
+        run.stop_retry.record_result(has_succeeded, now)
         if has_succeeded:
             # The reply to a status call sent from now on lists the run or its
             # end; if it lists neither, the run has ended.
--- a/src/gentianlead/dispatch/_orders.py
+++ b/src/gentianlead/dispatch/_orders.py
@@ -37,12 +37,15 @@
         task: The task.
         run: Number of the run.
         reason: Why the run is stopped, for the log.
+        failure_count: Number of stop orders for the run that failed since the
+            last one that succeeded.
     """
 
     worker_id: str
     task: model.TaskKey
     run: int
     reason: str
+    failure_count: int = 0
 
 
 class ThrottleOrder(NamedTuple):
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -63,20 +63,19 @@
         """Appends to `orders` the stop orders that are to be sent now.
 
         A stop that a worker accepted is ordered again if the run has not ended
-        after twice the stop limit.
+        after twice the stop limit. One that failed is ordered again after a
+        pause, see `OrderRetry`.
         """
         self._destination_candidates = None
         for worker in self._state.workers.values():
             for run in worker.runs.values():
                 reason = self._find_stop_reason(run, now)
-                if reason and not run.has_pending_order and (
-                        run.phase is not _runs.RunPhase.STOPPING or
-                        now - run.confirmed_at
-                        > 2 * self._state.timings.stop_limit.total_seconds()):
+                if reason and self._is_stop_due(run, now):
                     run.has_pending_order = True
                     orders.append(
                         _orders.StopOrder(worker.worker_id, run.task,
-                                          run.number, reason))
+                                          run.number, reason,
+                                          run.stop_retry.failure_count))
                     if reason == _STALL_REASON:
                         self._state.jobs[run.task.job_id].get_step(
                             run.task).last_failed_workers[
@@ -88,6 +87,13 @@
                         _orders.StopOrder(worker.worker_id, task, run_number,
                                           "obsolete"))
 
+    def _is_stop_due(self, run: _runs.Run, now: float) -> bool:
+        if run.has_pending_order or not run.stop_retry.is_due(now):
+            return False
+        return (run.phase is not _runs.RunPhase.STOPPING or
+                now - run.confirmed_at
+                > 2 * self._state.timings.stop_limit.total_seconds())
+
     def _should_stop_unknown_run(self, task: model.TaskKey,
                                  unknown_run: _workers.UnknownRun,
                                  now: float) -> bool:
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -249,6 +249,16 @@
             return 100
         return self.throttles.get(run.step.image, 100)
 
+    def mark_reachable(self) -> None:
+        """Marks the worker as reachable after a status report.
+
+        Orders that failed while it was unreachable need not wait any longer.
+        """
+        if not self.is_reachable:
+            self.is_reachable = True
+            for run in self.runs.values():
+                run.stop_retry.shorten_pause()
+
     def update_clock(self, clock_ms: int, now: float) -> None:
         """Applies a reading of the worker's clock that arrived at `now`.
 
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_order_retries.py
@@ -0,0 +1,139 @@
+"""Tests of the pauses before an order that failed is repeated."""
+
+import unittest
+
+from gentianlead import dispatch
+from gentianlead.dispatch.tests import builders
+
+JOB_ID = "00000000000000aa"
+PLAN_INTERVAL_S = 0.004
+"""Time between two planning passes of a leader that has events to handle."""
+
+MAX_ORDERS = 10
+"""Orders in five seconds if the pause begins with 0.1 s and grows to 1 s."""
+
+
+def send_for(driver: builders.GroupDriver, duration_s: float,
+             has_succeeded: bool) -> list[tuple[float, dispatch.Order]]:
+    """Plans for some time; all orders fail or succeed at once.
+
+    Returns:
+        The stop orders and throttle orders, each with the time in seconds since
+        the first planning pass.
+    """
+    started_at = driver.now
+    sent_orders = []
+    while driver.now < started_at + duration_s:
+        for order in driver.plan():
+            if isinstance(order, dispatch.StopOrder):
+                driver.scheduler.apply_stop_reply(order, has_succeeded,
+                                                  driver.now)
+            elif isinstance(order, dispatch.ThrottleOrder):
+                driver.scheduler.apply_throttle_reply(order, has_succeeded)
+            else:
+                continue
+            sent_orders.append((driver.now - started_at, order))
+        driver.now += PLAN_INTERVAL_S
+    return sent_orders
+
+
+class StopRetryTest(unittest.TestCase):
+    """Tests of repeated stop orders for a run on a worker that is cut off.
+
+    The worker refuses connections, so that an order fails without delay.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(JOB_ID, builders.build_step(is_long_running=True))
+        (self.start_order,) = self.driver.start_all()
+
+    def report_run(self) -> None:
+        """Applies a status report that lists the run, and renews the lease."""
+        self.driver.scheduler.workers["w1"].extend_lease(
+            self.driver.now, builders.LEASE)
+        self.driver.apply_status(
+            running=(builders.build_active_run(self.start_order, 100),))
+
+    def list_stop_times(self, duration_s: float) -> list[float]:
+        """Returns when stop orders are sent; all of them fail."""
+        return [
+            sent_at for sent_at, _ in send_for(self.driver, duration_s, False)
+        ]
+
+    def test_stop_without_effect_is_repeated_with_growing_pauses(self):
+        """Checks the stop orders after an accepted one that had no effect.
+
+        Guards against an order in each planning pass, each with a call and a
+        log line, until the lease of the worker has expired.
+        """
+        self.driver.scheduler.cancel_job(JOB_ID)
+        (stop_order,) = self.driver.plan_stops()
+        self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                               self.driver.now)
+        self.driver.now += 2 * builders.STOP_LIMIT.total_seconds() + 0.001
+        self.report_run()
+        sent_times = self.list_stop_times(4.9)
+        self.assertLessEqual(len(sent_times), MAX_ORDERS)
+
+    def test_failed_stop_is_repeated_with_growing_pauses(self):
+        """Checks the stop orders for a cancelled task until the lease expires.
+
+        Guards against orders without a pause, and against a task that goes on
+        because orders reach the worker and only its replies are lost.
+        """
+        self.driver.scheduler.cancel_job(JOB_ID)
+        sent_times = self.list_stop_times(4.9)
+        self.assertLessEqual(len(sent_times), MAX_ORDERS)
+        pauses = [
+            later - earlier
+            for earlier, later in zip(sent_times, sent_times[1:])
+        ]
+        self.assertAlmostEqual(pauses[0], 0.1, delta=2 * PLAN_INTERVAL_S)
+        self.assertEqual(pauses[:4], sorted(pauses[:4]))
+        self.assertLessEqual(max(pauses), 1.0 + 2 * PLAN_INTERVAL_S)
+        self.assertGreater(sent_times[-1], 3.8)
+
+    def test_stop_is_repeated_when_the_worker_replies_again(self):
+        """Checks that a status report ends the pause before the next stop.
+
+        Guards against a cancelled task that goes on for the rest of a long
+        pause although its worker can be reached.
+        """
+        self.driver.scheduler.cancel_job(JOB_ID)
+        sent_times = self.list_stop_times(2.0)
+        self.assertEqual(self.driver.plan_stops(), [])
+        self.driver.now += 0.1
+        self.assertLess(self.driver.now - 100.0 - sent_times[-1], 0.8)
+        self.report_run()
+        self.assertEqual(len(self.driver.plan_stops()), 1)
+
+    def test_worker_that_refuses_stops_only_gets_few(self):
+        """Checks the stop orders to a worker that replies to status calls.
+
+        Guards against a status report after each failure that ends the pause
+        at once, so that the stop is ordered as often as the worker reports.
+        """
+        self.driver.scheduler.cancel_job(JOB_ID)
+        order_count = 0
+        for _ in range(200):
+            order_count += len(self.list_stop_times(0.01))
+            self.report_run()
+        duration_s = self.driver.now - 100.0
+        self.assertLessEqual(order_count, 1 + duration_s / 0.1)
+
+    def test_pause_is_short_again_after_a_success(self):
+        """Checks the first pause after an accepted stop that had no effect.
+
+        Guards against the long pause of an earlier series of failures.
+        """
+        self.driver.scheduler.cancel_job(JOB_ID)
+        self.list_stop_times(3.0)
+        self.driver.now += 1.1
+        (stop_order,) = self.driver.plan_stops()
+        self.driver.scheduler.apply_stop_reply(stop_order, True,
+                                               self.driver.now)
+        self.driver.now += 2 * builders.STOP_LIMIT.total_seconds() + 0.001
+        self.report_run()
+        sent_times = self.list_stop_times(0.15)
+        self.assertEqual(len(sent_times), 2)
