Pause before a throttle order that failed is sent again

Callers of latency-critical tasks would see nothing, but a worker that refuses throttle orders got one in each planning pass, at least every 60 ms, each with a call and a log line, for as long as the best-effort task ran.

Cause: a failed throttle order makes the throttle of the run unknown, which always differs from the throttle that it should have, so the next pass ordered it again.

The order now has the same pause as a stop order: 0.1 s after the first failure, doubled up to 1 s, shortened when an unreachable worker replies again. An order that succeeded causes no pause, so the throttle still follows the tail latency.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -556,7 +556,8 @@
             order, lambda entry: self._worker_client.set_throttle(
                 entry, order.task, order.run, order.throttle_percent, self.
                 epoch, ORDER_TIMEOUT))
-        self.scheduler.apply_throttle_reply(order, is_delivered)
+        self.scheduler.apply_throttle_reply(order, is_delivered,
+                                            self._clock.monotonic())
 
     async def _send_order(
             self, order: dispatch.Order, send: Callable[[ports.WorkerEntry],
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -64,7 +64,7 @@
         if may_start:
             self._plan_start_retries(orders, now)
             self._start_planner.plan(orders, now, now_ms)
-        self._plan_throttles(orders)
+        self._plan_throttles(orders, now)
         return orders
 
     def plan_moves(self, get_own_load: Callable[[], _load.GroupLoad],
@@ -107,11 +107,12 @@
                             job.get_step(run.task).permits.find_permit(
                                 worker.worker_id, worker.born_ms, now)))
 
-    def _plan_throttles(self, orders: list[_orders.Order]) -> None:
+    def _plan_throttles(self, orders: list[_orders.Order], now: float) -> None:
         for worker in self.workers.values():
             for run in worker.runs.values():
                 if (not run.step.is_best_effort or run.has_pending_order or
-                        run.phase is not _runs.RunPhase.RUNNING):
+                        run.phase is not _runs.RunPhase.RUNNING or
+                        not run.throttle_retry.is_due(now)):
                     continue
                 throttle_percent = worker.get_throttle_percent(run)
                 change_percent = abs(run.throttle_percent - throttle_percent)
@@ -120,7 +121,8 @@
                     run.has_pending_order = True
                     orders.append(
                         _orders.ThrottleOrder(worker.worker_id, run.task,
-                                              run.number, throttle_percent))
+                                              run.number, throttle_percent,
+                                              run.throttle_retry.failure_count))
 
     def mark_progress_stored(
             self, records: Iterable[_records.ProgressRecord]) -> bool:
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -113,7 +113,7 @@
             worker.is_reachable = False
 
     def apply_throttle_reply(self, order: _orders.ThrottleOrder,
-                             has_succeeded: bool) -> None:
+                             has_succeeded: bool, now: float) -> None:
         """Applies the result of a throttle order to its run.
 
         If the order failed, the throttle of the run counts as unknown.
@@ -122,6 +122,7 @@
         run = worker.runs.get((order.task, order.run)) if worker else None
         if run is not None:
             run.has_pending_order = False
+            run.throttle_retry.record_result(has_succeeded, now)
             run.throttle_percent = (order.throttle_percent
                                     if has_succeeded else -1)
 
--- a/src/gentianlead/dispatch/_orders.py
+++ b/src/gentianlead/dispatch/_orders.py
@@ -57,12 +57,15 @@
         run: Number of the run.
         throttle_percent: Share of its full speed that the run is allowed, in
             percent.
+        failure_count: Number of throttle orders for the run that failed since
+            the last one that succeeded.
     """
 
     worker_id: str
     task: model.TaskKey
     run: int
     throttle_percent: int
+    failure_count: int = 0
 
 
 class PermitRequest(NamedTuple):
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -60,6 +60,7 @@
             when the throttle at the worker is unknown.
         has_pending_order: Whether an order for the run awaits its reply.
         stop_retry: When a stop order that failed may be repeated.
+        throttle_retry: When a throttle order that failed may be repeated.
         is_proven: Whether the run has shown that it does not crash its worker.
         is_on_probation: Whether the task was a suspect when the run started, so
             that nothing else starts on the worker until the run is proven.
@@ -70,8 +71,8 @@
                  "start_sent_at", "confirmed_at", "start_attempts",
                  "checkpoint", "progress_percent", "progressed_at",
                  "latency_ms_or_cpu_millis", "throttle_percent",
-                 "has_pending_order", "stop_retry", "is_proven",
-                 "is_on_probation", "is_adopted")
+                 "has_pending_order", "stop_retry", "throttle_retry",
+                 "is_proven", "is_on_probation", "is_adopted")
 
     def __init__(self, task: model.TaskKey, step: model.Step, number: int,
                  worker_id: str, now: float):
@@ -90,6 +91,7 @@
         self.throttle_percent = 100
         self.has_pending_order = False
         self.stop_retry = _order_retries.OrderRetry()
+        self.throttle_retry = _order_retries.OrderRetry()
         self.is_proven = False
         self.is_on_probation = False
         self.is_adopted = False
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -258,6 +258,7 @@
             self.is_reachable = True
             for run in self.runs.values():
                 run.stop_retry.shorten_pause()
+                run.throttle_retry.shorten_pause()
 
     def update_clock(self, clock_ms: int, now: float) -> None:
         """Applies a reading of the worker's clock that arrived at `now`.
--- a/src/gentianlead/dispatch/tests/test_interference.py
+++ b/src/gentianlead/dispatch/tests/test_interference.py
@@ -130,7 +130,8 @@
             if isinstance(order, dispatch.ThrottleOrder)
         ]
         self.assertLess(throttle_orders[0].throttle_percent, 50)
-        self.driver.scheduler.apply_throttle_reply(throttle_orders[0], True)
+        self.driver.scheduler.apply_throttle_reply(throttle_orders[0], True,
+                                                   self.driver.now)
         self.driver.add_worker(builders.build_worker("w2"))
         (stop_order,) = self.driver.plan_stops()
         self.assertEqual(stop_order.run, best_effort_orders[0].run)
--- a/src/gentianlead/dispatch/tests/test_order_retries.py
+++ b/src/gentianlead/dispatch/tests/test_order_retries.py
@@ -6,6 +6,7 @@
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
+OTHER_JOB_ID = "00000000000000bb"
 PLAN_INTERVAL_S = 0.004
 """Time between two planning passes of a leader that has events to handle."""
 
@@ -29,7 +30,8 @@
                 driver.scheduler.apply_stop_reply(order, has_succeeded,
                                                   driver.now)
             elif isinstance(order, dispatch.ThrottleOrder):
-                driver.scheduler.apply_throttle_reply(order, has_succeeded)
+                driver.scheduler.apply_throttle_reply(order, has_succeeded,
+                                                      driver.now)
             else:
                 continue
             sent_orders.append((driver.now - started_at, order))
@@ -37,6 +39,54 @@
     return sent_orders
 
 
+class ThrottleRetryTest(unittest.TestCase):
+    """Tests of repeated throttle orders for a best-effort run.
+
+    Its worker also runs a latency-critical task, which the best-effort task
+    disturbs, and refuses throttle orders without delay.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(
+            JOB_ID,
+            builders.build_step(is_long_running=True,
+                                image="watch",
+                                tail_latency_limit_ms=100))
+        self.driver.put_job(
+            OTHER_JOB_ID,
+            builders.build_step(is_best_effort=True, image="bundle"))
+        self.start_orders = self.driver.start_all()
+        self.report_interference()
+
+    def report_interference(self) -> None:
+        """Applies a status report with a tail latency above its limit."""
+        self.driver.now += 0.6
+        self.driver.apply_status(running=tuple(
+            builders.build_active_run(
+                order, 100 if order.task.job_id == JOB_ID else 10, 400)
+            for order in self.start_orders))
+
+    def test_failed_throttle_is_repeated_with_growing_pauses(self):
+        """Checks the throttle orders to a worker that refuses them.
+
+        Guards against an order in each planning pass, each with a call and a
+        log line, for as long as the worker refuses them.
+        """
+        sent_orders = send_for(self.driver, 4.3, False)
+        self.assertGreaterEqual(len(sent_orders), 6)
+        self.assertLessEqual(len(sent_orders), MAX_ORDERS)
+
+    def test_throttle_may_change_at_once_after_a_success(self):
+        """Checks that an accepted throttle order causes no pause.
+
+        Guards against a throttle that follows the tail latency too late.
+        """
+        self.assertEqual(len(send_for(self.driver, 0.02, True)), 1)
+        self.report_interference()
+        self.assertEqual(len(send_for(self.driver, 0.02, True)), 1)
+
+
 class StopRetryTest(unittest.TestCase):
     """Tests of repeated stop orders for a run on a worker that is cut off.
 
