Repeat a failed stop of an untracked run after 0.1 s

A new leader that is told of a run of a cancelled job, and whose stop order fails on a broken connection, left the run alone for twice the stop limit (2 s) before it ordered the stop again. Callers may expect a cancelled task to be gone within 3 s and the stop limit.

Cause: the wait for the effect of an accepted stop also applied to a stop that had failed.

A failed stop of such a run now has the pause of all stop orders, from 0.1 s up to 1 s, and the wait of twice the stop limit follows an accepted stop only. test_stop_is_not_repeated_before_its_reply compared the repeated order with the first one; it now also checks the number of failures that the order carries.

--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -98,7 +98,9 @@
         unknown_run = worker.unknown_runs.get((order.task, order.run))
         if unknown_run is not None:
             unknown_run.has_pending_order = False
-            unknown_run.stop_answered_at = now
+            unknown_run.stop_retry.record_result(has_succeeded, now)
+            if has_succeeded:
+                unknown_run.stop_accepted_at = now
         run = worker.runs.get((order.task, order.run))
         if run is None:
             return
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -85,7 +85,8 @@
                     unknown_run.has_pending_order = True
                     orders.append(
                         _orders.StopOrder(worker.worker_id, task, run_number,
-                                          "obsolete"))
+                                          "obsolete",
+                                          unknown_run.stop_retry.failure_count))
 
     def _is_stop_due(self, run: _runs.Run, now: float) -> bool:
         if run.has_pending_order or not run.stop_retry.is_due(now):
@@ -97,10 +98,11 @@
     def _should_stop_unknown_run(self, task: model.TaskKey,
                                  unknown_run: _workers.UnknownRun,
                                  now: float) -> bool:
-        if unknown_run.has_pending_order:
+        if (unknown_run.has_pending_order or
+                not unknown_run.stop_retry.is_due(now)):
             return False
-        if unknown_run.stop_answered_at is not None and (
-                now - unknown_run.stop_answered_at
+        if unknown_run.stop_accepted_at is not None and (
+                now - unknown_run.stop_accepted_at
                 <= 2 * self._state.timings.stop_limit.total_seconds()):
             return False
         return (self._is_obsolete(task) or now - unknown_run.first_reported_at
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -7,6 +7,7 @@
 from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _order_retries
 from gentianlead.dispatch import _runs
 
 MAX_RELATIVE_CLOCK_DRIFT = 0.02
@@ -124,18 +125,20 @@
         first_reported_at: Time of the first status report that listed the run.
         step: Resource needs of its task; None if the job is not known.
         has_pending_order: Whether a stop order for the run awaits its reply.
-        stop_answered_at: Time at which the last stop order was accepted or
-            failed; None before that.
+        stop_accepted_at: Time at which the worker last accepted a stop order;
+            None before that.
+        stop_retry: When a stop order that failed may be repeated.
     """
 
     __slots__ = ("first_reported_at", "step", "has_pending_order",
-                 "stop_answered_at")
+                 "stop_accepted_at", "stop_retry")
 
     def __init__(self, first_reported_at: float):
         self.first_reported_at = first_reported_at
         self.step: model.Step | None = None
         self.has_pending_order = False
-        self.stop_answered_at: float | None = None
+        self.stop_accepted_at: float | None = None
+        self.stop_retry = _order_retries.OrderRetry()
 
 
 class WorkerState:
@@ -259,6 +262,8 @@
             for run in self.runs.values():
                 run.stop_retry.shorten_pause()
                 run.throttle_retry.shorten_pause()
+            for unknown_run in self.unknown_runs.values():
+                unknown_run.stop_retry.shorten_pause()
 
     def update_clock(self, clock_ms: int, now: float) -> None:
         """Applies a reading of the worker's clock that arrived at `now`.
--- a/src/gentianlead/dispatch/tests/test_capacity.py
+++ b/src/gentianlead/dispatch/tests/test_capacity.py
@@ -103,7 +103,10 @@
                                                        self.driver.now)
                 self.assertEqual(self.driver.plan_stops(), [])
                 self.driver.now += 2.1
-                self.assertEqual(self.driver.plan_stops(), [stop_order])
+                failure_count = 0 if has_succeeded else 1
+                self.assertEqual(
+                    self.driver.plan_stops(),
+                    [stop_order._replace(failure_count=failure_count)])
 
     def test_adopted_run_is_not_stopped_as_unknown(self):
         """Checks that a run is adopted once its job is known, and goes on.
--- a/src/gentianlead/dispatch/tests/test_order_retries.py
+++ b/src/gentianlead/dispatch/tests/test_order_retries.py
@@ -3,6 +3,8 @@
 import unittest
 
 from gentianlead import dispatch
+from gentianlead import model
+from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
@@ -187,3 +189,42 @@
         self.report_run()
         sent_times = self.list_stop_times(0.15)
         self.assertEqual(len(sent_times), 2)
+
+
+class UnknownRunStopTest(unittest.TestCase):
+    """Tests of stop orders for a run that the leader does not track.
+
+    The job of the run has ended. The worker refuses connections after its
+    report.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(JOB_ID, builders.build_step(is_long_running=True))
+        self.driver.scheduler.cancel_job(JOB_ID)
+        self.driver.apply_status(running=(
+            ports.ActiveRun(model.TaskKey(JOB_ID, 0, 0, 0), 1, "", 100, None),))
+
+    def test_failed_stop_is_repeated_early(self):
+        """Checks the stop orders until the lease of the worker expires.
+
+        Guards against a run of a cancelled job that goes on for twice the stop
+        limit because a single connection broke.
+        """
+        sent_times = [
+            sent_at for sent_at, _ in send_for(self.driver, 4.9, False)
+        ]
+        self.assertAlmostEqual(sent_times[1], 0.1, delta=2 * PLAN_INTERVAL_S)
+        self.assertLessEqual(len(sent_times), MAX_ORDERS)
+        self.assertGreater(sent_times[-1], 3.8)
+
+    def test_accepted_stop_is_repeated_after_twice_the_stop_limit(self):
+        """Checks the stop orders while the worker accepts them without effect.
+
+        Guards against repetitions while the worker is still stopping the run.
+        """
+        sent_times = [
+            sent_at for sent_at, _ in send_for(self.driver, 4.0, True)
+        ]
+        self.assertEqual(len(sent_times), 2)
+        self.assertGreater(sent_times[1], 2.0)
