Order no stop of untracked runs after the lease of a silent worker

A worker that is gone while the registry still lists it, as during an outage of the store, got stop orders for the untracked runs of its last report until it was dropped from the registry: each a call and log lines, without a limit.

Cause: the runs that a leader tracks end with the lease of an unreachable worker; untracked runs stay listed until the next report, and the planner did not look at the lease.

No stop is ordered there once the worker is unreachable and its lease has certainly expired: by then it has ended these runs. A later report lists what runs, and stops are planned from it as before.

--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -80,6 +80,8 @@
                         self._state.jobs[run.task.job_id].get_step(
                             run.task).last_failed_workers[
                                 run.task.index] = worker.worker_id
+            if not worker.is_reachable and worker.is_lease_expired(now):
+                continue  # Its unknown runs have ended with the lease.
             for (task, run_number), unknown_run in worker.unknown_runs.items():
                 if self._should_stop_unknown_run(task, unknown_run, now):
                     unknown_run.has_pending_order = True
--- a/src/gentianlead/dispatch/tests/test_order_retries.py
+++ b/src/gentianlead/dispatch/tests/test_order_retries.py
@@ -218,6 +218,17 @@
         self.assertLessEqual(len(sent_times), MAX_ORDERS)
         self.assertGreater(sent_times[-1], 3.8)
 
+    def test_no_stop_after_the_lease_of_a_silent_worker(self):
+        """Checks that a worker gets no stop once its runs have certainly ended.
+
+        The registry lists the worker for long. Guards against orders that are
+        repeated without end.
+        """
+        self.driver.scheduler.mark_unreachable("w1", self.driver.now)
+        sent_orders = send_for(self.driver, 30.0, False)
+        last_sent_at, _ = sent_orders[-1]
+        self.assertLess(last_sent_at, 5.5)
+
     def test_accepted_stop_is_repeated_after_twice_the_stop_limit(self):
         """Checks the stop orders while the worker accepts them without effect.
 
