Log failed orders at each doubling, and count the repetitions

Operators saw two log lines for each of the hundreds of stop orders to a worker that did not answer. With pauses between the orders there are fewer, but 40 cancelled runs on one cut-off worker would still write 80 lines a second, a fifth of what the log takes before it drops lines.

Cause: each failed stop wrote `order-failed` and `run-stopped`, each failed throttle `order-failed`, whatever went before.

The lines are written for the first, second, fourth, eighth and so on failure of an order, with the number of failures and the kind of the order; a stop that succeeded is always logged. gentianlead_order_retries_total counts all orders that are sent again after a failure, by kind. The lines of orders move to a module of their own.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -12,6 +12,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _order_log
 from gentianlead.cluster import _scheduler_log
 from gentianlead.cluster import _status_polls
 from gentianlead.cluster import _takeover_log
@@ -108,6 +109,7 @@
         self._job_mover = _job_moves.JobMover(self.scheduler, clock, log,
                                               self.get_load, get_load_reports,
                                               self._store_records, self._spawn)
+        self._order_log = _order_log.OrderLog(log, metrics)
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
                                                        clock.monotonic(), log,
@@ -540,13 +542,7 @@
         is_delivered = await self._send_order(
             order, lambda entry: self._worker_client.stop(
                 entry, order.task, order.run, self.epoch, ORDER_TIMEOUT))
-        self._log.write("run-stopped",
-                        job=order.task.job_id,
-                        task=tuple(order.task[1:]),
-                        run=order.run,
-                        worker=order.worker_id,
-                        reason=order.reason,
-                        done=is_delivered)
+        self._order_log.write_stop(order, is_delivered)
         self.scheduler.apply_stop_reply(order, is_delivered,
                                         self._clock.monotonic())
         self._plan_requested.set()
@@ -560,20 +556,17 @@
                                             self._clock.monotonic())
 
     async def _send_order(
-            self, order: dispatch.Order, send: Callable[[ports.WorkerEntry],
-                                                        Coroutine]) -> bool:
+            self, order: dispatch.StopOrder | dispatch.ThrottleOrder,
+            send: Callable[[ports.WorkerEntry], Coroutine]) -> bool:
         worker = self.scheduler.workers.get(order.worker_id)
         if worker is None:
             return False
+        self._order_log.count_sending(order)
         try:
             await send(worker.entry)
             return True
         except ports.StaleFencingTokenError:
             self._abandon_leadership("a worker has a higher fencing token")
         except (errors.WorkerError, ports.WorkerReplacedError) as error:
-            self._log.write("order-failed",
-                            worker=order.worker_id,
-                            job=order.task.job_id,
-                            run=order.run,
-                            error=str(error))
+            self._order_log.write_failure(order, str(error))
         return False
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -26,6 +26,8 @@
         start_orders: Number of start orders sent to workers, by outcome.
         start_order_seconds: Time in seconds from sending a start order to its
             reply.
+        order_retries: Number of stop orders and throttle orders that were sent
+            again after a failure, by order (`stop` or `throttle`).
         run_ends: Number of runs that ended, by cause.
         crash_events: Number of decisions on tasks that may crash their workers,
             by event: a crash was counted against a task, a probation began or
@@ -68,6 +70,8 @@
                                               "Start orders")
         self.start_order_seconds = self._add_histogram(
             "start_order_seconds", "Duration of start orders")
+        self.order_retries = self._add_counter(
+            "order_retries_total", "Orders sent again after a failure")
         self.run_ends = self._add_counter("run_ends_total", "Ends of runs")
         self.crash_events = self._add_counter(
             "crash_events_total", "Decisions on tasks that crash workers")
