Pause before a further permit that a worker may not accept either

A worker that refuses every permit of a step would get start orders in a cycle: request, start, refusal, and at once the next request. Each turn costs a call to the advisory service, which serves one at a time, and a refused start.

Cause: of all reasons for which a worker refuses a start, a missing permit is the only one that does not keep starts off the worker for some time; the permit is deleted, so that the next pass requests a new one.

From the second permit in a row that the same instance does not accept, the step requests no permit for it for 0.1 s, doubled up to 1 s. The first refusal still leads to a request at once, as a permit may expire on the way, and the refusals of several tasks with one permit count as one. A start that succeeds ends the series.

--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -32,6 +32,8 @@
             job = self.jobs.get(order.task.job_id)
             if job is not None:
                 job.mark_started()
+                job.get_step(order.task).permits.mark_accepted(
+                    worker.worker_id, worker.born_ms)
             return
         if run.phase is _runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
@@ -80,7 +82,7 @@
         if job is not None:
             if outcome is ports.StartOutcome.NO_PERMIT:
                 job.get_step(run.task).permits.discard_permit(
-                    worker.worker_id, worker.born_ms)
+                    worker.worker_id, worker.born_ms, now)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
--- a/src/gentianlead/dispatch/_permits.py
+++ b/src/gentianlead/dispatch/_permits.py
@@ -4,6 +4,7 @@
 from typing import Iterable, NamedTuple
 
 from gentianlead import ports
+from gentianlead.dispatch import _order_retries
 
 PERMIT_EXPIRY_MARGIN = datetime.timedelta(milliseconds=200)
 """A permit that expires within this time is not used any more: a start order
@@ -31,11 +32,15 @@
 
     A refusal by the advisory service stays valid for the whole life of the
     instance. A permit has to be requested again when it expires, when the
-    worker does not accept it, and when a new instance replaces the worker.
+    worker does not accept it, and when a new instance replaces the worker. From
+    the second permit in a row that a worker does not accept, a pause precedes
+    the next request for it, see `OrderRetry`.
     """
 
     def __init__(self) -> None:
         self._decisions: dict[tuple[str, int], _CachedDecision] = {}
+        self._unaccepted_permits: dict[tuple[str, int],
+                                       _order_retries.OrderRetry] = {}
         self._has_pending_request = False
         self._retry_at = 0.0
 
@@ -50,10 +55,11 @@
                       now: float) -> tuple[str, ...]:
         """Returns the workers for which the caller should now request permits.
 
-        These are workers with neither a valid permit nor a refusal, at most
-        `ports.MAX_PERMIT_WORKERS` of them. If there are any, the request counts
-        as pending until `apply_reply`. Returns no workers while a request is
-        pending, and for `PERMIT_RETRY_DELAY` after one that got no reply.
+        These are workers with neither a valid permit nor a refusal, without
+        those whose pause lasts, at most `ports.MAX_PERMIT_WORKERS` of them. If
+        there are any, the request counts as pending until `apply_reply`.
+        Returns no workers while a request is pending, and for
+        `PERMIT_RETRY_DELAY` after one that got no reply.
 
         Args:
             workers: Workers that may receive starts of the step: identifier,
@@ -65,8 +71,11 @@
         workers_to_request = []
         for worker_id, born_ms in workers:
             decision = self._decisions.get((worker_id, born_ms))
-            if decision is None or (decision.permit and
-                                    now >= decision.expires_at):
+            if decision is not None and (not decision.permit or
+                                         now < decision.expires_at):
+                continue
+            retry = self._unaccepted_permits.get((worker_id, born_ms))
+            if retry is None or retry.is_due(now):
                 workers_to_request.append(worker_id)
         self._has_pending_request = bool(workers_to_request)
         return tuple(workers_to_request[:ports.MAX_PERMIT_WORKERS])
@@ -96,9 +105,22 @@
             self._decisions[worker_id, born_ms] = _CachedDecision(
                 reply.permits.get(worker_id, ""), expires_at)
 
-    def discard_permit(self, worker_id: str, born_ms: int) -> None:
+    def discard_permit(self, worker_id: str, born_ms: int, now: float) -> None:
         """Deletes a permit that a worker did not accept.
 
-        The next request asks for a new one.
+        The next request asks for a new one. Several starts with one permit may
+        be refused at once; this counts as one refusal.
         """
-        self._decisions.pop((worker_id, born_ms), None)
+        if self._decisions.pop((worker_id, born_ms), None) is None:
+            return
+        retry = self._unaccepted_permits.get((worker_id, born_ms))
+        if retry is not None:
+            retry.record_result(False, now)
+        else:
+            # A single refusal shows no more than that the permit had expired.
+            retry = _order_retries.OrderRetry()
+            self._unaccepted_permits[worker_id, born_ms] = retry
+
+    def mark_accepted(self, worker_id: str, born_ms: int) -> None:
+        """Ends the series of permits that a worker did not accept."""
+        self._unaccepted_permits.pop((worker_id, born_ms), None)
--- a/src/gentianlead/dispatch/tests/test_permits.py
+++ b/src/gentianlead/dispatch/tests/test_permits.py
@@ -8,6 +8,7 @@
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
+OTHER_JOB_ID = "00000000000000bb"
 PERMIT_VALIDITY = datetime.timedelta(seconds=3)
 
 
@@ -124,6 +125,50 @@
         self.assertEqual(starts, [])
         self.assertEqual(list(request.workers), ["w1"])
 
+    def test_permits_that_a_worker_never_accepts_are_requested_rarely(self):
+        """Checks the orders to a worker that refuses every permit it is given.
+
+        Guards against a cycle of a permit request and a refused start without
+        a pause, as both calls cost.
+        """
+        start_count = 0
+        while self.driver.now < 105.0:
+            self.driver.apply_status("w1")
+            starts, requests = self.plan()
+            for request in requests:
+                self.apply_permit_reply(
+                    request, **{
+                        worker_id: "permit"
+                        for worker_id in request.workers
+                        if worker_id == "w1"
+                    })
+            for start in starts:
+                start_count += 1
+                self.driver.apply_start_outcome(start,
+                                                ports.StartOutcome.NO_PERMIT)
+            self.driver.now += 0.004
+        self.assertGreaterEqual(start_count, 6)
+        self.assertLessEqual(start_count, 12)
+
+    def test_refusals_of_one_permit_count_once(self):
+        """Checks that a permit refused for two tasks is requested at once.
+
+        Guards against a pause because several tasks started with one permit
+        that had expired on the way.
+        """
+        job = builders.build_job(OTHER_JOB_ID, builders.build_step(3))._replace(
+            queue=builders.QUEUE._replace(needs_permit=True))
+        self.driver.scheduler.cancel_job(JOB_ID)
+        self.driver.scheduler.put_job(builders.build_job_entry(job))
+        _, (request,) = self.plan()
+        self.apply_permit_reply(request, w1="permit-1")
+        starts, _ = self.plan()
+        self.assertEqual(len(starts), 3)
+        for start in starts:
+            self.driver.apply_start_outcome(start, ports.StartOutcome.NO_PERMIT)
+        _, (request,) = self.plan()
+        self.assertEqual(list(request.workers), ["w1"])
+
     def test_step_without_permits_counts_as_unplaced(self):
         """Checks that a job that got no permit at all counts as unplaced.
 
