Pause after a permit reply that comes too late

An advisory service that takes longer than its permits are valid would get the next request with each reply, from every step that waits, and so stay overloaded.

Cause: permits that have expired on arrival were stored like others, and the next planning pass found none that was valid.

Such a reply now has the same pause of 0.3 s as a request without a reply. A reply that refuses all workers needs no pause, as a refusal stays valid.

--- a/src/gentianlead/dispatch/_permits.py
+++ b/src/gentianlead/dispatch/_permits.py
@@ -11,7 +11,8 @@
 needs that time to reach a worker in another domain."""
 
 PERMIT_RETRY_DELAY = datetime.timedelta(milliseconds=300)
-"""Pause after a permit request that got no reply, before the next request."""
+"""Pause after a permit request that got no reply, or a reply whose permits had
+expired on arrival, before the next request."""
 
 
 class _CachedDecision(NamedTuple):
@@ -59,7 +60,7 @@
         those whose pause lasts, at most `ports.MAX_PERMIT_WORKERS` of them. If
         there are any, the request counts as pending until `apply_reply`.
         Returns no workers while a request is pending, and for
-        `PERMIT_RETRY_DELAY` after one that got no reply.
+        `PERMIT_RETRY_DELAY` after one that got no usable reply.
 
         Args:
             workers: Workers that may receive starts of the step: identifier,
@@ -101,6 +102,8 @@
             return
         expires_at = sent_at + (reply.valid_for -
                                 PERMIT_EXPIRY_MARGIN).total_seconds()
+        if reply.permits and now >= expires_at:
+            self._retry_at = now + PERMIT_RETRY_DELAY.total_seconds()
         for worker_id, born_ms in requested_workers.items():
             self._decisions[worker_id, born_ms] = _CachedDecision(
                 reply.permits.get(worker_id, ""), expires_at)
--- a/src/gentianlead/dispatch/tests/test_permits.py
+++ b/src/gentianlead/dispatch/tests/test_permits.py
@@ -112,6 +112,25 @@
         _, (repeated_request,) = self.plan()
         self.assertEqual(repeated_request, request)
 
+    def test_permits_that_arrive_too_late_are_not_requested_at_once(self):
+        """Checks what follows a reply whose permits have expired on arrival.
+
+        Guards against an overloaded advisory service that gets the next request
+        with each late reply.
+        """
+        request_count = 0
+        while self.driver.now < 105.0:
+            starts, requests = self.plan()
+            self.assertEqual(starts, [])
+            request_count += len(requests)
+            for request in requests:
+                self.driver.scheduler.apply_permits(
+                    request,
+                    ports.PermitReply({"w1": "permit-1"}, PERMIT_VALIDITY),
+                    self.driver.now - 3.0, self.driver.now)
+            self.driver.now += 0.004
+        self.assertLessEqual(request_count, 17)
+
     def test_refused_permit_is_dropped(self):
         """Checks that a new permit is requested after a worker refused one.
 
