Pause before an append whose sequence number is refused again

A store that refuses the sequence number of an append again and again would get the append without a pause, with a log line for each call.

Cause: the writer takes over the number that the store expects and repeats the call at once. This was meant for one repair; nothing bounds the number of them.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -221,7 +221,7 @@
                     # offset was lost.
                     offset = -1
                 else:
-                    self._repair_sequence(error)
+                    await self._repair_sequence(error, attempt_number)
                     continue
             except ports.ProducerFencedError:
                 raise
@@ -263,7 +263,12 @@
                     offset += len(pending.records)
             return
 
-    def _repair_sequence(self, error: ports.SequenceError) -> None:
+    async def _repair_sequence(self, error: ports.SequenceError,
+                               attempt_number: int) -> None:
+        """Takes over the sequence number that the store expects.
+
+        A pause follows unless this is the first attempt to append a batch.
+        """
         self._log.write("append-sequence-repaired",
                         producer=self._producer.name,
                         sent=self._next_sequence,
@@ -272,6 +277,8 @@
             raise ports.ProducerFencedError(str(error),
                                             errors.Verdict.MAY_HAVE_RUN)
         self._next_sequence = error.expected
+        if attempt_number > 1:
+            await self._clock.sleep(RETRY_INTERVAL)
 
     async def _handle_rejection(self, batch: list[_append_queue.PendingAppend],
                                 error: ports.RecordsRejectedError) -> None:
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -6,6 +6,7 @@
 import os
 import time
 import unittest
+from typing import Sequence
 
 from gentianlead import adapters
 from gentianlead import dispatch
@@ -39,6 +40,17 @@
     return dispatch.WorkersRecord(f"group-{index}", 64, (entry,) * worker_count)
 
 
+class MisnumberingStore(fakes.FakeStore):
+    """Store that refuses the sequence number of every append at once."""
+
+    async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
+                     producer: ports.Producer, sequence: int,
+                     timeout: datetime.timedelta) -> int:
+        self.append_calls += 1
+        await asyncio.sleep(0)
+        raise ports.SequenceError("sequence", sequence)
+
+
 class WriterTest(unittest.IsolatedAsyncioTestCase):
     """Tests appends with and without failed store calls, and fencing."""
 
@@ -345,6 +357,23 @@
         with self.assertRaises(ports.ProducerFencedError):
             await self.writer.append([build_record()], LONG_TIMEOUT)
 
+    async def test_refused_sequence_numbers_are_not_repeated_without_pause(
+            self):
+        """Checks how often a record is sent whose number is always refused.
+
+        Guards against a loop that calls the store, and logs, without a pause.
+        """
+        self.store = MisnumberingStore()
+        writer = self.build_writer(2)
+        writer.start()
+        self.addAsyncCleanup(writer.stop)
+        append = asyncio.create_task(
+            writer.append([build_record()], LONG_TIMEOUT))
+        self.addCleanup(append.cancel)
+        await asyncio.sleep(0.5)
+        self.assertGreaterEqual(self.store.append_calls, 3)
+        self.assertLessEqual(self.store.append_calls, 9)
+
     async def test_failed_append_does_not_extend_start_permission(self):
         """Checks that only a successful append sets `last_success_sent_at`.
 
