Space the reads of the operators' topic if the store does not hold them

A store that replies to a long poll at once, without records, would get the next read of the operators' topic in the same moment from each daemon; all daemons share one limit of reads.

Cause: there is no pause after a read of this topic, as the store was trusted to hold it.

Two reads that may be held now begin at least 150 ms apart.

--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -24,6 +24,10 @@
 RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
 """Pause between a failed read of a topic and its repetition."""
 
+MIN_LONG_POLL_INTERVAL = datetime.timedelta(milliseconds=150)
+"""Shortest time between the starts of two reads that the store may hold. It
+bounds the number of calls if the store replies at once without records."""
+
 MAX_REGISTRY_AGE = datetime.timedelta(seconds=2)
 """Age of the last read of the registry up to which entries count as current.
 From 3 s after its next report on, a worker that has shrunk must get no start
@@ -111,15 +115,24 @@
     async def run(self) -> None:
         """Reads the topic until the calling task is cancelled."""
         while True:
+            started_at = self._clock.monotonic()
             try:
                 has_more = await self._read()
                 self._handle_read_result(True, "")
                 if not has_more:
-                    await self._clock.sleep(self._read_interval)
+                    await self._clock.sleep(self._compute_pause(started_at))
             except ports.StoreError as error:
                 self._handle_read_result(False, str(error))
                 await self._clock.sleep(RETRY_INTERVAL)
 
+    def _compute_pause(self, started_at: float) -> datetime.timedelta:
+        """Returns the pause after a read that began at a monotonic time."""
+        if not self._long_poll_wait:
+            return self._read_interval
+        elapsed = datetime.timedelta(seconds=self._clock.monotonic() -
+                                     started_at)
+        return max(self._read_interval, MIN_LONG_POLL_INTERVAL - elapsed)
+
     async def _read(self) -> bool:
         """Reads the whole topic once, then its new records.
 
--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -44,6 +44,25 @@
 class RegistryReaderTest(unittest.IsolatedAsyncioTestCase):
     """Tests which reads of the registry count as reads to its end."""
 
+    async def test_long_poll_that_ends_early_is_not_repeated_at_once(self):
+        """Checks how often a topic is read whose store holds no read back.
+
+        The store replies after 20 ms. Guards against reads without a pause,
+        each of which is a call to the store.
+        """
+        store = fakes.FakeStore()
+        read_times: list[float] = []
+        reader = _platform_topics.PlatformTopicReader(
+            platform.OPERATOR_TOPIC, datetime.timedelta(seconds=1),
+            datetime.timedelta(0), store, adapters.SystemClock(),
+            fakes.build_log(), _metrics.ClusterMetrics(), lambda record: None,
+            lambda keys: None, read_times.append)
+        task = asyncio.create_task(reader.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(1.0)
+        self.assertGreaterEqual(len(read_times), 3)
+        self.assertLessEqual(len(read_times), 8)
+
     async def test_failed_reads_do_not_count(self):
         """Checks that reads are reported, except while the store is down.
 
