Hold status polls also at workers without a start time

A worker whose status reports lack the time at which its instance started would be polled without a pause, each poll a call that counts. Not seen: the platform says that all reports have it. Found by a search for calls that are repeated without a pause.

Cause: the first poll of a worker is answered at once, and "first" was also told by the missing start time, which such a worker never gives.

Evidence: in the new test the former code let the second poll wait for 0 s.

A worker that has not replied counts as unreachable, which already makes its first poll immediate; the start time does not matter any more.

Measured in the same test: the second poll may be held.

--- a/src/gentianlead/cluster/_status_polls.py
+++ b/src/gentianlead/cluster/_status_polls.py
@@ -25,7 +25,7 @@
 
 def choose_wait(worker: dispatch.WorkerState) -> datetime.timedelta:
     """Returns how long a worker may hold back its reply to the next poll."""
-    if (not worker.is_reachable or not worker.born_ms or
+    if (not worker.is_reachable or
             worker.last_applied_end_number > worker.last_stored_end_number):
         return datetime.timedelta(0)
     steps = [run.step for run in worker.runs.values()]
--- a/src/gentianlead/cluster/tests/test_status_polls.py
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -12,7 +12,9 @@
 from gentianlead.cluster import _group_leader
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _status_polls
 from gentianlead.cluster.tests import fakes
+from gentianlead.dispatch.tests import builders
 
 BYTES_PER_S = 625_000
 """Rate of a link of 5 Mbit/s."""
@@ -68,6 +70,22 @@
         raise NotImplementedError()
 
 
+class StatusWaitTest(unittest.TestCase):
+    """Tests how long a worker may hold back its reply to a poll."""
+
+    def test_reply_without_a_start_time_leads_to_no_busy_polls(self):
+        """Guards against polls without a pause of a worker that replies.
+
+        Its reports lack the time at which its instance started.
+        """
+        driver = builders.GroupDriver(builders.build_worker("w1"))
+        driver.scheduler.put_worker(builders.build_worker("w2"))
+        worker = driver.scheduler.workers["w2"]
+        self.assertFalse(_status_polls.choose_wait(worker))
+        driver.apply_status("w2", born_ms=0)
+        self.assertTrue(_status_polls.choose_wait(worker))
+
+
 class StatusPollTest(unittest.IsolatedAsyncioTestCase):
     """Tests the first polls of a leader that takes over a large group."""
 
