Pause before a member record that was not stored is appended again

A store that rejects the record by which a daemon announces itself would get it again without a pause, with a log line each time.

Cause: the loop went on at once after a failed append, as an append normally fails only after 5 s; one that the store rejects for good fails at once.

A pause of 0.5 s follows each failed append. After an outage of the store the record is therefore at most 0.5 s later than before.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -29,6 +29,10 @@
 topic, and timeout of each such append. A daemon that starts finds the addresses
 of its peers in their newest member records."""
 
+MEMBER_RECORD_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+"""Pause after a failed append of the member record. The append of a record that
+the store rejects for good fails at once."""
+
 MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
 """Age above which a peer's newest member record is ignored, so that this daemon
 stops connecting to the peer. The age is the time since this daemon read the
@@ -223,6 +227,7 @@
                                                 MEMBER_RECORD_INTERVAL)
             except ports.StoreError as error:
                 self._log.write("member-record-not-stored", error=str(error))
+                await self._clock.sleep(MEMBER_RECORD_RETRY_DELAY)
                 continue
             await self._clock.sleep(MEMBER_RECORD_INTERVAL)
 
