Pause before starts that workers refuse for lack of a permit

A queue that begins to need permits would cost a refused start of each waiting task in each planning pass, until the leader has read the new configuration: a refused start has a price of its own.

Cause: a worker that demands a permit gets no pause, as the next pass would request one; it does not while the configuration in force needs none.

After such a refusal the step starts nothing for 0.1 s, doubled with each further one up to 1 s; refusals at the same time count as one. Only the step pauses, as the workers go on with those of other queues. A start that succeeds ends the pause.

--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -33,7 +33,7 @@
             if job is not None:
                 job.mark_started()
                 job.get_step(order.task).permits.mark_accepted(
-                    worker.worker_id, worker.born_ms)
+                    worker.worker_id, worker.born_ms, now)
             return
         if run.phase is _runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
@@ -54,10 +54,11 @@
             self.end_run(worker, run,
                          self.crashes.assess_loss(worker, True, now), now)
             return
-        self._apply_refusal(worker, run, outcome, now)
+        self._apply_refusal(worker, run, outcome, order.permit, now)
 
     def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
-                       outcome: ports.StartOutcome, now: float) -> None:
+                       outcome: ports.StartOutcome, permit: str,
+                       now: float) -> None:
         backoffs = {
             ports.StartOutcome.OUTDATED_RUN:
                 _workers.SHORT_REFUSAL_BACKOFF,
@@ -81,8 +82,12 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             if outcome is ports.StartOutcome.NO_PERMIT:
-                job.get_step(run.task).permits.discard_permit(
-                    worker.worker_id, worker.born_ms, now)
+                permits = job.get_step(run.task).permits
+                if permit:
+                    permits.discard_permit(worker.worker_id, worker.born_ms,
+                                           now)
+                else:
+                    permits.record_demand(now)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
--- a/src/gentianlead/dispatch/_permits.py
+++ b/src/gentianlead/dispatch/_permits.py
@@ -36,12 +36,17 @@
     worker does not accept it, and when a new instance replaces the worker. From
     the second permit in a row that a worker does not accept, a pause precedes
     the next request for it, see `OrderRetry`.
+
+    If a worker demands a permit although none was to be requested, the step
+    has such a pause before its next starts. Its queue may need permits since a
+    moment ago.
     """
 
     def __init__(self) -> None:
         self._decisions: dict[tuple[str, int], _CachedDecision] = {}
         self._unaccepted_permits: dict[tuple[str, int],
                                        _order_retries.OrderRetry] = {}
+        self._demand_retry = _order_retries.OrderRetry()
         self._has_pending_request = False
         self._retry_at = 0.0
 
@@ -124,6 +129,19 @@
             retry = _order_retries.OrderRetry()
             self._unaccepted_permits[worker_id, born_ms] = retry
 
-    def mark_accepted(self, worker_id: str, born_ms: int) -> None:
-        """Ends the series of permits that a worker did not accept."""
+    def record_demand(self, now: float) -> None:
+        """Begins a pause after a worker refused a start without a permit.
+
+        Several starts may be refused at once; this counts as one refusal.
+        """
+        if self._demand_retry.is_due(now):
+            self._demand_retry.record_result(False, now)
+
+    def is_start_due(self, now: float) -> bool:
+        """Returns whether no such pause keeps the step from starting tasks."""
+        return self._demand_retry.is_due(now)
+
+    def mark_accepted(self, worker_id: str, born_ms: int, now: float) -> None:
+        """Ends the pauses after a worker accepted a start of the step."""
         self._unaccepted_permits.pop((worker_id, born_ms), None)
+        self._demand_retry.record_result(True, now)
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -83,7 +83,7 @@
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
         self._fully_reserved_workers.clear()
-        later_steps = self._start_steps(self._list_startable_steps(now_ms),
+        later_steps = self._start_steps(self._list_startable_steps(now, now_ms),
                                         MAX_UNPLACED_STEPS_PER_PASS, candidates,
                                         orders, now)
         self._pass_number += 1
@@ -130,7 +130,7 @@
 
         Their tasks may then move to another group.
         """
-        for _, step_run in self._list_startable_steps(now_ms):
+        for _, step_run in self._list_startable_steps(now, now_ms):
             step_run.reserved_worker = ""
             if step_run.unplaced_since is None:
                 step_run.unplaced_since = now
@@ -208,11 +208,13 @@
         ]
 
     def _list_startable_steps(
-            self, now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
+            self, now: float,
+            now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
         """Returns the steps with tasks that may start now, most urgent first.
 
         Steps of jobs that have ended, are not reconciled or have a pending move
-        are left out.
+        are left out, and those that pause after starts refused for lack of a
+        permit.
         """
         startable_steps = []
         for job in self._state.jobs.values():
@@ -220,8 +222,9 @@
                     job.pending_move_number is not None):
                 continue
             for step_run in job.steps.values():
-                if step_run.waiting_indexes and job.is_step_due(
-                        step_run, now_ms):
+                if (step_run.waiting_indexes and
+                        job.is_step_due(step_run, now_ms) and
+                        step_run.permits.is_start_due(now)):
                     startable_steps.append((job, step_run))
         return _step_priority.sort_steps(startable_steps, now_ms)
 
--- a/src/gentianlead/dispatch/tests/test_permits.py
+++ b/src/gentianlead/dispatch/tests/test_permits.py
@@ -204,3 +204,49 @@
         self.assertTrue(
             job.has_unplaced_tasks(self.driver.now,
                                    dispatch.JOB_MOVE_DELAY.total_seconds()))
+
+
+class UnexpectedPermitTest(unittest.TestCase):
+    """Tests starts on workers that demand a permit for a queue without them.
+
+    The leader may not have read yet that the queue needs permits.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID, builders.build_step(4))
+
+    def refuse_starts(self, duration_s: float) -> int:
+        """Plans for some time; workers refuse all starts, which are counted."""
+        start_count = 0
+        ends_at = self.driver.now + duration_s
+        while self.driver.now < ends_at:
+            self.driver.apply_status("w1")
+            self.driver.apply_status("w2")
+            for order in self.driver.plan_starts():
+                start_count += 1
+                self.driver.apply_start_outcome(order,
+                                                ports.StartOutcome.NO_PERMIT)
+            self.driver.now += 0.004
+        return start_count
+
+    def test_refused_starts_are_repeated_with_growing_pauses(self):
+        """Guards against starts of all tasks in each planning pass.
+
+        Each refused start costs.
+        """
+        start_count = self.refuse_starts(5.0)
+        self.assertGreaterEqual(start_count, 4 * 6)
+        self.assertLessEqual(start_count, 4 * 10)
+
+    def test_accepted_start_ends_the_pause(self):
+        """Guards against tasks that wait although workers accept their step.
+        """
+        (order, *other_orders) = self.driver.plan_starts()
+        for other_order in other_orders:
+            self.driver.apply_start_outcome(other_order,
+                                            ports.StartOutcome.NO_PERMIT)
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.apply_start_outcome(order, ports.StartOutcome.STARTED)
+        self.assertEqual(len(self.driver.plan_starts()), 3)
