--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -9,6 +9,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _order_log
 
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=800)
 """Longest wait for the reply to an order. A worker in another domain that is
@@ -51,6 +52,7 @@
         self._spawn = spawn
         self._on_applied = on_applied
         self._on_fenced = on_fenced
+        self._order_log = _order_log.OrderLog(log, metrics)
         self._unanswered_orders: set[asyncio.Task] = set()
 
     def send(self, order: dispatch.Order) -> None:
@@ -142,13 +144,7 @@
             order, lambda entry: self._worker_client.stop(
                 entry, order.task, order.run, self._scheduler.epoch,
                 ORDER_TIMEOUT))
-        self._log.write("run-stopped",
-                        job=order.task.job_id,
-                        task=tuple(order.task[1:]),
-                        run=order.run,
-                        worker=order.worker_id,
-                        reason=order.reason,
-                        done=is_delivered)
+        self._order_log.write_stop(order, is_delivered)
         self._scheduler.apply_stop_reply(order, is_delivered,
                                          self._clock.monotonic())
         self._on_applied()
@@ -158,23 +154,21 @@
             order, lambda entry: self._worker_client.set_throttle(
                 entry, order.task, order.run, order.throttle_percent, self.
                 _scheduler.epoch, ORDER_TIMEOUT))
-        self._scheduler.apply_throttle_reply(order, is_delivered)
+        self._scheduler.apply_throttle_reply(order, is_delivered,
+                                             self._clock.monotonic())
 
     async def _send_order(
-            self, order: dispatch.Order, send: Callable[[ports.WorkerEntry],
-                                                        Coroutine]) -> bool:
+            self, order: dispatch.StopOrder | dispatch.ThrottleOrder,
+            send: Callable[[ports.WorkerEntry], Coroutine]) -> bool:
         worker = self._scheduler.workers.get(order.worker_id)
         if worker is None:
             return False
+        self._order_log.count_sending(order)
         try:
             await send(worker.entry)
             return True
         except ports.StaleFencingTokenError:
             self._on_fenced()
         except (errors.WorkerError, ports.WorkerReplacedError) as error:
-            self._log.write("order-failed",
-                            worker=order.worker_id,
-                            job=order.task.job_id,
-                            run=order.run,
-                            error=str(error))
+            self._order_log.write_failure(order, str(error))
         return False
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -32,6 +32,8 @@
             job = self.jobs.get(order.task.job_id)
             if job is not None:
                 job.mark_started()
+                job.get_step(order.task).permits.mark_accepted(
+                    worker.worker_id, worker.born_ms, now)
             return
         if run.phase is _runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
@@ -52,10 +54,11 @@
             self.end_run(worker, run,
                          self.crashes.assess_loss(worker, True, now), now)
             return
-        self._apply_refusal(worker, run, outcome, now)
+        self._apply_refusal(worker, run, outcome, order.permit, now)
 
     def _apply_refusal(self, worker: _workers.WorkerState, run: _runs.Run,
-                       outcome: ports.StartOutcome, now: float) -> None:
+                       outcome: ports.StartOutcome, permit: str,
+                       now: float) -> None:
         backoffs = {
             ports.StartOutcome.OUTDATED_RUN:
                 _workers.SHORT_REFUSAL_BACKOFF,
@@ -79,8 +82,12 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             if outcome is ports.StartOutcome.NO_PERMIT:
-                job.get_step(run.task).permits.discard_permit(
-                    worker.worker_id, worker.born_ms)
+                permits = job.get_step(run.task).permits
+                if permit:
+                    permits.discard_permit(worker.worker_id, worker.born_ms,
+                                           now)
+                else:
+                    permits.record_demand(now)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
@@ -98,11 +105,14 @@
         unknown_run = worker.unknown_runs.get((order.task, order.run))
         if unknown_run is not None:
             unknown_run.has_pending_order = False
-            unknown_run.stop_answered_at = now
+            unknown_run.stop_retry.record_result(has_succeeded, now)
+            if has_succeeded:
+                unknown_run.stop_accepted_at = now
         run = worker.runs.get((order.task, order.run))
         if run is None:
             return
         run.has_pending_order = False
+        run.stop_retry.record_result(has_succeeded, now)
         if has_succeeded:
             # The reply to a status call sent from now on lists the run or its
             # end; if it lists neither, the run has ended.
@@ -112,7 +122,7 @@
             worker.is_reachable = False
 
     def apply_throttle_reply(self, order: _orders.ThrottleOrder,
-                             has_succeeded: bool) -> None:
+                             has_succeeded: bool, now: float) -> None:
         """Applies the result of a throttle order to its run.
 
         If the order failed, the throttle of the run counts as unknown.
@@ -121,6 +131,7 @@
         run = worker.runs.get((order.task, order.run)) if worker else None
         if run is not None:
             run.has_pending_order = False
+            run.throttle_retry.record_result(has_succeeded, now)
             run.throttle_percent = (order.throttle_percent
                                     if has_succeeded else -1)
 
