--- a/src/gentianlead/cluster/tests/test_order_log.py
+++ b/src/gentianlead/cluster/tests/test_order_log.py
@@ -1,16 +1,17 @@
 """Tests of the log lines and the metric for orders that fail."""
 
+import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
-from gentianlead.cluster import _group_leader
-from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _order_sender
 from gentianlead.cluster.tests import fakes
 from gentianlead.dispatch.tests import builders
 
@@ -44,30 +45,23 @@
 
 
 class OrderLogTest(unittest.IsolatedAsyncioTestCase):
-    """Tests what a leader reports of orders to a worker that refuses them."""
+    """Tests what is reported of orders to a worker that refuses them."""
 
     # pylint: disable=protected-access
     async def asyncSetUp(self):
-        clock = adapters.SystemClock()
         self.log = fakes.RecordingLog()
         self.metrics = _metrics.ClusterMetrics()
-        writer = _job_topic.JobTopicWriter(fakes.FakeStore(),
-                                           ports.Producer("g/north-1", 64),
-                                           clock, self.log, self.metrics)
-        one_second = datetime.timedelta(seconds=1)
-        self.leader = _group_leader.GroupLeader(
-            "north-1", 64, 0,
-            dispatch.GroupTimings(one_second, one_second,
-                                  one_second), ("entry-1", "entry-1#1"),
-            RefusingWorkerClient(), None, writer, clock, self.log, self.metrics,
-            lambda report: None, lambda group, reason: None, lambda: {},
-            dispatch.InterferenceModel())
-        self.leader.scheduler.put_worker(WORKER)
+        driver = builders.GroupDriver(WORKER)
+        self.sender = _order_sender.OrderSender(
+            driver.scheduler, RefusingWorkerClient(),
+            mock.create_autospec(ports.PermitService), adapters.SystemClock(),
+            self.log, self.metrics, asyncio.create_task, lambda: None,
+            lambda: None)
 
     async def test_failures_of_a_stop_are_logged_at_each_doubling(self):
         """Guards against a worker that is cut off and fills the log."""
         for failure_count in range(100):
-            await self.leader._send_stop(
+            await self.sender._send_stop(
                 dispatch.StopOrder(WORKER.worker_id, TASK, 1, "job has ended",
                                    failure_count))
         lines = self.log.list_fields("order-failed")
@@ -81,7 +75,7 @@
     async def test_failures_of_a_throttle_are_logged_at_each_doubling(self):
         """Guards against a worker that refuses throttles and fills the log."""
         for failure_count in range(10):
-            await self.leader._send_throttle(
+            await self.sender._send_throttle(
                 dispatch.ThrottleOrder(WORKER.worker_id, TASK, 1, 50,
                                        failure_count))
         lines = self.log.list_fields("order-failed")
