Do not let a pause of the test make a stand-in's start order late

test_orders_are_refused failed once: 'start_by_ms has passed' for its first, valid order. The order was valid for 50 ms of real time, counted from before the call. The checks are the same: each case sets the field that it is about, and the first run now keeps its lease, so that 'beyond capacity' is refused for its own reason.

--- a/standins/tests/test_workers.py
+++ b/standins/tests/test_workers.py
@@ -37,7 +37,7 @@
         return {
             "boot_id": self.table.clock.boot_id,
             "expires_at_ms": now + _LEASE_MS,
-            "start_by_ms": now + 50,
+            "start_by_ms": now + _LONG_MS,
             "fence": 1,
             "resources": [600, 10, 0],
             "payload": {
@@ -81,7 +81,8 @@
     async def test_orders_are_refused(self) -> None:
         """Guards against a worker that accepts late or stale orders."""
         now = self.table.clock.read_ms()
-        self.table.start(_KEY._replace(run=3), self.order(None))
+        self.table.start(_KEY._replace(run=3),
+                         self.order(None, expires_at_ms=now + _LONG_MS))
         cases = [
             ("late", _KEY._replace(task=1), {
                 "start_by_ms": now - 1
