Sum the waits between two runs of a long-running task

Callers saw long-running tasks without a run for 10 to 12 s beside free capacity, three times in a row because of another wait in this sum that had no bound or that was too long. Each wait was reasonable by itself; nothing added them up.

--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -0,0 +1,333 @@
+"""Tests of the waits between two runs of a long-running task.
+
+The sums are computed from the constants and settings that bound each wait. They
+stand in docs/platform.md, "Waits between two runs of a long-running task".
+"""
+
+import datetime
+import unittest
+from typing import NamedTuple
+
+from gentianlead.cluster import _daemon
+from gentianlead.cluster import _group_leader
+from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _platform_topics
+from gentianlead.cluster import _status_polls
+from gentianlead.cluster import _takeover_wait
+from gentianlead.dispatch import _election
+from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _suspicions
+from gentianlead.dispatch import _workers
+
+RESTART_LIMIT = datetime.timedelta(seconds=6)
+"""Time from the end of a run within which a long-running task runs again."""
+
+JUDGED_TIME = datetime.timedelta(seconds=3)
+"""A task counts as lost if it has no run for this long after the limit."""
+
+DRAIN_TIME = datetime.timedelta(seconds=2)
+"""Shortest time from the report that a worker leaves until it exits."""
+
+STORE_CALL_TIME = datetime.timedelta(milliseconds=15)
+"""Duration of a call to the store without an impairment."""
+
+WORKER_CALL_TIME = datetime.timedelta(milliseconds=10)
+"""Duration of a call to a worker without an impairment."""
+
+TASKS_PER_JOB = 6
+"""Tasks of a long-running job on the sites of the milestone."""
+
+
+class SiteSettings(NamedTuple):
+    """Settings of a site that bound waits.
+
+    Attributes:
+        max_lease: Maximum duration of a worker's lease.
+        stop_limit: Maximum time that a worker takes to stop a run.
+    """
+
+    max_lease: datetime.timedelta
+    stop_limit: datetime.timedelta
+
+
+SITES = {
+    "sadaqa-prod":
+        SiteSettings(datetime.timedelta(seconds=6),
+                     datetime.timedelta(milliseconds=900)),
+    "lagoon-sched":
+        SiteSettings(datetime.timedelta(seconds=10),
+                     datetime.timedelta(milliseconds=400)),
+}
+
+
+class Wait(NamedTuple):
+    """A wait between two runs of a task.
+
+    Attributes:
+        name: What is waited for.
+        duration: Upper bound of the wait.
+    """
+
+    name: str
+    duration: datetime.timedelta
+
+
+PLAN_AFTER_EVENT = Wait("planning pass after an event",
+                        _group_leader.MIN_PLAN_INTERVAL)
+PLAN_AFTER_TIME = Wait("planning pass after a time limit",
+                       _group_leader.MAX_PLAN_INTERVAL)
+START = Wait("start order", WORKER_CALL_TIME)
+TOPIC_READ = Wait("read of the job topic",
+                  _job_topic.MIN_READ_INTERVAL + STORE_CALL_TIME)
+REGISTRY_READ = Wait("read of the registry",
+                     _platform_topics.REGISTRY_INTERVAL + STORE_CALL_TIME)
+
+
+def get_lease(settings: SiteSettings) -> datetime.timedelta:
+    """Returns the longest lease of a worker."""
+    return min(settings.max_lease, _group_leader.MAX_LEASE)
+
+
+def build_lease_expiry(settings: SiteSettings) -> Wait:
+    """Returns the wait from the last renewal of a lease to its certain end."""
+    margin = datetime.timedelta(milliseconds=_workers.LEASE_EXPIRY_MARGIN_MS)
+    return Wait("lease expiry of a worker that is gone",
+                (get_lease(settings) + margin) /
+                (1 - _workers.MAX_RELATIVE_CLOCK_DRIFT))
+
+
+def build_takeover_wait(settings: SiteSettings) -> Wait:
+    """Returns the wait of a new leader for workers that do not reply.
+
+    It counts from the last record of a former leader whose process goes on.
+    """
+    return Wait("takeover wait",
+                (_takeover_wait.START_PERMISSION_PERIOD +
+                 _takeover_wait.CLOCK_DRIFT_FACTOR * get_lease(settings) +
+                 _takeover_wait.TAKEOVER_MARGIN))
+
+
+def list_election_waits() -> list[Wait]:
+    """Returns the waits from the due time of a takeover to the first starts.
+
+    One daemon that ranks higher does not claim the group although it can be
+    reached: it is stopping.
+    """
+    return [
+        Wait("check of the groups", _daemon.ELECTION_INTERVAL),
+        Wait("delay of the second-ranked candidate, of another domain",
+             _election.RANK_DELAY + _election.OTHER_DOMAIN_DELAY),
+        Wait("read before the claim", _daemon.CLAIM_CHECK_DELAY),
+        Wait("claim, and its read", 2 * STORE_CALL_TIME),
+        Wait("first record of the leader",
+             _group_leader.FLUSH_DELAY + STORE_CALL_TIME),
+        Wait("first status polls", WORKER_CALL_TIME),
+    ]
+
+
+def list_former_run_waits(settings: SiteSettings) -> list[Wait]:
+    """Returns the waits of a new leader for a run that may go on.
+
+    The former leader resigned after the worker of the run had left.
+    """
+    return [TOPIC_READ, build_takeover_wait(settings), PLAN_AFTER_TIME, START]
+
+
+def list_move_waits() -> list[Wait]:
+    """Returns the waits from the first attempt to start to a run elsewhere."""
+    return [
+        Wait(
+            "lack of capacity before a move",
+            max(_group_state.TASK_MOVE_DELAY,
+                _group_state.RESERVED_TASK_MOVE_DELAY)),
+        PLAN_AFTER_TIME,
+        Wait("append of the move", STORE_CALL_TIME),
+        TOPIC_READ,
+        PLAN_AFTER_EVENT,
+        START,
+    ]
+
+
+def compute_sum(waits: list[Wait]) -> datetime.timedelta:
+    """Returns the sum of the bounds of some waits."""
+    return sum((wait.duration for wait in waits), datetime.timedelta(0))
+
+
+class WaitSumTestCase(unittest.TestCase):
+    """Base of tests that compare sums of waits with a limit."""
+
+    def assert_within(self, waits: list[Wait],
+                      limit: datetime.timedelta) -> None:
+        """Fails if the sum of some waits is above a limit."""
+        self.assertLessEqual(
+            compute_sum(waits), limit, "\n" +
+            "\n".join(f"{wait.duration.total_seconds():7.3f} s {wait.name}"
+                      for wait in waits))
+
+
+class LeavingWorkerTest(WaitSumTestCase):
+    """Tests the sums for a worker that leaves as announced."""
+
+    def test_runs_are_stopped_before_the_worker_exits(self):
+        """Guards against runs whose end no report shows.
+
+        The leader would have to wait for the end of their lease.
+        """
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within([
+                    REGISTRY_READ, PLAN_AFTER_EVENT,
+                    Wait("stop order", WORKER_CALL_TIME),
+                    Wait("stop of the run", settings.stop_limit)
+                ], DRAIN_TIME)
+
+    def test_task_of_a_stopped_run(self):
+        """Guards against a wait after the end of a run was reported."""
+        self.assert_within([
+            Wait("reply to the status poll", WORKER_CALL_TIME),
+            PLAN_AFTER_EVENT,
+            START,
+        ], RESTART_LIMIT)
+
+    def test_task_of_a_run_that_ended_with_the_worker(self):
+        """Guards against a lease that is too long for a short notice.
+
+        The worker exits before its runs are stopped, and its last status report
+        does not list their ends.
+        """
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within(
+                    [build_lease_expiry(settings), PLAN_AFTER_TIME, START],
+                    RESTART_LIMIT)
+
+    def test_task_that_only_another_group_can_take(self):
+        """Guards against a run that goes on until its worker exits.
+
+        It is stopped only if another worker of its group has capacity, so that
+        its task may move only after the end of the lease.
+        """
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within([
+                    build_lease_expiry(settings), PLAN_AFTER_TIME,
+                    *list_move_waits()
+                ], RESTART_LIMIT)
+
+
+class LeaderChangeTest(WaitSumTestCase):
+    """Tests the sums for planned changes of the leader of a group."""
+
+    def test_restart_of_the_leader(self):
+        """Guards against an election that takes too long.
+
+        All workers reply to the new leader.
+        """
+        self.assert_within(
+            [TOPIC_READ, *list_election_waits(), PLAN_AFTER_EVENT, START],
+            RESTART_LIMIT)
+
+    def test_two_restarts_in_a_row(self):
+        """Guards against a task that waits for two elections.
+
+        The new leader resigns before its first start.
+        """
+        self.assert_within([
+            TOPIC_READ, *list_election_waits(), TOPIC_READ,
+            *list_election_waits(), PLAN_AFTER_EVENT, START
+        ], RESTART_LIMIT)
+
+    def test_restart_of_the_leader_while_a_worker_leaves(self):
+        """Guards against a full takeover wait after a planned restart."""
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within(list_former_run_waits(settings),
+                                   RESTART_LIMIT)
+
+    def test_failback_while_a_worker_leaves(self):
+        """Guards against a full takeover wait after a voluntary takeover.
+
+        A daemon of the group's own domain deposes a leader of another domain,
+        whose process goes on. The registry still lists a worker that is gone.
+        """
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within(
+                    [build_takeover_wait(settings), PLAN_AFTER_TIME, START],
+                    RESTART_LIMIT)
+
+
+class MoveTest(WaitSumTestCase):
+    """Tests the sums for tasks that move to another group."""
+
+    def test_task_that_moves_once(self):
+        """Guards against a move that takes too long."""
+        self.assert_within([PLAN_AFTER_EVENT, *list_move_waits()],
+                           RESTART_LIMIT)
+
+    def test_last_task_of_a_job_that_moves_task_by_task(self):
+        """Guards against tasks that wait for the moves of their siblings.
+
+        No task of a job starts or moves while a move of the job is pending.
+        """
+        sibling_move = [
+            PLAN_AFTER_TIME,
+            Wait("append of a sibling's move", STORE_CALL_TIME), TOPIC_READ
+        ]
+        self.assert_within([
+            PLAN_AFTER_EVENT, *sibling_move *
+            (TASKS_PER_JOB - 1), *list_move_waits()
+        ], RESTART_LIMIT)
+
+
+class FailureTest(WaitSumTestCase):
+    """Tests the sums for single failures that no daemon announces."""
+
+    def test_task_on_a_worker_in_quarantine(self):
+        """Guards against a worker that is kept out for too long.
+
+        The task fits there only, and another one has just been started as a
+        probe.
+        """
+        self.assert_within([
+            Wait("quarantine", _workers.QUARANTINE_DURATION),
+            PLAN_AFTER_TIME,
+            Wait("time between two probes", _workers.PROBE_INTERVAL),
+            PLAN_AFTER_TIME,
+            START,
+        ], RESTART_LIMIT)
+
+    def test_loss_of_the_leader(self):
+        """Guards against a silent leader that is replaced too late.
+
+        Its daemon can be reached as a peer, and all workers reply.
+        """
+        self.assert_within([
+            Wait("silence of the leader", _election.SILENCE_LIMIT),
+            *list_election_waits(), PLAN_AFTER_EVENT, START
+        ], RESTART_LIMIT)
+
+    def test_loss_of_a_worker(self):
+        """Guards against a lease that is renewed after the loss for too long.
+
+        Start orders renew it until a status poll fails, and once more if they
+        are repeated. A run younger than the delay of its proof makes its task a
+        suspect, whose next start is stored ahead.
+        """
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                self.assert_within([
+                    Wait(
+                        "status poll without a reply",
+                        _status_polls.STATUS_WAIT_BUSY +
+                        _status_polls.STATUS_REPLY_ALLOWANCE),
+                    Wait("start order without a reply, which is repeated",
+                         _group_leader.ORDER_TIMEOUT),
+                    build_lease_expiry(settings),
+                    Wait("delay after a crash", _suspicions.FIRST_RETRY_DELAY),
+                    PLAN_AFTER_TIME,
+                    Wait("record of the start",
+                         _group_leader.FLUSH_DELAY + STORE_CALL_TIME),
+                    PLAN_AFTER_EVENT,
+                    START,
+                ], RESTART_LIMIT + JUDGED_TIME)
