Count the wait for former runs as lack of capacity

A long-running task that had waited for a new leader to know all former runs, and then found no room in its group, waited 0.7 to 1.8 s more before it could move.

Cause: a job that is not reconciled is left out of planning, so the time since which its tasks lack capacity begins only afterwards.

Evidence: UnreconciledTaskTest, which failed before: list_unplaced_steps was empty in the pass that reconciled the job, 10 s after the takeover.

Change: the planner remembers since when it leaves a job out. Long-running steps that do not fit in the first pass after that count as unplaced since then; those that fit start as before, and later waits begin anew.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -58,6 +58,11 @@
         # Number of the pass that last tried each of the less urgent steps, by
         # job identifier and key of the step; 0 for one that was not tried.
         self._last_passes: dict[tuple[str, tuple[int, int]], int] = {}
+        # Time since which this leader has not known all runs of a job that may
+        # exist, by job identifier; and the same for the jobs of which it knows
+        # them since the last pass.
+        self._unreconciled_since: dict[str, float] = {}
+        self._reconciled_after: dict[str, float] = {}
         self._probation = _probation.ProbationPlanner(state)
 
     def plan(self, orders: list[_orders.Order], now: float,
@@ -83,7 +88,7 @@
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
         self._fully_reserved_workers.clear()
-        later_steps = self._start_steps(self._list_startable_steps(now_ms),
+        later_steps = self._start_steps(self._list_startable_steps(now, now_ms),
                                         MAX_UNPLACED_STEPS_PER_PASS, candidates,
                                         orders, now)
         self._pass_number += 1
@@ -117,8 +122,7 @@
                 step_run.unplaced_since = None
                 step_run.reserved_worker = ""
                 continue
-            if step_run.unplaced_since is None:
-                step_run.unplaced_since = now
+            self._mark_unplaced(job, step_run, now)
             if step_run.step.is_long_running:
                 self._reserve_worker(job, step_run, candidates, now)
             else:
@@ -130,10 +134,24 @@
 
         Their tasks may then move to another group.
         """
-        for _, step_run in self._list_startable_steps(now_ms):
+        for job, step_run in self._list_startable_steps(now, now_ms):
             step_run.reserved_worker = ""
-            if step_run.unplaced_since is None:
-                step_run.unplaced_since = now
+            self._mark_unplaced(job, step_run, now)
+
+    def _mark_unplaced(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                       now: float) -> None:
+        """Marks a step as lacking capacity, unless it is.
+
+        Long-running tasks that had to wait until all former runs were known
+        count as lacking capacity since then: with the delay before a move, they
+        would wait twice.
+        """
+        if step_run.unplaced_since is not None:
+            return
+        step_run.unplaced_since = now
+        if step_run.step.is_long_running:
+            step_run.unplaced_since = self._reconciled_after.get(
+                job.job.job_id, now)
 
     def _reserve_worker(self, job: _runs.JobRun, step_run: _runs.StepRun,
                         candidates: dict[str, _placement.Candidate],
@@ -208,12 +226,14 @@
         ]
 
     def _list_startable_steps(
-            self, now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
+            self, now: float,
+            now_ms: int) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
         """Returns the steps with tasks that may start now, most urgent first.
 
         Steps of jobs that have ended, are not reconciled or have a pending move
         are left out.
         """
+        self._update_unreconciled_jobs(now)
         startable_steps = []
         for job in self._state.jobs.values():
             if job.has_ended or not job.is_reconciled or (
@@ -225,6 +245,19 @@
                     startable_steps.append((job, step_run))
         return _step_priority.sort_steps(startable_steps, now_ms)
 
+    def _update_unreconciled_jobs(self, now: float) -> None:
+        known_since = self._unreconciled_since
+        self._unreconciled_since = {
+            job_id: known_since.get(job_id, now)
+            for job_id, job in self._state.jobs.items()
+            if not job.is_reconciled
+        }
+        self._reconciled_after = {
+            job_id: since
+            for job_id, since in known_since.items()
+            if job_id not in self._unreconciled_since
+        }
+
     def _start_step(self, job: _runs.JobRun, step_run: _runs.StepRun,
                     candidates: dict[str, _placement.Candidate],
                     orders: list[_orders.Order], now: float) -> bool:
--- /dev/null
+++ b/src/gentianlead/dispatch/tests/test_wait_chains.py
@@ -0,0 +1,59 @@
+"""Tests of waits of long-running tasks that begin anew or add up."""
+
+import unittest
+
+from gentianlead import ports
+from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import test_lasting
+
+JOB_ID = test_lasting.SERVICE_JOB_ID
+FORMER_OFFSET = 20
+
+
+class UnreconciledTaskTest(unittest.TestCase):
+    """Tests tasks that wait until a new leader knows all former runs."""
+
+    def test_wait_for_reconciliation_counts_as_lack_of_capacity(self):
+        """Guards against a second wait, for a move, after the takeover wait.
+
+        The only worker that replies has no room, and the other one is gone.
+        """
+        driver = builders.GroupDriver(builders.build_worker(cpu_millis=500))
+        driver.scheduler.put_recorded_worker(builders.build_worker("w2"),
+                                             driver.now)
+        driver.put_job(JOB_ID,
+                       test_lasting.build_service_step(),
+                       offset=FORMER_OFFSET)
+        driver.plan()
+        self.assertFalse(driver.scheduler.is_reconciled)
+        driver.now += builders.TAKEOVER_WAIT.total_seconds() + 0.01
+        driver.apply_status()
+        self.assertEqual(driver.plan_starts(), [])
+        self.assertTrue(driver.scheduler.is_reconciled)
+        ((job, _),) = driver.scheduler.list_unplaced_steps(driver.now)
+        self.assertEqual(job.job.job_id, JOB_ID)
+
+    def test_later_wait_counts_from_its_own_beginning(self):
+        """Guards against a move at once of each task of a job that waited.
+
+        The task starts after the wait. Its run ends later, and the worker
+        leaves.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_recorded_worker(builders.build_worker("w2"),
+                                             driver.now)
+        driver.put_job(JOB_ID,
+                       test_lasting.build_service_step(),
+                       offset=FORMER_OFFSET)
+        driver.plan()
+        driver.now += builders.TAKEOVER_WAIT.total_seconds() + 0.01
+        driver.apply_status()
+        driver.plan()
+        driver.flush()
+        (order,) = driver.start_all()
+        driver.now += 1.0
+        driver.scheduler.put_worker(builders.build_worker(is_draining=True))
+        driver.apply_status(ended=(
+            builders.build_ended_run(order, cause=ports.EndCause.STOPPED),))
+        self.assertEqual(driver.plan_starts(), [])
+        self.assertEqual(driver.scheduler.list_unplaced_steps(driver.now), [])
