Count no crash if the notice of a leaving worker is read after its loss

It also stayed a suspect although nothing had crashed.

Cause: whether a lost worker was about to leave was noted when its first call failed. The registry is read once a second, so that the notice of a worker that leaves sooner is read only after that.

Evidence: test_notice_read_after_the_loss_is_no_crash, which failed before: no start in the pass that ended the lease, instead of one. Ruled out: a notice of the next instance under the same id does not count for the lost one.

Change: a known loss is marked as leaving when the registry shows it for the same instance.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -146,17 +146,21 @@
         """Records that a worker was lost, unless that is known.
 
         Its unproven runs count as crashes without evidence until more is known,
-        so that the count outlives this leader.
+        so that the count outlives this leader. The notice that a worker leaves
+        may be read only after its loss.
 
         Args:
             worker: The worker.
             lost_since: Earliest monotonic time of the loss in seconds.
             now: Present monotonic time in seconds.
         """
-        for loss in self._losses:
+        for number, loss in enumerate(self._losses):
             if (loss.worker_id, loss.born_ms) == (worker.worker_id,
                                                   worker.born_ms):
-                return loss
+                if (worker.entry.is_draining and
+                        worker.entry.born_ms in (0, worker.born_ms)):
+                    self._losses[number] = loss._replace(is_leaving=True)
+                return self._losses[number]
         unproven_runs = [
             run for run in worker.runs.values() if not run.is_proven
         ]
--- a/src/gentianlead/dispatch/tests/test_crashes.py
+++ b/src/gentianlead/dispatch/tests/test_crashes.py
@@ -212,6 +212,33 @@
         driver.scheduler.remove_replaced_worker(order.worker_id, driver.now)
         self.assertEqual(len(driver.plan_starts()), 1)
 
+    def test_notice_read_after_the_loss_is_no_crash(self):
+        """Guards against delaying the tasks of a worker that left at once.
+
+        It was gone before the registry, which is read once a second, showed
+        that it leaves. The run had just begun. The notice of another instance
+        tells nothing about the lost one.
+        """
+        for born_ms, is_crash in ((builders.INSTANCE_START_MS, False),
+                                  (builders.INSTANCE_START_MS + 1, True)):
+            with self.subTest(is_crash=is_crash):
+                driver = builders.GroupDriver(builders.build_worker("w1"),
+                                              builders.build_worker("w2"))
+                driver.put_job(CRASHING_JOB_ID)
+                (order,) = driver.start_all()
+                driver.scheduler.mark_unreachable(order.worker_id, driver.now)
+                driver.scheduler.put_worker(
+                    builders.build_worker(order.worker_id,
+                                          is_draining=True,
+                                          born_ms=born_ms))
+                driver.now += 7.0
+                other_worker_id = "w2" if order.worker_id == "w1" else "w1"
+                driver.apply_status(other_worker_id)
+                self.assertEqual(len(driver.plan_starts()), int(not is_crash))
+                (progress,) = driver.flush()
+                (task_progress,) = progress.unfinished_tasks
+                self.assertEqual(bool(task_progress.crashed_runs), is_crash)
+
     def test_task_survives_unrelated_crashes(self):
         """Checks that a task under which four workers crash late is kept.
 
