Keep what is known about a takeover when the topic is loaded again

A leader or candidate whose read of the topic fell behind the history of the store, or met an unexpected error, loads the topic again. After that it waited as after a takeover at the moment of the load: a restart of the former leader's process no longer shortened its wait, and its own first record counted as new, so a failback was put off, too.

Cause: load_newest_records forgot LeaderEntry.former and epoch_read_at.

Evidence: ReloadedLeaderTest.test_takeover_of_the_present_leader_is_kept, which failed before with (108.0, None) instead of (100.0, the former leader).

Change: both are kept while the newest record is of the same epoch. After an unread change of the epoch nothing is kept: leaders in between may have started runs, and no record shows them any more. Left as it is: the load counts as the time of the last record, which is later than the truth and so only adds to a wait.

--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -182,12 +182,14 @@
                             now: float) -> list[str]:
         """Rebuilds the whole state from the newest record of each key.
 
-        All jobs then count as changed.
+        All jobs then count as changed. What is known about the takeover by the
+        leader of a group is kept while the group has the same leader.
 
         Returns:
             Descriptions of the records that cannot be decoded; they have no
             effect.
         """
+        known_leaders = dict(self.leaders)
         self.jobs.clear()
         self.leaders.clear()
         self.members.clear()
@@ -200,10 +202,23 @@
                 self.apply(stored, now)
             except errors.ProtocolError as error:
                 decode_errors.append(f"{stored.key}: {error}")
+        for known_leader in known_leaders.values():
+            self._restore_takeover(known_leader)
         self.position = batch.end_offset
         self.changed_jobs.update(self.jobs)
         return decode_errors
 
+    def _restore_takeover(self, known_leader: LeaderEntry) -> None:
+        # Between leaders of different epochs there may have been others, whose
+        # records were replaced before they were read.
+        group = known_leader.record.group
+        leader = self.leaders.get(group)
+        if (leader is not None and
+                leader.record.epoch == known_leader.record.epoch):
+            self.leaders[group] = leader._replace(
+                epoch_read_at=known_leader.epoch_read_at,
+                former=known_leader.former)
+
     def take_changed_jobs(self) -> set[str]:
         """Returns and clears `changed_jobs`."""
         changed_jobs, self.changed_jobs = self.changed_jobs, set()
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -100,6 +100,54 @@
         self.assertIs(topic.table.jobs[JOB_ID].state, model.JobState.QUEUED)
 
 
+class ReloadedLeaderTest(unittest.TestCase):
+    """Tests what a reload of the topic keeps about leaders.
+
+    A leader with epoch 5 was followed by one with epoch 70, whose records were
+    read at 100 s. The topic is loaded again at 108 s.
+    """
+
+    def setUp(self):
+        self.topic = TopicBuilder()
+        self.topic.add(dispatch.LeaderRecord("n1", 5, "a", "a#1", 9))
+        self.former_leader = self.topic.table.leaders["n1"]
+        self.apply(dispatch.LeaderRecord("n1", 70, "b", "b#1", 0), 100.0)
+        self.apply(dispatch.LeaderRecord("n1", 70, "b", "b#1", 1), 100.1)
+
+    def apply(self, record: dispatch.Record, now: float) -> None:
+        """Appends a record, which the table reads at a time."""
+        stored = dispatch.encode_record(record)._replace(
+            offset=len(self.topic.records))
+        self.topic.records.append(stored)
+        self.topic.table.apply(stored, now)
+
+    def reload(self) -> None:
+        """Loads the newest records into the table."""
+        self.topic.table.load_newest_records(self.topic.build_newest_batch(),
+                                             108.0)
+
+    def test_takeover_of_the_present_leader_is_kept(self):
+        """Guards against takeover waits that begin anew with a reload."""
+        self.reload()
+        leader = self.topic.table.leaders["n1"]
+        self.assertEqual((leader.epoch_read_at, leader.former),
+                         (100.0, self.former_leader))
+
+    def test_leader_of_an_unread_record_has_no_known_former(self):
+        """Guards against a second run beside one of a leader in between.
+
+        The newest record of each key does not show that leader.
+        """
+        self.topic.records.append(
+            dispatch.encode_record(
+                dispatch.LeaderRecord(
+                    "n1", 600, "c", "c#1",
+                    3))._replace(offset=len(self.topic.records)))
+        self.reload()
+        leader = self.topic.table.leaders["n1"]
+        self.assertEqual((leader.epoch_read_at, leader.former), (108.0, None))
+
+
 class MoveTest(unittest.TestCase):
     """Tests of the effect of moves of jobs and tasks to another group."""
 
