Store a leader's first record after the claims of late candidates

Cause: a candidate reads the topic 60 ms before its claim, and a claim that is stored after this read is not seen. The first candidate has stored its first record by then, so the second one takes it for a leader with a full start permission, and waits 4 s more, counted from that record.

Evidence: LateClaimTest, with a claim that is stored 75 ms after the first one. Before, the leader had stored a record by then ([True, False] instead of [True]) in three of three runs.

Change: a leader stores its first record, which is what allows starts, 0.1 s after it has read its claim back. A claim that arrives in between fences it, and adds no wait. Measured: the tests of claims, takeovers and daemon processes pass.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -33,6 +33,12 @@
 """Delay between a change of progress and its append, so that an append holds
 several changes. The end of a job is stored without this delay."""
 
+CLAIM_SETTLE_DELAY = datetime.timedelta(milliseconds=100)
+"""Delay of a leader's first record after it has read its claim back. Until then
+a candidate that has not read the claim yet may claim the group, too. It then
+waits no longer for workers that are gone, as the writer of a mere claim has
+started nothing."""
+
 REPORT_INTERVAL = datetime.timedelta(milliseconds=300)
 """Time between two reports to all daemons; a job's end causes one at once."""
 
@@ -313,6 +319,7 @@
             raise asyncio.CancelledError() from None
 
     async def _flush_forever(self) -> None:
+        await self._clock.sleep(CLAIM_SETTLE_DELAY)
         while True:
             try:
                 async with asyncio.timeout(
--- a/src/gentianlead/cluster/tests/test_claims.py
+++ b/src/gentianlead/cluster/tests/test_claims.py
@@ -104,6 +104,72 @@
             leader.scheduler.is_takeover_over(daemon._clock.monotonic()))
 
 
+class LateRivalStore(fakes.FakeStore):
+    """Store that receives a claim of a candidate whose view is a little old.
+
+    It is stored `DELAY` after the first claim, with a higher epoch.
+
+    Attributes:
+        stored_before_rival: Records of the group's leader that were stored
+            before that.
+        has_rival_claimed: Set when the claim is stored.
+    """
+
+    DELAY = _daemon.CLAIM_CHECK_DELAY + datetime.timedelta(milliseconds=15)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.stored_before_rival: list[dispatch.LeaderRecord] = []
+        self.has_rival_claimed = asyncio.Event()
+        self._rival_task: asyncio.Task | None = None
+
+    async def append(self, topic: str, records: Sequence[ports.KeyedRecord],
+                     producer: ports.Producer, sequence: int,
+                     timeout: datetime.timedelta) -> int:
+        offset = await super().append(topic, records, producer, sequence,
+                                      timeout)
+        if producer.name == f"g/{daemons.GROUP}" and self._rival_task is None:
+            self._rival_task = asyncio.create_task(
+                self._claim(dispatch.decode_record(records[0])))
+        return offset
+
+    async def _claim(self, first_claim: dispatch.LeaderRecord) -> None:
+        await asyncio.sleep(self.DELAY.total_seconds())
+        records = map(dispatch.decode_record, self.records[dispatch.JOB_TOPIC])
+        self.stored_before_rival = [
+            record for record in records
+            if isinstance(record, dispatch.LeaderRecord) and
+            record.epoch == first_claim.epoch
+        ]
+        rival_claim = first_claim._replace(epoch=first_claim.epoch + 1,
+                                           node=RIVAL,
+                                           incarnation=f"{RIVAL}#1")
+        await super().append(
+            dispatch.JOB_TOPIC, [dispatch.encode_record(rival_claim)],
+            ports.Producer(f"g/{daemons.GROUP}", rival_claim.epoch), 1,
+            _daemon.ACQUIRE_LEADERSHIP_TIMEOUT)
+        self.has_rival_claimed.set()
+
+
+class LateClaimTest(unittest.IsolatedAsyncioTestCase):
+    """Tests a claim that is stored soon after that of another candidate."""
+
+    async def test_first_claim_counts_as_a_claim_only(self):
+        """Guards against a full start permission in the wait of the second one.
+
+        The second candidate read the topic before the first claim was stored. A
+        leader that was superseded at once has to be known as one that started
+        nothing.
+        """
+        store = LateRivalStore()
+        write_former_leader(store)
+        await wait_for_leader(daemons.start_daemon(self, "entry-1", store))
+        async with asyncio.timeout(10):
+            await store.has_rival_claimed.wait()
+        self.assertEqual(
+            [record.is_claim for record in store.stored_before_rival], [True])
+
+
 class FirstRecordTest(unittest.IsolatedAsyncioTestCase):
     """Tests what a leader does before its successors know that it leads."""
 
