Test that a task which moves in does not wait for former runs (fails)

A long-running task that moves to a group whose new leader waits for a silent worker waits up to 10.11 s there, beside free workers, if the group has another task of the same job. The tasks of one job are spread over the groups, so most groups have.

Cause: whether all runs are known is kept for each job. The moved task can have no run in the group: the group that gave it away had none, and the record of an earlier move out of this group says the same. A job of which the group has no task is not affected, as its assignment is newer than the takeover.

Evidence: UnreconciledTaskTest.test_task_that_moves_in_does_not_wait, no start instead of that of task 1.

--- a/src/gentianlead/dispatch/tests/test_wait_chains.py
+++ b/src/gentianlead/dispatch/tests/test_wait_chains.py
@@ -57,3 +57,26 @@
             builders.build_ended_run(order, cause=ports.EndCause.STOPPED),))
         self.assertEqual(driver.plan_starts(), [])
         self.assertEqual(driver.scheduler.list_unplaced_steps(driver.now), [])
+
+    def test_task_that_moves_in_does_not_wait(self):
+        """Guards against a wait for runs of a task that cannot exist.
+
+        A leader that waits for a silent worker gets a task of a job of which it
+        has another task. The group that gave the task away had no run of it,
+        and neither had this one before that.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_recorded_worker(builders.build_worker("w2"),
+                                             driver.now)
+        job = builders.build_job(JOB_ID,
+                                 test_lasting.build_service_step(2),
+                                 assignment=("north-1", "north-2"))
+        entry = builders.build_job_entry(job, FORMER_OFFSET)
+        driver.scheduler.put_job(entry)
+        self.assertEqual(driver.plan_starts(), [])
+        driver.scheduler.put_job(
+            entry._replace(assignment=("north-1", "north-1"),
+                           assignment_offsets={"north-1": FORMER_OFFSET},
+                           last_move_numbers={"north-2": 7}))
+        self.assertEqual([order.task.index for order in driver.plan_starts()],
+                         [1])
