Test moves of a task that no group can place (fails)

A long-running task whose group has no room moves to and fro between groups that have no worker of its service, without a limit: 23 moves in 20 s. Each move adds a key to the topic, and the task waits anew in each group.

Ruled out: that such a chain keeps a task from a group with room.

--- a/src/gentianlead/dispatch/tests/test_wait_chains.py
+++ b/src/gentianlead/dispatch/tests/test_wait_chains.py
@@ -5,6 +5,7 @@
 from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_lasting
+from gentianlead.dispatch.tests import test_moves
 
 JOB_ID = test_lasting.SERVICE_JOB_ID
 FORMER_OFFSET = 20
@@ -80,3 +81,49 @@
                            last_move_numbers={"north-2": 7}))
         self.assertEqual([order.task.index for order in driver.plan_starts()],
                          [1])
+
+
+class MoveChainTest(unittest.TestCase):
+    """Tests tasks that move more than once before they start.
+
+    Each of three groups has one worker. That of the first group is too small.
+    """
+
+    def build_site(self, **services: str) -> test_moves.SiteModel:
+        """Builds the site with a waiting job in the first group.
+
+        Args:
+            **services: Service of the worker of each group, by group; the job
+                runs on workers of `svc`.
+        """
+        site = test_moves.SiteModel()
+        for group, service in services.items():
+            site.drivers[group] = builders.GroupDriver(builders.build_worker(
+                group,
+                domain=group,
+                service=service,
+                cpu_millis=500
+                if group == "n1" else 10_000 if service == "other" else 5000),
+                                                       now=site.now,
+                                                       group=group)
+        site.accept("n1", JOB_ID,
+                    test_lasting.build_service_step(cpu_millis=4000))
+        return site
+
+    def test_group_with_room_is_reached_in_time(self):
+        """Guards against moves that each begin the whole wait anew.
+
+        The report of another group looks better, but no task starts there.
+        """
+        site = self.build_site(n1="svc", n2="other", n3="svc")
+        site.run(6.0)
+        self.assertEqual([order.worker_id for _, order in site.starts], ["n3"])
+
+    def test_task_stays_off_groups_without_its_service(self):
+        """Guards against a task that moves to and fro without an end.
+
+        Each move adds a key to the topic.
+        """
+        site = self.build_site(n1="svc", n2="other", n3="other")
+        site.run(20.0)
+        self.assertEqual(site.count_moves(JOB_ID), 0)
