Check bounds of the wait sums against the code that they describe

The sums of test_wait_bounds take the lease expiry and the delay of a candidate from formulas. A change of WorkerState or of the election could have left the formulas behind. Tests now drive both with the worst case of the sum, and the takeover wait comes from compute_takeover_end.

--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -8,6 +8,7 @@
 import unittest
 from typing import NamedTuple
 
+from gentianlead import dispatch
 from gentianlead.cluster import _daemon
 from gentianlead.cluster import _group_leader
 from gentianlead.cluster import _job_topic
@@ -18,6 +19,8 @@
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _workers
+from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import test_election
 
 RESTART_LIMIT = datetime.timedelta(seconds=6)
 """Time from the end of a run within which a long-running task runs again."""
@@ -96,15 +99,19 @@
                 (1 - _workers.MAX_RELATIVE_CLOCK_DRIFT))
 
 
-def build_takeover_wait(settings: SiteSettings) -> Wait:
+def build_takeover_wait(settings: SiteSettings, has_resigned: bool) -> Wait:
     """Returns the wait of a new leader for workers that do not reply.
 
-    It counts from the last record of a former leader whose process goes on.
+    It counts from the last record of a sole former leader whose process goes
+    on, perhaps after a resignation.
     """
-    return Wait("takeover wait",
-                (_takeover_wait.START_PERMISSION_PERIOD +
-                 _takeover_wait.CLOCK_DRIFT_FACTOR * get_lease(settings) +
-                 _takeover_wait.TAKEOVER_MARGIN))
+    node, incarnation = ("", "") if has_resigned else ("a", "a#1")
+    former_leader = dispatch.LeaderEntry(
+        dispatch.LeaderRecord("north-1", 70, node, incarnation, 9, True), 5,
+        0.0, 0.0)
+    wait_s = _takeover_wait.compute_takeover_end(get_lease(settings),
+                                                 former_leader, None)
+    return Wait("takeover wait", datetime.timedelta(seconds=wait_s))
 
 
 def list_election_waits() -> list[Wait]:
@@ -131,7 +138,10 @@
 
     The former leader resigned after the worker of the run had left.
     """
-    return [TOPIC_READ, build_takeover_wait(settings), PLAN_AFTER_TIME, START]
+    return [
+        TOPIC_READ,
+        build_takeover_wait(settings, has_resigned=True), PLAN_AFTER_TIME, START
+    ]
 
 
 def list_move_waits() -> list[Wait]:
@@ -166,6 +176,52 @@
                       for wait in waits))
 
 
+class LeaseExpiryTest(unittest.TestCase):
+    """Tests that the runs of a silent worker end within the bound."""
+
+    def test_lease_certainly_expires_within_the_bound(self):
+        """Guards against a sum with a lease that the scheduler exceeds."""
+        for site, settings in SITES.items():
+            with self.subTest(site):
+                worker = _workers.WorkerState(builders.build_worker())
+                worker.update_clock(1000, 100.0)
+                # The clock was last read long before the renewal.
+                worker.extend_lease(102.0, get_lease(settings))
+                bound_s = build_lease_expiry(settings).duration.total_seconds()
+                self.assertTrue(worker.is_lease_expired(102.0 + bound_s +
+                                                        0.002))
+                self.assertFalse(worker.is_lease_expired(102.0 + bound_s -
+                                                         0.01))
+
+
+class ElectionDelayTest(unittest.TestCase):
+    """Tests the delay of the second-ranked candidate."""
+
+    def test_delay_beside_a_member_that_is_stopping(self):
+        """Guards against a sum with a delay that the election exceeds.
+
+        The other member is of the group's own domain, and can be reached.
+        """
+        bound = _election.RANK_DELAY + _election.OTHER_DOMAIN_DELAY
+        for domain in ("n1", "n2"):
+            members = {
+                "a": test_election.build_member("a"),
+                "c": test_election.build_member("c", domain)
+            }
+            with self.subTest(domain):
+                view = test_election.build_election_view(
+                    "c",
+                    100.0 + bound.total_seconds() + 0.001,
+                    members=members,
+                    reachable_nodes=frozenset({"a"}))
+                self.assertEqual(
+                    dispatch.find_reason_to_lead(
+                        "n1",
+                        test_election.build_leader(node="",
+                                                   last_record_read_at=100.0),
+                        view), "leader resigned")
+
+
 class LeavingWorkerTest(WaitSumTestCase):
     """Tests the sums for a worker that leaves as announced."""
 
@@ -253,9 +309,10 @@
         """
         for site, settings in SITES.items():
             with self.subTest(site):
-                self.assert_within(
-                    [build_takeover_wait(settings), PLAN_AFTER_TIME, START],
-                    RESTART_LIMIT)
+                self.assert_within([
+                    build_takeover_wait(settings, has_resigned=False),
+                    PLAN_AFTER_TIME, START
+                ], RESTART_LIMIT)
 
 
 class MoveTest(WaitSumTestCase):
