Resign a leadership that a daemon claims while it stops

A daemon that was told to stop while its claim of a group was under way left a leader record behind. Nobody led the group until the others had missed the leader for 1.3 to 2.5 s or had read a record of its next process. If it had stored a record as a leader by then, its successor also waited for silent workers as after the loss of a leader. In a series of restarts, claims and stop signals follow each other.

Cause: _stop resigned only the leaderships that had begun.

Evidence: StoppingCandidateTest, which failed before: the last leader record named the daemon that had stopped.

Change: a daemon that stops claims nothing any more, and waits, within the limit of its shutdown, for claims under way before it resigns. Measured: the test passes; the last record is a resignation.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -81,7 +81,7 @@
         self._interference = dispatch.InterferenceModel()
         self._incarnation = f"{settings.node}#{random_source.generate_id()}"
         self._leaders: dict[str, _group_leader.GroupLeader] = {}
-        self._acquiring_groups: set[str] = set()
+        self._acquisitions: dict[str, asyncio.Task] = {}
         self._leadership_lost_at: dict[str, float] = {}
         self._joined_at: float | None = None
         self._heartbeat_number = 0
@@ -175,16 +175,21 @@
         self._log.write("daemon-stopped")
 
     async def _resign_leaderships(self) -> None:
-        leaders = list(self._leaders.values())
-        self._leaders.clear()
-        for leader in leaders:
-            await leader.resign()
-            await leader.stop()
-
-    def _spawn(self, coroutine: Coroutine) -> None:
+        """Resigns, also the leaderships to which pending claims lead."""
+        while self._leaders or self._acquisitions:
+            leaders = list(self._leaders.values())
+            self._leaders.clear()
+            for leader in leaders:
+                await leader.resign()
+                await leader.stop()
+            if self._acquisitions:
+                await asyncio.wait(list(self._acquisitions.values()))
+
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background_tasks.add(task)
         task.add_done_callback(self._handle_background_task_end)
+        return task
 
     def _handle_background_task_end(self, task: asyncio.Task) -> None:
         self._background_tasks.discard(task)
@@ -281,15 +286,14 @@
             if election_view is None:
                 continue
             for group in self._settings.domains:
-                if group in self._leaders or group in self._acquiring_groups:
+                if group in self._leaders or group in self._acquisitions:
                     continue
                 takeover_reason = dispatch.find_reason_to_lead(
                     group, self._topic_reader.job_table.leaders.get(group),
                     election_view)
                 if takeover_reason:
-                    self._acquiring_groups.add(group)
-                    self._spawn(self._acquire_leadership(
-                        group, takeover_reason))
+                    self._acquisitions[group] = self._spawn(
+                        self._acquire_leadership(group, takeover_reason))
 
     def _limit_takeover_waits(self) -> None:
         """Ends waits for runs of former leaders that can have none any more."""
@@ -313,6 +317,8 @@
         """Reads the topic once more, and repeats the decision on a takeover."""
         self._topic_reader.request_read()
         await self._clock.sleep(CLAIM_CHECK_DELAY)
+        if self._job_service.is_draining:
+            return False
         election_view = self._build_election_view()
         return election_view is not None and bool(
             dispatch.find_reason_to_lead(
@@ -387,7 +393,7 @@
                             reason=takeover_reason,
                             error=str(error))
         finally:
-            self._acquiring_groups.discard(group)
+            self._acquisitions.pop(group, None)
 
     def _start_leading(self, group: str, epoch: int, leadership_offset: int,
                        takeover_reason: str) -> None:
