Store no heartbeat after a resignation

A leader that resigned could be taken for alive again: its group had no leader until the others had missed its heartbeats for 1.3 to 2.5 s or had read a record of its next process, and its resignation no longer counted as the last record.

Cause: the loop that stores progress and heartbeats went on while the store replied to the resignation. What it queued was sent next, before the leader had stopped.

Evidence: ResigningLeaderTest, three of three runs failed before: the last leader record named the daemon instead of nobody.

Change: a leader that resigns stores no further progress, workers or heartbeats; run ends that are not stored are listed again by the workers. Its start permission ends, too, which the reply to the resignation would renew. Measured: three of three runs pass.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -133,6 +133,7 @@
         self._load_logged_at = 0.0
         self._heartbeat_number = 0
         self._is_sole_stored = False
+        self._is_resigning = False
         self._is_stopped = False
 
     def start(self) -> None:
@@ -154,6 +155,7 @@
 
     async def resign(self) -> None:
         """Stores that the group has no leader, so a daemon can take it over."""
+        self._is_resigning = True
         self._takeover_log.write_resignation()
         resignation = dispatch.LeaderRecord(self.group, self.epoch, "", "",
                                             self._heartbeat_number + 1)
@@ -249,7 +251,8 @@
         # The claim is not counted: the first append of this leader holds the
         # record by which its successors know that it may have started runs.
         sent_at = self._topic_writer.last_success_sent_at
-        return (sent_at is not None and self._clock.monotonic() - sent_at
+        return (not self._is_resigning and sent_at is not None and
+                self._clock.monotonic() - sent_at
                 <= _takeover_wait.START_PERMISSION_PERIOD.total_seconds())
 
     async def _plan_forever(self) -> None:
@@ -335,6 +338,8 @@
 
     async def _flush_progress(self) -> None:
         """Saves progress and workers, or a heartbeat; marks run ends stored."""
+        if self._is_resigning:
+            return  # A heartbeat would replace the resignation.
         last_end_numbers = {
             worker_id: (worker.born_ms, worker.last_applied_end_number)
             for worker_id, worker in self.scheduler.workers.items()
