Have the other daemons read a resignation at once

After a planned restart the group had no leader for 0.3 s longer than needed, and the rest of a lease that a leader leaves counts from the moment at which the successor reads it. With a worker that was gone at that moment, the sum of the waits is 6.17 s with the pause between two reads, where 6 s are allowed, and each further restart adds the pause again.

Cause: the daemons pause for up to 0.3 s between two reads of the topic. Urgent changes reach them earlier by notices of their peers, resignations did not.

Evidence: ResignationNoticeTest: with a pause of a minute, the other daemon had not read the resignation after 1 s.

Change: a daemon that has resigned tells all peers that it reaches, which then read without a pause.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -116,6 +116,8 @@
             _peer_messages.NOTICE_CANCEL] = self._serve_cancel_notice
         self._peering.handlers[
             _peer_messages.NOTICE_REPORT] = self._serve_leader_report
+        self._peering.handlers[_peer_messages.NOTICE_RESIGNATION] = (
+            self._serve_resignation_notice)
         self._caller_server = platform.CallerServer(self._job_service, clock,
                                                     self._observe_request,
                                                     self._render_metrics)
@@ -181,7 +183,8 @@
             self._leaders.clear()
             for leader in leaders:
                 await leader.resign()
-                await leader.stop()
+                await asyncio.gather(leader.stop(),
+                                     self._announce_resignation(leader.group))
             if self._acquisitions:
                 await asyncio.wait(list(self._acquisitions.values()))
 
@@ -476,6 +479,15 @@
                             subject=subject,
                             error=str(error))
 
+    async def _announce_resignation(self, group: str) -> None:
+        """Has the other daemons read the topic without their usual pause."""
+        notice = _peer_messages.ResignationNotice(group)
+        await asyncio.gather(*[
+            self._send_notice(peer_name, _peer_messages.NOTICE_RESIGNATION,
+                              notice)
+            for peer_name in self._peering.list_reachable_daemons()
+        ])
+
     def _send_to_leader(self, group: str, subject: str, notice: object) -> None:
         leader_entry = self._topic_reader.job_table.leaders.get(group)
         if leader_entry is None:
@@ -513,6 +525,11 @@
             leader.cancel_job(notice.job_id)
         return True
 
+    async def _serve_resignation_notice(self, payload: bytes) -> object:
+        dispatch.decode_value(payload, _peer_messages.ResignationNotice)
+        self._topic_reader.request_read()
+        return True
+
     async def _serve_leader_report(self, payload: bytes) -> object:
         report = dispatch.decode_value(payload, _peer_messages.LeaderReport)
         self._apply_leader_report(report)
--- a/src/gentianlead/cluster/_peer_messages.py
+++ b/src/gentianlead/cluster/_peer_messages.py
@@ -35,6 +35,16 @@
     job_id: str
 
 
+class ResignationNotice(NamedTuple):
+    """Tells the other daemons that the resignation of a leader is stored.
+
+    Attributes:
+        group: Group of the leader.
+    """
+
+    group: str
+
+
 class JobStateNotice(NamedTuple):
     """Stored state of one job, as part of a leader's report.
 
@@ -145,6 +155,7 @@
 NOTICE_JOB = "job"
 NOTICE_CANCEL = "cancel"
 NOTICE_REPORT = "report"
+NOTICE_RESIGNATION = "resignation"
 CALL_SUBMIT = "submit"
 CALL_CANCEL = "cancel-for-me"
 CALL_STATE = "state"
--- a/src/gentianlead/cluster/tests/test_stopping_leaders.py
+++ b/src/gentianlead/cluster/tests/test_stopping_leaders.py
@@ -4,9 +4,11 @@
 import datetime
 import unittest
 from typing import Sequence
+from unittest import mock
 
 from gentianlead import dispatch
 from gentianlead import ports
+from gentianlead.cluster import _job_topic
 from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
 
@@ -117,3 +119,36 @@
             while not daemon._log.list_fields("daemon-stopped"):
                 await asyncio.sleep(0.01)
         self.assertEqual(list_leader_records(store)[-1].node, "")
+
+
+class ResignationNoticeTest(unittest.IsolatedAsyncioTestCase):
+    """Tests how soon other daemons know of a resignation."""
+
+    async def test_other_daemons_read_a_resignation_at_once(self):
+        """Guards against waits that last for the pause between two reads.
+
+        The rest of a lease counts from the read, and the group has no leader
+        before it.
+        """
+        store = fakes.FakeStore()
+        # pylint: disable=protected-access
+        running_daemons = [
+            daemons.start_daemon(self, node, store)
+            for node in ("entry-1", "entry-2")
+        ]
+        async with asyncio.timeout(20):
+            while not all(daemon._peering.list_reachable_daemons()
+                          for daemon in running_daemons) or not any(
+                              daemon._leaders for daemon in running_daemons):
+                await asyncio.sleep(0.01)
+        leader, other = sorted(running_daemons,
+                               key=lambda daemon: not daemon._leaders)
+        with mock.patch.object(_job_topic, "MIN_READ_INTERVAL",
+                               datetime.timedelta(minutes=1)):
+            # The present pause and read of the other daemon end.
+            await asyncio.sleep(0.5)
+            leader._stop_requested.set()
+            async with asyncio.timeout(1):
+                while other._topic_reader.job_table.leaders[
+                        daemons.GROUP].record.node:
+                    await asyncio.sleep(0.01)
