Merge the hand-over of a leader that stops into the sums of waits

A run that was handed over counts the rest of its lease from the read of the record, which the notice of a resignation brings forward.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -181,13 +181,16 @@
         while self._leaders or self._acquisitions:
             leaders = list(self._leaders.values())
             self._leaders.clear()
-            for leader in leaders:
-                await leader.resign()
-                await asyncio.gather(leader.stop(),
-                                     self._announce_resignation(leader.group))
+            await asyncio.gather(*map(self._resign_leadership, leaders))
             if self._acquisitions:
                 await asyncio.wait(list(self._acquisitions.values()))
 
+    async def _resign_leadership(self,
+                                 leader: _group_leader.GroupLeader) -> None:
+        await leader.resign()
+        await asyncio.gather(leader.stop(),
+                             self._announce_resignation(leader.group))
+
     def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background_tasks.add(task)
@@ -438,6 +441,9 @@
         for listed_entry in self._worker_registry.entries.values():
             if listed_entry.domain == group:
                 leader.put_worker(listed_entry)
+        handover = self._topic_reader.job_table.find_handover(group)
+        if handover is not None:
+            leader.apply_handover(handover)
         self._apply_operator_state()
         self._limit_takeover_waits()
         leader.start()
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -95,7 +95,6 @@
         # record may still assign the job here; `put_job` ignores an assignment
         # whose offset is not higher.
         self._departed_job_offsets: dict[str, int] = {}
-        self._recorded_workers: set[str] = set()
         # Start time of the instance of each recorded worker that has not shown
         # its runs to this leader, by identifier; 0 if it is not known.
         self._unseen_workers: dict[str, int] = {}
@@ -109,6 +108,7 @@
                                       _table.JobEntry | None] = lambda _: None
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
+        self._handed_over_runs_end_at = 0.0
 
     # Registry entries and status reports of workers.
 
@@ -140,29 +140,6 @@
         worker.may_have_former_runs = True
         self._unseen_workers[entry.worker_id] = entry.born_ms
 
-    def build_workers_record(self) -> _records.WorkersRecord | None:
-        """Returns a record of the present workers, which the caller stores.
-
-        Returns None if the record that this leader stored last lists the same
-        workers, or if it stored none and there are no workers. A worker that
-        was dropped and listed again since then has to be recorded anew.
-        """
-        if self._recorded_workers == set(self.workers) and all(
-                worker.is_recorded for worker in self.workers.values()):
-            return None
-        return _records.WorkersRecord(
-            self.group, self.epoch,
-            tuple(worker.entry for worker in self.workers.values()))
-
-    def mark_workers_recorded(self, record: _records.WorkersRecord) -> None:
-        """Marks the workers in `record` as recorded after it was stored.
-
-        Only recorded workers may receive start orders.
-        """
-        self._recorded_workers = {entry.worker_id for entry in record.workers}
-        for worker_id in self._recorded_workers & set(self.workers):
-            self.workers[worker_id].is_recorded = True
-
     def mark_worker_removed(self, worker_id: str, now: float) -> None:
         """Marks a worker as removed from the registry."""
         worker = self.workers.get(worker_id)
@@ -357,16 +334,23 @@
             unknown_run.step = self._find_step(active_run.task)
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
-        run = _runs.Run(active_run.task, step_run.step, active_run.run,
-                        worker.worker_id, now)
+        return self.track_former_run(worker, job, active_run.task,
+                                     active_run.run, now)
+
+    def track_former_run(self, worker: _workers.WorkerState, job: _runs.JobRun,
+                         task: model.TaskKey, run_number: int,
+                         now: float) -> _runs.Run:
+        """Tracks a run of a former leader whose task waits in this group."""
+        step_run = job.get_step(task)
+        run = _runs.Run(task, step_run.step, run_number, worker.worker_id, now)
         run.phase = _runs.RunPhase.RUNNING
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
         self.crashes.adopt_run(job, run)
-        step_run.waiting_indexes.discard(active_run.task.index)
-        step_run.active_runs[active_run.task.index] = run
-        worker.runs[(active_run.task, active_run.run)] = run
-        job.last_run_number = max(job.last_run_number, active_run.run)
+        step_run.waiting_indexes.discard(task.index)
+        step_run.active_runs[task.index] = run
+        worker.runs[(task, run_number)] = run
+        job.last_run_number = max(job.last_run_number, run_number)
         job.mark_started()
         return run
 
@@ -493,10 +477,13 @@
             if worker_id in self.workers:
                 self._mark_seen(self.workers[worker_id], False)
         for job in self.jobs.values():
-            if not job.is_reconciled:
-                self.crashes.resolve_claims(job, self._are_instances_known)
-                self.crashes.mark_uncertain_tasks(job)
-            job.is_reconciled = True
+            self._mark_reconciled(job)
+
+    def _mark_reconciled(self, job: _runs.JobRun) -> None:
+        if not job.is_reconciled:
+            self.crashes.resolve_claims(job, self._are_instances_known)
+            self.crashes.mark_uncertain_tasks(job)
+        job.is_reconciled = True
 
     def list_silent_workers(self) -> list[_workers.WorkerState]:
         """Returns workers that may have former leaders' runs and are silent.
@@ -513,8 +500,11 @@
         return max(0.0, self._takeover_ends_at - now)
 
     def is_takeover_over(self, now: float) -> bool:
-        """Returns whether no run of an earlier leader can go on any more."""
-        return now >= self._takeover_ends_at
+        """Returns whether no run of an earlier leader can go on any more.
+
+        Runs that this leader tracks on workers that reply do not count.
+        """
+        return now >= max(self._takeover_ends_at, self._handed_over_runs_end_at)
 
     def limit_takeover_wait(self, ends_at: float) -> None:
         """Ends the takeover wait at a monotonic time, or earlier if it is due.
