Follow the registry past an entry that is nested too deeply

Another writer left one odd entry among those of the workers. Daemons that read it stopped following the registry until they were restarted, and read it again after that: workers that registered later were never used, and those that left were kept. A lone surrogate in an entry had each leader of the group give up the lead as soon as it stored its workers, again and again, and no task started.

Cause: `json.loads` raises `RecursionError` for deep nesting, which is not a `ValueError`. It left the decoder and ended the task that follows the topic. A lone surrogate is a valid JSON escape and, as bytes, accepted by `json.loads`, but msgpack cannot encode it. The same calls stood in the decoders of callers' bodies, permits, worker replies, store replies and the configuration.

A caller's body of this kind got status 500; permits, store pages and worker statuses raised RecursionError out of their clients.

One function now decodes all JSON of the adapter and raises ProtocolError. Pages of the store replace invalid text instead, so that one key does not hide the other records of its page.

--- a/src/gentianlead/cluster/tests/daemons.py
+++ b/src/gentianlead/cluster/tests/daemons.py
@@ -14,9 +14,16 @@
 GROUP = "north-1"
 
 
-def start_daemon(test: unittest.IsolatedAsyncioTestCase, node: str,
-                 store: ports.KeyedStore) -> _daemon.ClusterDaemon:
-    """Starts a daemon in the domain of the only group, until the test ends."""
+def start_daemon(
+    test: unittest.IsolatedAsyncioTestCase,
+    node: str,
+    store: ports.KeyedStore,
+    worker_client: ports.LeasedWorkerClient | None = None
+) -> _daemon.ClusterDaemon:
+    """Starts a daemon in the domain of the only group, until the test ends.
+
+    Without a worker client, calls to workers reply with mock objects.
+    """
     settings = platform.DaemonSettings(
         node=node,
         domain=GROUP,
@@ -36,7 +43,8 @@
         stop_grace=datetime.timedelta(seconds=6),
         worker_report_interval=datetime.timedelta(seconds=1.5))
     daemon = _daemon.ClusterDaemon(
-        settings, store, mock.create_autospec(ports.LeasedWorkerClient),
+        settings, store, worker_client or
+        mock.create_autospec(ports.LeasedWorkerClient),
         mock.create_autospec(ports.PermitService), adapters.SystemClock(),
         adapters.SystemRandom(), fakes.RecordingLog())
     run_task = asyncio.create_task(daemon.run())
--- a/src/gentianlead/platform/_configuration.py
+++ b/src/gentianlead/platform/_configuration.py
@@ -1,11 +1,11 @@
 """Decodes the records that operators write to the store."""
 
-import json
 from typing import Any
 
 from gentianlead import errors
 from gentianlead import model
 from gentianlead.platform import _fields
+from gentianlead.platform import _json
 
 OPERATOR_TOPIC = "keyed.op"
 """Topic to which operators write the configuration and domain evacuations."""
@@ -49,12 +49,7 @@
         ProtocolError: The record is not a JSON object, or its version or
             limits are malformed.
     """
-    try:
-        document = _fields.require_object(json.loads(encoded_configuration),
-                                          "configuration")
-    except ValueError as error:
-        raise errors.ProtocolError(
-            f"the configuration is not JSON: {error}") from error
+    document = _json.decode_object(encoded_configuration, "the configuration")
     version = _fields.read_int(document, "version")
     problems: list[str] = []
     queues = []
--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -1,12 +1,12 @@
 """Encodes and decodes jobs, task names and job states of the platform."""
 
-import json
 import re
 from typing import Any
 
 from gentianlead import errors
 from gentianlead import model
 from gentianlead.platform import _fields
+from gentianlead.platform import _json
 
 MAX_PAYLOAD_BYTES = 4000
 """Maximum size of a job's payload in bytes, set by the platform's protocol."""
@@ -130,10 +130,7 @@
     Raises:
         ProtocolError: The body is not a valid job.
     """
-    try:
-        document = _fields.require_object(json.loads(body), "the body")
-    except ValueError as error:
-        raise errors.ProtocolError(f"the body is not JSON: {error}") from error
+    document = _json.decode_object(body, "the body")
     payload = _fields.read_string(document, "spec", "")
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise errors.ProtocolError(
--- a/src/gentianlead/platform/_permits.py
+++ b/src/gentianlead/platform/_permits.py
@@ -8,6 +8,7 @@
 from gentianlead import ports
 from gentianlead.platform import _fields
 from gentianlead.platform import _http
+from gentianlead.platform import _json
 
 MAX_CONNECTIONS = 4
 """Connections to the service. It processes one request of each VM at a time, so
@@ -53,7 +54,7 @@
 
 def _decode_permit_reply(body: bytes) -> ports.PermitReply:
     try:
-        document = _fields.require_object(json.loads(body), "the reply")
+        document = _json.decode_object(body, "the reply")
         permits: dict[str, str] = {}
         for grant in document.get("granted") or ():
             worker_id, permit = grant
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -1,10 +1,9 @@
 """Decodes the entries of the worker registry."""
 
-import json
-
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.platform import _fields
+from gentianlead.platform import _json
 
 REGISTRY_TOPIC = "keyed.servers"
 """Topic of the worker registry; a record's key is the worker's identifier."""
@@ -20,11 +19,7 @@
         ProtocolError: A field is missing or of the wrong type, or the state
             is unknown, so the worker cannot be used.
     """
-    try:
-        document = _fields.require_object(json.loads(encoded_entry), "entry")
-    except ValueError as error:
-        raise errors.ProtocolError(
-            f"registry entry is not JSON: {error}") from error
+    document = _json.decode_object(encoded_entry, "registry entry")
     state = _fields.read_string(document, "state")
     if state not in _IS_DRAINING_BY_STATE:
         raise errors.ProtocolError(f"unknown worker state {state!r:.40}")
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -2,7 +2,6 @@
 
 import base64
 import datetime
-import json
 import struct
 from typing import Any, NamedTuple, Sequence
 
@@ -10,6 +9,7 @@
 from gentianlead import ports
 from gentianlead.platform import _fields
 from gentianlead.platform import _http
+from gentianlead.platform import _json
 
 KEYED_TOPIC_PREFIX = "keyed."
 """Prefix in the names of topics that retain the newest record of each key."""
@@ -207,7 +207,8 @@
                 error.verdict = errors.Verdict.RAN
             raise error
         try:
-            document = _decode_json_object(reply)
+            # One key that is not valid text must not hide the other records.
+            document = _decode_json_object(reply, replaces_invalid_text=True)
             records = tuple(
                 _decode_newest_record(item) for item in document["items"])
             return ports.NewestPage(
@@ -253,22 +254,21 @@
                             verdict)
 
 
-def _decode_json_object(reply: _http.HttpReply) -> dict[str, Any]:
+def _decode_json_object(reply: _http.HttpReply,
+                        replaces_invalid_text: bool = False) -> dict[str, Any]:
     """Returns the JSON object in a body; an empty body counts as an empty one.
 
     Raises:
         StoreError: The body is not a JSON object.
     """
     try:
-        document = json.loads(reply.body or b"{}")
-    except ValueError:
-        document = None
-    if not isinstance(document, dict):
+        return _json.decode_object(reply.body or b"{}", "the reply",
+                                   replaces_invalid_text)
+    except errors.ProtocolError as error:
         raise ports.StoreError(
-            f"status {reply.status} with a body that is not a JSON object",
+            f"status {reply.status} with a malformed body: {error}",
             errors.Verdict.DID_NOT_RUN if reply.status in _REFUSAL_STATUSES else
-            errors.Verdict.MAY_HAVE_RUN)
-    return document
+            errors.Verdict.MAY_HAVE_RUN) from error
 
 
 def _decode_newest_record(item: dict[str, Any]) -> ports.KeyedRecord:
--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -10,6 +10,7 @@
 from gentianlead.platform import _fields
 from gentianlead.platform import _http
 from gentianlead.platform import _jobs
+from gentianlead.platform import _json
 
 MAX_CONNECTIONS = 4
 """Connections to one worker: one for the status request that waits for changes
@@ -161,10 +162,9 @@
 def _decode_object_or_empty(reply: _http.HttpReply) -> dict[str, Any]:
     """Returns the JSON object in a body, or an empty one if there is none."""
     try:
-        document = json.loads(reply.body)
-    except ValueError:
+        return _json.decode_object(reply.body, "the reply")
+    except errors.ProtocolError:
         return {}
-    return document if isinstance(document, dict) else {}
 
 
 def _read_refusal_reason(reply: _http.HttpReply) -> str:
@@ -193,7 +193,7 @@
 
 
 def _decode_status(reply: _http.HttpReply) -> ports.WorkerStatus:
-    document = _fields.require_object(json.loads(reply.body), "worker status")
+    document = _json.decode_object(reply.body, "worker status")
     active_runs = []
     for fields in document.get("running") or ():
         latency_ms_or_cpu_millis = fields[4] if len(fields) > 4 else None
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -20,6 +20,7 @@
 SHORT_TIMEOUT = datetime.timedelta(milliseconds=200)
 JOB_ID = "5c0e7a21d94b36f8"
 TASK_KEY = model.TaskKey(JOB_ID, 0, 1, 17)
+NESTED_BODY = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 
 
 class StubHttpServer:
@@ -219,11 +220,27 @@
             with self.subTest(body), self.assertRaises(ports.StoreError):
                 self.add_reply(200, body=body)
                 await self.store.read("jobs", 0, SHORT_TIMEOUT)
-        for body in (b"", b"[]", b'{"items":[5],"end_offset":1}', b"{"):
+        for body in (b"", b"[]", b'{"items":[5],"end_offset":1}', b"{",
+                     NESTED_BODY):
             with self.subTest(body), self.assertRaises(ports.StoreError):
                 self.add_reply(200, body=body)
                 await self.store.read_newest_page("jobs", "", SHORT_TIMEOUT)
 
+    async def test_key_that_is_not_valid_text(self):
+        """Guards against one key that hides all other records of a page."""
+        for odd_key in (b"\\ud800", b"\xff", b"\xed\xa0\x80"):
+            with self.subTest(odd_key):
+                self.add_reply(
+                    200,
+                    body=b'{"items":[{"key":"a","value":"","offset":1},'
+                    b'{"key":"' + odd_key + b'","value":"","offset":2}],'
+                    b'"end_offset":3}')
+                page = await self.store.read_newest_page(
+                    "jobs", "", SHORT_TIMEOUT)
+                first_key, second_key = [record.key for record in page.records]
+                self.assertEqual(first_key, "a")
+                self.assertEqual(set(second_key), {"\ufffd"})
+
 
 class WorkersTest(StubServerTestCase):
     """Tests of the client of workers."""
@@ -281,6 +298,14 @@
             })
         self.assertEqual(request.headers["Gentianlead-Expected-Instance"], "w1")
 
+    async def test_start_reply_that_cannot_be_decoded(self):
+        """Guards against a reply that ends the loop of the leader."""
+        for status, outcome in ((200, ports.StartOutcome.STARTED),
+                                (409, ports.StartOutcome.INVALID)):
+            self.add_reply(status, body=NESTED_BODY)
+            reply = await self.start()
+            self.assertEqual((reply.outcome, reply.clock_ms), (outcome, None))
+
     async def test_start_without_reply_is_unknown(self):
         """Guards against a second start of a run that the worker has started.
 
@@ -332,6 +357,10 @@
 
     async def test_poll_status_failures(self):
         """Guards against malformed lists that are decoded as empty lists."""
+        self.add_reply(200, body=NESTED_BODY)
+        with self.assertRaises(errors.WorkerError):
+            await self.workers.poll_status(self.entry, 7, 0, None,
+                                           SHORT_TIMEOUT, TIMEOUT)
         cases = ((409, {
             "reason": "fence"
         }, ports.StaleFencingTokenError), (503, {}, errors.WorkerError),
@@ -380,7 +409,7 @@
 
     async def test_failures(self):
         """Guards against a failed request that is decoded as no permits."""
-        cases = ((429, b""), (200, b"{"), (200, b"[]"),
+        cases = ((429, b""), (200, b"{"), (200, b"[]"), (200, NESTED_BODY),
                  (200, b'{"granted": [["w1"]]}'),
                  (200, b'{"granted": [[1, "c81e"]]}'),
                  (200, b'{"granted": [], "valid_ms": "soon"}'))
@@ -523,6 +552,16 @@
             "pending": 12
         }, ""))
 
+    async def test_bodies_that_cannot_be_decoded(self):
+        """Guards against status 500 for a body of a caller."""
+        self.job_service.configuration = (
+            self.job_service.configuration._replace(max_body_bytes=300_000))
+        for body in (NESTED_BODY, b'{"spec":"\\ud800","steps":[{"count":1}]}',
+                     b'{"spec":"\xed\xa0\x80","steps":[{"count":1}]}'):
+            with self.subTest(body[:40]):
+                status, _, _ = await self.call("POST", f"/q/{JOB_ID}", body)
+                self.assertEqual(status, 400)
+
     async def test_request_before_first_configuration(self):
         """Guards against status 404 for a queue that may exist."""
         self.job_service.configuration = None
