Refuse numbers that the records of the daemons cannot hold

A worker's entry with a capacity or a start time of 10^30 had each leader of its group give up the lead as soon as it stored its workers. Another daemon took it over and did the same, so no task of the group started.

Cause: JSON integers have no bound, msgpack has 64 bits. The leader stores the entries of its workers, and reports sums of their capacities.

Evidence: a test with a whole daemon failed with four `internal-error` (TypeError, cannot encode a value of type int), four `lead-lost`, and no run within 10 s, for processors, start time and time until the worker leaves.

Integers of the adapter are at most 2^53 - 1, which every JSON decoder represents and whose sums over a thousand workers fit 64 bits. Amounts of resources are at most 2^31 - 1, as they are multiplied by durations. Such an entry names no worker to use. Error messages show odd values without recursion.

Result: the tests pass with these entries; all other workers stay in use.

--- a/src/gentianlead/cluster/tests/test_unreadable_entries.py
+++ b/src/gentianlead/cluster/tests/test_unreadable_entries.py
@@ -50,6 +50,23 @@
         "surrogate in a label": {
             "labels": ["\udfff"]
         },
+        "processors": {
+            "capacity": {
+                "cpu": 10**30
+            }
+        },
+        "memory": {
+            "capacity": {
+                "mem_mb": 2**63
+            }
+        },
+        "start time": {
+            "born": 10**30
+        },
+        "time until it leaves": {
+            "state": "draining",
+            "remaining_ms": 10**30
+        },
     }
     odd_entries = {
         name: json.dumps(json.loads(good_entry) | fields).encode()
--- a/src/gentianlead/platform/_fields.py
+++ b/src/gentianlead/platform/_fields.py
@@ -1,9 +1,23 @@
 """Reads fields of decoded JSON and checks their types."""
 
+import reprlib
 from typing import Any
 
 from gentianlead import errors
 
+MAX_INTEGER = 2**53 - 1
+"""Highest integer that is accepted. All JSON decoders represent it exactly, and
+sums of a thousand such numbers have less than 64 bits, as msgpack requires."""
+
+MAX_AMOUNT = 2**31 - 1
+"""Highest amount of a resource, and highest duration that is multiplied by one:
+two million cores, or 24 days. Such products have less than 64 bits."""
+
+
+def describe(value: Any) -> str:
+    """Returns a short text of a value of any size and nesting."""
+    return f"{reprlib.repr(value):.60}"
+
 
 def require_object(value: Any, description: str) -> dict[str, Any]:
     """Returns a decoded JSON value after checking that it is an object.
@@ -33,7 +47,7 @@
     if value is None and default is not None:
         return default
     if not isinstance(value, str):
-        raise errors.ProtocolError(f"field {name!r} is {value!r:.60}, "
+        raise errors.ProtocolError(f"field {name!r} is {describe(value)}, "
                                    "expected a string")
     return value
 
@@ -41,24 +55,46 @@
 def read_int(document: dict[str, Any],
              name: str,
              default: int | None = None,
-             minimum: int = 0) -> int:
+             minimum: int = 0,
+             maximum: int = MAX_INTEGER) -> int:
     """Returns an integer field, or the default if the field is missing.
 
     A number with a fraction of zero, such as 2.0, counts as an integer.
 
     Raises:
         ProtocolError: The field is missing without default, not an integer,
-            or below `minimum`.
+            or out of range.
     """
     value = document.get(name)
     if value is None and default is not None:
         return default
+    return check_int(value, f"field {name!r}", minimum, maximum)
+
+
+def check_int(value: Any,
+              description: str,
+              minimum: int = 0,
+              maximum: int = MAX_INTEGER) -> int:
+    """Returns a decoded JSON value after checking that it is an integer.
+
+    A number with a fraction of zero, such as 2.0, counts as an integer.
+
+    Args:
+        value: The decoded JSON value.
+        description: What the value is, for the error message.
+        minimum: Lowest value that is accepted.
+        maximum: Highest value that is accepted.
+
+    Raises:
+        ProtocolError: The value is not an integer, or out of range.
+    """
     if isinstance(value, float) and value.is_integer():
         value = int(value)
-    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
+    if (not isinstance(value, int) or isinstance(value, bool) or
+            not minimum <= value <= maximum):
         raise errors.ProtocolError(
-            f"field {name!r} is {value!r:.60}, expected an integer of at "
-            f"least {minimum}")
+            f"{description} is {describe(value)}, expected an integer from "
+            f"{minimum} to {maximum}")
     return value
 
 
@@ -66,12 +102,14 @@
     """Returns a number field, or the default if the field is missing.
 
     Raises:
-        ProtocolError: The field is not a number.
+        ProtocolError: The field is not a number, or out of range.
     """
     value = document.get(name, default)
-    if not isinstance(value, (int, float)) or isinstance(value, bool):
-        raise errors.ProtocolError(f"field {name!r} is {value!r:.60}, "
-                                   "expected a number")
+    if (not isinstance(value, (int, float)) or isinstance(value, bool) or
+            not -MAX_INTEGER <= value <= MAX_INTEGER):
+        raise errors.ProtocolError(
+            f"field {name!r} is {describe(value)}, expected a number of at "
+            f"most {MAX_INTEGER}")
     return float(value)
 
 
@@ -83,6 +121,6 @@
     """
     value = document.get(name, False)
     if not isinstance(value, bool):
-        raise errors.ProtocolError(f"field {name!r} is {value!r:.60}, "
+        raise errors.ProtocolError(f"field {name!r} is {describe(value)}, "
                                    "expected true or false")
     return value
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -1,5 +1,7 @@
 """Decodes the entries of the worker registry."""
 
+from typing import Any
+
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.platform import _fields
@@ -22,13 +24,14 @@
     document = _json.decode_object(encoded_entry, "registry entry")
     state = _fields.read_string(document, "state")
     if state not in _IS_DRAINING_BY_STATE:
-        raise errors.ProtocolError(f"unknown worker state {state!r:.40}")
+        raise errors.ProtocolError(
+            f"unknown worker state {_fields.describe(state)}")
     capacity = _fields.require_object(document.get("capacity"), "capacity")
     labels = document.get("labels", [])
     if not isinstance(labels, list) or not all(
             isinstance(label, str) for label in labels):
         raise errors.ProtocolError(
-            f"labels are {labels!r:.60}, expected strings")
+            f"labels are {_fields.describe(labels)}, expected strings")
     address = _fields.read_string(document, "address")
     host, _, port = address.rpartition(":")
     if not host or not port.isdigit():
@@ -41,9 +44,13 @@
                              address=address,
                              domain=_fields.read_string(document, "zone"),
                              is_draining=_IS_DRAINING_BY_STATE[state],
-                             cpu_millis=_fields.read_int(capacity, "cpu", 0),
-                             memory_mib=_fields.read_int(capacity, "mem_mb", 0),
-                             accelerators=_fields.read_int(capacity, "gpu", 0),
+                             cpu_millis=_read_amount(capacity, "cpu"),
+                             memory_mib=_read_amount(capacity, "mem_mb"),
+                             accelerators=_read_amount(capacity, "gpu"),
                              labels=frozenset(labels),
                              born_ms=_fields.read_int(document, "born", 0),
                              leaves_in_ms=leaves_in_ms)
+
+
+def _read_amount(capacity: dict[str, Any], name: str) -> int:
+    return _fields.read_int(capacity, name, 0, maximum=_fields.MAX_AMOUNT)
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -222,6 +222,33 @@
             with self.subTest(data), self.assertRaises(errors.ProtocolError):
                 platform.parse_worker_entry("w1", data)
 
+    def test_range_of_numbers(self):
+        """Guards against numbers that records of the daemons cannot hold."""
+        for change, is_accepted in (({
+                "born": 2**53 - 1
+        }, True), ({
+                "born": 2**53
+        }, False), ({
+                "born": 1e300
+        }, False), ({
+                "capacity": {
+                    "cpu": 2**31 - 1
+                }
+        }, True), ({
+                "capacity": {
+                    "cpu": 2**31
+                }
+        }, False), ({
+                "remaining_ms": 2**53
+        }, False)):
+            data = json.dumps({**WORKER_ENTRY, **change}).encode()
+            with self.subTest(change=change):
+                if is_accepted:
+                    platform.parse_worker_entry("w1", data)
+                    continue
+                with self.assertRaises(errors.ProtocolError):
+                    platform.parse_worker_entry("w1", data)
+
 
 class ConfigurationTest(unittest.TestCase):
     """Tests of decoding configurations of the operators."""
