Refuse worker entries without an address that can be called

A worker's entry with port 0, port 99999, a port of 5,000 digits, the digit "²" as port, or a space or line break in its host was taken for a worker. The calls to a port out of range raised ValueError out of the client, which ended the status poller of that entry without a log line each time the registry was read, and asyncio printed "Task exception was never retrieved".

Cause: the port was only checked with `str.isdigit`, the host not at all, and the HTTP client did not expect that no URL can be built.

Evidence: the test with a whole daemon failed for each of these entries with no `record-unreadable` line. Addresses of this kind may also come from records that older daemons stored, so the client now reports a malformed address or header as a call that was not made.

An address is a host name or an IP address, and a port of ASCII digits from 1 to 65535. An identifier that cannot stand in a header, such as one with a line break, names no worker to use either.

--- a/src/gentianlead/cluster/tests/test_unreadable_entries.py
+++ b/src/gentianlead/cluster/tests/test_unreadable_entries.py
@@ -43,6 +43,8 @@
 
     Each differs from `good_entry` in one field.
     """
+    address = json.loads(good_entry)["address"]
+    host, _, port = address.rpartition(":")
     odd_fields: dict[str, dict[str, object]] = {
         "surrogate in the service": {
             "service": "\ud800"
@@ -67,6 +69,24 @@
             "state": "draining",
             "remaining_ms": 10**30
         },
+        "port 0": {
+            "address": f"{host}:0"
+        },
+        "port above the range": {
+            "address": f"{host}:99999"
+        },
+        "long port": {
+            "address": f"{host}:{'9' * 5000}"
+        },
+        "port with another digit": {
+            "address": f"{host}:\u00b2"
+        },
+        "host with a space": {
+            "address": f"{host} {host}:{port}"
+        },
+        "host with a line break": {
+            "address": f"{host}\n:{port}"
+        },
     }
     odd_entries = {
         name: json.dumps(json.loads(good_entry) | fields).encode()
--- a/src/gentianlead/platform/_fields.py
+++ b/src/gentianlead/platform/_fields.py
@@ -1,5 +1,6 @@
 """Reads fields of decoded JSON and checks their types."""
 
+import re
 import reprlib
 from typing import Any
 
@@ -13,6 +14,10 @@
 """Highest amount of a resource, and highest duration that is multiplied by one:
 two million cores, or 24 days. Such products have less than 64 bits."""
 
+_ADDRESS_PATTERN = re.compile(
+    r"(?:[A-Za-z0-9._-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]):([0-9]{1,5})")
+_MAX_PORT = 65_535
+
 
 def describe(value: Any) -> str:
     """Returns a short text of a value of any size and nesting."""
@@ -113,6 +118,20 @@
     return float(value)
 
 
+def read_address(document: dict[str, Any], name: str) -> str:
+    """Returns a field with the `host:port` of a server.
+
+    Raises:
+        ProtocolError: The field is missing or not an address.
+    """
+    address = read_string(document, name)
+    match = _ADDRESS_PATTERN.fullmatch(address)
+    if match is None or not 1 <= int(match[1]) <= _MAX_PORT:
+        raise errors.ProtocolError(
+            f"field {name!r} is {describe(address)}, expected host:port")
+    return address
+
+
 def read_bool(document: dict[str, Any], name: str) -> bool:
     """Returns a boolean field, or False if the field is missing.
 
--- a/src/gentianlead/platform/_http.py
+++ b/src/gentianlead/platform/_http.py
@@ -13,7 +13,7 @@
 """Longest transfer of the body of a reply that is bound by its progress. A page
 of newest records, about 1.4 MB as encoded, takes it at 0.75 Mbit/s."""
 
-_NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError,)
+_NOT_CONNECTED_ERRORS = (aiohttp.ClientConnectorError, aiohttp.InvalidURL)
 
 
 class HttpReply(NamedTuple):
@@ -84,13 +84,17 @@
                 all, so that a large one can arrive over a slow link.
 
         Raises:
-            HttpCallError: No complete reply was received within these times, or
-                the connection failed.
+            HttpCallError: No complete reply was received within these times,
+                the connection failed, or the address or a header is malformed.
         """
-        url = yarl.URL.build(scheme="http",
-                             authority=self.address,
-                             path=path,
-                             query=query or {})
+        try:
+            url = yarl.URL.build(scheme="http",
+                                 authority=self.address,
+                                 path=path,
+                                 query=query or {})
+        except ValueError as error:
+            raise HttpCallError(f"{self.address!r:.60}: {error!s:.120}",
+                                errors.Verdict.DID_NOT_RUN) from error
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         session = self._enter_session()
@@ -116,8 +120,10 @@
                 f"{loop.time() - sent_at:.2f} s, received "
                 f"{len(reply_body)} bytes of its body",
                 errors.Verdict.MAY_HAVE_RUN) from error
-        except (aiohttp.ClientError, OSError, RuntimeError) as error:
-            # aiohttp raises `RuntimeError` if the session was closed meanwhile.
+        except (aiohttp.ClientError, OSError, RuntimeError,
+                ValueError) as error:
+            # aiohttp raises `RuntimeError` if the session was closed meanwhile,
+            # and `ValueError` for a malformed header.
             raise HttpCallError(f"{self.address}: {error!r:.120}",
                                 errors.Verdict.MAY_HAVE_RUN) from error
         finally:
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -18,9 +18,12 @@
     """Decodes a worker's entry in the registry.
 
     Raises:
-        ProtocolError: A field is missing or of the wrong type, or the state
-            is unknown, so the worker cannot be used.
+        ProtocolError: A field is missing, of the wrong type or out of range,
+            or the identifier is not printable, so the worker cannot be used.
     """
+    if not worker_id or not worker_id.isprintable():
+        # Requests to the worker carry its identifier in a header.
+        raise errors.ProtocolError("the identifier is not printable")
     document = _json.decode_object(encoded_entry, "registry entry")
     state = _fields.read_string(document, "state")
     if state not in _IS_DRAINING_BY_STATE:
@@ -32,16 +35,11 @@
             isinstance(label, str) for label in labels):
         raise errors.ProtocolError(
             f"labels are {_fields.describe(labels)}, expected strings")
-    address = _fields.read_string(document, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise errors.ProtocolError(
-            f"address is {address!r:.60}, expected host:port")
     leaves_in_ms = (_fields.read_int(document, "remaining_ms")
                     if "remaining_ms" in document else None)
     return ports.WorkerEntry(worker_id=worker_id,
                              service=_fields.read_string(document, "service"),
-                             address=address,
+                             address=_fields.read_address(document, "address"),
                              domain=_fields.read_string(document, "zone"),
                              is_draining=_IS_DRAINING_BY_STATE[state],
                              cpu_millis=_read_amount(capacity, "cpu"),
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -222,6 +222,46 @@
             with self.subTest(data), self.assertRaises(errors.ProtocolError):
                 platform.parse_worker_entry("w1", data)
 
+    def test_addresses(self):
+        """Guards against an address to which no connection can be made."""
+        for address, is_accepted in (("10.0.0.1:1",
+                                      True), ("10.0.0.1:65535",
+                                              True), ("worker-1.example:80",
+                                                      True), ("[::1]:80", True),
+                                     ("10.0.0.1:0", False), ("10.0.0.1:65536",
+                                                             False),
+                                     ("10.0.0.1:\u0662",
+                                      False), ("10.0.0.1:\u00b2",
+                                               False), ("10.0.0.1: 80", False),
+                                     ("10.0.0.1:80\n",
+                                      False), ("10.0.0.1:-80",
+                                               False), ("10.0.0.1:1_0", False),
+                                     ("10.0.0.1:" + "0" * 5000 + "80",
+                                      False), ("10.0.0.1\n:80",
+                                               False), ("10.0.0.1 :80", False),
+                                     ("\u200b10.0.0.1:80",
+                                      False), ("a@10.0.0.1:80",
+                                               False), ("10.0.0.1/a:80", False),
+                                     (":80", False), ("::1:80", False),
+                                     ("10.0.0.1", False), ("a" * 254 + ":80",
+                                                           False)):
+            data = json.dumps({**WORKER_ENTRY, "address": address}).encode()
+            with self.subTest(address[:30]):
+                if is_accepted:
+                    entry = platform.parse_worker_entry("w1", data)
+                    self.assertEqual(entry.address, address)
+                    continue
+                with self.assertRaises(errors.ProtocolError):
+                    platform.parse_worker_entry("w1", data)
+
+    def test_identifiers(self):
+        """Guards against a header that ends the calls to the worker."""
+        data = json.dumps(WORKER_ENTRY).encode()
+        for worker_id in ("", "w\n1", "w\r\nName: value", "w\0", "\ud800"):
+            with self.subTest(worker_id), self.assertRaises(
+                    errors.ProtocolError):
+                platform.parse_worker_entry(worker_id, data)
+
     def test_range_of_numbers(self):
         """Guards against numbers that records of the daemons cannot hold."""
         for change, is_accepted in (({
--- a/src/gentianlead/platform/tests/test_http.py
+++ b/src/gentianlead/platform/tests/test_http.py
@@ -145,3 +145,23 @@
         async with asyncio.timeout(2):
             while self.server.count_connections():
                 await asyncio.sleep(0.02)
+
+    async def test_malformed_address_or_header(self):
+        """Guards against an unexpected error that ends a loop of the caller.
+
+        Records of older daemons may hold such addresses and identifiers.
+        """
+        for address in ("127.0.0.1:99999", "127.0.0.1:\u00b2", "a b:80", ":80",
+                        "127.0.0.1:" + "9" * 5000, "a\n:80", "\ud800:80"):
+            with self.subTest(address[:20]):
+                endpoint = _http.HttpEndpoint(address, 1)
+                self.addAsyncCleanup(endpoint.close)
+                with self.assertRaises(_http.HttpCallError) as context:
+                    await endpoint.call("GET", "/1/0", TIMEOUT)
+                self.assertIs(context.exception.verdict,
+                              errors.Verdict.DID_NOT_RUN)
+        with self.assertRaises(_http.HttpCallError):
+            await self.endpoint.call("GET",
+                                     "/1/0",
+                                     TIMEOUT,
+                                     headers={"Name": "a\r\nb"})
