Count unreadable records, and log one that is rewritten only once

An entry of the registry that could not be read was logged each time it was written, so an entry that is rewritten each second filled the log, and no metric showed it.

All such records count in `gentianlead_unreadable_records_total` by topic. A key that stays unreadable is logged once, and again for another problem at most once a minute, as the message shows the odd value.

--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -34,6 +34,9 @@
             Appends that claim a leadership are not counted.
         topic_loads: Number of attempts to read the newest record of every key
             of a topic, by topic and outcome (`ok` or `failed`).
+        unreadable_records: Number of records without effect because they could
+            not be decoded or applied, by topic. A record that is read again
+            counts again.
         store_call_seconds: Duration of calls to the store in seconds, by
             operation. Only the appends counted in `store_calls` are measured.
         append_repetitions: Number of failed append calls that were repeated, by
@@ -75,6 +78,8 @@
                                              "Calls to the store")
         self.topic_loads = self._add_counter(
             "topic_loads_total", "Attempts to load all keys of a topic")
+        self.unreadable_records = self._add_counter(
+            "unreadable_records_total", "Records that could not be read")
         self.store_call_seconds = self._add_histogram(
             "store_call_seconds", "Duration of calls to the store")
         self.append_repetitions = self._add_counter(
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -10,6 +10,7 @@
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _topic_load
+from gentianlead.cluster import _unreadable_records
 
 OPERATOR_LONG_POLL_WAIT = datetime.timedelta(seconds=1)
 """How long the store may hold a read of the operators' topic until new records
@@ -105,6 +106,8 @@
         self._on_read_to_end = on_read_to_end
         self._loader = _topic_load.TopicLoader(topic, store, clock, log,
                                                metrics)
+        self._unreadable_records = _unreadable_records.UnreadableRecords(
+            topic, clock, log, metrics)
         self._next_offset = 0
         self._is_store_reachable = True
 
@@ -130,6 +133,8 @@
         if not self.is_loaded:
             batch, self.fresh_as_of = await self._loader.load()
             self._deliver_records(batch.records)
+            self._unreadable_records.forget_missing(
+                record.key for record in batch.records)
             self._next_offset = batch.end_offset
             self.is_loaded = True
             self._on_loaded(
@@ -161,11 +166,9 @@
             try:
                 self._on_record(record)
             except errors.ProtocolError as error:
-                self._log.write("record-unreadable",
-                                topic=self._topic,
-                                key=record.key,
-                                offset=record.offset,
-                                problem=str(error))
+                self._unreadable_records.report(record, str(error))
+            else:
+                self._unreadable_records.mark_readable(record.key)
 
     def _handle_read_result(self, has_succeeded: bool, error: str) -> None:
         self._metrics.store_calls.inc({
--- a/src/gentianlead/cluster/tests/test_unreadable_entries.py
+++ b/src/gentianlead/cluster/tests/test_unreadable_entries.py
@@ -193,9 +193,15 @@
                 self.assertEqual(run.list_used_workers(), set(GOOD_KEYS))
                 lines = run.log.list_fields("record-unreadable")
                 self.assertEqual(
-                    {(line["topic"], line["key"]) for line in lines},
-                    {(platform.REGISTRY_TOPIC, ODD_KEY)})
-                self.assertLess(len(json.dumps(lines[0])), 400)
+                    [(line["topic"], line["key"]) for line in lines],
+                    [(platform.REGISTRY_TOPIC, ODD_KEY)])
+                self.assertLess(len(json.dumps(lines)), 400)
+                # pylint: disable-next=protected-access
+                metrics_text = run.daemon._render_metrics().decode()
+                self.assertIn(
+                    "gentianlead_unreadable_records_total{topic="
+                    f'"{platform.REGISTRY_TOPIC}"}} '
+                    f"{REWRITE_COUNT + is_listed_at_start}", metrics_text)
 
     async def test_entry_at_the_start(self):
         """Guards against a daemon that stops following the registry.
