Go on following a topic of other systems after an unexpected error

Any error that the decoder or the handler of one record did not foresee ended the reader of the registry or of the operators' topic for good. The daemon went on without it: it never saw another worker, configuration or evacuation, and no metric showed this.

Cause: `PlatformTopicReader` caught `ProtocolError` and `StoreError` alone, unlike the reader of the job topic.

Evidence: two tests failed. After a KeyError for one record the next record was not passed on within 5 s; after a ValueError in the handler of a load neither a later record was passed on nor a line written.

A record whose handler fails is counted and logged as `internal-error` by the rule for unreadable records, and the others apply. After any other error the topic is loaded again, at most once a second.

Result: both tests pass.

--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -25,6 +25,9 @@
 RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
 """Pause between a failed read of a topic and its repetition."""
 
+RELOAD_DELAY = datetime.timedelta(seconds=1)
+"""Pause between an unexpected error of a reader and the next load."""
+
 MAX_REGISTRY_AGE = datetime.timedelta(seconds=2)
 """Age of the last read of the registry up to which entries count as current.
 From 3 s after its next report on, a worker that has shrunk must get no start
@@ -112,7 +115,11 @@
         self._is_store_reachable = True
 
     async def run(self) -> None:
-        """Reads the topic until the calling task is cancelled."""
+        """Reads the topic until the calling task is cancelled.
+
+        Without the reader, the daemon would never see another change. After an
+        unexpected error it therefore loads the topic again.
+        """
         while True:
             try:
                 has_more = await self._read()
@@ -122,6 +129,12 @@
             except ports.StoreError as error:
                 self._handle_read_result(False, str(error))
                 await self._clock.sleep(RETRY_INTERVAL)
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                self._log.write("internal-error",
+                                topic=self._topic,
+                                error=_decision_log.format_error(error))
+                self.is_loaded = False
+                await self._clock.sleep(RELOAD_DELAY)
 
     async def _read(self) -> bool:
         """Reads the whole topic once, then its new records.
@@ -167,6 +180,11 @@
                 self._on_record(record)
             except errors.ProtocolError as error:
                 self._unreadable_records.report(record, str(error))
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # The other records apply. A record that causes the same error
+                # after each load would otherwise hide them for good.
+                self._unreadable_records.report(
+                    record, _decision_log.format_error(error), "internal-error")
             else:
                 self._unreadable_records.mark_readable(record.key)
 
--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -72,6 +72,71 @@
             task.cancel()
 
 
+class UnexpectedErrorTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of a reader whose callbacks raise errors that nobody expects."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.log = fakes.RecordingLog()
+        self.read_keys: list[str] = []
+        self.load_errors: list[Exception] = []
+        self.reader = _platform_topics.PlatformTopicReader(
+            platform.REGISTRY_TOPIC, datetime.timedelta(0),
+            datetime.timedelta(milliseconds=5), self.store,
+            adapters.SystemClock(), self.log, _metrics.ClusterMetrics(),
+            self.handle_record, self.handle_load)
+
+    def start(self) -> None:
+        """Starts the reader until the test ends."""
+        self.addCleanup(asyncio.create_task(self.reader.run()).cancel)
+
+    def handle_record(self, record: ports.KeyedRecord) -> None:
+        """Keeps the key of a record; fails for the key `odd`."""
+        if record.key == "odd":
+            raise KeyError("unexpected")
+        self.read_keys.append(record.key)
+
+    def handle_load(self, keys: set[str]) -> None:
+        """Fails once for each of `load_errors`."""
+        del keys
+        if self.load_errors:
+            raise self.load_errors.pop()
+
+    def write(self, key: str) -> None:
+        """Stores a record."""
+        self.store.write(platform.REGISTRY_TOPIC, ports.KeyedRecord(key, b"1"))
+
+    async def wait_for_key(self, key: str) -> None:
+        """Waits until the reader has passed on a record of a key."""
+        async with asyncio.timeout(5):
+            while key not in self.read_keys:
+                await asyncio.sleep(0.005)
+
+    async def test_error_for_one_record(self):
+        """Guards against one record that ends the reader for good."""
+        for key in ("a", "odd", "b"):
+            self.write(key)
+        self.start()
+        await self.wait_for_key("b")
+        for key in ("odd", "odd", "c"):
+            self.write(key)
+        await self.wait_for_key("c")
+        self.assertEqual([(fields["topic"], fields["key"])
+                          for fields in self.log.list_fields("internal-error")],
+                         [(platform.REGISTRY_TOPIC, "odd")])
+
+    async def test_error_after_a_load(self):
+        """Guards against one error that ends the reader for good."""
+        self.load_errors.append(ValueError("unexpected"))
+        self.write("a")
+        self.start()
+        await self.wait_for_key("a")
+        self.write("b")
+        await self.wait_for_key("b")
+        self.assertIn("unexpected",
+                      self.log.list_fields("internal-error")[0]["error"])
+
+
 class WorkerRegistryTest(unittest.TestCase):
     """Tests of the capacity in registry entries."""
 
