Refuse a configuration whose routes or services are no list

A configuration with a number in place of the list of routes or services ended the reader of the operators' topic: no later configuration and no evacuation reached the daemon.

Cause: the decoder iterated over any value; TypeError left it.

Evidence: new seeded tests pass 2,000 mutations of a valid document to each decoder: nested values, large numbers, other types, lone surrogates, changed bytes. What a decoder returns must also fit msgpack, JSON and the sums of 1,400 workers.

--- a/src/gentianlead/platform/_configuration.py
+++ b/src/gentianlead/platform/_configuration.py
@@ -46,21 +46,21 @@
         The configuration, and a message for each skipped route or service.
 
     Raises:
-        ProtocolError: The record is not a JSON object, or its version or
-            limits are malformed.
+        ProtocolError: The record is not a JSON object, or its version, its
+            limits or the list of routes or services is malformed.
     """
     document = _json.decode_object(encoded_configuration, "the configuration")
     version = _fields.read_int(document, "version")
     problems: list[str] = []
     queues = []
-    for value in document.get("routes") or ():
+    for value in _fields.read_list(document, "routes"):
         try:
             queues.append(_parse_queue(value))
         except errors.ProtocolError as error:
             problems.append(f"skipped a malformed route: {error}")
     capacity_enforcing_services = set()
     service_names = set()
-    for value in document.get("services") or ():
+    for value in _fields.read_list(document, "services"):
         try:
             service = _fields.require_object(value, "a service")
             name = _fields.read_string(service, "name")
--- a/src/gentianlead/platform/_fields.py
+++ b/src/gentianlead/platform/_fields.py
@@ -40,6 +40,21 @@
     return value
 
 
+def read_list(document: dict[str, Any], name: str) -> list[Any]:
+    """Returns an array field, or an empty list if the field is missing.
+
+    Raises:
+        ProtocolError: The field is not an array.
+    """
+    value = document.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise errors.ProtocolError(
+            f"field {name!r} is {describe(value)}, expected an array")
+    return value
+
+
 def read_string(document: dict[str, Any],
                 name: str,
                 default: str | None = None) -> str:
--- a/src/gentianlead/platform/_permits.py
+++ b/src/gentianlead/platform/_permits.py
@@ -60,7 +60,8 @@
             worker_id, permit = grant
             if not isinstance(worker_id, str) or not isinstance(permit, str):
                 raise ValueError(
-                    f"permit {grant!r:.60} is not a pair of strings")
+                    f"permit {_fields.describe(grant)} is not a pair of strings"
+                )
             permits[worker_id] = permit
         valid_ms = _fields.read_int(document, "valid_ms",
                                     DEFAULT_PERMIT_VALIDITY_MS)
--- /dev/null
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -0,0 +1,198 @@
+"""Seeded tests that odd input leaves each decoder as its documented error.
+
+What a decoder returns must fit the records and the log of the daemons.
+"""
+
+import datetime
+import json
+import random
+import unittest
+from typing import Any, Callable
+from unittest import mock
+
+import msgpack
+
+from gentianlead import errors
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.platform import _http
+from gentianlead.platform import _permits
+from gentianlead.platform import _store
+from gentianlead.platform.tests import mutations
+from gentianlead.platform.tests import test_formats
+
+SEEDS = range(4)
+MUTATIONS_PER_SEED = 500
+TIMEOUT = datetime.timedelta(seconds=1)
+TASK_NAME = test_formats.JOB_ID + ".0.1.2"
+
+WORKER_COUNT = 1400
+"""Number of workers whose capacities a leader sums up in its reports."""
+
+SUBMISSION = {
+    "spec":
+        "text",
+    "repeat_count":
+        2,
+    "first_run_ms":
+        1764849600000,
+    "interval_ms":
+        1000,
+    "steps": [{
+        "count": 4,
+        "cpu": 500,
+        "mem_mb": 256,
+        "estimate_ms": 900
+    }, {
+        "count": 2,
+        "depends_on": [0],
+        "long_running": True,
+        "requires": "a",
+        "image": "x",
+        "target_ms": 70,
+        "miss_allowed": 0
+    }]
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [{
+        "host": "a.example",
+        "path_prefix": "/q/",
+        "service": "svc",
+        "priority": 1,
+        "max_attempts": 3,
+        "deadline_factor": 1.5,
+        "target_latency_ms": 250,
+        "advice": {}
+    }],
+    "services": [{
+        "name": "svc",
+        "enforces_capacity": True
+    }],
+    "limits": {
+        "max_body_bytes": 10000
+    }
+}
+
+
+def _encode_plain(value: object) -> object:
+    if isinstance(value, frozenset):
+        return sorted(value)
+    if isinstance(value, ports.EndCause):
+        return value.value
+    if isinstance(value, bytes):
+        return value.hex()
+    raise TypeError(type(value).__name__)
+
+
+class OddInputTest(unittest.IsolatedAsyncioTestCase):
+    """Passes mutated documents to each decoder."""
+
+    def check_value(self, value: object) -> None:
+        """Checks that records and log lines can hold a decoded value."""
+        msgpack.packb(value, default=_encode_plain)
+        json.dumps(value, default=_encode_plain, allow_nan=False).encode()
+
+    def check_decoder(self, document: Any, decode: Callable[[bytes],
+                                                            object]) -> None:
+        """Decodes mutations of a document; only `ProtocolError` may result."""
+        decoded_count = 0
+        for seed in SEEDS:
+            random_source = random.Random(seed)
+            for number in range(MUTATIONS_PER_SEED):
+                encoded = mutations.mutate_document(document, random_source)
+                with self.subTest(seed=seed,
+                                  number=number,
+                                  encoded=encoded[:400]):
+                    try:
+                        self.check_value(decode(encoded))
+                        decoded_count += 1
+                    except errors.ProtocolError as error:
+                        self.assertLess(len(str(error)), 1000)
+        # Most mutations of unknown or optional fields remain valid.
+        self.assertGreater(decoded_count, 20)
+
+    def test_worker_entries(self):
+        """Guards against an entry that ends the reader of the registry."""
+
+        def decode(encoded: bytes) -> object:
+            entry = platform.parse_worker_entry("w1", encoded)
+            return [entry, *(WORKER_COUNT * value for value in entry[5:8])]
+
+        self.check_decoder(test_formats.WORKER_ENTRY, decode)
+
+    def test_configurations(self):
+        """Guards against a configuration that ends the operators' reader."""
+
+        def decode(encoded: bytes) -> object:
+            configuration, problems = platform.parse_configuration(encoded)
+            configuration.find_queue("a.example", "/q/x")
+            for problem in problems:
+                self.assertLess(len(problem), 1000)
+            return [configuration, problems]
+
+        self.check_decoder(CONFIGURATION, decode)
+
+    def test_submissions(self):
+        """Guards against a body that gets status 500 or cannot be stored."""
+
+        def decode(encoded: bytes) -> object:
+            job = platform.parse_submission(encoded, test_formats.JOB_ID,
+                                            test_formats.QUEUE, 17)
+            last_due_ms = job.first_run_ms + job.occurrences * job.interval_ms
+            return [
+                job, last_due_ms, *(step.count * amount
+                                    for step in job.steps
+                                    for amount in step[1:5])
+            ]
+
+        self.check_decoder(SUBMISSION, decode)
+
+    def test_permit_replies(self):
+        """Guards against a reply that ends the leader of the group."""
+
+        def decode(encoded: bytes) -> object:
+            try:
+                # pylint: disable-next=protected-access
+                reply = _permits._decode_permit_reply(encoded)
+            except ports.PermitError as error:
+                raise errors.ProtocolError(str(error)) from error
+            return [reply.permits, reply.valid_for.total_seconds()]
+
+        self.check_decoder(
+            {
+                "granted": [["w1", "c81e"], ["w2", "c81f"]],
+                "valid_ms": 3000
+            }, decode)
+
+    async def call_store(self, encoded: bytes, method_name: str, *args:
+                         object) -> object:
+        """Calls the store, which replies with `encoded`.
+
+        Raises:
+            ProtocolError: The call failed with `StoreError`.
+        """
+        store = platform.PlatformStore("127.0.0.1:1")
+        for status in (200, 409, 503):
+            reply = _http.HttpReply(status, encoded)
+            with mock.patch.object(_http.HttpEndpoint,
+                                   "call",
+                                   return_value=reply):
+                try:
+                    result = await getattr(store, method_name)(*args)
+                    self.check_value(result)
+                except ports.StoreError as error:
+                    self.assertLess(len(str(error)), 1000)
+
+    async def test_store_records(self):
+        """Guards against a read of records that ends a reader."""
+        records = [
+            ports.KeyedRecord("a", b"x" * 20, 3),
+            ports.KeyedRecord("b", b"", 4)
+        ]
+        reply = bytes(16) + _store.encode_records(records)
+        random_source = random.Random(1)
+        for number in range(MUTATIONS_PER_SEED):
+            encoded = mutations.mutate_bytes(reply, random_source)
+            with self.subTest(number=number, encoded=encoded):
+                await self.call_store(encoded, "read", "jobs", 3, TIMEOUT)
