Take an odd reply of a worker as one failed call

A status report with 1e400 as a number, or an object in place of a row, raised OverflowError or KeyError out of the client of the workers. As with an address that cannot be called, that ends the poller of the worker until its registry entry is read again. A reply to a start could set a clock of more than 64 bits, and a reason of any length went into the log.

Cause: `poll_status` expected some errors of the conversions in the decoder, but not these two; the reply to a start was not checked at all.

All rows are checked for type and range, and only ProtocolError leaves the decoder. Numbers as text are refused; fractions of percentages are still cut off. A reason that is no text counts as none.

--- a/src/gentianlead/platform/_fields.py
+++ b/src/gentianlead/platform/_fields.py
@@ -55,6 +55,23 @@
     return value
 
 
+def read_rows(document: dict[str, Any], name: str,
+              min_length: int) -> list[list[Any]]:
+    """Returns a field with an array of rows, or an empty list without it.
+
+    Raises:
+        ProtocolError: The field is not an array, or one of its items is not an
+            array of at least `min_length` items.
+    """
+    rows = read_list(document, name)
+    for row in rows:
+        if not isinstance(row, list) or len(row) < min_length:
+            raise errors.ProtocolError(
+                f"row of {name!r} is {describe(row)}, expected an array of at "
+                f"least {min_length} items")
+    return rows
+
+
 def read_string(document: dict[str, Any],
                 name: str,
                 default: str | None = None) -> str:
@@ -118,6 +135,19 @@
     return value
 
 
+def truncate_number(value: Any, description: str) -> int:
+    """Returns a decoded JSON number without its fraction.
+
+    Raises:
+        ProtocolError: The value is not a number, or out of range.
+    """
+    if (not isinstance(value, (int, float)) or isinstance(value, bool) or
+            not -MAX_INTEGER <= value <= MAX_INTEGER):
+        raise errors.ProtocolError(
+            f"{description} is {describe(value)}, expected a number")
+    return int(value)
+
+
 def read_number(document: dict[str, Any], name: str, default: float) -> float:
     """Returns a number field, or the default if the field is missing.
 
--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -104,8 +104,7 @@
         reply = await self._call_and_check(entry, "/hold", document, timeout)
         try:
             return _decode_status(reply)
-        except (errors.ProtocolError, ValueError, TypeError,
-                IndexError) as error:
+        except errors.ProtocolError as error:
             raise errors.WorkerError(
                 f"malformed status of {entry.worker_id}: {error}",
                 errors.Verdict.RAN) from error
@@ -168,18 +167,21 @@
 
 
 def _read_refusal_reason(reply: _http.HttpReply) -> str:
-    return str(_decode_object_or_empty(reply).get("reason", ""))
+    reason = _decode_object_or_empty(reply).get("reason")
+    return reason if isinstance(reason, str) else ""
 
 
 def _decode_start_reply(reply: _http.HttpReply) -> ports.StartReply:
-    document = _decode_object_or_empty(reply)
-    reported_clock_ms = document.get("clock_ms")
-    clock_ms = reported_clock_ms if isinstance(reported_clock_ms, int) else None
-    detail = f"status {reply.status} {document.get('reason', '')}".strip()
+    reason = _read_refusal_reason(reply)
+    try:
+        clock_ms = _fields.read_int(_decode_object_or_empty(reply), "clock_ms")
+    except errors.ProtocolError:
+        clock_ms = None
+    detail = f"status {reply.status} {reason:.80}".strip()
     if reply.status == 200:
         outcome = ports.StartOutcome.STARTED
     elif reply.status == 409:
-        outcome = _START_OUTCOME_BY_REASON.get(str(document.get("reason")),
+        outcome = _START_OUTCOME_BY_REASON.get(reason,
                                                ports.StartOutcome.INVALID)
     elif reply.status == _STATUS_WORKER_REPLACED:
         outcome = ports.StartOutcome.WORKER_REPLACED
@@ -192,24 +194,54 @@
     return ports.StartReply(outcome, clock_ms, detail)
 
 
+def _decode_checkpoint(value: Any) -> str:
+    """Returns the identifier of a checkpoint, or an empty string for none.
+
+    Raises:
+        ProtocolError: The value is neither a string nor null.
+    """
+    if value is None:
+        return ""
+    if not isinstance(value, str):
+        raise errors.ProtocolError(
+            f"checkpoint is {_fields.describe(value)}, expected a string")
+    return value
+
+
+def _decode_active_run(row: list[Any]) -> ports.ActiveRun:
+    usage = row[4] if len(row) > 4 else None
+    return ports.ActiveRun(
+        _jobs.parse_task_name(row[0]), _fields.check_int(row[1], "run"),
+        _decode_checkpoint(row[2]), _fields.truncate_number(row[3], "percent"),
+        None if usage is None else _fields.truncate_number(usage, "usage"))
+
+
+def _decode_ended_run(row: list[Any]) -> ports.EndedRun:
+    try:
+        cause = ports.EndCause(row[3])
+    except ValueError as error:
+        raise errors.ProtocolError(
+            f"unknown cause of an end {_fields.describe(row[3])}") from error
+    return ports.EndedRun(_fields.check_int(row[0], "number of an end"),
+                          _jobs.parse_task_name(row[1]),
+                          _fields.check_int(row[2], "run"), cause,
+                          _decode_checkpoint(row[4]))
+
+
 def _decode_status(reply: _http.HttpReply) -> ports.WorkerStatus:
+    """Decodes a status report.
+
+    Raises:
+        ProtocolError: The body or a row of its lists is malformed.
+    """
     document = _json.decode_object(reply.body, "worker status")
-    active_runs = []
-    for fields in document.get("running") or ():
-        latency_ms_or_cpu_millis = fields[4] if len(fields) > 4 else None
-        active_runs.append(
-            ports.ActiveRun(
-                _jobs.parse_task_name(fields[0]), int(fields[1]),
-                str(fields[2] or
-                    ""), int(fields[3]), None if latency_ms_or_cpu_millis
-                is None else int(latency_ms_or_cpu_millis)))
-    ended_runs = [
-        ports.EndedRun(int(fields[0]), _jobs.parse_task_name(fields[1]),
-                       int(fields[2]), ports.EndCause(fields[3]),
-                       str(fields[4] or ""))
-        for fields in document.get("finished") or ()
-    ]
+    active_runs = tuple(
+        _decode_active_run(row)
+        for row in _fields.read_rows(document, "running", 4))
+    ended_runs = tuple(
+        _decode_ended_run(row)
+        for row in _fields.read_rows(document, "finished", 5))
     return ports.WorkerStatus(_fields.read_int(document, "clock_ms"),
                               _fields.read_int(document, "born", 0),
-                              tuple(active_runs), tuple(ended_runs),
+                              active_runs, ended_runs,
                               len(ended_runs) >= MAX_REPORTED_ENDS)
--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -18,6 +18,7 @@
 from gentianlead.platform import _http
 from gentianlead.platform import _permits
 from gentianlead.platform import _store
+from gentianlead.platform import _workers
 from gentianlead.platform.tests import mutations
 from gentianlead.platform.tests import test_formats
 
@@ -53,6 +54,12 @@
         "miss_allowed": 0
     }]
 }
+STATUS = {
+    "clock_ms": 5000,
+    "born": 1764849600000,
+    "running": [[TASK_NAME, 2, "c-1", 41, 70], [TASK_NAME, 3, "", 0]],
+    "finished": [[1, TASK_NAME, 1, "done", ""], [2, TASK_NAME, 1, "failed", ""]]
+}
 CONFIGURATION = {
     "version": 7,
     "routes": [{
@@ -148,6 +155,26 @@
 
         self.check_decoder(SUBMISSION, decode)
 
+    def test_worker_statuses(self):
+        """Guards against a status that ends the polls of a worker."""
+        self.check_decoder(
+            STATUS,
+            lambda encoded: _workers._decode_status(  # pylint: disable=protected-access
+                _http.HttpReply(200, encoded)))
+
+    def test_start_replies(self):
+        """Guards against a reply that ends the leader of the group."""
+
+        def decode(encoded: bytes) -> object:
+            for status in (200, 409, 421, 503):
+                # pylint: disable-next=protected-access
+                reply = _workers._decode_start_reply(
+                    _http.HttpReply(status, encoded))
+                self.assertLess(len(reply.detail), 200)
+            return [reply.clock_ms, reply.detail]
+
+        self.check_decoder({"clock_ms": 482113, "reason": "fence"}, decode)
+
     def test_permit_replies(self):
         """Guards against a reply that ends the leader of the group."""
 
