--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -10,6 +10,7 @@
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _topic_load
+from gentianlead.cluster import _unreadable_records
 
 OPERATOR_LONG_POLL_WAIT = datetime.timedelta(seconds=1)
 """How long the store may hold a read of the operators' topic until new records
@@ -28,6 +29,9 @@
 """Shortest time between the starts of two reads that the store may hold. It
 bounds the number of calls if the store replies at once without records."""
 
+RELOAD_DELAY = datetime.timedelta(seconds=1)
+"""Pause between an unexpected error of a reader and the next load."""
+
 MAX_REGISTRY_AGE = datetime.timedelta(seconds=2)
 """Age of the last read of the registry up to which entries count as current.
 From 3 s after its next report on, a worker that has shrunk must get no start
@@ -109,11 +113,17 @@
         self._on_read_to_end = on_read_to_end
         self._loader = _topic_load.TopicLoader(topic, store, clock, log,
                                                metrics)
+        self._unreadable_records = _unreadable_records.UnreadableRecords(
+            topic, clock, log, metrics)
         self._next_offset = 0
         self._is_store_reachable = True
 
     async def run(self) -> None:
-        """Reads the topic until the calling task is cancelled."""
+        """Reads the topic until the calling task is cancelled.
+
+        Without the reader, the daemon would never see another change. After an
+        unexpected error it therefore loads the topic again.
+        """
         while True:
             started_at = self._clock.monotonic()
             try:
@@ -124,6 +134,12 @@
             except ports.StoreError as error:
                 self._handle_read_result(False, str(error))
                 await self._clock.sleep(RETRY_INTERVAL)
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                self._log.write("internal-error",
+                                topic=self._topic,
+                                error=_decision_log.format_error(error))
+                self.is_loaded = False
+                await self._clock.sleep(RELOAD_DELAY)
 
     def _compute_pause(self, started_at: float) -> datetime.timedelta:
         """Returns the pause after a read that began at a monotonic time."""
@@ -143,6 +159,8 @@
         if not self.is_loaded:
             batch, self.fresh_as_of = await self._loader.load()
             self._deliver_records(batch.records)
+            self._unreadable_records.forget_missing(
+                record.key for record in batch.records)
             self._next_offset = batch.end_offset
             self.is_loaded = True
             self._on_loaded(
@@ -174,11 +192,14 @@
             try:
                 self._on_record(record)
             except errors.ProtocolError as error:
-                self._log.write("record-unreadable",
-                                topic=self._topic,
-                                key=record.key,
-                                offset=record.offset,
-                                problem=str(error))
+                self._unreadable_records.report(record, str(error))
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # The other records apply. A record that causes the same error
+                # after each load would otherwise hide them for good.
+                self._unreadable_records.report(
+                    record, _decision_log.format_error(error), "internal-error")
+            else:
+                self._unreadable_records.mark_readable(record.key)
 
     def _handle_read_result(self, has_succeeded: bool, error: str) -> None:
         self._metrics.store_calls.inc({
--- a/src/gentianlead/platform/_permits.py
+++ b/src/gentianlead/platform/_permits.py
@@ -8,6 +8,7 @@
 from gentianlead import ports
 from gentianlead.platform import _fields
 from gentianlead.platform import _http
+from gentianlead.platform import _json
 
 MAX_CONNECTIONS = 4
 """Connections to the service. It processes one request of each VM at a time, so
@@ -53,13 +54,14 @@
 
 def _decode_permit_reply(body: bytes) -> ports.PermitReply:
     try:
-        document = _fields.require_object(json.loads(body), "the reply")
+        document = _json.decode_object(body, "the reply")
         permits: dict[str, str] = {}
         for grant in document.get("granted") or ():
             worker_id, permit = grant
             if not isinstance(worker_id, str) or not isinstance(permit, str):
                 raise ValueError(
-                    f"permit {grant!r:.60} is not a pair of strings")
+                    f"permit {_fields.describe(grant)} is not a pair of strings"
+                )
             permits[worker_id] = permit
         valid_ms = _fields.read_int(document, "valid_ms",
                                     DEFAULT_PERMIT_VALIDITY_MS)
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -1,10 +1,11 @@
 """Decodes the entries of the worker registry."""
 
-import json
+from typing import Any
 
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.platform import _fields
+from gentianlead.platform import _json
 
 REGISTRY_TOPIC = "keyed.servers"
 """Topic of the worker registry; a record's key is the worker's identifier."""
@@ -17,38 +18,37 @@
     """Decodes a worker's entry in the registry.
 
     Raises:
-        ProtocolError: A field is missing or of the wrong type, or the state
-            is unknown, so the worker cannot be used.
+        ProtocolError: A field is missing, of the wrong type or out of range,
+            or the identifier is not printable, so the worker cannot be used.
     """
-    try:
-        document = _fields.require_object(json.loads(encoded_entry), "entry")
-    except ValueError as error:
-        raise errors.ProtocolError(
-            f"registry entry is not JSON: {error}") from error
+    if not worker_id or not worker_id.isprintable():
+        # Requests to the worker carry its identifier in a header.
+        raise errors.ProtocolError("the identifier is not printable")
+    document = _json.decode_object(encoded_entry, "registry entry")
     state = _fields.read_string(document, "state")
     if state not in _IS_DRAINING_BY_STATE:
-        raise errors.ProtocolError(f"unknown worker state {state!r:.40}")
+        raise errors.ProtocolError(
+            f"unknown worker state {_fields.describe(state)}")
     capacity = _fields.require_object(document.get("capacity"), "capacity")
     labels = document.get("labels", [])
     if not isinstance(labels, list) or not all(
             isinstance(label, str) for label in labels):
         raise errors.ProtocolError(
-            f"labels are {labels!r:.60}, expected strings")
-    address = _fields.read_string(document, "address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise errors.ProtocolError(
-            f"address is {address!r:.60}, expected host:port")
+            f"labels are {_fields.describe(labels)}, expected strings")
     leaves_in_ms = (_fields.read_int(document, "remaining_ms")
                     if "remaining_ms" in document else None)
     return ports.WorkerEntry(worker_id=worker_id,
                              service=_fields.read_string(document, "service"),
-                             address=address,
+                             address=_fields.read_address(document, "address"),
                              domain=_fields.read_string(document, "zone"),
                              is_draining=_IS_DRAINING_BY_STATE[state],
-                             cpu_millis=_fields.read_int(capacity, "cpu", 0),
-                             memory_mib=_fields.read_int(capacity, "mem_mb", 0),
-                             accelerators=_fields.read_int(capacity, "gpu", 0),
+                             cpu_millis=_read_amount(capacity, "cpu"),
+                             memory_mib=_read_amount(capacity, "mem_mb"),
+                             accelerators=_read_amount(capacity, "gpu"),
                              labels=frozenset(labels),
                              born_ms=_fields.read_int(document, "born", 0),
                              leaves_in_ms=leaves_in_ms)
+
+
+def _read_amount(capacity: dict[str, Any], name: str) -> int:
+    return _fields.read_int(capacity, name, 0, maximum=_fields.MAX_AMOUNT)
