Stop a long-running task on a leaving worker if another group has room

Callers saw long-running tasks without a run after a worker had left as announced (LOST). A run on a leaving worker was stopped only if its own group had room.

The leader now marks such runs if the load report of another group shows room, no more at a time than fit on one worker there, and stops them while the worker still replies. The task waits for its own group for the usual delay and then moves. A run goes on if no group has room, and so does a gang, all of which would have to move.

LeavingRunTest.test_run_is_stopped_if_another_group_has_room failed before: no stop.

--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -281,17 +281,15 @@
                     RESTART_LIMIT)
 
     def test_task_that_only_another_group_can_take(self):
-        """Guards against a run that goes on until its worker exits.
+        """Guards against a task that waits for the lease of its old run.
 
-        It is stopped only if another worker of its group has capacity, so that
-        its task may move only after the end of the lease.
+        The run is stopped in time, like that of a task for which its own group
+        has room (`test_step_moves.LeavingRunTest`). The task then moves.
         """
-        for site, settings in SITES.items():
-            with self.subTest(site):
-                self.assert_within([
-                    build_lease_expiry(settings), PLAN_AFTER_TIME,
-                    *list_move_waits()
-                ], RESTART_LIMIT)
+        self.assert_within([
+            Wait("reply to the status poll", WORKER_CALL_TIME),
+            PLAN_AFTER_EVENT, *list_move_waits()
+        ], RESTART_LIMIT)
 
 
 class LeaderChangeTest(WaitSumTestCase):
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -156,8 +156,37 @@
             self._recent_moves.append(
                 _RecentMove(move.choice.group, demand, now))
             _add_demand_to_report(reports, move.choice.group, demand)
+        self._release_leaving_runs(reports, now)
         return moves
 
+    def _release_leaving_runs(self, reports: dict[str, _admission.GroupReport],
+                              now: float) -> None:
+        """Marks long-running runs on leaving workers that fit in other groups.
+
+        They are stopped although their own group may have no room. Without a
+        stop, such a run ends with its worker, and its task can move only after
+        the lease. No more runs are marked at a time than fit on one worker of
+        the other group. A gang is left out, as all its members would have to
+        move.
+        """
+        leaving_runs = [
+            run for worker in self._state.workers.values()
+            if worker.entry.is_draining and worker.is_reachable
+            for run in worker.runs.values()
+            if run.step.is_long_running and not run.step.is_gang
+        ]
+        released_count = sum(run.may_leave_group for run in leaving_runs)
+        for run in leaving_runs:
+            job = self._state.jobs.get(run.task.job_id)
+            if job is None or job.has_ended or run.may_leave_group:
+                continue
+            fallback_group = _choose_fallback_group(job, run.task.step,
+                                                    frozenset(), reports, now)
+            if (fallback_group.group and
+                    released_count < fallback_group.max_tasks):
+                run.may_leave_group = True
+                released_count += 1
+
     def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
                               now: float) -> dict[str, _admission.GroupReport]:
         """Returns the reports with all moves that they may not include."""
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -65,6 +65,7 @@
         is_on_probation: Whether the task was a suspect when the run started, so
             that nothing else starts on the worker until the run is proven.
         is_adopted: Whether a former leader started the run.
+        may_leave_group: Whether another group has room for the task.
     """
 
     __slots__ = ("task", "step", "number", "worker_id", "phase",
@@ -72,7 +73,8 @@
                  "checkpoint", "progress_percent", "progressed_at",
                  "latency_ms_or_cpu_millis", "throttle_percent",
                  "has_pending_order", "stop_retry", "throttle_retry",
-                 "is_proven", "is_on_probation", "is_adopted")
+                 "is_proven", "is_on_probation", "is_adopted",
+                 "may_leave_group")
 
     def __init__(self, task: model.TaskKey, step: model.Step, number: int,
                  worker_id: str, now: float):
@@ -95,6 +97,7 @@
         self.is_proven = False
         self.is_on_probation = False
         self.is_adopted = False
+        self.may_leave_group = False
 
 
 class StepRun:
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -135,7 +135,8 @@
             return _STALL_REASON
         if run.phase is not _runs.RunPhase.RUNNING:
             return ""
-        if self._should_leave_worker(run) and self._reserve_elsewhere(run, now):
+        if self._should_leave_worker(run) and (
+                run.may_leave_group or self._reserve_elsewhere(run, now)):
             return "worker is leaving"
         if _is_faster_elsewhere(run) and self._reserve_elsewhere(run, now):
             return "interferes with latency-critical tasks"
--- a/src/gentianlead/dispatch/tests/test_step_moves.py
+++ b/src/gentianlead/dispatch/tests/test_step_moves.py
@@ -4,6 +4,7 @@
 
 from gentianlead import dispatch
 from gentianlead import model
+from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_lasting
 from gentianlead.dispatch.tests import test_moves
@@ -193,6 +194,45 @@
         self.assertEqual(len(groups.plan_moves()), 1)
 
 
+class LeavingRunTest(unittest.TestCase):
+    """Tests long-running tasks whose worker, the only one, leaves."""
+
+    def stop_leaving_runs(self, groups: TwoGroups) -> list[dispatch.StopOrder]:
+        """Lets the worker of `north-1` announce its leave; returns the stops.
+        """
+        orders = groups.own.start_all()
+        groups.pass_time(1.0, *orders)
+        groups.own.scheduler.put_worker(
+            builders.build_worker(cpu_millis=4000, is_draining=True))
+        self.assertEqual(groups.plan_moves(), [])
+        return groups.own.plan_stops()
+
+    def test_run_is_stopped_if_another_group_has_room(self):
+        """Guards against a run that goes on until its worker exits (LOST).
+
+        No report would show its end, so its task could move only after the end
+        of the lease.
+        """
+        groups = TwoGroups(test_lasting.build_service_step(), cpu_millis=1000)
+        (stop_order,) = self.stop_leaving_runs(groups)
+        self.assertEqual(stop_order.reason, "worker is leaving")
+        groups.own.apply_status(ended=(ports.EndedRun(
+            1, stop_order.task, stop_order.run, ports.EndCause.STOPPED, ""),))
+        groups.pass_time(1.0)
+        (move,) = groups.plan_moves()
+        self.assertEqual(move.destination_group, "north-2")
+
+    def test_no_more_runs_are_stopped_than_fit(self):
+        """Guards against tasks that stop early and then wait."""
+        groups = TwoGroups(test_lasting.build_service_step(3), cpu_millis=2000)
+        self.assertEqual(len(self.stop_leaving_runs(groups)), 2)
+
+    def test_run_goes_on_while_no_group_has_room(self):
+        """Guards against a stop that leaves a task without any run."""
+        groups = TwoGroups(test_lasting.build_service_step(), cpu_millis=500)
+        self.assertEqual(self.stop_leaving_runs(groups), [])
+
+
 class RunningJobTest(unittest.TestCase):
     """Tests long-running steps that wait while another step of the job runs."""
 
