Keep the time of a hand-over when the topic is loaded again

A successor that loaded the topic again before it took the lead counted the leases that its predecessor had handed over, and the rest of that one's own wait, anew from the load.

Cause: load_newest_records took the time of the load for the time at which the record was read.

Evidence: ReloadedLeaderTest.test_hand_over_counts_from_its_first_read, which failed before with 108.0 instead of 101.0 s. Change: an equal record keeps its time; the leader had built it before that. Measured: the tests of the table pass.

--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -202,13 +202,15 @@
         """Rebuilds the whole state from the newest record of each key.
 
         All jobs then count as changed. What is known about the takeover by the
-        leader of a group is kept while the group has the same leader.
+        leader of a group is kept while the group has the same leader, and when
+        a hand-over was first read.
 
         Returns:
             Descriptions of the records that cannot be decoded; they have no
             effect.
         """
         known_leaders = dict(self.leaders)
+        known_handovers = dict(self.handovers)
         self.jobs.clear()
         self.leaders.clear()
         self.members.clear()
@@ -224,6 +226,10 @@
                 decode_errors.append(f"{stored.key}: {error}")
         for known_leader in known_leaders.values():
             self._restore_takeover(known_leader)
+        for group, known_entry in known_handovers.items():
+            entry = self.handovers.get(group)
+            if entry is not None and entry.record == known_entry.record:
+                self.handovers[group] = known_entry
         self.position = batch.end_offset
         self.changed_jobs.update(self.jobs)
         return decode_errors
--- a/src/gentianlead/dispatch/tests/test_table.py
+++ b/src/gentianlead/dispatch/tests/test_table.py
@@ -133,6 +133,14 @@
         self.assertEqual((leader.epoch_read_at, leader.former),
                          (100.0, self.former_leader))
 
+    def test_hand_over_counts_from_its_first_read(self):
+        """Guards against leases of a former leader that seem to begin anew."""
+        record = dispatch.HandoverRecord("n1", 70, (), (), 0, 0)
+        self.apply(record, 101.0)
+        self.reload()
+        self.assertEqual(self.topic.table.handovers["n1"],
+                         dispatch.HandoverEntry(record, 101.0))
+
     def test_leader_of_an_unread_record_has_no_known_former(self):
         """Guards against a second run beside one of a leader in between.
 
