--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -29,6 +29,10 @@
 topic, and timeout of each such append. A daemon that starts finds the addresses
 of its peers in their newest member records."""
 
+MEMBER_RECORD_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+"""Pause after a failed append of the member record. The append of a record that
+the store rejects for good fails at once."""
+
 MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
 """Age above which a peer's newest member record is ignored, so that this daemon
 stops connecting to the peer. The age is the time since this daemon read the
@@ -234,6 +238,7 @@
                                                 MEMBER_RECORD_INTERVAL)
             except ports.StoreError as error:
                 self._log.write("member-record-not-stored", error=str(error))
+                await self._clock.sleep(MEMBER_RECORD_RETRY_DELAY)
                 continue
             await self._clock.sleep(MEMBER_RECORD_INTERVAL)
 
@@ -291,6 +296,7 @@
             election_view = self._build_election_view()
             if election_view is None:
                 continue
+            self._hand_back_groups(election_view)
             for group in self._settings.domains:
                 if group in self._leaders or group in self._acquisitions:
                     continue
@@ -301,6 +307,28 @@
                     self._acquisitions[group] = self._spawn(
                         self._acquire_leadership(group, takeover_reason))
 
+    def _hand_back_groups(self, election_view: dispatch.ElectionView) -> None:
+        """Resigns leaderships of which another daemon should be the leader."""
+        for group, leader in list(self._leaders.items()):
+            leader_entry = self._topic_reader.job_table.leaders.get(group)
+            if (leader_entry is None or
+                    leader_entry.record.epoch != leader.epoch or
+                    not dispatch.should_hand_back(group, leader_entry,
+                                                  election_view)):
+                continue
+            del self._leaders[group]
+            self._metrics.leadership_changes.inc({"change": "handed-back"})
+            self._log.write("lead-handed-back", group=group, epoch=leader.epoch)
+            # Counts as an acquisition, so that this daemon does not claim the
+            # group before its own resignation is stored.
+            self._acquisitions[group] = self._spawn(self._hand_back(leader))
+
+    async def _hand_back(self, leader: _group_leader.GroupLeader) -> None:
+        try:
+            await self._resign_leadership(leader)
+        finally:
+            self._acquisitions.pop(leader.group, None)
+
     def _limit_takeover_waits(self) -> None:
         """Ends waits for runs of former leaders that can have none any more."""
         job_table = self._topic_reader.job_table
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -26,6 +26,8 @@
         start_orders: Number of start orders sent to workers, by outcome.
         start_order_seconds: Time in seconds from sending a start order to its
             reply.
+        order_retries: Number of stop orders and throttle orders that were sent
+            again after a failure, by order (`stop` or `throttle`).
         run_ends: Number of runs that ended, by cause.
         crash_events: Number of decisions on tasks that may crash their workers,
             by event: a crash was counted against a task, a probation began or
@@ -34,6 +36,9 @@
             Appends that claim a leadership are not counted.
         topic_loads: Number of attempts to read the newest record of every key
             of a topic, by topic and outcome (`ok` or `failed`).
+        unreadable_records: Number of records without effect because they could
+            not be decoded or applied, by topic. A record that is read again
+            counts again.
         store_call_seconds: Duration of calls to the store in seconds, by
             operation. Only the appends counted in `store_calls` are measured.
         append_repetitions: Number of failed append calls that were repeated, by
@@ -47,8 +52,9 @@
             or `failed`). A request that a worker refuses for a stale fencing
             token, or whose worker was replaced, is not counted.
         leadership_changes: Number of times that this daemon took or lost the
-            leadership of a group, by change (`taken` or `lost`). Resignations
-            at the stop of the daemon are not counted.
+            leadership of a group, by change (`taken`, `lost`, or `handed-back`
+            to a member of the group's own domain). Resignations at the stop of
+            the daemon are not counted.
         takeover_wait_seconds: Time in seconds from a takeover until the new
             leader knew all runs of former leaders, or could exclude them.
         longest_wait_seconds: Longest time for which a due task has waited for
@@ -68,6 +74,8 @@
                                               "Start orders")
         self.start_order_seconds = self._add_histogram(
             "start_order_seconds", "Duration of start orders")
+        self.order_retries = self._add_counter(
+            "order_retries_total", "Orders sent again after a failure")
         self.run_ends = self._add_counter("run_ends_total", "Ends of runs")
         self.crash_events = self._add_counter(
             "crash_events_total", "Decisions on tasks that crash workers")
@@ -75,6 +83,8 @@
                                              "Calls to the store")
         self.topic_loads = self._add_counter(
             "topic_loads_total", "Attempts to load all keys of a topic")
+        self.unreadable_records = self._add_counter(
+            "unreadable_records_total", "Records that could not be read")
         self.store_call_seconds = self._add_histogram(
             "store_call_seconds", "Duration of calls to the store")
         self.append_repetitions = self._add_counter(
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -231,7 +231,8 @@
         """Returns the steps with tasks that may start now, most urgent first.
 
         Steps of jobs that have ended, are not reconciled or have a pending move
-        are left out.
+        are left out, and those that pause after starts refused for lack of a
+        permit.
         """
         self._update_unreconciled_jobs(now)
         startable_steps = []
@@ -240,8 +241,9 @@
                     job.pending_move_number is not None):
                 continue
             for step_run in job.steps.values():
-                if step_run.waiting_indexes and job.is_step_due(
-                        step_run, now_ms):
+                if (step_run.waiting_indexes and
+                        job.is_step_due(step_run, now_ms) and
+                        step_run.permits.is_start_due(now)):
                     startable_steps.append((job, step_run))
         return _step_priority.sort_steps(startable_steps, now_ms)
 
--- a/src/gentianlead/platform/_configuration.py
+++ b/src/gentianlead/platform/_configuration.py
@@ -1,11 +1,11 @@
 """Decodes the records that operators write to the store."""
 
-import json
 from typing import Any
 
 from gentianlead import errors
 from gentianlead import model
 from gentianlead.platform import _fields
+from gentianlead.platform import _json
 
 OPERATOR_TOPIC = "keyed.op"
 """Topic to which operators write the configuration and domain evacuations."""
@@ -46,26 +46,21 @@
         The configuration, and a message for each skipped route or service.
 
     Raises:
-        ProtocolError: The record is not a JSON object, or its version or
-            limits are malformed.
+        ProtocolError: The record is not a JSON object, or its version, its
+            limits or the list of routes or services is malformed.
     """
-    try:
-        document = _fields.require_object(json.loads(encoded_configuration),
-                                          "configuration")
-    except ValueError as error:
-        raise errors.ProtocolError(
-            f"the configuration is not JSON: {error}") from error
+    document = _json.decode_object(encoded_configuration, "the configuration")
     version = _fields.read_int(document, "version")
     problems: list[str] = []
     queues = []
-    for value in document.get("routes") or ():
+    for value in _fields.read_list(document, "routes"):
         try:
             queues.append(_parse_queue(value))
         except errors.ProtocolError as error:
             problems.append(f"skipped a malformed route: {error}")
     capacity_enforcing_services = set()
     service_names = set()
-    for value in document.get("services") or ():
+    for value in _fields.read_list(document, "services"):
         try:
             service = _fields.require_object(value, "a service")
             name = _fields.read_string(service, "name")
