Hand a group back only to a member that stores records

A member that does not reach the store could not take the group, which would have no leader until another candidate claims it. Test: the new case of test_leader_of_another_domain_hands_the_group_back, which failed before.

--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -56,6 +56,11 @@
 former runs, but the leader may not reach the domain, or be of a version that
 hands nothing back."""
 
+MAX_SUCCESSOR_RECORD_AGE = datetime.timedelta(seconds=7)
+"""Age of the last record of a member up to which a leader hands back to it. One
+that does not store its record every 5 s may not reach the store, and could not
+lead."""
+
 EPOCH_RANGE_SIZE = 512
 """Number of epochs in a range. A candidate takes its epoch from the range after
 that of the known epoch; a hash of the candidate's name selects the position in
@@ -174,8 +179,7 @@
     """Returns whether this daemon should resign for a member of the own domain.
 
     That is a member of the group's own failure domain. The daemon leads the
-    group and is not of that domain. The member must have announced itself for
-    `FAILBACK_DELAY` and be reachable, so that it takes over at once.
+    group and is not of that domain.
 
     Args:
         group: Name of the group, which is the name of its failure domain.
@@ -183,16 +187,25 @@
         view: State of the cluster as this daemon sees it.
     """
     if (view.store_available_since is None or
-            view.members[view.node].record.domain == group):
+            view.members[view.node].record.domain == group or
+            view.now - view.store_available_since
+            < STORE_RECOVERY_WAIT.total_seconds() or
+            view.now - leader.epoch_read_at
+            < MIN_FAILBACK_TERM.total_seconds()):
         return False
-    now = view.now
-    return (
-        now - view.store_available_since >= STORE_RECOVERY_WAIT.total_seconds()
-        and now - leader.epoch_read_at >= MIN_FAILBACK_TERM.total_seconds() and
-        any(member.record.domain == group and name in view.reachable_nodes and
-            (member.record.heartbeat_number > 1 or now -
-             member.seen_at >= FAILBACK_DELAY.total_seconds())
-            for name, member in view.members.items()))
+    return any(
+        member.record.domain == group and name in view.reachable_nodes and
+        _can_take_over_at_once(member, view.now)
+        for name, member in view.members.items())
+
+
+def _can_take_over_at_once(member: _table.MemberEntry, now: float) -> bool:
+    """Returns whether a member has joined and stores its records."""
+    record_age_s = now - member.seen_at
+    has_joined = (member.record.heartbeat_number > 1 or
+                  record_age_s >= FAILBACK_DELAY.total_seconds())
+    return (has_joined and
+            record_age_s <= MAX_SUCCESSOR_RECORD_AGE.total_seconds())
 
 
 def find_process_end(leader: _table.LeaderEntry,
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -116,10 +116,17 @@
         The wait for the former runs would begin, as the deposed leader hands
         nothing over. A hand-back must not leave the group without a leader.
         """
-        long_known = build_member("a")
+        long_known = build_member("a")._replace(seen_at=96.0)
         just_joined = long_known._replace(seen_at=99.0)
+        own_daemon = build_member("c", "n2")
         cases = (
             ("leader of another domain", {}, True),
+            ("member stores no records", {
+                "members": {
+                    "a": long_known._replace(seen_at=92.0),
+                    "c": own_daemon
+                }
+            }, False),
             ("leader is new", {
                 "epoch_read_at": 90.0
             }, False),
@@ -129,7 +136,7 @@
             ("member has just joined", {
                 "members": {
                     "a": just_joined,
-                    "c": build_member("c", "n2")
+                    "c": own_daemon
                 }
             }, False),
             ("member has announced itself again", {
@@ -138,7 +145,7 @@
                         just_joined._replace(record=just_joined.record._replace(
                             heartbeat_number=2)),
                     "c":
-                        build_member("c", "n2")
+                        own_daemon
                 }
             }, True),
             ("store is away", {
@@ -153,7 +160,13 @@
         )
         for name, fields, is_due in cases:
             with self.subTest(name):
-                fields = dict(fields)
+                fields = {
+                    "members": {
+                        "a": long_known,
+                        "c": own_daemon
+                    },
+                    **fields
+                }
                 leader = build_leader(node="c")._replace(
                     epoch_read_at=fields.pop("epoch_read_at", 0.0))
                 self.assertIs(
