Let simulated daemons pause and simulated workers refuse late orders

Tests of handovers between daemons need owners that are paused, orders that arrive late, workers that are cut off while their tasks run, and appends whose reply is lost.

The simulated workers now refuse a start order after its `start_by` and renewals with a low fencing token, as real workers do, and can be cut off without a loss of their runs. The log can lose replies. The calls of a paused daemon wait and are delivered with their old arguments when it resumes. The timings of the control loop are an attribute of the simulated daemon.

--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+from typing import Any, Awaitable, Callable
 from unittest import mock
 
 from gentianlead import adapters
@@ -43,11 +44,13 @@
     Attributes:
         append_seconds_per_byte: Real time that an append takes for each byte.
         refuses_appends: Whether all appends fail and store nothing.
+        loses_replies: Whether all appends take effect but fail for the caller.
     """
 
     def __init__(self, clock: ManualClock):
         self.append_seconds_per_byte = 0.0
         self.refuses_appends = False
+        self.loses_replies = False
         self._clock = clock
         self._streams: dict[str, list[tuple[float, bytes]]] = {}
 
@@ -60,6 +63,8 @@
         stored = self._streams.setdefault(stream, [])
         first_offset = len(stored)
         stored.extend((self._clock.now_s, record) for record in records)
+        if self.loses_replies:
+            raise errors.LogUnavailableError("the reply was lost")
         return first_offset
 
     async def read(self, stream: str, start: int, limit: int,
@@ -78,6 +83,54 @@
         return ports.LogBatch(earliest, len(stored), records)
 
 
+class PauseGate:
+    """Holds back the calls of a daemon while it is paused.
+
+    A call that a paused daemon has begun takes effect late, with the arguments
+    from before the pause.
+
+    Attributes:
+        is_paused: Whether the daemon is paused.
+    """
+
+    def __init__(self) -> None:
+        self.is_paused = False
+        self._may_pass = asyncio.Event()
+        self._may_pass.set()
+
+    def pause(self) -> None:
+        """Holds back all calls from now on."""
+        self.is_paused = True
+        self._may_pass.clear()
+
+    def resume(self) -> None:
+        """Lets the calls pass again, also those that were held back."""
+        self.is_paused = False
+        self._may_pass.set()
+
+    def wrap(self, service: Any) -> Any:
+        """Returns a service whose calls and replies pass this gate."""
+        return _GatedService(service, self._may_pass)
+
+
+class _GatedService:
+    """Forwards the calls of coroutine methods when a gate is open."""
+
+    def __init__(self, service: Any, may_pass: asyncio.Event):
+        self._service = service
+        self._may_pass = may_pass
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[Any]]:
+
+        async def call(*arguments: Any) -> Any:
+            await self._may_pass.wait()
+            reply = await getattr(self._service, name)(*arguments)
+            await self._may_pass.wait()
+            return reply
+
+        return call
+
+
 class Daemon:
     """Stream clients and control loop of one daemon.
 
@@ -89,12 +142,19 @@
         domain_client: Client of the domain's stream.
         one_time_client: Client of the `once` stream.
         controller: Control loop.
+        gate: Holds back all calls while the daemon is paused.
         observer: Mock that receives the events of the loop.
+        timings: Durations of the control loop.
     """
 
+    timings = control.ControlTimings(
+        heartbeat_interval=datetime.timedelta(milliseconds=300),
+        member_timeout=MEMBER_TIMEOUT)
+
     def __init__(self, name: str, domain: str, log: ports.LogService,
                  clock: ports.Clock, max_records: int):
-        self._log = log
+        self.gate = PauseGate()
+        self._log = self.gate.wrap(log)
         self._clock = clock
         self._incarnation = f"{name}#1"
         config_state_machine = state.ConfigurationStateMachine()
@@ -119,11 +179,10 @@
             self.config_client, self.domain_client, self.one_time_client,
             self.build_vm_inventory(), self._run_manager, scheduler,
             control.JobReconciler(domain, config_state_machine,
-                                  domain_state_machine, self.choose_domain),
-            clock, adapters.SystemRandom(), leases.FreshnessLimits(hour, hour),
-            control.ControlTimings(
-                heartbeat_interval=datetime.timedelta(milliseconds=300),
-                member_timeout=MEMBER_TIMEOUT),
+                                  domain_state_machine,
+                                  self.choose_domain), clock,
+            adapters.SystemRandom(), leases.FreshnessLimits(hour,
+                                                            hour), self.timings,
             streams.SnapshotPolicy(max_records, RETENTION), self.observer)
         self._tasks = [
             asyncio.create_task(client.run()) for client in self.clients
@@ -230,18 +289,24 @@
         for _ in range(round(seconds / self.step_seconds)):
             self.clock.now_s += self.step_seconds
             self.on_step()
-            for daemon in self.daemons.values():
+            for daemon in self._list_active_daemons():
                 daemon.controller.run_round()
             await self._settle()
 
+    def _list_active_daemons(self) -> list[Daemon]:
+        return [
+            daemon for daemon in self.daemons.values()
+            if not daemon.gate.is_paused
+        ]
+
     def on_step(self) -> None:
         """Called after each step of the clock, before the control loops."""
 
     async def _settle(self) -> None:
         async with asyncio.timeout(_SETTLE_TIMEOUT_S):
             await asyncio.sleep(0.002)
-            while not all(
-                    daemon.is_settled() for daemon in self.daemons.values()):
+            while not all(daemon.is_settled()
+                          for daemon in self._list_active_daemons()):
                 await asyncio.sleep(0.001)
 
     async def put_domains(self, *names: str) -> None:
--- a/src/gentianlead/control/tests/simulated_domains.py
+++ b/src/gentianlead/control/tests/simulated_domains.py
@@ -52,10 +52,11 @@
     """A run on a simulated worker."""
 
     def __init__(self, script: TaskScript, started_at: float,
-                 expires_at_ms: int):
+                 order: ports.StartOrder):
         self.script = script
         self.started_at = started_at
-        self.expires_at_ms = expires_at_ms
+        self.expires_at_ms = order.expires_at_ms
+        self.fence_token = order.fence_token
         self.state = ports.RunState.RUNNING
 
 
@@ -88,6 +89,7 @@
     Attributes:
         crashes: Crashes that tasks caused, in order.
         starts: Worker and run of each start, in order.
+        cut_off: Names of the workers that run tasks but get no calls.
     """
 
     def __init__(self, clock: clusters.ManualClock):
@@ -95,6 +97,7 @@
         self._workers: dict[str, _SimulatedWorker] = {}
         self.crashes: list[Crash] = []
         self.starts: list[tuple[str, ports.RunKey]] = []
+        self.cut_off: set[str] = set()
 
     def cut_power(self, names: list[str], down_seconds: float) -> None:
         """Ends all runs of the workers, which boot again after some time."""
@@ -115,6 +118,15 @@
         """Returns the number of starts of a task."""
         return sum(key[:2] == (job_id, task) for _, key in self.starts)
 
+    def list_running(self, job_id: str, task: int = 0) -> list[str]:
+        """Returns the names of the workers that run a task now."""
+        now_ms = self._clock.now_s * 1000
+        return [
+            name for name, worker in self._workers.items()
+            for key, run in worker.runs.items() if key[:2] == (job_id, task) and
+            run.state is ports.RunState.RUNNING and now_ms <= run.expires_at_ms
+        ]
+
     def tick(self) -> None:
         """Crashes workers and ends runs whose time has come."""
         now = self._clock.now_s
@@ -140,6 +152,8 @@
 
     def _call(self, address: str) -> _SimulatedWorker:
         worker = self._get_worker(address)
+        if address in self.cut_off:
+            raise errors.WorkerError("no reply", errors.Verdict.MAY_HAVE_RUN)
         if self._clock.now_s < worker.down_until:
             raise errors.WorkerError("connection refused",
                                      errors.Verdict.DID_NOT_RUN)
@@ -161,10 +175,11 @@
         worker = self._call(address)
         if order.boot_id != f"boot-{worker.boot}":
             raise errors.WorkerError("other boot", errors.Verdict.DID_NOT_RUN)
+        if self._clock.now_s * 1000 > order.start_by_ms:
+            raise errors.WorkerError("too late", errors.Verdict.DID_NOT_RUN)
         self.starts.append((address, order.key))
         worker.runs[order.key] = _SimulatedRun(
-            TaskScript(**json.loads(order.payload)), self._clock.now_s,
-            order.expires_at_ms)
+            TaskScript(**json.loads(order.payload)), self._clock.now_s, order)
         boot = worker.boot
         self.tick()
         if worker.boot != boot:
@@ -177,7 +192,9 @@
         worker = self._call(address)
         for renewal in renewals:
             run = worker.runs.get(renewal.key)
-            if run is not None and boot_id == f"boot-{worker.boot}":
+            if (run is not None and boot_id == f"boot-{worker.boot}" and
+                    renewal.fence_token >= run.fence_token):
+                run.fence_token = renewal.fence_token
                 run.expires_at_ms = max(run.expires_at_ms,
                                         renewal.expires_at_ms)
         return self._reply(worker, [renewal.key for renewal in renewals])
@@ -214,13 +231,19 @@
 
 
 class Daemon(clusters.Daemon):
-    """Daemon of `clusters` that starts tasks on simulated workers."""
+    """Daemon of `clusters` that starts tasks on simulated workers.
+
+    Attributes:
+        run_limits: Limits on the age of the state for the run manager.
+    """
+
+    run_limits = leases.FreshnessLimits(_HOUR, LEASE_LENGTH)
 
     def __init__(self, name: str, domain: str, log: ports.LogService,
                  clock: ports.Clock, max_records: int,
                  agent_client: SimulatedWorkers,
                  vm_inventory: control.VMInventory):
-        self._agent_client = agent_client
+        self._workers = agent_client
         self._vm_inventory = vm_inventory
         self._domain = domain
         self.execution_observer = mock.create_autospec(
@@ -237,12 +260,12 @@
 
     def build_run_manager(self) -> execution.RunManager:
         return execution.RunManager(
-            self._incarnation, self.domain_client, self._agent_client,
-            self._clock,
+            self._incarnation, self.domain_client,
+            self.gate.wrap(self._workers), self._clock,
             execution.LeaseTimings(LEASE_LENGTH,
                                    datetime.timedelta(milliseconds=1)),
-            leases.FreshnessLimits(_HOUR, LEASE_LENGTH), lambda worker: worker,
-            self._may_start_run, self.execution_observer)
+            self.run_limits, lambda worker: worker, self._may_start_run,
+            self.execution_observer)
 
     def _may_start_run(self, run: execution.HeldRun) -> bool:
         return self.controller.may_start_run(run)
@@ -259,12 +282,14 @@
 
     Attributes:
         workers: Agents of all workers.
+        daemon_type: Type of the daemons that `start` starts.
 
     Args:
         worker_count: Number of workers in each domain.
     """
 
     step_seconds = 0.25
+    daemon_type = Daemon
 
     def __init__(self, worker_count: int):
         super().__init__()
@@ -281,6 +306,13 @@
             for name in self.list_workers(domain, worker_count)
         ], 0.0)
 
+    def mark_leaving(self, name: str) -> None:
+        """Marks a worker as leaving in the platform's list of VMs."""
+        vm = self._vm_inventory.get(name)
+        self._vm_inventory.update(
+            [vm._replace(state=model.VMState.LEAVING.value)],
+            self.clock.monotonic())
+
     @staticmethod
     def list_workers(domain: str, count: int) -> list[str]:
         """Returns the names of the first workers of a domain."""
@@ -290,8 +322,8 @@
               name: str,
               domain: str = "domain-1",
               max_records: int = 200) -> Daemon:
-        daemon = Daemon(name, domain, self.log, self.clock, max_records,
-                        self.workers, self._vm_inventory)
+        daemon = self.daemon_type(name, domain, self.log, self.clock,
+                                  max_records, self.workers, self._vm_inventory)
         self.daemons[name] = daemon
         return daemon
 
