Leave the domain when a planned stop begins, not when it ends

What callers would see: after SIGTERM of the preferred scheduler, a domain started no task for up to `member-timeout` (6 s): no watcher whose worker left in good order, no batch task. With daemons that are replaced one after another, each stop of a preferred scheduler caused this wait again. Urgent jobs were exempt, because members of a higher rank claim them after 1.5 s.

Cause: a draining daemon stopped sending heartbeats and claiming tasks at once, but wrote `MemberLeft` only after its requests had ended (`drain-wait` and up to `drain-limit`, 50 s). Until its heartbeats were overdue, the other members took it for the preferred scheduler, as if it had crashed.

Evidence: new tests on an injected clock with the default timings.

Change: the rounds of a draining daemon hand over its runs and append `MemberLeft` as soon as another member is live, and repeat this after a failed append. `leave` does it before the exit if there was no other member. Runs that another stopping daemon hands over afterwards are handed on. Records and verdicts are the same, so daemons of both versions work together.

--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -18,6 +18,7 @@
 from gentianlead import scheduling
 from gentianlead import state
 from gentianlead import streams
+from gentianlead.control import _departure
 from gentianlead.control import _jobs
 from gentianlead.control import _observer
 from gentianlead.control import _platform_vms
@@ -152,6 +153,9 @@
         self._snapshot_writer = _snapshot_writer.SnapshotWriter(
             incarnation, snapshot_policy, clock, random,
             self._background_coroutines, observer)
+        self._departure = _departure.DomainDeparture(
+            incarnation, domain_stream_client, run_manager,
+            self._membership_tracker, self._background_coroutines)
         self._job_ids_to_reconcile: set[str] = set()
         self._changed_job_ids: set[str] = set()
         # Urgent jobs that this daemon opens if the preferred scheduler does
@@ -269,8 +273,11 @@
         self._stop_failing_jobs()
         self._execute_evictions(now)
         rank = self._membership_tracker.get_rank(self._incarnation)
-        self._set_is_preferred_scheduler(rank == 0)
-        if rank is None or self._is_draining:
+        self._set_is_preferred_scheduler(rank == 0 and not self._is_draining)
+        if self._is_draining:
+            self._departure.begin_if_due()
+            return
+        if rank is None:
             return
         if rank == 0:
             self._unopened_urgent_jobs_read_at.clear()
@@ -557,30 +564,24 @@
     async def leave(self) -> None:
         """Drains the daemon, transfers its held runs and leaves the domain.
 
-        All held runs that have not ended go to one member: of the other live
-        members, the one that joined first. If there is no other live member,
-        the runs keep this daemon as their holder. If the daemon is not ready,
-        it neither transfers runs nor leaves the domain.
+        It is called before the daemon exits and completes what the rounds have
+        not done since `start_draining`. If there is no other live member, the
+        runs keep this daemon as their holder. If the daemon is not ready, it
+        neither transfers runs nor leaves the domain.
         """
         self._is_draining = True
-        successors = [
-            member.member
-            for member in self._membership_tracker.list_live_members()
-            if member.member != self._incarnation
-        ]
         if self.is_ready():
-            await self._run_manager.hand_over_runs(successors[:1])
-            await self._append_record(self._domain_stream_client,
-                                      model.MemberLeft(self._incarnation))
+            await self._departure.finish()
 
     def start_draining(self) -> None:
-        """Limits the loop to throttling, moving and stopping held runs.
+        """Makes the following rounds transfer the runs and leave the domain.
 
-        It is called before a planned stop of the daemon. The loop still
+        It is called when a planned stop of the daemon begins. All held runs go
+        to one member: of the other live members, the one that joined first.
+        While there is none, the daemon stays a member without heartbeats; it
         throttles, moves and stops held runs as the scheduler orders, and the
-        run manager still renews leases. The daemon sends no more heartbeats,
-        starts no held run and claims no tasks. Whatever its rank, it also does
-        none of the loop's other work for the domain.
+        run manager renews leases. The daemon starts no held run, claims no
+        tasks and does none of the loop's other work for the domain.
         """
         self._is_draining = True
 
--- /dev/null
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -0,0 +1,137 @@
+"""Tests of how long a task has no run when daemons stop as planned."""
+
+import unittest
+
+from gentianlead import control
+from gentianlead import leases
+from gentianlead import model
+from gentianlead.control.tests import simulated_domains
+
+_TIMINGS = control.ControlTimings()
+_LIMITS = leases.FreshnessLimits()
+_ROUND_SECONDS = simulated_domains.SimulatedDomains.step_seconds
+_DRAIN_ROUNDS = 20
+# Rounds for the steps that need no waiting: the stop of a run, the record of
+# its end, the handover, the claim of the next run and its start.
+_HANDOVER_SECONDS = 8 * _ROUND_SECONDS
+_ENDLESS = simulated_domains.TaskScript(1e6)
+
+
+class _Daemon(simulated_domains.Daemon):
+    """Daemon with the default timings of the control loop and of leases."""
+
+    timings = _TIMINGS
+    run_limits = _LIMITS
+
+
+class _Domains(simulated_domains.SimulatedDomains):
+    """Domains that measure how long a watcher has no run.
+
+    Attributes:
+        gap_seconds: Length of the current or last time without a run.
+        longest_gap_seconds: Longest time without a run.
+    """
+
+    daemon_type = _Daemon
+
+    def __init__(self, worker_count: int):
+        super().__init__(worker_count)
+        self.gap_seconds = 0.0
+        self.longest_gap_seconds = 0.0
+
+    async def _settle(self) -> None:
+        # Twice, because the run managers poll the workers in real time.
+        await super()._settle()
+        await super()._settle()
+        n_running = len(self.workers.list_running("watcher"))
+        assert n_running <= 1, "two runs of a task at once"
+        self.gap_seconds = 0.0 if n_running else (self.gap_seconds +
+                                                  self.step_seconds)
+        self.longest_gap_seconds = max(self.longest_gap_seconds,
+                                       self.gap_seconds)
+
+    def begin_stop(self, name: str) -> None:
+        """Sends a daemon SIGTERM; it then drains its requests."""
+        self.daemons[name].controller.start_draining()
+
+    async def replace(self, name: str, successor: str) -> None:
+        """Stops a daemon, which has requests to drain, and starts another."""
+        self.begin_stop(name)
+        await self.advance(_DRAIN_ROUNDS * self.step_seconds)
+        await self.leave(name)
+        self.start(successor)
+        await self.advance(self.step_seconds)
+
+    def find_watcher(self) -> str:
+        """Returns the worker on which the watcher runs."""
+        (worker,) = self.workers.list_running("watcher")
+        return worker
+
+
+class _PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    """Starts three daemons in one domain with a running watcher."""
+
+    def setUp(self) -> None:
+        self.domains = _Domains(6)
+        self.workers = self.domains.workers
+
+    async def start_watcher(self, daemon_count: int = 3) -> None:
+        """Starts daemons, `a` first, and a watcher that `a` holds."""
+        self.addAsyncCleanup(self.domains.close)
+        for name in "abc"[:daemon_count]:
+            self.domains.start(name)
+            await self.domains.advance(1)
+        await self.domains.put_domains(*simulated_domains.DOMAINS)
+        await self.domains.advance(1)
+        await self.domains.submit("watcher",
+                                  _ENDLESS,
+                                  kind=model.JobKind.WATCHER)
+        await self.domains.advance(4)
+        self.domains.find_watcher()
+        self.domains.longest_gap_seconds = 0.0
+
+    def check_gap(self, max_seconds: float) -> None:
+        """Checks that the watcher runs and never lacked a run for longer."""
+        self.domains.find_watcher()
+        self.assertLessEqual(self.domains.longest_gap_seconds, max_seconds)
+
+
+class LeavingWorkerTest(_PlannedStopTest):
+    """Stops daemons while workers leave in good order."""
+
+    async def test_preferred_scheduler_stops(self) -> None:
+        """Guards against a domain that starts nothing while a daemon drains.
+
+        The other members must not wait until its heartbeats are overdue.
+        """
+        await self.start_watcher()
+        self.domains.begin_stop("a")
+        self.domains.mark_leaving(self.domains.find_watcher())
+        await self.domains.advance(15)
+        self.check_gap(_HANDOVER_SECONDS)
+
+    async def test_worker_leaves_first(self) -> None:
+        """Guards against an end of a run that waits for the next holder."""
+        await self.start_watcher()
+        self.domains.mark_leaving(self.domains.find_watcher())
+        await self.domains.advance(_ROUND_SECONDS)
+        self.domains.begin_stop("a")
+        await self.domains.advance(15)
+        self.check_gap(_HANDOVER_SECONDS)
+
+    async def test_all_daemons_are_replaced(self) -> None:
+        """Guards against waits that add up while daemons are replaced."""
+        await self.start_watcher()
+        for name in "abc":
+            self.domains.mark_leaving(self.domains.find_watcher())
+            await self.domains.replace(name, f"next-{name}")
+        self.check_gap(_HANDOVER_SECONDS)
+
+    async def test_reply_of_the_log_is_lost(self) -> None:
+        """Guards against a handover that a lost reply of the log undoes."""
+        await self.start_watcher()
+        self.domains.log.loses_replies = True
+        self.domains.mark_leaving(self.domains.find_watcher())
+        self.domains.begin_stop("a")
+        await self.domains.advance(15)
+        self.check_gap(_HANDOVER_SECONDS)
--- a/src/gentianlead/daemon/_entry_daemon.py
+++ b/src/gentianlead/daemon/_entry_daemon.py
@@ -328,7 +328,8 @@
         """Stops the daemon when requests have ended or `drain_limit` is over.
 
         It first reports itself as not ready and waits, so that load balancers
-        stop sending requests, and then refuses new requests.
+        stop sending requests, and then refuses new requests. Meanwhile the
+        control loop transfers the held runs and leaves the domain.
         """
         self._is_draining = True
         self._controller.start_draining()
