Record ended and unstarted runs before a planned stop hands over

What callers would see: a task that was claimed when the preferred scheduler got SIGTERM started only 5 s later (`START_ORDER_TIMEOUT`), or after the handover and 3.5 s more (`TAKEOVER_GRACE_PERIOD`), and counted as a task that had crashed its worker. A run that was lost with its worker shortly before was recorded as ended by the next holder only, after the same 3.5 s or, if the worker did not answer, after 15 min.

Cause: a stopping daemon handed over claims that it would never start. The next holder cannot tell that the start order was never sent: it waits until a late order would have been refused, and then takes the run for one that the worker has forgotten. Runs whose end was known but not yet recorded, because the holder waits 3 s for losses of other workers, were left to a takeover.

Evidence: new tests on an injected clock.

Change: before a stopping daemon hands over, it waits for the verdicts on its claims, releases the runs that it has not started, and records the ends that it knows. A loss that it has not classified yet counts as a loss together with others, the weaker evidence, as after a takeover.

--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -522,7 +522,7 @@
             self, planned_starts: list[scheduling.PlannedStart]) -> None:
         for planned_start in planned_starts:
             self._background_coroutines.start(
-                ("claim", planned_start.job_id, planned_start.task,
+                (_departure.CLAIM_KEY, planned_start.job_id, planned_start.task,
                  planned_start.run), self._claim_planned_start(planned_start))
 
     async def _claim_planned_start(
--- a/src/gentianlead/control/_departure.py
+++ b/src/gentianlead/control/_departure.py
@@ -1,5 +1,7 @@
 """Handover and departure of a daemon that stops as planned."""
 
+from typing import Hashable
+
 from gentianlead import errors
 from gentianlead import execution
 from gentianlead import membership
@@ -8,6 +10,14 @@
 from gentianlead import streams
 from gentianlead.control import _running_coroutines
 
+CLAIM_KEY = "claim"
+"""First item of the keys of background coroutines that append claims."""
+
+
+def is_claim_key(key: Hashable) -> bool:
+    """Returns whether a background coroutine appends a claim, by its key."""
+    return isinstance(key, tuple) and key[0] == CLAIM_KEY
+
 
 class DomainDeparture:
     """Hands over the runs of a stopping daemon and leaves the domain.
@@ -68,6 +78,8 @@
         ]
 
     async def _leave(self, successors: list[str]) -> None:
+        await self._background_coroutines.wait(is_claim_key)
+        await self._run_manager.release_ended_runs()
         # The first successor becomes the preferred scheduler, which takes over
         # the runs whose holder is no member: it gets them either way.
         await self._run_manager.hand_over_runs(successors[:1])
--- a/src/gentianlead/control/_running_coroutines.py
+++ b/src/gentianlead/control/_running_coroutines.py
@@ -50,6 +50,17 @@
         ) is not None:
             self._on_error(asyncio_task.exception())
 
+    async def wait(self, is_awaited: Callable[[Hashable], bool]) -> None:
+        """Waits until the running coroutines with certain keys have ended.
+
+        Args:
+            is_awaited: Returns whether to wait for the coroutine of a key.
+        """
+        await asyncio.gather(
+            *(asyncio_task for key, asyncio_task in self._asyncio_tasks.items()
+              if is_awaited(key)),
+            return_exceptions=True)
+
     async def close(self) -> None:
         """Cancels all coroutines and waits until they have ended."""
         asyncio_tasks = list(self._asyncio_tasks.values())
--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -212,6 +212,7 @@
         """Returns the run manager of the control loop."""
         run_manager = mock.Mock()
         run_manager.list_runs.return_value = []
+        run_manager.release_ended_runs = mock.AsyncMock()
         run_manager.hand_over_runs = mock.AsyncMock()
         run_manager.close = mock.AsyncMock()
         return run_manager
--- a/src/gentianlead/control/tests/test_planned_stops.py
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -135,3 +135,58 @@
         self.domains.begin_stop("a")
         await self.domains.advance(15)
         self.check_gap(_HANDOVER_SECONDS)
+
+
+class UnrecordedEndTest(_PlannedStopTest):
+    """Stops daemons that hold runs which have ended or never started."""
+
+    async def test_claim_of_a_stopping_daemon(self) -> None:
+        """Guards against a claim that blocks its task although nobody starts.
+
+        The task must not count as one that crashed its worker either.
+        """
+        await self.start_watcher()
+        daemon = self.domains.daemons["a"]
+        worker = self.domains.find_watcher()
+        client = daemon.domain_client
+        await client.submit(
+            model.JobOpened(model.JobSpec("batch", payload=_ENDLESS.encode()),
+                            1, (), {}))
+        self.domains.begin_stop("a")
+        await client.submit(
+            model.TaskClaimed("batch", 0, 1, worker, model.Resources(100, 64),
+                              "a#1"))
+        await self.domains.advance(_HANDOVER_SECONDS)
+        state_machine = client.replica.state_machine
+        self.assertEqual(state_machine.runs["batch", 0].run, 2)
+        self.assertEqual(state_machine.jobs["batch"].crashes, {})
+
+    async def test_claims_in_flight(self) -> None:
+        """Guards against a handover that misses claims of the last round."""
+        await self.start_watcher()
+        await self.domains.submit("batch", _ENDLESS, tasks=4)
+        controller = self.domains.daemons["a"].controller
+        state_machine = (
+            self.domains.daemons["b"].domain_client.replica.state_machine)
+        while "batch" not in state_machine.jobs:
+            await self.domains.advance(_ROUND_SECONDS)
+        self.assertNotIn(("batch", 0), state_machine.runs)
+        controller.run_round()
+        self.domains.begin_stop("a")
+        await self.domains.advance(_HANDOVER_SECONDS)
+        self.assertEqual(state_machine.jobs["batch"].crashes, {})
+        for task in range(4):
+            self.assertEqual(len(self.workers.list_running("batch", task)), 1)
+
+    async def test_loss_that_is_not_classified(self) -> None:
+        """Guards against a lost run whose end the next holder must find out.
+
+        The holder knows that the run has ended, but waits for losses of other
+        workers before it records why.
+        """
+        await self.start_watcher()
+        self.workers.cut_power([self.domains.find_watcher()], 0.0)
+        await self.domains.advance(_ROUND_SECONDS)
+        self.domains.begin_stop("a")
+        await self.domains.advance(5)
+        self.check_gap(_HANDOVER_SECONDS)
--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -91,6 +91,8 @@
         self._session_loops: dict[str, asyncio.Task[None]] = {}
         self._wakeup_events: dict[str, asyncio.Event] = {}
         self._background_asyncio_tasks: set[asyncio.Task[None]] = set()
+        self._end_record_appends: set[asyncio.Task[None]] = set()
+        self._is_stopping = False
         self._workers_by_task_key: dict[tuple[str, int], str] = {}
         self._state_machine.add_observer(self)
 
@@ -275,22 +277,27 @@
         """Starts to append the end records of a session's ended runs.
 
         Claimed runs whose `START_ORDER_TIMEOUT` has passed are first marked as
-        ended.
+        ended, and so are all claimed runs if this daemon is stopping.
         """
         now = self._clock.monotonic()
         for run in list(session.runs.values()):
             seconds_since_claim = now - run.claim_read_at
-            if (run.phase is _held_run.RunPhase.CLAIMED and
-                    seconds_since_claim > START_ORDER_TIMEOUT.total_seconds()):
+            is_overdue = (seconds_since_claim
+                          > START_ORDER_TIMEOUT.total_seconds())
+            if run.phase is _held_run.RunPhase.CLAIMED and (is_overdue or
+                                                            self._is_stopping):
                 # NOT_STARTED counts as a fault of the worker, so it is used
                 # only if the worker is unreachable.
-                run.mark_ended(model.ReleaseReason.NOT_STARTED if session.
-                               is_unreachable else model.ReleaseReason.EVICTED)
+                is_fault = is_overdue and session.is_unreachable
+                run.mark_ended(model.ReleaseReason.NOT_STARTED
+                               if is_fault else model.ReleaseReason.EVICTED)
             if (run.phase is _held_run.RunPhase.ENDED and
                     not run.is_appending_end_record and
                     self._is_end_reason_final(run, session, now)):
                 run.is_appending_end_record = True
-                self._run_in_background(self._append_end_record(run))
+                append = self._run_in_background(self._append_end_record(run))
+                self._end_record_appends.add(append)
+                append.add_done_callback(self._end_record_appends.discard)
 
     def _is_end_reason_final(self, run: _held_run.HeldRun,
                              session: _worker_session.WorkerSession,
@@ -299,7 +306,8 @@
 
         The end of a run that was lost soon after its start is recorded only
         when losses of other workers at the same time have been noticed. Its end
-        reason then says that the worker crashed under the task.
+        reason then says that the worker crashed under the task. A daemon that
+        stops does not wait for other losses and assumes that there are some.
         """
         live_run = run.live_run
         job = self._state_machine.jobs[live_run.job_id]
@@ -308,11 +316,14 @@
             return True
         shared_loss_time = _crashes.compute_shared_loss_time(
             self._get_renew_interval())
-        if now - session.lost_at < shared_loss_time:
+        if now - session.lost_at >= shared_loss_time:
+            run.end_reason = _crashes.classify_crash(run, session,
+                                                     self._sessions.values(),
+                                                     shared_loss_time)
+        elif self._is_stopping:
+            run.end_reason = model.ReleaseReason.SHARED_CRASH
+        else:
             return False
-        run.end_reason = _crashes.classify_crash(run, session,
-                                                 self._sessions.values(),
-                                                 shared_loss_time)
         run.was_lost_with_worker = False
         return True
 
@@ -337,11 +348,26 @@
         finally:
             run.is_appending_end_record = False
 
-    def _run_in_background(self,
-                           coroutine: "asyncio._CoroutineLike[None]") -> None:
+    def _run_in_background(
+            self,
+            coroutine: "asyncio._CoroutineLike[None]") -> asyncio.Task[None]:
         asyncio_task = asyncio.get_running_loop().create_task(coroutine)
         self._background_asyncio_tasks.add(asyncio_task)
         asyncio_task.add_done_callback(self._background_asyncio_tasks.discard)
+        return asyncio_task
+
+    async def release_ended_runs(self) -> None:
+        """Records the ends of held runs before a planned stop.
+
+        Runs that this daemon has claimed and not started are released too, now
+        and in future: a successor could not tell that they never started. The
+        call returns when the log has accepted the records or failed; failed
+        appends are repeated while the daemon runs.
+        """
+        self._is_stopping = True
+        for session in self._sessions.values():
+            self._record_ended_runs(session)
+        await asyncio.gather(*self._end_record_appends, return_exceptions=True)
 
     async def hand_over_runs(self, successors: list[str]) -> None:
         """Transfers the held runs to other daemons before a planned stop.
