Hand over how long a lease can last when a daemon stops as planned

What callers would see: a worker is lost, and before its lease has expired the daemon that holds its runs is replaced. The tasks then ran again only after 15 min 15.5 s (`holding-limit` + `lease-length` + margin) instead of 15.5 s, and each further replacement of a holder began this wait anew.

Cause: a holder that takes a run over cannot know for how long a failed holder renewed the lease, and waits for the longest possible time. A holder that stopped as planned left its successor with the same wait, although it knew the end of each lease, and it renewed until it read the change of the holder.

Evidence: new tests on an injected clock. After a planned stop of the holder of a lost run, of all three daemons in turn, and of the only daemon of a domain, the watcher had no run until the end of the test: three failures of three (bounds 2.0 s, 17.5 s and 31.1 s).

Change: a stopping holder ends its renewals and appends `RenewalsEnded` with the remaining time of the lease before `HolderChanged`. The time counts from the reading of the records, so a pause of the holder, a lost reply or a late append only lengthens the wait; orders on their way are covered, as they carry absolute times. A holder that has not confirmed its fencing token at the worker passes on the rest of the wait for the holder before it. Renewals go on if the record was certainly not sent, and no daemon begins to leave while its state of the stream is older than the limit for starts. Without a successor the record is appended just before the exit.

Measured: without a run for 1.0 s after the end of the lease, 16.0 s and 16.75 s. Two tests guard against two runs at once: a former holder that reaches the worker but does not read the log, and one that is paused as it leaves and whose calls arrive late.

--- a/src/gentianlead/control/_controller.py
+++ b/src/gentianlead/control/_controller.py
@@ -155,7 +155,8 @@
             self._background_coroutines, observer)
         self._departure = _departure.DomainDeparture(
             incarnation, domain_stream_client, run_manager,
-            self._membership_tracker, self._background_coroutines)
+            self._membership_tracker, self._background_coroutines,
+            freshness_limits.max_age_for_starts)
         self._job_ids_to_reconcile: set[str] = set()
         self._changed_job_ids: set[str] = set()
         # Urgent jobs that this daemon opens if the preferred scheduler does
--- a/src/gentianlead/control/_departure.py
+++ b/src/gentianlead/control/_departure.py
@@ -1,5 +1,6 @@
 """Handover and departure of a daemon that stops as planned."""
 
+import datetime
 from typing import Hashable
 
 from gentianlead import errors
@@ -33,18 +34,23 @@
         run_manager: Manages the runs that this daemon holds.
         membership_tracker: Tracker of which members of the domain are live.
         background_coroutines: Runs the departure in the background.
+        max_state_age: Greatest age of the state of the domain's stream with
+            which the daemon leaves. The leases of its runs are not renewed
+            while it leaves, so it does not begin during an outage of the log.
     """
 
     def __init__(
             self, incarnation: str, domain_stream_client: streams.StreamClient,
             run_manager: execution.RunManager,
             membership_tracker: membership.MembershipTracker,
-            background_coroutines: _running_coroutines.BackgroundCoroutines):
+            background_coroutines: _running_coroutines.BackgroundCoroutines,
+            max_state_age: datetime.timedelta):
         self._incarnation = incarnation
         self._domain_stream_client = domain_stream_client
         self._run_manager = run_manager
         self._membership_tracker = membership_tracker
         self._background_coroutines = background_coroutines
+        self._max_state_age = max_state_age
 
     def begin_if_due(self) -> None:
         """Starts to leave if there is a successor and anything to hand over.
@@ -53,6 +59,8 @@
         attempt is repeated. Runs that another stopping daemon hands over to
         this one after it has left are handed on.
         """
+        if self._domain_stream_client.get_age() > self._max_state_age:
+            return
         successors = self._list_successors()
         if successors and (self._is_member() or self._run_manager.list_runs()):
             self._background_coroutines.start("leave", self._leave(successors))
--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -83,49 +83,48 @@
         return ports.LogBatch(earliest, len(stored), records)
 
 
-class PauseGate:
-    """Holds back the calls of a daemon while it is paused.
+class CallGate:
+    """Holds back or fails the calls of a daemon to the log and to workers.
 
-    A call that a paused daemon has begun takes effect late, with the arguments
-    from before the pause.
+    A call that is held back takes effect late, with its old arguments.
 
     Attributes:
-        is_paused: Whether the daemon is paused.
+        is_paused: Whether the daemon is paused: all calls are held back.
+        held_methods: Names of the methods whose calls are held back.
+        cut_off: Names of the workers that do not answer this daemon.
     """
 
     def __init__(self) -> None:
         self.is_paused = False
-        self._may_pass = asyncio.Event()
-        self._may_pass.set()
-
-    def pause(self) -> None:
-        """Holds back all calls from now on."""
-        self.is_paused = True
-        self._may_pass.clear()
-
-    def resume(self) -> None:
-        """Lets the calls pass again, also those that were held back."""
-        self.is_paused = False
-        self._may_pass.set()
+        self.held_methods: set[str] = set()
+        self.cut_off: set[str] = set()
 
     def wrap(self, service: Any) -> Any:
         """Returns a service whose calls and replies pass this gate."""
-        return _GatedService(service, self._may_pass)
+        return _GatedService(service, self)
+
+    async def wait(self, method: str) -> None:
+        """Waits while the calls of a method are held back."""
+        while self.is_paused or method in self.held_methods:
+            await asyncio.sleep(0.001)
 
 
 class _GatedService:
-    """Forwards the calls of coroutine methods when a gate is open."""
+    """Forwards calls of coroutine methods through a gate."""
 
-    def __init__(self, service: Any, may_pass: asyncio.Event):
+    def __init__(self, service: Any, gate: CallGate):
         self._service = service
-        self._may_pass = may_pass
+        self._gate = gate
 
     def __getattr__(self, name: str) -> Callable[..., Awaitable[Any]]:
 
         async def call(*arguments: Any) -> Any:
-            await self._may_pass.wait()
+            await self._gate.wait(name)
+            if arguments[0] in self._gate.cut_off:
+                raise errors.WorkerError("no reply",
+                                         errors.Verdict.MAY_HAVE_RUN)
             reply = await getattr(self._service, name)(*arguments)
-            await self._may_pass.wait()
+            await self._gate.wait(name)
             return reply
 
         return call
@@ -142,7 +141,7 @@
         domain_client: Client of the domain's stream.
         one_time_client: Client of the `once` stream.
         controller: Control loop.
-        gate: Holds back all calls while the daemon is paused.
+        gate: Gate of the calls to the log and to workers.
         observer: Mock that receives the events of the loop.
         timings: Durations of the control loop.
     """
@@ -153,7 +152,7 @@
 
     def __init__(self, name: str, domain: str, log: ports.LogService,
                  clock: ports.Clock, max_records: int):
-        self.gate = PauseGate()
+        self.gate = CallGate()
         self._log = self.gate.wrap(log)
         self._clock = clock
         self._incarnation = f"{name}#1"
@@ -291,24 +290,19 @@
         for _ in range(round(seconds / self.step_seconds)):
             self.clock.now_s += self.step_seconds
             self.on_step()
-            for daemon in self._list_active_daemons():
-                daemon.controller.run_round()
+            for daemon in self.daemons.values():
+                if not daemon.gate.is_paused:
+                    daemon.controller.run_round()
             await self._settle()
 
-    def _list_active_daemons(self) -> list[Daemon]:
-        return [
-            daemon for daemon in self.daemons.values()
-            if not daemon.gate.is_paused
-        ]
-
     def on_step(self) -> None:
         """Called after each step of the clock, before the control loops."""
 
     async def _settle(self) -> None:
         async with asyncio.timeout(_SETTLE_TIMEOUT_S):
             await asyncio.sleep(0.002)
-            while not all(daemon.is_settled()
-                          for daemon in self._list_active_daemons()):
+            while not all(daemon.is_settled() for daemon in self.daemons.values(
+            ) if not daemon.gate.is_paused and not daemon.gate.held_methods):
                 await asyncio.sleep(0.001)
 
     async def put_domains(self, *names: str) -> None:
--- a/src/gentianlead/control/tests/simulated_domains.py
+++ b/src/gentianlead/control/tests/simulated_domains.py
@@ -306,12 +306,12 @@
             for name in self.list_workers(domain, worker_count)
         ], 0.0)
 
-    def mark_leaving(self, name: str) -> None:
-        """Marks a worker as leaving in the platform's list of VMs."""
+    def mark_leaving(self, name: str, is_leaving: bool = True) -> None:
+        """Marks a worker as leaving or live in the platform's list of VMs."""
+        vm_state = model.VMState.LEAVING if is_leaving else model.VMState.LIVE
         vm = self._vm_inventory.get(name)
-        self._vm_inventory.update(
-            [vm._replace(state=model.VMState.LEAVING.value)],
-            self.clock.monotonic())
+        self._vm_inventory.update([vm._replace(state=vm_state.value)],
+                                  self.clock.monotonic())
 
     @staticmethod
     def list_workers(domain: str, count: int) -> list[str]:
--- a/src/gentianlead/control/tests/test_planned_stops.py
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Tests of how long a task has no run when daemons stop as planned."""
 
+import asyncio
 import unittest
 
 from gentianlead import control
@@ -9,6 +10,8 @@
 
 _TIMINGS = control.ControlTimings()
 _LIMITS = leases.FreshnessLimits()
+_LEASE_SECONDS = leases.compute_expiry_bound(
+    simulated_domains.LEASE_LENGTH).total_seconds()
 _ROUND_SECONDS = simulated_domains.SimulatedDomains.step_seconds
 _DRAIN_ROUNDS = 20
 # Rounds for the steps that need no waiting: the stop of a run, the record of
@@ -137,6 +140,43 @@
         self.check_gap(_HANDOVER_SECONDS)
 
 
+class LostWorkerTest(_PlannedStopTest):
+    """Stops daemons after a worker was lost."""
+
+    async def test_holder_stops_after_the_loss(self) -> None:
+        """Guards against a successor that waits as after a failed holder.
+
+        Nobody knows how long a failed holder renewed its leases; one that
+        stops knows when they end.
+        """
+        await self.start_watcher()
+        self.workers.cut_off.add(self.domains.find_watcher())
+        await self.domains.advance(2)
+        self.domains.begin_stop("a")
+        await self.domains.advance(_LEASE_SECONDS + 5)
+        self.check_gap(_HANDOVER_SECONDS)
+
+    async def test_all_daemons_are_replaced(self) -> None:
+        """Guards against a wait that begins anew with each holder."""
+        await self.start_watcher()
+        self.workers.cut_power([self.domains.find_watcher()], 1e6)
+        for name in "abc":
+            await self.domains.replace(name, f"next-{name}")
+        await self.domains.advance(_LEASE_SECONDS)
+        self.check_gap(_LEASE_SECONDS + _HANDOVER_SECONDS)
+
+    async def test_only_daemon_is_replaced(self) -> None:
+        """Guards against leases of unknown length without a successor."""
+        await self.start_watcher(1)
+        self.workers.cut_power([self.domains.find_watcher()], 1e6)
+        await self.domains.advance(2)
+        self.domains.begin_stop("a")
+        await self.domains.leave("a")
+        self.domains.start("next-a")
+        await self.domains.advance(2 * _LEASE_SECONDS)
+        self.check_gap(2 * _LEASE_SECONDS)
+
+
 class UnrecordedEndTest(_PlannedStopTest):
     """Stops daemons that hold runs which have ended or never started."""
 
@@ -190,3 +230,40 @@
         self.domains.begin_stop("a")
         await self.domains.advance(5)
         self.check_gap(_HANDOVER_SECONDS)
+
+
+class FormerHolderTest(_PlannedStopTest):
+    """Hands over runs while the former holder can still reach the worker."""
+
+    async def test_former_holder_does_not_read_the_log(self) -> None:
+        """Guards against a second run while the former holder renews the first.
+
+        The next holder does not reach the worker, so it cannot raise the
+        fencing token there, and the former holder does not see the handover.
+        """
+        await self.start_watcher()
+        self.domains.daemons["b"].gate.cut_off.add(self.domains.find_watcher())
+        self.domains.daemons["a"].gate.held_methods.add("read")
+        self.domains.begin_stop("a")
+        await self.domains.advance(_LEASE_SECONDS + 5)
+        self.check_gap(_HANDOVER_SECONDS)
+
+    async def test_former_holder_is_paused(self) -> None:
+        """Guards against late orders of a holder that is paused as it leaves.
+
+        The pause is longer than the lease, so that the task runs again before
+        the calls of the former holder arrive.
+        """
+        await self.start_watcher()
+        daemon = self.domains.daemons["a"]
+        self.workers.cut_off.add(self.domains.find_watcher())
+        await self.domains.advance(_ROUND_SECONDS)
+        self.domains.begin_stop("a")
+        daemon.controller.run_round()
+        await asyncio.sleep(0.02)
+        daemon.gate.is_paused = True
+        await self.domains.advance(_LEASE_SECONDS + 5)
+        self.workers.cut_off.clear()
+        daemon.gate.is_paused = False
+        await self.domains.advance(5)
+        self.check_gap(_HANDOVER_SECONDS)
--- a/src/gentianlead/execution/_held_run.py
+++ b/src/gentianlead/execution/_held_run.py
@@ -75,6 +75,8 @@
             creation of this object if the run was not taken over.
         claim_read_at: Time in monotonic seconds at which this daemon read the
             claim; without meaning if the run was taken over.
+        are_renewals_ended: Whether the lease must not be renewed any more,
+            because this daemon has told in the log when it ends.
     """
 
     __slots__ = ("live_run", "job_spec", "checkpoint", "phase", "boot_id",
@@ -83,7 +85,7 @@
                  "start_ordered_at", "heartbeats_before_takeover",
                  "last_seen_running_at", "is_appending_end_record",
                  "takeover_read_at", "former_lease_expiry_bound",
-                 "claim_read_at")
+                 "claim_read_at", "are_renewals_ended")
 
     def __init__(self, live_run: state.LiveRun, job_spec: model.JobSpec,
                  checkpoint: str, phase: RunPhase, now: float):
@@ -105,6 +107,7 @@
         self.takeover_read_at = now
         self.former_lease_expiry_bound = now
         self.claim_read_at = now
+        self.are_renewals_ended = False
 
     @property
     def run_key(self) -> ports.RunKey:
--- a/src/gentianlead/execution/_manager.py
+++ b/src/gentianlead/execution/_manager.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import math
 from typing import Callable, NamedTuple
 
 from gentianlead import errors
@@ -186,9 +187,7 @@
                                 job.checkpoints.get(live_run.task, ""), phase,
                                 now)
         if phase is _held_run.RunPhase.TAKEN_OVER:
-            former_lease_timeout = (
-                self._freshness_limits.max_age_for_renewals +
-                self._timings.lease_length + leases.EXPIRY_MARGIN)
+            former_lease_timeout = self._compute_former_lease_timeout(live_run)
             run.heartbeats_before_takeover = (
                 self._state_machine.count_heartbeats_before_takeover(
                     (live_run.job_id, live_run.task)))
@@ -200,6 +199,21 @@
         self._workers_by_task_key[task_key] = live_run.worker
         self._wake_session_loop(live_run.worker)
 
+    def _compute_former_lease_timeout(
+            self, live_run: state.LiveRun) -> datetime.timedelta:
+        """Returns the time after which no lease of a former holder is left.
+
+        A former holder that failed may have renewed its lease while its state
+        was young enough. One that stopped as planned has told in the log when
+        its lease ends.
+        """
+        former_lease = self._state_machine.get_former_lease(
+            (live_run.job_id, live_run.task))
+        if former_lease is not None:
+            return leases.compute_expiry_bound(former_lease)
+        return (self._freshness_limits.max_age_for_renewals +
+                self._timings.lease_length + leases.EXPIRY_MARGIN)
+
     def _remove_run(self, run: _held_run.HeldRun,
                     is_end_recorded: bool) -> None:
         task_key = (run.live_run.job_id, run.live_run.task)
@@ -372,27 +386,48 @@
     async def hand_over_runs(self, successors: list[str]) -> None:
         """Transfers the held runs to other daemons before a planned stop.
 
-        Runs that have ended are not transferred. A failed transfer is ignored.
+        The leases of these runs are renewed no more, and the log tells when
+        they end. If the worker cannot be reached, the next holder then need not
+        wait for as long as a failed holder could have renewed them. Runs that
+        have ended are not transferred. A failed transfer is ignored.
 
         Args:
             successors: Incarnations of the daemons among which the runs are
-                divided evenly; if it is empty, nothing is transferred.
+                divided evenly. If it is empty, this daemon must exit soon: the
+                runs keep it as their holder until another daemon takes them
+                over.
         """
-        if not successors:
-            return
         runs = [
             run for run in self.list_runs()
             if run.phase is not _held_run.RunPhase.ENDED
         ]
-        records = [
-            model.HolderChanged(run.live_run.job_id, run.live_run.task,
-                                run.live_run.run, self._incarnation,
-                                successors[index % len(successors)])
+        handovers = [
+            self._hand_over_run(
+                run,
+                successors[index % len(successors)] if successors else None)
             for index, run in enumerate(runs)
         ]
-        await asyncio.gather(
+        await asyncio.gather(*handovers, return_exceptions=True)
+
+    async def _hand_over_run(self, run: _held_run.HeldRun,
+                             successor: str | None) -> None:
+        live_run = run.live_run
+        lease = self._sessions[live_run.worker].end_renewals(run)
+        lease_ms = math.ceil(lease / datetime.timedelta(milliseconds=1))
+        records: list[model.Record] = [
+            model.RenewalsEnded(live_run.job_id, live_run.task, live_run.run,
+                                self._incarnation, lease_ms)
+        ]
+        if successor is not None:
+            records.append(
+                model.HolderChanged(live_run.job_id, live_run.task,
+                                    live_run.run, self._incarnation, successor))
+        results = await asyncio.gather(
             *(self._domain_stream_client.submit(record) for record in records),
             return_exceptions=True)
+        if isinstance(results[0], streams.AppendUnresolvedError) and (
+                results[0].verdict is errors.Verdict.DID_NOT_RUN):
+            run.are_renewals_ended = False
 
     async def close(self) -> None:
         """Cancels all calls to workers and all appends of end records.
--- a/src/gentianlead/execution/_worker_session.py
+++ b/src/gentianlead/execution/_worker_session.py
@@ -158,11 +158,12 @@
         # and so delays the time at which the lease has certainly expired. A
         # worker that is unreachable therefore gets an expiry of 0, which
         # extends no lease but still queries the states of the runs. The same
-        # expiry is sent while leases may not be renewed.
+        # expiry is sent while leases may not be renewed, and for runs whose
+        # renewals have ended.
         may_renew = self._may_renew() and not self._is_unreachable
         for run in runs:
             expiry_ms = 0
-            if may_renew:
+            if may_renew and not run.are_renewals_ended:
                 expiry_ms = self._clock_estimate.get_expiry_ms(
                     sent_at, self._lease_length)
                 run.latest_expiry_ms = max(run.latest_expiry_ms, expiry_ms)
@@ -262,6 +263,28 @@
         except errors.WorkerError as error:
             self._mark_unreachable(error)
 
+    def end_renewals(self, run: _held_run.HeldRun) -> datetime.timedelta:
+        """Stops to renew the lease of a run before another daemon holds it.
+
+        Renewals and start orders that were sent before can still take effect,
+        but they carry the times at which their leases end.
+
+        Returns:
+            How long the lease can still last, without `EXPIRY_MARGIN`.
+        """
+        run.are_renewals_ended = True
+        now = self._clock.monotonic()
+        remaining_s = 0.0
+        if run.boot_id == "":
+            remaining_s = (run.former_lease_expiry_bound - now -
+                           leases.EXPIRY_MARGIN.total_seconds())
+        if self._clock_estimate is not None:
+            expiry_bound_ms = max(run.latest_expiry_ms, run.start_by_ms)
+            remaining_ms = (expiry_bound_ms -
+                            self._clock_estimate.get_lower_bound_ms(now))
+            remaining_s = max(remaining_s, remaining_ms / 1000)
+        return datetime.timedelta(seconds=max(0.0, remaining_s))
+
     def _end_expired_runs(self) -> None:
         now = self._clock.monotonic()
         for run in self.runs.values():
--- a/src/gentianlead/leases/__init__.py
+++ b/src/gentianlead/leases/__init__.py
@@ -5,6 +5,7 @@
 from gentianlead.leases._worker_clock import DRIFT_LIMIT
 from gentianlead.leases._worker_clock import EXPIRY_MARGIN
 from gentianlead.leases._worker_clock import WorkerClockEstimate
+from gentianlead.leases._worker_clock import compute_expiry_bound
 
 __all__ = [
     "DRIFT_LIMIT",
@@ -12,4 +13,5 @@
     "EXPIRY_MARGIN",
     "FreshnessLimits",
     "WorkerClockEstimate",
+    "compute_expiry_bound",
 ]
--- a/src/gentianlead/leases/_worker_clock.py
+++ b/src/gentianlead/leases/_worker_clock.py
@@ -11,6 +11,17 @@
 as expired. It covers scheduling delays on the worker."""
 
 
+def compute_expiry_bound(lease: datetime.timedelta) -> datetime.timedelta:
+    """Returns the time after which a lease has certainly expired.
+
+    Args:
+        lease: Greatest remaining length of the lease, on the worker's clock or
+            on that of another daemon.
+    """
+    # The clocks of two daemons may each differ from that of the worker.
+    return lease * (1 + 2 * DRIFT_LIMIT) + EXPIRY_MARGIN
+
+
 class WorkerClockEstimate:
     """Computes bounds on a worker's clock from the time in its last reply.
 
--- a/src/gentianlead/model/__init__.py
+++ b/src/gentianlead/model/__init__.py
@@ -62,6 +62,7 @@
 from gentianlead.model._records import PatchSubmitted
 from gentianlead.model._records import Record
 from gentianlead.model._records import RECORD_TYPES_BY_KIND_NUMBER
+from gentianlead.model._records import RenewalsEnded
 from gentianlead.model._records import SnapshotPart
 from gentianlead.model._records import TaskClaimed
 from gentianlead.model._records import TaskFinished
--- a/src/gentianlead/model/_records.py
+++ b/src/gentianlead/model/_records.py
@@ -272,6 +272,30 @@
     new_holder: str
 
 
+class RenewalsEnded(NamedTuple):
+    """Tells when the lease of a run ends that its holder renews no more.
+
+    A holder appends it before it hands over the run in a planned stop. If the
+    worker cannot be reached, the next holder thus knows how long the run can
+    still be alive. A version of the program that does not know the record drops
+    it and waits as after a failure of the holder.
+
+    Attributes:
+        job_id: Identifier of the job.
+        task: Index of the task.
+        run: Number of the run; rises with each run of the task.
+        holder: Incarnation of the daemon that has stopped to renew the lease.
+        lease_ms: Greatest time in milliseconds for which the lease lasts after
+            this record was appended.
+    """
+
+    job_id: str
+    task: int
+    run: int
+    holder: str
+    lease_ms: int
+
+
 class OnceBegun(NamedTuple):
     """Claims the single execution of a one-time request.
 
@@ -335,8 +359,8 @@
 Record = Union[PatchSubmitted, JobSubmitted, JobMoved, JobCancelled, JobEnded,
                MemberJoined, MemberHeartbeat, MemberLeft, WorkerPut,
                WorkerRemoved, JobOpened, JobClosed, TaskClaimed, TaskFinished,
-               TaskReleased, HolderChanged, OnceBegun, OnceEnded, OnceReleased,
-               SnapshotPart]
+               TaskReleased, HolderChanged, RenewalsEnded, OnceBegun, OnceEnded,
+               OnceReleased, SnapshotPart]
 
 RECORD_TYPES_BY_KIND_NUMBER: dict[int, type] = {
     1: PatchSubmitted,
@@ -355,6 +379,7 @@
     18: TaskFinished,
     19: TaskReleased,
     20: HolderChanged,
+    21: RenewalsEnded,
     30: OnceBegun,
     31: OnceEnded,
     32: OnceReleased,
--- a/src/gentianlead/state/_domain_state.py
+++ b/src/gentianlead/state/_domain_state.py
@@ -1,6 +1,7 @@
 """State machine of a failure domain's stream: members, workers, jobs, runs."""
 
 import collections
+import datetime
 from typing import NamedTuple
 
 import msgspec
@@ -168,6 +169,11 @@
         self._heartbeat_counts: dict[str, int] = {}
         self._heartbeats_at_claim: dict[TaskKey, int] = {}
         self._heartbeats_before_takeover: dict[TaskKey, int] = {}
+        # Leases that holders have stopped to renew, in milliseconds: those of
+        # the present holders, and those of the holders before them. They are
+        # not part of snapshots either.
+        self._ended_renewals: dict[TaskKey, int] = {}
+        self._former_leases: dict[TaskKey, int] = {}
         self._observers: list[DomainObserver] = []
         self._handlers_by_record_type = {
             model.MemberJoined: self._apply_member_joined,
@@ -181,6 +187,7 @@
             model.TaskFinished: self._apply_task_finished,
             model.TaskReleased: self._apply_task_released,
             model.HolderChanged: self._apply_holder_changed,
+            model.RenewalsEnded: self._apply_renewals_ended,
         }
 
     def add_observer(self, observer: DomainObserver) -> None:
@@ -329,7 +336,8 @@
         return _state_machine.ACCEPTED
 
     def _find_live_run(
-        self, record: model.TaskFinished | model.TaskReleased
+        self,
+        record: model.TaskFinished | model.TaskReleased | model.RenewalsEnded
     ) -> tuple[LiveRun | None, str]:
         live_run = self.runs.get((record.job_id, record.task))
         if live_run is None or live_run.run != record.run:
@@ -343,6 +351,8 @@
         del self.runs[task_key]
         self._heartbeats_at_claim.pop(task_key, None)
         self._heartbeats_before_takeover.pop(task_key, None)
+        self._ended_renewals.pop(task_key, None)
+        self._former_leases.pop(task_key, None)
         worker = self.workers[live_run.worker]
         worker.free = worker.free.plus(live_run.resources)
         worker.runs.discard(task_key)
@@ -405,11 +415,39 @@
         if heartbeats_at_claim is not None and heartbeat_count is not None:
             self._heartbeats_before_takeover[task_key] = (heartbeat_count -
                                                           heartbeats_at_claim)
+        self._former_leases.pop(task_key, None)
+        if task_key in self._ended_renewals:
+            self._former_leases[task_key] = self._ended_renewals.pop(task_key)
         self.runs[task_key] = live_run._replace(
             holder=record.new_holder, fence_token=live_run.fence_token + 1)
         self._notify_run_changed(task_key, live_run.worker)
         return _state_machine.ACCEPTED
 
+    def _apply_renewals_ended(
+            self, offset: int,
+            record: model.RenewalsEnded) -> _state_machine.RecordVerdict:
+        del offset
+        live_run, reason = self._find_live_run(record)
+        if live_run is None:
+            return _state_machine.reject(reason)
+        self._ended_renewals[record.job_id, record.task] = record.lease_ms
+        return _state_machine.ACCEPTED
+
+    def get_former_lease(self, key: TaskKey) -> datetime.timedelta | None:
+        """Returns how long the lease of a run's last holder can still last.
+
+        The time counts from any moment after the last change of the holder was
+        read. Returns None if the last holder did not stop to renew the lease
+        before that change, or if it is unknown.
+
+        Args:
+            key: Job id and index of the task.
+        """
+        lease_ms = self._former_leases.get(key)
+        if lease_ms is None:
+            return None
+        return datetime.timedelta(milliseconds=lease_ms)
+
     def count_heartbeats_before_takeover(self, key: TaskKey) -> int | None:
         """Returns how long the first holder of a run lived after its claim.
 
@@ -478,6 +516,8 @@
         self._heartbeat_counts.clear()
         self._heartbeats_at_claim.clear()
         self._heartbeats_before_takeover.clear()
+        self._ended_renewals.clear()
+        self._former_leases.clear()
         for run in serialized_state.runs:
             self._load_run(run)
         self.tombstones = collections.OrderedDict(serialized_state.tombstones)
--- a/src/gentianlead/state/tests/strategies.py
+++ b/src/gentianlead/state/tests/strategies.py
@@ -77,6 +77,14 @@
                                rng.choice(_WRITERS))
 
 
+def _build_renewals_ended(state_machine: state.DomainStateMachine,
+                          rng: random.Random, job_id: str) -> model.Record:
+    run = _choose_run(state_machine, rng, job_id)
+    return model.RenewalsEnded(job_id, run.task, run.run,
+                               rng.choice((run.holder, *_WRITERS)),
+                               rng.choice((0, 15_000)))
+
+
 def _build_job_opened(state_machine: state.DomainStateMachine,
                       rng: random.Random, job_id: str) -> model.Record:
     tombstone = state_machine.tombstones.get(job_id)
@@ -118,7 +126,8 @@
                                   *[_build_task_released] * 3,
                                   _build_task_finished, _build_job_opened,
                                   _build_job_closed, _build_worker_record,
-                                  _build_holder_changed, _build_member_record)
+                                  _build_holder_changed, _build_renewals_ended,
+                                  _build_member_record)
 
 
 def _build_records(
--- a/src/gentianlead/state/tests/test_domain_fold.py
+++ b/src/gentianlead/state/tests/test_domain_fold.py
@@ -1,7 +1,10 @@
 """Tests of the state machine of a failure domain."""
 
+import datetime
 import unittest
 
+import msgpack
+
 from gentianlead import model
 from gentianlead import state
 
@@ -101,3 +104,67 @@
         self.assert_accepted(model.JobOpened(_SPEC, 3, (), {}))
         self.assert_rejected(_claim(0, 2))
         self.assert_accepted(_claim(0, 2 * 1_000_000 + 1))
+
+
+class FormerLeaseTest(unittest.TestCase):
+    """Tests when the end of a former holder's lease is known."""
+
+    def setUp(self) -> None:
+        self.state_machine = state.DomainStateMachine()
+        self.apply(
+            model.WorkerPut("worker-1", "rack-1", model.Resources(1000, 1000)),
+            model.JobOpened(_SPEC, 1, (), {}), _claim(0, 1))
+
+    def apply(self, *records: model.Record) -> None:
+        """Applies records, which must be accepted."""
+        for record in records:
+            verdict = self.state_machine.apply(1, record)
+            self.assertTrue(verdict.is_accepted, verdict.reason)
+
+    def get_former_lease(self) -> datetime.timedelta | None:
+        """Returns the former lease of the run of task 0."""
+        return self.state_machine.get_former_lease(("job-1", 0))
+
+    def test_holder_hands_over(self) -> None:
+        """Guards against a next holder that waits as after a failure."""
+        self.apply(model.RenewalsEnded("job-1", 0, 1, "entry-1", 9000))
+        self.assertIsNone(self.get_former_lease())
+        self.apply(model.HolderChanged("job-1", 0, 1, "entry-1", "entry-2"))
+        self.assertEqual(self.get_former_lease(), datetime.timedelta(seconds=9))
+
+    def test_next_holder_fails(self) -> None:
+        """Guards against a lease that the second holder may have renewed."""
+        self.apply(model.RenewalsEnded("job-1", 0, 1, "entry-1", 9000),
+                   model.HolderChanged("job-1", 0, 1, "entry-1", "entry-2"),
+                   model.HolderChanged("job-1", 0, 1, "entry-2", "entry-3"))
+        self.assertIsNone(self.get_former_lease())
+
+    def test_next_run(self) -> None:
+        """Guards against a lease of an earlier run of the task."""
+        self.apply(model.RenewalsEnded("job-1", 0, 1, "entry-1", 9000),
+                   model.TaskReleased("job-1", 0, 1, "evicted", "", "entry-1"),
+                   _claim(0, 2),
+                   model.HolderChanged("job-1", 0, 2, "entry-1", "entry-2"))
+        self.assertIsNone(self.get_former_lease())
+
+    def test_former_holder(self) -> None:
+        """Guards against a late record of a daemon that holds the run no more.
+
+        Its lease was taken over, and the present holder renews it.
+        """
+        self.apply(model.HolderChanged("job-1", 0, 1, "entry-1", "entry-2"))
+        verdict = self.state_machine.apply(
+            2, model.RenewalsEnded("job-1", 0, 1, "entry-1", 9000))
+        self.assertFalse(verdict.is_accepted)
+        self.apply(model.HolderChanged("job-1", 0, 1, "entry-2", "entry-3"))
+        self.assertIsNone(self.get_former_lease())
+
+    def test_snapshot(self) -> None:
+        """Guards against snapshots that an older version cannot read."""
+        plain = self.state_machine.dump()
+        self.apply(model.RenewalsEnded("job-1", 0, 1, "entry-1", 9000))
+        self.assertEqual(self.state_machine.dump(), plain)
+        self.state_machine.load(
+            msgpack.unpackb(msgpack.packb(plain), strict_map_key=False))
+        self.apply(model.HolderChanged("job-1", 0, 1, "entry-1", "entry-2"))
+        self.assertIsNone(self.get_former_lease())
