Repeat move and stop orders when the holder of a run changes

What callers would see: a task on a worker that leaves, or of a cancelled job, ran on for up to 15 s (`ORDER_RETRY_INTERVAL`) after its holder had stopped or failed. If the worker was gone before, the task lost its progress and waited for the end of its lease instead of moving.

Cause: the scheduler of every daemon plans the order at the same time and counts it as sent, but only the holder carries it out. The next holder had recorded the order as open and repeated it only when that was due.

Evidence: new test on an injected clock. The holder does not reach the worker that leaves and stops as planned; 2 s after the handover the watcher was still on the worker, although the next holder reached it.

Change: the tracker stores the holder with each open order and makes the order due again when the holder changes. The timeout after which a move becomes a stop counts on.

--- a/src/gentianlead/control/tests/test_planned_stops.py
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -139,6 +139,22 @@
         await self.domains.advance(15)
         self.check_gap(_HANDOVER_SECONDS)
 
+    async def test_holder_stops_before_its_order(self) -> None:
+        """Guards against an order that the next holder does not carry out.
+
+        The other daemons have planned the order too, but did not hold the run.
+        A worker that leaves may be gone before the order is repeated.
+        """
+        await self.start_watcher()
+        worker = self.domains.find_watcher()
+        self.domains.daemons["a"].gate.cut_off.add(worker)
+        self.domains.mark_leaving(worker)
+        await self.domains.advance(_ROUND_SECONDS)
+        self.domains.begin_stop("a")
+        await self.domains.advance(_HANDOVER_SECONDS)
+        self.assertNotEqual(self.domains.find_watcher(), worker)
+        self.check_gap(_HANDOVER_SECONDS)
+
 
 class LostWorkerTest(_PlannedStopTest):
     """Stops daemons after a worker was lost."""
--- a/src/gentianlead/scheduling/_eviction_tracker.py
+++ b/src/gentianlead/scheduling/_eviction_tracker.py
@@ -34,12 +34,15 @@
             planned; unchanged when a move becomes a stop because of its
             timeout.
         last_planned_at: Monotonic seconds at which the order was last planned,
-            repeated or escalated.
+            repeated or escalated; negative infinity if another daemon has
+            become the holder of the run since.
+        holder: Incarnation of the holder of the run.
     """
 
     eviction: _decisions.Eviction
     first_planned_at: float
     last_planned_at: float
+    holder: str
 
 
 class EvictionTracker(state.DomainObserver):
@@ -49,9 +52,14 @@
     move that takes too long becomes a stop, unless its reason is that the
     worker leaves or the domain is out of service: a checkpoint is then worth
     more than an early end of the run.
+
+    Every daemon plans the same orders, but only the holder of a run carries
+    them out. After a change of the holder the order is therefore due again at
+    once, while the timeout of a move counts on.
     """
 
     def __init__(self, state_machine: state.DomainStateMachine):
+        self._state_machine = state_machine
         self._open_orders: dict[_decisions.TaskKey, _OpenOrder] = {}
         state_machine.add_observer(self)
 
@@ -59,6 +67,17 @@
         del reason
         self._open_orders.pop((run.job_id, run.task), None)
 
+    def on_run_changed(self, key: _decisions.TaskKey) -> None:
+        open_order = self._open_orders.get(key)
+        holder = self._get_holder(key)
+        if open_order is not None and holder != open_order.holder:
+            self._open_orders[key] = open_order._replace(
+                last_planned_at=float("-inf"), holder=holder)
+
+    def _get_holder(self, task_key: _decisions.TaskKey) -> str:
+        run = self._state_machine.runs.get(task_key)
+        return run.holder if run is not None else ""
+
     def on_reset(self) -> None:
         self._open_orders.clear()
 
@@ -84,14 +103,16 @@
                 eviction.action is not _decisions.EvictionAction.STOP or
                 open_order.eviction.action is _decisions.EvictionAction.STOP):
             return False
-        self._open_orders[eviction.task_key] = _OpenOrder(eviction, now, now)
+        self._open_orders[eviction.task_key] = _OpenOrder(
+            eviction, now, now, self._get_holder(eviction.task_key))
         return True
 
     def escalate_and_repeat_orders(self,
                                    now: float) -> list[_decisions.Eviction]:
         """Returns the open orders to send again, and stops for late moves.
 
-        An order is sent again every `ORDER_RETRY_INTERVAL`. A move whose
+        An order is sent again every `ORDER_RETRY_INTERVAL`, and when the
+        holder of its run has changed. A move whose
         timeout has passed becomes a stop, which is sent at once.
         """
         due_evictions = []
