--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -144,11 +144,13 @@
         gate: Gate of the calls to the log and to workers.
         observer: Mock that receives the events of the loop.
         timings: Durations of the control loop.
+        start_limits: Limits on the age of the state for starts of tasks.
     """
 
     timings = control.ControlTimings(
         heartbeat_interval=datetime.timedelta(milliseconds=300),
         member_timeout=MEMBER_TIMEOUT)
+    start_limits = leases.FreshnessLimits(datetime.timedelta(hours=1))
 
     def __init__(self, name: str, domain: str, log: ports.LogService,
                  clock: ports.Clock, max_records: int):
@@ -170,7 +172,6 @@
         self.observer = mock.create_autospec(control.ControlObserver,
                                              instance=True)
         self._domain = domain
-        hour = datetime.timedelta(hours=1)
         scheduler = self.build_scheduler()
         self._run_manager = self.build_run_manager()
         self.controller = control.DomainController(
@@ -178,10 +179,8 @@
             self.config_client, self.domain_client, self.one_time_client,
             self.build_vm_inventory(), self._run_manager, scheduler,
             control.JobReconciler(domain, config_state_machine,
-                                  domain_state_machine,
-                                  self.choose_domain), clock,
-            adapters.SystemRandom(), leases.FreshnessLimits(hour,
-                                                            hour), self.timings,
+                                  domain_state_machine, self.choose_domain),
+            clock, adapters.SystemRandom(), self.start_limits, self.timings,
             streams.SnapshotPolicy(max_records, RETENTION), self.observer)
         self._tasks = [
             asyncio.create_task(client.run()) for client in self.clients
@@ -225,11 +224,13 @@
         """Returns whether no append is pending and all state is current.
 
         An incomplete state counts as current once its stream was read to the
-        end, because it can then change only after a further append.
+        end, because it can then change only after a further append. Its
+        appends get no verdict until then.
         """
-        return all(client.appender.is_idle() and
-                   client.freshness.as_of == self._clock.monotonic()
-                   for client in self.clients)
+        return all(
+            (client.appender.is_idle() or not client.replica.is_complete) and
+            client.freshness.as_of == self._clock.monotonic()
+            for client in self.clients)
 
     async def leave(self) -> None:
         """Stops as after SIGTERM: leaves the domain and ends."""
--- a/src/gentianlead/control/tests/test_planned_stops.py
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -24,6 +24,7 @@
     """Daemon with the default timings of the control loop and of leases."""
 
     timings = _TIMINGS
+    start_limits = _LIMITS
     run_limits = _LIMITS
 
 
