Pause the former holder in its test at a fixed point

Seen: `test_former_holder_is_paused` failed once in a run of all tests beside a load of 23 on 8 processors: 6.0 s without a run instead of at most 2.0 s.

Cause: the test paused the daemon 20 ms of real time after it had begun to leave. On a busy machine its records were not in the log yet, so that the daemon was taken for a failed one after `member-timeout`, as it should be.

Change: the test waits until the next holder has read that the daemon has left, and pauses it then.

--- a/src/gentianlead/control/tests/test_planned_stops.py
+++ b/src/gentianlead/control/tests/test_planned_stops.py
@@ -268,8 +268,9 @@
     async def test_former_holder_is_paused(self) -> None:
         """Guards against late orders of a holder that is paused as it leaves.
 
-        The pause is longer than the lease, so that the task runs again before
-        the calls of the former holder arrive.
+        Its records are in the log, and it may not have read them. The pause is
+        longer than the lease, so that the task runs again before the calls of
+        the former holder arrive.
         """
         await self.start_watcher()
         daemon = self.domains.daemons["a"]
@@ -277,7 +278,10 @@
         await self.domains.advance(_ROUND_SECONDS)
         self.domains.begin_stop("a")
         daemon.controller.run_round()
-        await asyncio.sleep(0.02)
+        members = self.domains.daemons[
+            "b"].domain_client.replica.state_machine.members
+        while "a#1" in members:
+            await asyncio.sleep(0.001)
         daemon.gate.is_paused = True
         await self.domains.advance(_LEASE_SECONDS + 5)
         self.workers.cut_off.clear()
