--- a/src/gentianlead/control/tests/clusters.py
+++ b/src/gentianlead/control/tests/clusters.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+from typing import Any, Awaitable, Callable
 from unittest import mock
 
 from gentianlead import adapters
@@ -43,11 +44,13 @@
     Attributes:
         append_seconds_per_byte: Real time that an append takes for each byte.
         refuses_appends: Whether all appends fail and store nothing.
+        loses_replies: Whether all appends take effect but fail for the caller.
     """
 
     def __init__(self, clock: ManualClock):
         self.append_seconds_per_byte = 0.0
         self.refuses_appends = False
+        self.loses_replies = False
         self._clock = clock
         self._streams: dict[str, list[tuple[float, bytes]]] = {}
 
@@ -60,6 +63,8 @@
         stored = self._streams.setdefault(stream, [])
         first_offset = len(stored)
         stored.extend((self._clock.now_s, record) for record in records)
+        if self.loses_replies:
+            raise errors.LogUnavailableError("the reply was lost")
         return first_offset
 
     async def read(self, stream: str, start: int, limit: int,
@@ -78,6 +83,53 @@
         return ports.LogBatch(earliest, len(stored), records)
 
 
+class CallGate:
+    """Holds back or fails the calls of a daemon to the log and to workers.
+
+    A call that is held back takes effect late, with its old arguments.
+
+    Attributes:
+        is_paused: Whether the daemon is paused: all calls are held back.
+        held_methods: Names of the methods whose calls are held back.
+        cut_off: Names of the workers that do not answer this daemon.
+    """
+
+    def __init__(self) -> None:
+        self.is_paused = False
+        self.held_methods: set[str] = set()
+        self.cut_off: set[str] = set()
+
+    def wrap(self, service: Any) -> Any:
+        """Returns a service whose calls and replies pass this gate."""
+        return _GatedService(service, self)
+
+    async def wait(self, method: str) -> None:
+        """Waits while the calls of a method are held back."""
+        while self.is_paused or method in self.held_methods:
+            await asyncio.sleep(0.001)
+
+
+class _GatedService:
+    """Forwards calls of coroutine methods through a gate."""
+
+    def __init__(self, service: Any, gate: CallGate):
+        self._service = service
+        self._gate = gate
+
+    def __getattr__(self, name: str) -> Callable[..., Awaitable[Any]]:
+
+        async def call(*arguments: Any) -> Any:
+            await self._gate.wait(name)
+            if arguments[0] in self._gate.cut_off:
+                raise errors.WorkerError("no reply",
+                                         errors.Verdict.MAY_HAVE_RUN)
+            reply = await getattr(self._service, name)(*arguments)
+            await self._gate.wait(name)
+            return reply
+
+        return call
+
+
 class Daemon:
     """Stream clients and control loop of one daemon.
 
@@ -89,12 +141,21 @@
         domain_client: Client of the domain's stream.
         one_time_client: Client of the `once` stream.
         controller: Control loop.
+        gate: Gate of the calls to the log and to workers.
         observer: Mock that receives the events of the loop.
+        timings: Durations of the control loop.
+        start_limits: Limits on the age of the state for starts of tasks.
     """
 
+    timings = control.ControlTimings(
+        heartbeat_interval=datetime.timedelta(milliseconds=300),
+        member_timeout=MEMBER_TIMEOUT)
+    start_limits = leases.FreshnessLimits(datetime.timedelta(hours=1))
+
     def __init__(self, name: str, domain: str, log: ports.LogService,
                  clock: ports.Clock, max_records: int):
-        self._log = log
+        self.gate = CallGate()
+        self._log = self.gate.wrap(log)
         self._clock = clock
         self._incarnation = f"{name}#1"
         config_state_machine = state.ConfigurationStateMachine()
@@ -111,7 +172,6 @@
         self.observer = mock.create_autospec(control.ControlObserver,
                                              instance=True)
         self._domain = domain
-        hour = datetime.timedelta(hours=1)
         scheduler = self.build_scheduler()
         self._run_manager = self.build_run_manager()
         self.controller = control.DomainController(
@@ -120,10 +180,7 @@
             self.build_vm_inventory(), self._run_manager, scheduler,
             control.JobReconciler(domain, config_state_machine,
                                   domain_state_machine, self.choose_domain),
-            clock, adapters.SystemRandom(), leases.FreshnessLimits(hour, hour),
-            control.ControlTimings(
-                heartbeat_interval=datetime.timedelta(milliseconds=300),
-                member_timeout=MEMBER_TIMEOUT),
+            clock, adapters.SystemRandom(), self.start_limits, self.timings,
             streams.SnapshotPolicy(max_records, RETENTION), self.observer)
         self._tasks = [
             asyncio.create_task(client.run()) for client in self.clients
@@ -152,6 +209,8 @@
     def build_run_manager(self) -> execution.RunManager:
         """Returns the run manager of the control loop."""
         run_manager = mock.Mock()
+        run_manager.list_runs.return_value = []
+        run_manager.release_ended_runs = mock.AsyncMock()
         run_manager.hand_over_runs = mock.AsyncMock()
         run_manager.close = mock.AsyncMock()
         return run_manager
@@ -165,11 +224,13 @@
         """Returns whether no append is pending and all state is current.
 
         An incomplete state counts as current once its stream was read to the
-        end, because it can then change only after a further append.
+        end, because it can then change only after a further append. Its
+        appends get no verdict until then.
         """
-        return all(client.appender.is_idle() and
-                   client.freshness.as_of == self._clock.monotonic()
-                   for client in self.clients)
+        return all(
+            (client.appender.is_idle() or not client.replica.is_complete) and
+            client.freshness.as_of == self._clock.monotonic()
+            for client in self.clients)
 
     async def leave(self) -> None:
         """Stops as after SIGTERM: leaves the domain and ends."""
@@ -231,7 +292,8 @@
             self.clock.now_s += self.step_seconds
             self.on_step()
             for daemon in self.daemons.values():
-                daemon.controller.run_round()
+                if not daemon.gate.is_paused:
+                    daemon.controller.run_round()
             await self._settle()
 
     def on_step(self) -> None:
@@ -240,8 +302,8 @@
     async def _settle(self) -> None:
         async with asyncio.timeout(_SETTLE_TIMEOUT_S):
             await asyncio.sleep(0.002)
-            while not all(
-                    daemon.is_settled() for daemon in self.daemons.values()):
+            while not all(daemon.is_settled() for daemon in self.daemons.values(
+            ) if not daemon.gate.is_paused and not daemon.gate.held_methods):
                 await asyncio.sleep(0.001)
 
     async def put_domains(self, *names: str) -> None:
