--- a/src/gentianlead/dispatch/tests/fleet_workers.py
+++ b/src/gentianlead/dispatch/tests/fleet_workers.py
@@ -139,7 +139,7 @@
     def advance(self, now: float) -> None:
         """Ends the runs whose time is over, or all if the lease expired."""
         has_lapsed = (self._lease_expiry_ms and
-                      now * 1000 > self._lease_expiry_ms)
+                      self.get_clock_ms(now) > self._lease_expiry_ms)
         if has_lapsed:
             self._lease_expiry_ms = 0
             self.lapse_count += 1
@@ -149,6 +149,10 @@
             elif ends_at <= now:
                 self._end(now, task, run, cause)
 
+    def get_clock_ms(self, now: float) -> float:
+        """Returns the time on the worker's clock in milliseconds."""
+        return now * 1000
+
     def start(self, now: float, order: dispatch.StartOrder, fence_token: int,
               expiry_ms: int) -> ports.StartReply:
         """Starts a run, or refuses to."""
@@ -157,23 +161,20 @@
             outcome = ports.StartOutcome.FENCED
         elif (order.task, order.run) not in self._runs:
             self._fence_token = fence_token
-            if expiry_ms <= now * 1000:
+            if expiry_ms <= self.get_clock_ms(now):
                 outcome = ports.StartOutcome.LEASE_ALREADY_EXPIRED
             elif order.run <= self._highest_ended_runs.get(order.task, 0):
                 outcome = ports.StartOutcome.OUTDATED_RUN
             elif len(self._runs) >= WORKER_CORES:
                 outcome = ports.StartOutcome.NO_FREE_CAPACITY
             else:
-                cause = (ports.EndCause.FAILED if self._rng.random()
-                         < FAILED_SHARE else ports.EndCause.DONE)
                 self._runs[order.task,
-                           order.run] = (now + self._rng.uniform(0.05, 0.6),
-                                         cause)
+                           order.run] = self._draw_end(now, order.task)
                 self._observer.add_start(now, order.task, order.run,
                                          self.worker_id)
             if outcome is not ports.StartOutcome.LEASE_ALREADY_EXPIRED:
                 self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
-        return ports.StartReply(outcome, int(now * 1000))
+        return ports.StartReply(outcome, int(self.get_clock_ms(now)))
 
     def stop(self, now: float, order: dispatch.StopOrder,
              fence_token: int) -> bool:
@@ -205,13 +206,24 @@
         if expiry_ms is not None:
             self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
         return builders.build_status(
-            int(now * 1000),
+            int(self.get_clock_ms(now)),
             tuple(
-                ports.ActiveRun(task, run, "", 50, None)
+                ports.ActiveRun(task, run, "", self._get_percent(task), None)
                 for task, run in self._runs),
             tuple(self._ended_runs[:MAX_REPORTED_ENDS]),
             may_lack_ends=len(self._ended_runs) >= MAX_REPORTED_ENDS)
 
+    def _draw_end(self, now: float,
+                  _: model.TaskKey) -> tuple[float, ports.EndCause]:
+        """Draws when and how a run that starts now ends by itself."""
+        cause = (ports.EndCause.FAILED
+                 if self._rng.random() < FAILED_SHARE else ports.EndCause.DONE)
+        return now + self._rng.uniform(0.05, 0.6), cause
+
+    def _get_percent(self, _: model.TaskKey) -> int:
+        """Returns the reported progress of a run, or its readiness."""
+        return 50
+
     def _check_fence(self, fence_token: int) -> None:
         if fence_token < self._fence_token:
             raise FencedError()
--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -86,7 +86,7 @@
         now = self._site.now
         if self.is_stopped:
             return
-        may_start = now - self._last_success_sent_at <= START_PERMISSION_S
+        may_start = self._may_start()
         is_evacuated = self._site.is_evacuated(self.group)
         self.scheduler.is_evacuated = is_evacuated
         if may_start and self._site.rng.random() < (0.3 if is_evacuated else
@@ -97,7 +97,7 @@
                 self._send_start(order)
             elif isinstance(order, dispatch.StopOrder):
                 self._send_stop(order)
-        for worker_id, next_poll_at in self._polls.items():
+        for worker_id, next_poll_at in list(self._polls.items()):
             if next_poll_at <= now:
                 self._poll(worker_id, may_start)
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
@@ -113,6 +113,18 @@
         self.scheduler.put_worker(entry)
         self._polls.setdefault(entry.worker_id, self._site.now)
 
+    def _may_start(self) -> bool:
+        return (self._site.now - self._last_success_sent_at
+                <= START_PERMISSION_S)
+
+    def _must_store_heartbeat(self) -> bool:
+        return False
+
+    def _build_heartbeat(self) -> dispatch.LeaderRecord:
+        self._heartbeat_number += 1
+        return dispatch.LeaderRecord(self.group, self.epoch, "d", "d#1",
+                                     self._heartbeat_number)
+
     def _move_job(self) -> None:
         jobs = self.scheduler.list_movable_jobs()
         if not jobs:
@@ -148,7 +160,7 @@
         self._is_flushing = True
         self._flush_requested = False
         end_numbers = {
-            worker_id: worker.last_applied_end_number
+            worker_id: (worker.born_ms, worker.last_applied_end_number)
             for worker_id, worker in self.scheduler.workers.items()
         }
         progress_records = self.scheduler.take_dirty_progress()
@@ -161,11 +173,8 @@
         workers_record = self.scheduler.build_workers_record()
         if workers_record is not None:
             records.append(workers_record)
-        if not records:
-            self._heartbeat_number += 1
-            records.append(
-                dispatch.LeaderRecord(self.group, self.epoch, "d", "d#1",
-                                      self._heartbeat_number))
+        if not records or self._must_store_heartbeat():
+            records.insert(0, self._build_heartbeat())
 
         def complete() -> None:
             self._is_flushing = False
@@ -173,10 +182,11 @@
             if workers_record is not None:
                 self.scheduler.mark_workers_recorded(workers_record)
             self.scheduler.mark_progress_stored(progress_records)
-            for worker_id, number in end_numbers.items():
-                worker = self.scheduler.workers[worker_id]
-                worker.last_stored_end_number = max(
-                    worker.last_stored_end_number, number)
+            for worker_id, (born_ms, number) in end_numbers.items():
+                worker = self.scheduler.workers.get(worker_id)
+                if worker is not None and worker.born_ms == born_ms:
+                    worker.last_stored_end_number = max(
+                        worker.last_stored_end_number, number)
             for job_id in ended_job_ids:
                 self.scheduler.forget_job(job_id)
 
@@ -197,17 +207,20 @@
                                         self._site.now)
             if worker.last_applied_end_number > worker.last_stored_end_number:
                 self._flush_requested = True
-            self._polls[worker_id] = (self._site.now +
-                                      self._site.rng.uniform(0.02, 0.2))
+            schedule_next(self._site.rng.uniform(0.02, 0.2))
 
         def fail() -> None:
             self.scheduler.mark_unreachable(worker_id, self._site.now)
-            self._polls[worker_id] = self._site.now + 0.05
+            schedule_next(0.05)
+
+        def schedule_next(delay_s: float) -> None:
+            if worker_id in self._polls:
+                self._polls[worker_id] = self._site.now + delay_s
 
-        self._site.call_worker(
+        self._call_worker(
             worker_id, lambda target: target.poll(
                 self._site.now, self.epoch, acknowledged_number, expiry_ms),
-            self._guard(apply), self._guard(fail), self.stop)
+            apply, fail)
 
     def _send_start(self, order: dispatch.StartOrder) -> None:
         worker = self.scheduler.workers[order.worker_id]
@@ -218,13 +231,10 @@
                 self.stop()
             self.scheduler.apply_start_reply(order, reply, self._site.now)
 
-        self._site.call_worker(
+        self._call_worker(
             order.worker_id, lambda target: target.start(
-                self._site.now, order, self.epoch, expiry_ms),
-            self._guard(apply),
-            self._guard(
-                lambda: apply(ports.StartReply(ports.StartOutcome.UNKNOWN))),
-            self.stop)
+                self._site.now, order, self.epoch, expiry_ms), apply,
+            lambda: apply(ports.StartReply(ports.StartOutcome.UNKNOWN)))
 
     def _send_stop(self, order: dispatch.StopOrder) -> None:
 
@@ -232,10 +242,16 @@
             self.scheduler.apply_stop_reply(order, has_succeeded,
                                             self._site.now)
 
-        self._site.call_worker(
+        self._call_worker(
             order.worker_id,
             lambda target: target.stop(self._site.now, order, self.epoch),
-            self._guard(apply), self._guard(lambda: apply(False)), self.stop)
+            apply, lambda: apply(False))
+
+    def _call_worker(self, worker_id: str, execute: Callable,
+                     on_reply: Callable, on_no_reply: Callable[[],
+                                                               None]) -> None:
+        self._site.call_worker(worker_id, execute, self._guard(on_reply),
+                               self._guard(on_no_reply), self.stop)
 
     def stop(self) -> None:
         """Stops all loops; calls that were sent still take effect."""
@@ -323,11 +339,7 @@
         self.observer = fleet_workers.RunObserver()
         self.store = StoreModel()
         self.workers = {
-            worker.worker_id: worker
-            for worker in (fleet_workers.WorkerModel(
-                f"{group}-w{number}", group, self.rng, self.observer)
-                           for group in GROUPS
-                           for number in range(WORKERS_PER_GROUP))
+            worker.worker_id: worker for worker in self._build_workers()
         }
         self._is_calm = False
         self._cut_until: dict[str, float] = {}
@@ -335,10 +347,21 @@
         self._store_down_until = 0.0
         self._callbacks: list[tuple[float, int, Callable[[], None]]] = []
         self._callback_numbers = itertools.count()
-        self._daemons = [DaemonModel(self) for _ in GROUPS]
+        self._job_numbers = itertools.count()
+        self._daemons = self._build_daemons()
         for daemon, group in zip(self._daemons, GROUPS):
             daemon.lead(group)
-        self._job_numbers = itertools.count()
+
+    def _build_workers(self) -> list[fleet_workers.WorkerModel]:
+        return [
+            fleet_workers.WorkerModel(f"{group}-w{number}", group, self.rng,
+                                      self.observer)
+            for group in GROUPS
+            for number in range(WORKERS_PER_GROUP)
+        ]
+
+    def _build_daemons(self) -> list[DaemonModel]:
+        return [DaemonModel(self) for _ in GROUPS]
 
     def run(self, troubled_s: float, calm_s: float) -> None:
         """Runs the site with troubles, then without."""
@@ -369,22 +392,22 @@
 
         def execute() -> None:
             if self.store.is_down:
-                self._schedule(0.08, execute)
+                self.schedule(0.08, execute)
                 return
             try:
                 offset = append()
             except fleet_workers.FencedError:
-                self._schedule(0.01, on_fenced)
+                self.schedule(0.01, on_fenced)
                 return
-            self._schedule(self._draw_call_delay(), lambda: deliver(offset))
+            self.schedule(self.draw_call_delay(), lambda: deliver(offset))
 
         def deliver(offset: int) -> None:
             if self.store.is_down:
-                self._schedule(0.08, lambda: deliver(offset))
+                self.schedule(0.08, lambda: deliver(offset))
             else:
                 on_reply(offset)
 
-        self._schedule(self._draw_call_delay(), execute)
+        self.schedule(self.draw_call_delay(), execute)
 
     def call_worker(self, worker_id: str, execute: Callable, on_reply: Callable,
                     on_no_reply: Callable[[], None],
@@ -405,19 +428,21 @@
                 handle(*args)
 
         def run_call() -> None:
+            if worker_id not in self.workers:
+                return
             try:
                 result = execute(self.workers[worker_id])
             except fleet_workers.FencedError:
-                self._schedule(0.01, lambda: deliver(on_fenced))
+                self.schedule(0.01, lambda: deliver(on_fenced))
                 return
             if self._is_calm or (not self._is_cut(worker_id) and
                                  self.rng.random() > 0.03):
-                self._schedule(self._draw_call_delay(),
-                               lambda: deliver(on_reply, result))
+                self.schedule(self.draw_call_delay(),
+                              lambda: deliver(on_reply, result))
 
-        self._schedule(ORDER_TIMEOUT_S, expire)
+        self.schedule(ORDER_TIMEOUT_S, expire)
         if not self._is_cut(worker_id):
-            self._schedule(self._draw_call_delay(), run_call)
+            self.schedule(self.draw_call_delay(), run_call)
 
     def is_evacuated(self, group: str) -> bool:
         """Returns whether a group is out of service."""
@@ -426,12 +451,14 @@
     def _is_cut(self, worker_id: str) -> bool:
         return self.now < self._cut_until.get(worker_id, 0.0)
 
-    def _draw_call_delay(self) -> float:
+    def draw_call_delay(self) -> float:
+        """Draws the time that a call or its reply takes, in seconds."""
         if not self._is_calm and self.rng.random() < 0.02:
             return self.rng.uniform(0.1, 2.0)
         return self.rng.uniform(0.001, 0.03)
 
-    def _schedule(self, delay_s: float, callback: Callable[[], None]) -> None:
+    def schedule(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Calls a function after a delay in seconds."""
         heapq.heappush(
             self._callbacks,
             (self.now + delay_s, next(self._callback_numbers), callback))
@@ -441,10 +468,7 @@
         if not self._is_calm:
             self._draw_troubles()
         else:
-            self.move_rate = 0.0
-            self._cut_until.clear()
-            self._evacuated_until.clear()
-            self._store_down_until = 0.0
+            self._end_troubles()
         self.store.is_down = self.now < self._store_down_until
         for worker in self.workers.values():
             worker.advance(self.now)
@@ -455,6 +479,12 @@
         if self._is_calm and not self.store.is_down:
             self._replace_stopped_leaders()
 
+    def _end_troubles(self) -> None:
+        self.move_rate = 0.0
+        self._cut_until.clear()
+        self._evacuated_until.clear()
+        self._store_down_until = 0.0
+
     def _replace_stopped_leaders(self) -> None:
         for group in GROUPS:
             if not any(group in daemon.leaders and
