Check the start permission again when a start order is sent

Callers could see a task run twice.

Cause: the start permission was checked when a start was planned, but the lease in the order counted from its sending. A leader that is suspended between the two, and goes on seconds later, sends the order with a full lease although its start permission has long ended. Its successor no longer counts on such a lease. If the worker is one that the successor cannot reach, its fencing token does not stop the order.

The sender now reads the clock, checks the permission and counts the lease from the reading before, as status polls do. An order that it does not send counts as refused; for a repeated order, the run stays unknown. The line `start-not-sent` tells so.

Evidence: both tests of `LateStartTest` fail without the check (the order reaches the worker).

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -112,7 +112,7 @@
         self._plan_requested = asyncio.Event()
         self._order_sender = _order_sender.OrderSender(
             self.scheduler, worker_client, permit_service, clock, log, metrics,
-            self._spawn, self._plan_requested.set,
+            self._spawn, self._is_start_allowed, self._plan_requested.set,
             lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -28,6 +28,7 @@
                  log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics,
                  spawn: Callable[[Coroutine], asyncio.Task],
+                 is_start_allowed: Callable[[], bool],
                  on_applied: Callable[[], None], on_fenced: Callable[[], None]):
         """Creates a sender.
 
@@ -39,6 +40,7 @@
             log: Decision log.
             metrics: Metrics of the daemon.
             spawn: Starts a background task of the leader.
+            is_start_allowed: Returns whether the start permission is valid.
             on_applied: Called after a reply was applied.
             on_fenced: Called when a worker has refused the fencing token.
         """
@@ -49,6 +51,7 @@
         self._log = log
         self._metrics = metrics
         self._spawn = spawn
+        self._is_start_allowed = is_start_allowed
         self._on_applied = on_applied
         self._on_fenced = on_fenced
         self._unanswered_orders: set[asyncio.Task] = set()
@@ -93,6 +96,20 @@
         if worker is None:
             return
         sent_at = self._clock.monotonic()
+        # The process may have been suspended since the order was planned. The
+        # lease counts from a time before this check, so that it ends in time
+        # even if the process is suspended after the check.
+        if not self._is_start_allowed():
+            self._log.write("start-not-sent",
+                            job=order.task.job_id,
+                            task=tuple(order.task[1:]),
+                            run=order.run,
+                            worker=order.worker_id)
+            self._scheduler.apply_start_reply(
+                order,
+                ports.StartReply(ports.StartOutcome.LEASE_ALREADY_EXPIRED),
+                sent_at)
+            return
         leased_order = ports.LeasedStartOrder(
             order.task, order.run, order.payload,
             worker.extend_lease(sent_at, self._scheduler.timings.lease),
--- a/src/gentianlead/cluster/_takeover_wait.py
+++ b/src/gentianlead/cluster/_takeover_wait.py
@@ -14,7 +14,8 @@
 
 TAKEOVER_MARGIN = datetime.timedelta(milliseconds=500)
 """Longest time from a check of the start permission to the arrival of the order
-at the worker; part of the takeover wait."""
+at the worker; part of the takeover wait. The permission is checked again when
+the order is sent."""
 
 
 def compute_takeover_end(lease: datetime.timedelta,
--- /dev/null
+++ b/src/gentianlead/cluster/tests/test_order_sender.py
@@ -0,0 +1,71 @@
+"""Tests of the sending of orders."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from gentianlead import adapters
+from gentianlead import dispatch
+from gentianlead import ports
+from gentianlead.cluster import _metrics
+from gentianlead.cluster import _order_sender
+from gentianlead.cluster.tests import fakes
+from gentianlead.cluster.tests import leading
+from gentianlead.dispatch.tests import builders
+
+JOB_ID = "00000000000000aa"
+
+
+class LateStartTest(unittest.IsolatedAsyncioTestCase):
+    """Tests start orders whose leader was suspended after it planned them."""
+
+    async def asyncSetUp(self) -> None:
+        self.is_start_allowed = True
+        self.workers = leading.FakeWorkers()
+        self.log = fakes.RecordingLog()
+        clock = adapters.SystemClock()
+        self.driver = builders.GroupDriver(builders.build_worker(),
+                                           now=clock.monotonic())
+        self.driver.put_job(JOB_ID)
+        self.sender = _order_sender.OrderSender(
+            self.driver.scheduler, self.workers,
+            mock.create_autospec(ports.PermitService), clock, self.log,
+            _metrics.ClusterMetrics(),
+            asyncio.get_running_loop().create_task,
+            lambda: self.is_start_allowed, lambda: None, lambda: None)
+
+    async def send(self, order: dispatch.StartOrder) -> None:
+        """Sends an order and waits for the end of its handling."""
+        self.sender.send(order)
+        await self.sender.end(_order_sender.ORDER_TIMEOUT)
+
+    async def test_start_is_not_sent_without_permission(self):
+        """Guards against a task that runs twice.
+
+        The successor counts on leases that began before the start permission
+        ended. An order with a lease of its own sent later would start the task
+        at a worker that the successor cannot reach.
+        """
+        (order,) = self.driver.plan_starts()
+        self.is_start_allowed = False
+        await self.send(order)
+        self.assertEqual(self.workers.calls, [])
+        job = self.driver.scheduler.jobs[JOB_ID]
+        self.assertEqual(job.list_active_runs(), [])
+        self.assertEqual(len(self.log.list_fields("start-not-sent")), 1)
+
+    async def test_repeated_start_leaves_the_run_unknown(self):
+        """Guards against a task that starts twice after a lost reply.
+
+        The first order may have been carried out, so the run has not ended
+        because the second one was not sent.
+        """
+        (order,) = self.driver.plan_starts()
+        self.driver.apply_start_outcome(order, ports.StartOutcome.UNKNOWN)
+        self.driver.apply_status()
+        (repeated_order,) = self.driver.plan_starts()
+        self.is_start_allowed = False
+        await self.send(repeated_order)
+        self.assertEqual(self.workers.calls, [])
+        (run,) = self.driver.scheduler.jobs[JOB_ID].list_active_runs()
+        self.assertIs(run.phase, dispatch.RunPhase.UNKNOWN)
--- a/src/gentianlead/dispatch/tests/resigning_leaders.py
+++ b/src/gentianlead/dispatch/tests/resigning_leaders.py
@@ -179,7 +179,13 @@
     def _send_start_awake(self, order: dispatch.StartOrder) -> None:
         if self.is_stopped or order.worker_id not in self.scheduler.workers:
             return
-        super()._send_start(order)
+        if self._may_start():
+            super()._send_start(order)
+        else:
+            self.scheduler.apply_start_reply(
+                order,
+                ports.StartReply(ports.StartOutcome.LEASE_ALREADY_EXPIRED),
+                self._site.now)
 
     def _call_worker(self, worker_id: str, execute: Callable,
                      on_reply: Callable, on_no_reply: Callable[[],
