--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -29,6 +29,10 @@
 topic, and timeout of each such append. A daemon that starts finds the addresses
 of its peers in their newest member records."""
 
+MEMBER_RECORD_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+"""Pause after a failed append of the member record. The append of a record that
+the store rejects for good fails at once."""
+
 MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
 """Age above which a peer's newest member record is ignored, so that this daemon
 stops connecting to the peer. The age is the time since this daemon read the
@@ -81,7 +85,7 @@
         self._interference = dispatch.InterferenceModel()
         self._incarnation = f"{settings.node}#{random_source.generate_id()}"
         self._leaders: dict[str, _group_leader.GroupLeader] = {}
-        self._acquiring_groups: set[str] = set()
+        self._acquisitions: dict[str, asyncio.Task] = {}
         self._leadership_lost_at: dict[str, float] = {}
         self._joined_at: float | None = None
         self._heartbeat_number = 0
@@ -116,6 +120,8 @@
             _peer_messages.NOTICE_CANCEL] = self._serve_cancel_notice
         self._peering.handlers[
             _peer_messages.NOTICE_REPORT] = self._serve_leader_report
+        self._peering.handlers[_peer_messages.NOTICE_RESIGNATION] = (
+            self._serve_resignation_notice)
         self._caller_server = platform.CallerServer(self._job_service, clock,
                                                     self._observe_request,
                                                     self._render_metrics)
@@ -175,19 +181,25 @@
         self._log.write("daemon-stopped")
 
     async def _resign_leaderships(self) -> None:
-        leaders = list(self._leaders.values())
-        self._leaders.clear()
-        await asyncio.gather(*map(self._resign_leadership, leaders))
-
-    @staticmethod
-    async def _resign_leadership(leader: _group_leader.GroupLeader) -> None:
+        """Resigns, also the leaderships to which pending claims lead."""
+        while self._leaders or self._acquisitions:
+            leaders = list(self._leaders.values())
+            self._leaders.clear()
+            await asyncio.gather(*map(self._resign_leadership, leaders))
+            if self._acquisitions:
+                await asyncio.wait(list(self._acquisitions.values()))
+
+    async def _resign_leadership(self,
+                                 leader: _group_leader.GroupLeader) -> None:
         await leader.resign()
-        await leader.stop()
+        await asyncio.gather(leader.stop(),
+                             self._announce_resignation(leader.group))
 
-    def _spawn(self, coroutine: Coroutine) -> None:
+    def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
         self._background_tasks.add(task)
         task.add_done_callback(self._handle_background_task_end)
+        return task
 
     def _handle_background_task_end(self, task: asyncio.Task) -> None:
         self._background_tasks.discard(task)
@@ -226,6 +238,7 @@
                                                 MEMBER_RECORD_INTERVAL)
             except ports.StoreError as error:
                 self._log.write("member-record-not-stored", error=str(error))
+                await self._clock.sleep(MEMBER_RECORD_RETRY_DELAY)
                 continue
             await self._clock.sleep(MEMBER_RECORD_INTERVAL)
 
@@ -283,16 +296,38 @@
             election_view = self._build_election_view()
             if election_view is None:
                 continue
+            self._hand_back_groups(election_view)
             for group in self._settings.domains:
-                if group in self._leaders or group in self._acquiring_groups:
+                if group in self._leaders or group in self._acquisitions:
                     continue
                 takeover_reason = dispatch.find_reason_to_lead(
                     group, self._topic_reader.job_table.leaders.get(group),
                     election_view)
                 if takeover_reason:
-                    self._acquiring_groups.add(group)
-                    self._spawn(self._acquire_leadership(
-                        group, takeover_reason))
+                    self._acquisitions[group] = self._spawn(
+                        self._acquire_leadership(group, takeover_reason))
+
+    def _hand_back_groups(self, election_view: dispatch.ElectionView) -> None:
+        """Resigns leaderships of which another daemon should be the leader."""
+        for group, leader in list(self._leaders.items()):
+            leader_entry = self._topic_reader.job_table.leaders.get(group)
+            if (leader_entry is None or
+                    leader_entry.record.epoch != leader.epoch or
+                    not dispatch.should_hand_back(group, leader_entry,
+                                                  election_view)):
+                continue
+            del self._leaders[group]
+            self._metrics.leadership_changes.inc({"change": "handed-back"})
+            self._log.write("lead-handed-back", group=group, epoch=leader.epoch)
+            # Counts as an acquisition, so that this daemon does not claim the
+            # group before its own resignation is stored.
+            self._acquisitions[group] = self._spawn(self._hand_back(leader))
+
+    async def _hand_back(self, leader: _group_leader.GroupLeader) -> None:
+        try:
+            await self._resign_leadership(leader)
+        finally:
+            self._acquisitions.pop(leader.group, None)
 
     def _limit_takeover_waits(self) -> None:
         """Ends waits for runs of former leaders that can have none any more."""
@@ -316,6 +351,8 @@
         """Reads the topic once more, and repeats the decision on a takeover."""
         self._topic_reader.request_read()
         await self._clock.sleep(CLAIM_CHECK_DELAY)
+        if self._job_service.is_draining:
+            return False
         election_view = self._build_election_view()
         return election_view is not None and bool(
             dispatch.find_reason_to_lead(
@@ -390,7 +427,7 @@
                             reason=takeover_reason,
                             error=str(error))
         finally:
-            self._acquiring_groups.discard(group)
+            self._acquisitions.pop(group, None)
 
     def _start_leading(self, group: str, epoch: int, leadership_offset: int,
                        takeover_reason: str) -> None:
@@ -476,6 +513,15 @@
                             subject=subject,
                             error=str(error))
 
+    async def _announce_resignation(self, group: str) -> None:
+        """Has the other daemons read the topic without their usual pause."""
+        notice = _peer_messages.ResignationNotice(group)
+        await asyncio.gather(*[
+            self._send_notice(peer_name, _peer_messages.NOTICE_RESIGNATION,
+                              notice)
+            for peer_name in self._peering.list_reachable_daemons()
+        ])
+
     def _send_to_leader(self, group: str, subject: str, notice: object) -> None:
         leader_entry = self._topic_reader.job_table.leaders.get(group)
         if leader_entry is None:
@@ -513,6 +559,11 @@
             leader.cancel_job(notice.job_id)
         return True
 
+    async def _serve_resignation_notice(self, payload: bytes) -> object:
+        dispatch.decode_value(payload, _peer_messages.ResignationNotice)
+        self._topic_reader.request_read()
+        return True
+
     async def _serve_leader_report(self, payload: bytes) -> object:
         report = dispatch.decode_value(payload, _peer_messages.LeaderReport)
         self._apply_leader_report(report)
--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -44,6 +44,25 @@
 class RegistryReaderTest(unittest.IsolatedAsyncioTestCase):
     """Tests which reads of the registry count as reads to its end."""
 
+    async def test_long_poll_that_ends_early_is_not_repeated_at_once(self):
+        """Checks how often a topic is read whose store holds no read back.
+
+        The store replies after 20 ms. Guards against reads without a pause,
+        each of which is a call to the store.
+        """
+        store = fakes.FakeStore()
+        read_times: list[float] = []
+        reader = _platform_topics.PlatformTopicReader(
+            platform.OPERATOR_TOPIC, datetime.timedelta(seconds=1),
+            datetime.timedelta(0), store, adapters.SystemClock(),
+            fakes.build_log(), _metrics.ClusterMetrics(), lambda record: None,
+            lambda keys: None, read_times.append)
+        task = asyncio.create_task(reader.run())
+        self.addCleanup(task.cancel)
+        await asyncio.sleep(1.0)
+        self.assertGreaterEqual(len(read_times), 3)
+        self.assertLessEqual(len(read_times), 8)
+
     async def test_failed_reads_do_not_count(self):
         """Checks that reads are reported, except while the store is down.
 
@@ -72,6 +91,71 @@
             task.cancel()
 
 
+class UnexpectedErrorTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of a reader whose callbacks raise errors that nobody expects."""
+
+    async def asyncSetUp(self) -> None:
+        self.store = fakes.FakeStore()
+        self.log = fakes.RecordingLog()
+        self.read_keys: list[str] = []
+        self.load_errors: list[Exception] = []
+        self.reader = _platform_topics.PlatformTopicReader(
+            platform.REGISTRY_TOPIC, datetime.timedelta(0),
+            datetime.timedelta(milliseconds=5), self.store,
+            adapters.SystemClock(), self.log, _metrics.ClusterMetrics(),
+            self.handle_record, self.handle_load)
+
+    def start(self) -> None:
+        """Starts the reader until the test ends."""
+        self.addCleanup(asyncio.create_task(self.reader.run()).cancel)
+
+    def handle_record(self, record: ports.KeyedRecord) -> None:
+        """Keeps the key of a record; fails for the key `odd`."""
+        if record.key == "odd":
+            raise KeyError("unexpected")
+        self.read_keys.append(record.key)
+
+    def handle_load(self, keys: set[str]) -> None:
+        """Fails once for each of `load_errors`."""
+        del keys
+        if self.load_errors:
+            raise self.load_errors.pop()
+
+    def write(self, key: str) -> None:
+        """Stores a record."""
+        self.store.write(platform.REGISTRY_TOPIC, ports.KeyedRecord(key, b"1"))
+
+    async def wait_for_key(self, key: str) -> None:
+        """Waits until the reader has passed on a record of a key."""
+        async with asyncio.timeout(5):
+            while key not in self.read_keys:
+                await asyncio.sleep(0.005)
+
+    async def test_error_for_one_record(self):
+        """Guards against one record that ends the reader for good."""
+        for key in ("a", "odd", "b"):
+            self.write(key)
+        self.start()
+        await self.wait_for_key("b")
+        for key in ("odd", "odd", "c"):
+            self.write(key)
+        await self.wait_for_key("c")
+        self.assertEqual([(fields["topic"], fields["key"])
+                          for fields in self.log.list_fields("internal-error")],
+                         [(platform.REGISTRY_TOPIC, "odd")])
+
+    async def test_error_after_a_load(self):
+        """Guards against one error that ends the reader for good."""
+        self.load_errors.append(ValueError("unexpected"))
+        self.write("a")
+        self.start()
+        await self.wait_for_key("a")
+        self.write("b")
+        await self.wait_for_key("b")
+        self.assertIn("unexpected",
+                      self.log.list_fields("internal-error")[0]["error"])
+
+
 class WorkerRegistryTest(unittest.TestCase):
     """Tests of the capacity in registry entries."""
 
--- a/src/gentianlead/dispatch/tests/test_permits.py
+++ b/src/gentianlead/dispatch/tests/test_permits.py
@@ -8,6 +8,7 @@
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
+OTHER_JOB_ID = "00000000000000bb"
 PERMIT_VALIDITY = datetime.timedelta(seconds=3)
 
 
@@ -111,6 +112,25 @@
         _, (repeated_request,) = self.plan()
         self.assertEqual(repeated_request, request)
 
+    def test_permits_that_arrive_too_late_are_not_requested_at_once(self):
+        """Checks what follows a reply whose permits have expired on arrival.
+
+        Guards against an overloaded advisory service that gets the next request
+        with each late reply.
+        """
+        request_count = 0
+        while self.driver.now < 105.0:
+            starts, requests = self.plan()
+            self.assertEqual(starts, [])
+            request_count += len(requests)
+            for request in requests:
+                self.driver.scheduler.apply_permits(
+                    request,
+                    ports.PermitReply({"w1": "permit-1"}, PERMIT_VALIDITY),
+                    self.driver.now - 3.0, self.driver.now)
+            self.driver.now += 0.004
+        self.assertLessEqual(request_count, 17)
+
     def test_refused_permit_is_dropped(self):
         """Checks that a new permit is requested after a worker refused one.
 
@@ -124,6 +144,50 @@
         self.assertEqual(starts, [])
         self.assertEqual(list(request.workers), ["w1"])
 
+    def test_permits_that_a_worker_never_accepts_are_requested_rarely(self):
+        """Checks the orders to a worker that refuses every permit it is given.
+
+        Guards against a cycle of a permit request and a refused start without
+        a pause, as both calls cost.
+        """
+        start_count = 0
+        while self.driver.now < 105.0:
+            self.driver.apply_status("w1")
+            starts, requests = self.plan()
+            for request in requests:
+                self.apply_permit_reply(
+                    request, **{
+                        worker_id: "permit"
+                        for worker_id in request.workers
+                        if worker_id == "w1"
+                    })
+            for start in starts:
+                start_count += 1
+                self.driver.apply_start_outcome(start,
+                                                ports.StartOutcome.NO_PERMIT)
+            self.driver.now += 0.004
+        self.assertGreaterEqual(start_count, 6)
+        self.assertLessEqual(start_count, 12)
+
+    def test_refusals_of_one_permit_count_once(self):
+        """Checks that a permit refused for two tasks is requested at once.
+
+        Guards against a pause because several tasks started with one permit
+        that had expired on the way.
+        """
+        job = builders.build_job(OTHER_JOB_ID, builders.build_step(3))._replace(
+            queue=builders.QUEUE._replace(needs_permit=True))
+        self.driver.scheduler.cancel_job(JOB_ID)
+        self.driver.scheduler.put_job(builders.build_job_entry(job))
+        _, (request,) = self.plan()
+        self.apply_permit_reply(request, w1="permit-1")
+        starts, _ = self.plan()
+        self.assertEqual(len(starts), 3)
+        for start in starts:
+            self.driver.apply_start_outcome(start, ports.StartOutcome.NO_PERMIT)
+        _, (request,) = self.plan()
+        self.assertEqual(list(request.workers), ["w1"])
+
     def test_step_without_permits_counts_as_unplaced(self):
         """Checks that a job that got no permit at all counts as unplaced.
 
@@ -140,3 +204,49 @@
         self.assertTrue(
             job.has_unplaced_tasks(self.driver.now,
                                    dispatch.JOB_MOVE_DELAY.total_seconds()))
+
+
+class UnexpectedPermitTest(unittest.TestCase):
+    """Tests starts on workers that demand a permit for a queue without them.
+
+    The leader may not have read yet that the queue needs permits.
+    """
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker("w1"),
+                                           builders.build_worker("w2"))
+        self.driver.put_job(JOB_ID, builders.build_step(4))
+
+    def refuse_starts(self, duration_s: float) -> int:
+        """Plans for some time; workers refuse all starts, which are counted."""
+        start_count = 0
+        ends_at = self.driver.now + duration_s
+        while self.driver.now < ends_at:
+            self.driver.apply_status("w1")
+            self.driver.apply_status("w2")
+            for order in self.driver.plan_starts():
+                start_count += 1
+                self.driver.apply_start_outcome(order,
+                                                ports.StartOutcome.NO_PERMIT)
+            self.driver.now += 0.004
+        return start_count
+
+    def test_refused_starts_are_repeated_with_growing_pauses(self):
+        """Guards against starts of all tasks in each planning pass.
+
+        Each refused start costs.
+        """
+        start_count = self.refuse_starts(5.0)
+        self.assertGreaterEqual(start_count, 4 * 6)
+        self.assertLessEqual(start_count, 4 * 10)
+
+    def test_accepted_start_ends_the_pause(self):
+        """Guards against tasks that wait although workers accept their step.
+        """
+        (order, *other_orders) = self.driver.plan_starts()
+        for other_order in other_orders:
+            self.driver.apply_start_outcome(other_order,
+                                            ports.StartOutcome.NO_PERMIT)
+        self.assertEqual(self.driver.plan_starts(), [])
+        self.driver.apply_start_outcome(order, ports.StartOutcome.STARTED)
+        self.assertEqual(len(self.driver.plan_starts()), 3)
