--- a/src/gentianlead/cluster/tests/test_order_log.py
+++ b/src/gentianlead/cluster/tests/test_order_log.py
@@ -55,8 +55,8 @@
         self.sender = _order_sender.OrderSender(
             driver.scheduler, RefusingWorkerClient(),
             mock.create_autospec(ports.PermitService), adapters.SystemClock(),
-            self.log, self.metrics, asyncio.create_task, lambda: None,
-            lambda: None)
+            self.log, self.metrics, asyncio.create_task, lambda: True,
+            lambda: None, lambda: None)
 
     async def test_failures_of_a_stop_are_logged_at_each_doubling(self):
         """Guards against a worker that is cut off and fills the log."""
