Hand over nothing while a flush may lack its progress

Callers would see a task run again after it was done (TWICE). A successor that reads a hand-over starts all tasks that it does not list at once, without asking silent workers for ends, so all progress has to be stored before.

Cause: a flush in progress had taken the progress, and the resignation found none to store. If the store rejected that record as too large, the smaller one without checkpoints was queued only after the hand-over. If the flush failed, nothing was stored at all.

The resignation now ends the loop of flushes and waits for the one in progress, within the time for the last progress. Without its success the resignation is stored alone.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -131,6 +131,7 @@
         self._status_pollers: dict[str, asyncio.Task] = {}
         self._flush_requested = asyncio.Event()
         self._flush_done = asyncio.Event()
+        self._flush_loop: asyncio.Task | None = None
         self._unsent_job_states: list[_peer_messages.JobStateNotice] = []
         self._cached_load: dispatch.GroupLoad | None = None
         self._load_computed_at = 0.0
@@ -144,8 +145,8 @@
     def start(self) -> None:
         """Starts the topic writer, the planning loop and the progress loop."""
         self._topic_writer.start()
-        for run_loop in (self._plan_forever, self._flush_forever):
-            self._spawn(run_loop())
+        self._spawn(self._plan_forever())
+        self._flush_loop = self._spawn(self._flush_until_resignation())
 
     async def stop(self) -> None:
         """Cancels all loops and pending calls; runs go on while leases last."""
@@ -191,9 +192,10 @@
 
     async def _store_last_progress(self) -> bool:
         """Stores progress that is not stored yet; returns whether it is."""
-        progress_records = self.scheduler.take_dirty_progress()
         try:
             async with asyncio.timeout(RESIGNATION_TIMEOUT.total_seconds()):
+                await self._end_flushes()
+                progress_records = self.scheduler.take_dirty_progress()
                 await self._topic_writer.append_each(progress_records)
         except (TimeoutError, ports.StoreError) as error:
             self._log.write("handover-not-stored",
@@ -203,6 +205,20 @@
         self._report_states(progress_records)
         return True
 
+    async def _end_flushes(self) -> None:
+        """Waits until the flush in progress, if any, has ended.
+
+        It has taken progress that is stored only once it ends without an error.
+
+        Raises:
+            StoreError: A flush has failed.
+        """
+        self._flush_requested.set()
+        await asyncio.wait([self._flush_loop])
+        if self._flush_loop.cancelled() or self._flush_loop.exception():
+            raise ports.StoreError("the last flush has failed",
+                                   errors.Verdict.MAY_HAVE_RUN)
+
     async def _end_calls(self) -> None:
         """Ends planning, orders and polls.
 
@@ -387,7 +403,7 @@
             self._abandon_leadership("the store has a higher epoch")
             raise asyncio.CancelledError() from None
 
-    async def _flush_forever(self) -> None:
+    async def _flush_until_resignation(self) -> None:
         await self._clock.sleep(CLAIM_SETTLE_DELAY)
         while True:
             try:
@@ -400,12 +416,12 @@
             except TimeoutError:
                 pass
             self._flush_requested.clear()
+            if self._is_resigning:
+                return  # A heartbeat would replace the resignation.
             await self._flush_progress()
 
     async def _flush_progress(self) -> None:
         """Saves progress and workers, or a heartbeat; marks run ends stored."""
-        if self._is_resigning:
-            return  # A heartbeat would replace the resignation.
         last_end_numbers = {
             worker_id: (worker.born_ms, worker.last_applied_end_number)
             for worker_id, worker in self.scheduler.workers.items()
