Fail appends at once after the writer was fenced or stopped

Callers would see requests cut at the stop of a daemon. A daemon that got SIGTERM after another one had taken its lead, and before it had noticed, tried to store progress and was fenced. The writer's loop ended, so the resignation that followed was queued and never answered: the stop used up its 3 s, and requests in progress were not finished.

Evidence: the new test resigns a fenced leader that has progress to store. Before, resign() had not returned after 1 s (TimeoutError).

The writer now fails requests with the error that ended its loop.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -84,6 +84,7 @@
         self._call_limit = _append_queue.CallLimit()
         self._append_queued = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
+        self._end_error: ports.StoreError | None = None
 
     def start(self) -> None:
         """Starts the loop that sends queued append requests to the store."""
@@ -99,10 +100,16 @@
         if self._loop_task is not None:
             self._loop_task.cancel()
             await asyncio.wait([self._loop_task])
-        self._queue.fail_all(
+        self._end(
             ports.StoreError("the writer of the job topic was stopped",
                              errors.Verdict.DID_NOT_RUN))
 
+    def _end(self, error: ports.StoreError) -> None:
+        """Fails all queued and later requests, for which no loop runs."""
+        if self._end_error is None:
+            self._end_error = error
+        self._queue.fail_all(error)
+
     async def append(self,
                      records: Sequence[dispatch.Record],
                      timeout: datetime.timedelta,
@@ -176,6 +183,9 @@
                  timeout: datetime.timedelta,
                  refusal_timeout: datetime.timedelta) -> asyncio.Future:
         future = asyncio.get_running_loop().create_future()
+        if self._end_error is not None:
+            future.set_exception(self._end_error)
+            return future
         now = self._clock.monotonic()
         encoded_records = [dispatch.encode_record(record) for record in records]
         self._queue.add(
@@ -198,7 +208,7 @@
                 await self._append_batch(batch)
             except ports.ProducerFencedError as error:
                 _append_queue.fail_appends(batch, error)
-                self._queue.fail_all(error)
+                self._end(error)
                 return
             except asyncio.CancelledError:
                 _append_queue.fail_appends(
--- a/src/gentianlead/cluster/tests/test_resignation_races.py
+++ b/src/gentianlead/cluster/tests/test_resignation_races.py
@@ -110,3 +110,22 @@
             leading.list_records(self.store, dispatch.HandoverRecord), [])
         *_, record = leading.list_records(self.store, dispatch.LeaderRecord)
         self.assertTrue(record.has_resigned)
+
+    async def test_resignation_of_a_fenced_leader_ends(self):
+        """Guards against a stop that waits in vain for a store call.
+
+        Another daemon took the lead, which this one has not noticed. It has
+        progress to store.
+        """
+        await self.start_job()
+        await self.store.append(
+            dispatch.JOB_TOPIC, [
+                dispatch.encode_record(
+                    dispatch.LeaderRecord(leading.GROUP, builders.EPOCH + 1,
+                                          "entry-2", "entry-2#1", 0))
+            ], ports.Producer(f"g/{leading.GROUP}", builders.EPOCH + 1), 1,
+            datetime.timedelta(seconds=1))
+        self.leader.scheduler.jobs[JOB_ID].is_dirty = True
+        async with asyncio.timeout(1):
+            await self.leader.resign()
+        self.assertTrue(self.log.list_fields("resignation-not-stored"))
