Take no strong evidence from a run that a former leader started

Callers could see a job fail although its task is healthy. A worker that is lost within 0.1 s of the start of its only unproven run is strong evidence that the run crashed it; two crashes with such a last one end the job.

Cause: a run that a leader takes over counts from the takeover, not from its start, which the leader does not know. Since runs are handed over, a worker that was lost between two leaders gives strong evidence at the first call of the new one, for runs that began up to 0.5 s and a hand-over earlier.

Runs of former leaders no longer count as just started, so such a loss is weak evidence. It still counts as a crash.

--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -85,8 +85,9 @@
         is_leaving: Whether the worker had announced that it leaves.
         suspects: Tasks with a run that may have caused the loss; a gang stands
             as its first task.
-        last_start_at: Time of the newest start order of these runs; 0 without
-            any.
+        last_start_at: Time of the newest start order of these runs, without
+            those that a former leader ordered; 0 without any. A former leader
+            may have ordered its runs long before.
     """
 
     worker_id: str
@@ -168,7 +169,10 @@
             worker.worker_id, worker.born_ms, lost_since, now,
             worker.entry.is_draining,
             frozenset(map(get_blamed_task, unproven_runs)),
-            max((run.start_sent_at for run in unproven_runs), default=0.0))
+            max((run.start_sent_at
+                 for run in unproven_runs
+                 if not run.is_adopted),
+                default=0.0))
         self._losses = [
             *(old_loss for old_loss in self._losses if now -
               old_loss.lost_at <= _loss_reports.LOSS_RETENTION.total_seconds()),
