Repeat an append whose reply from the store cannot be read

A reply with status 200 and no usable offset ended the loop that appends to the job topic. All later appends of the daemon waited without an end: its callers got no answer before their deadlines.

Cause: the reading of the offset raised ProtocolError, which is not a StoreError, out of the client. The loop did not expect other errors.

Evidence: the client's test failed with ProtocolError for {} and for an offset that is text.

Such a reply is now a call that may have been carried out, and so is any unexpected error of a call. The batch is repeated with the same sequence number: the next records under that number would pass for a repetition and be lost. The message about a refused sequence number has a bounded length.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -322,6 +322,13 @@
                                               self._next_sequence, timeout)
             outcome = "ok"
             return offset
+        except ports.StoreError:
+            raise
+        except Exception as error:
+            # Ends neither the loop nor the repetitions: the records may be
+            # stored, and the store would take the next ones for a repetition.
+            raise ports.StoreError(_decision_log.format_error(error),
+                                   errors.Verdict.MAY_HAVE_RUN) from error
         finally:
             self._metrics.store_calls.inc({
                 "operation": "append",
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -6,6 +6,7 @@
 import os
 import time
 import unittest
+from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
@@ -71,6 +72,28 @@
                 count_after = len(self.store.records[dispatch.JOB_TOPIC])
                 self.assertEqual(count_after - count_before, 1)
 
+    async def test_unexpected_error_does_not_end_the_writer(self):
+        """Guards against a writer that never sends another record.
+
+        The store has the record of the call that failed.
+        """
+        store_append = self.store.append
+        errors_left = [ValueError("unexpected")]
+
+        async def append_and_fail(*args: object) -> int:
+            offset = await store_append(*args)
+            if errors_left:
+                raise errors_left.pop()
+            return offset
+
+        with mock.patch.object(self.store, "append", append_and_fail):
+            async with asyncio.timeout(LONG_TIMEOUT.total_seconds()):
+                for offset in (0, 1):
+                    self.assertEqual(
+                        await self.writer.append([build_record()],
+                                                 LONG_TIMEOUT), offset)
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 2)
+
     async def test_refused_record_is_not_stored_later(self):
         """Checks that a record whose append was refused is not stored later.
 
--- a/src/gentianlead/platform/_store.py
+++ b/src/gentianlead/platform/_store.py
@@ -125,16 +125,23 @@
             })
         document = _decode_json_object(reply)
         if reply.status == 200:
-            return _fields.read_int(document, "offset")
+            try:
+                return _fields.read_int(document, "offset")
+            except errors.ProtocolError as error:
+                raise ports.StoreError(f"malformed reply to an append: {error}",
+                                       errors.Verdict.MAY_HAVE_RUN) from error
         if reply.status == 409:
             if document.get("reason") == "fenced":
                 raise ports.ProducerFencedError(
                     "the topic has a record of a higher producer epoch",
                     errors.Verdict.DID_NOT_RUN)
-            expected = document.get("sequence")
+            try:
+                expected = _fields.read_int(document, "sequence")
+            except errors.ProtocolError:
+                expected = -1
             raise ports.SequenceError(
                 f"sequence number {sequence} refused, expected {expected}",
-                expected if isinstance(expected, int) else -1)
+                expected)
         if reply.status in _REJECTION_STATUSES:
             raise ports.RecordsRejectedError(
                 f"append of {len(records)} records with {len(body)} bytes, "
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -117,7 +117,11 @@
         }, ports.SequenceError, errors.Verdict.DID_NOT_RUN),
                  (503, {}, ports.StoreError, errors.Verdict.DID_NOT_RUN),
                  (429, {}, ports.StoreError, errors.Verdict.DID_NOT_RUN),
-                 (500, {}, ports.StoreError, errors.Verdict.MAY_HAVE_RUN))
+                 (500, {}, ports.StoreError, errors.Verdict.MAY_HAVE_RUN),
+                 (200, {}, ports.StoreError,
+                  errors.Verdict.MAY_HAVE_RUN), (200, {
+                      "offset": "7"
+                  }, ports.StoreError, errors.Verdict.MAY_HAVE_RUN))
         for status, document, error_type, verdict in cases:
             with self.subTest(status=status, document=document):
                 self.add_reply(status, document)
--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -211,6 +211,40 @@
                 except ports.StoreError as error:
                     self.assertLess(len(str(error)), 1000)
 
+    async def test_store_replies(self):
+        """Guards against a reply that ends a loop of the daemon."""
+        page = {
+            "items": [{
+                "key": "a",
+                "value": "eA==",
+                "offset": 3
+            }, {
+                "key": "b",
+                "value": "",
+                "offset": 4
+            }],
+            "has_more": True,
+            "end_offset": 5
+        }
+        append_reply = {"offset": 7, "reason": "seq", "sequence": 3}
+        producer = ports.Producer("n1", 1)
+        for seed in SEEDS:
+            random_source = random.Random(seed)
+            for number in range(MUTATIONS_PER_SEED // 2):
+                encoded = mutations.mutate_document(page, random_source)
+                with self.subTest(seed=seed,
+                                  number=number,
+                                  encoded=encoded[:400]):
+                    await self.call_store(encoded, "read_newest_page", "jobs",
+                                          "", TIMEOUT)
+                encoded = mutations.mutate_document(append_reply, random_source)
+                with self.subTest(seed=seed,
+                                  number=number,
+                                  encoded=encoded[:400]):
+                    await self.call_store(encoded, "append", "jobs",
+                                          [ports.KeyedRecord("a", b"x")],
+                                          producer, 1, TIMEOUT)
+
     async def test_store_records(self):
         """Guards against a read of records that ends a reader."""
         records = [
