Name the malformed setting instead of a traceback

A settings file with an infinite duration, deeply nested arrays, or bytes that are not UTF-8 ended the start of the daemon with a traceback.

Cause: OverflowError and RecursionError are not ValueErrors, and the decode error of the file was raised outside of the handler.

--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -128,7 +128,8 @@
     except KeyError as error:
         raise errors.SettingsError(
             f"setting {error.args[0]!r} is missing") from error
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError,
+            RecursionError) as error:
         raise errors.SettingsError(
             f"a setting is malformed: {error}") from error
 
@@ -143,5 +144,5 @@
     try:
         with open(path, encoding="utf-8") as file:
             return parse_settings(file.read())
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -257,3 +257,21 @@
             encoded = mutations.mutate_bytes(reply, random_source)
             with self.subTest(number=number, encoded=encoded):
                 await self.call_store(encoded, "read", "jobs", 3, TIMEOUT)
+
+    def test_settings(self):
+        """Guards against a traceback instead of a message at the start."""
+        for seed in SEEDS:
+            random_source = random.Random(seed)
+            for number in range(MUTATIONS_PER_SEED // 2):
+                lines = test_formats.SETTINGS_TEXT.splitlines()
+                index = random_source.randrange(len(lines))
+                odd_text = random_source.choice(
+                    ("1e400", "-1", "nan", "[" * 5000, '""', "[1]", "inf",
+                     "9" * 4000, "true", "{}", "1979-05-27", '"\\u0000"'))
+                name, _, _ = lines[index].partition(" = ")
+                lines[index] = f"{name} = {odd_text}"
+                with self.subTest(seed=seed, number=number, line=lines[index]):
+                    try:
+                        platform.parse_settings("\n".join(lines))
+                    except errors.SettingsError:
+                        pass
