Refuse task names outside the limits of accepted jobs

A worker that lists a task with an index of 5,000 digits, or with an index of 10^30, was taken at its word; the former raised ValueError out of the decoder of the name.

Evidence: the test of names failed with ValueError for the former, and accepted the index 10^30 and a job identifier that is a lone surrogate.

A name has the form that accepted jobs can have: an identifier of 16 hexadecimal digits, and numbers of at most 4, 2 and 4 digits.

Result: the test passes.

--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -20,6 +20,10 @@
 
 _JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
+_TASK_NAME_PATTERN = re.compile(
+    r"([0-9a-fA-F]{16})\.([0-9]{1,4})\.([0-9]{1,2})\.([0-9]{1,4})")
+"""Name of a task of a job within the limits above."""
+
 _JOB_STATE_NAMES = {
     model.JobState.QUEUED: "queued",
     model.JobState.RUNNING: "in_progress",
@@ -49,12 +53,12 @@
     Raises:
         ProtocolError: The text is not the name of a task.
     """
-    job_id, *number_texts = str(text).split(".")
-    if len(number_texts) != 3 or not all(
-            number_text.isascii() and number_text.isdigit()
-            for number_text in number_texts):
-        raise errors.ProtocolError(f"{text!r:.60} is not the name of a task")
-    return model.TaskKey(job_id, *map(int, number_texts))
+    match = (_TASK_NAME_PATTERN.fullmatch(text)
+             if isinstance(text, str) else None)
+    if match is None:
+        raise errors.ProtocolError(
+            f"{_fields.describe(text)} is not the name of a task")
+    return model.TaskKey(match[1], int(match[2]), int(match[3]), int(match[4]))
 
 
 def format_job_state(state: model.JobState) -> str:
@@ -69,7 +73,7 @@
             isinstance(item, int) and not isinstance(item, bool) and
             0 <= item < step_index for item in value):
         raise errors.ProtocolError(
-            f"'depends_on' of step {step_index} is {value!r:.60}, expected "
+            f"'depends_on' of step {step_index} is {_fields.describe(value)}, expected "
             "indexes of earlier steps")
     return tuple(value)
 
--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -13,6 +13,7 @@
 import msgpack
 
 from gentianlead import errors
+from gentianlead import model
 from gentianlead import platform
 from gentianlead import ports
 from gentianlead.platform import _http
@@ -275,3 +276,17 @@
                         platform.parse_settings("\n".join(lines))
                     except errors.SettingsError:
                         pass
+
+    def test_task_names(self):
+        """Guards against a name that is no number of a task."""
+        for name in (TASK_NAME, "", "....", TASK_NAME + "9" * 30, TASK_NAME +
+                     "9" * 5000, test_formats.JOB_ID + ".\u00b2.1.1",
+                     test_formats.JOB_ID + ".0.0.10000", "\ud800.1.1.1", 5,
+                     None, [], {}):
+            with self.subTest(str(name)[:60]):
+                try:
+                    task = platform.parse_task_name(name)
+                except errors.ProtocolError:
+                    continue
+                self.assertEqual(task,
+                                 model.TaskKey(test_formats.JOB_ID, 0, 1, 2))
