Keep the reported load of a group within 64 bits

A caller's job with 10,000 tasks of an absurd size or estimate had sums of more than 64 bits in the load of its group. The leader's reports of that load could not be encoded, so no other daemon got one; daemons without reports refuse their callers after some seconds.

Cause: amounts and estimates of steps were bounded one by one, at most, and the load sums their products.

The effect on other daemons was read from the code, not played.

Amounts of a step are at most 2^31 - 1, as for workers; a larger one gets status 400. Longer estimates count as 2^31 - 1 ms, 24 days. The sums in a load are cut off at 2^53 - 1, as stored jobs may be older.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -14,6 +14,11 @@
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _workers
 
+MAX_REPORTED_VALUE = 2**53 - 1
+"""Upper bound of the sums over all jobs in a reported load. Without it, jobs
+with absurd estimates would have sums of more than 64 bits, which no report can
+hold."""
+
 
 class ImageCapacity(NamedTuple):
     """CPU that best-effort tasks of one image can use in a group.
@@ -432,9 +437,11 @@
         1, capacity_cpu_millis - latency_critical_cpu_millis // 2)
     return GroupLoad(
         is_usable, capacity_cpu_millis, reserved_cpu_millis,
-        short_work // best_effort_capacity_cpu_millis,
-        (short_work + best_effort_work) // best_effort_capacity_cpu_millis,
-        worker_count, largest_free_cpu_millis, best_effort_cpu_millis,
+        min(MAX_REPORTED_VALUE, short_work // best_effort_capacity_cpu_millis),
+        min(MAX_REPORTED_VALUE,
+            (short_work + best_effort_work) // best_effort_capacity_cpu_millis),
+        worker_count, largest_free_cpu_millis,
+        min(MAX_REPORTED_VALUE, best_effort_cpu_millis),
         tuple(
             ImageCapacity(*item) for item in sorted(image_capacities.items())),
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
--- a/src/gentianlead/platform/_fields.py
+++ b/src/gentianlead/platform/_fields.py
@@ -108,6 +108,15 @@
     return check_int(value, f"field {name!r}", minimum, maximum)
 
 
+def read_amount(document: dict[str, Any], name: str) -> int:
+    """Returns a field with an amount of a resource; 0 if it is missing.
+
+    Raises:
+        ProtocolError: The field is not an integer from 0 to `MAX_AMOUNT`.
+    """
+    return read_int(document, name, 0, maximum=MAX_AMOUNT)
+
+
 def check_int(value: Any,
               description: str,
               minimum: int = 0,
--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -73,8 +73,8 @@
             isinstance(item, int) and not isinstance(item, bool) and
             0 <= item < step_index for item in value):
         raise errors.ProtocolError(
-            f"'depends_on' of step {step_index} is {_fields.describe(value)}, expected "
-            "indexes of earlier steps")
+            f"'depends_on' of step {step_index} is {_fields.describe(value)}, "
+            "expected indexes of earlier steps")
     return tuple(value)
 
 
@@ -100,10 +100,12 @@
                        if "miss_allowed" in fields else None)
     return model.Step(
         count=count,
-        cpu_millis=_fields.read_int(fields, "cpu", 0),
-        memory_mib=_fields.read_int(fields, "mem_mb", 0),
-        accelerators=_fields.read_int(fields, "gpu", 0),
-        estimate_ms=_fields.read_int(fields, "estimate_ms", 0),
+        cpu_millis=_fields.read_amount(fields, "cpu"),
+        memory_mib=_fields.read_amount(fields, "mem_mb"),
+        accelerators=_fields.read_amount(fields, "gpu"),
+        # A longer estimate does not change when or where a task starts.
+        estimate_ms=min(_fields.MAX_AMOUNT,
+                        _fields.read_int(fields, "estimate_ms", 0)),
         depends_on=_parse_dependencies(fields.get("depends_on"), step_index),
         has_checkpoints=_fields.read_bool(fields, "checkpointing"),
         is_gang=_fields.read_bool(fields, "gang"),
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -1,7 +1,5 @@
 """Decodes the entries of the worker registry."""
 
-from typing import Any
-
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.platform import _fields
@@ -42,13 +40,9 @@
                              address=_fields.read_address(document, "address"),
                              domain=_fields.read_string(document, "zone"),
                              is_draining=_IS_DRAINING_BY_STATE[state],
-                             cpu_millis=_read_amount(capacity, "cpu"),
-                             memory_mib=_read_amount(capacity, "mem_mb"),
-                             accelerators=_read_amount(capacity, "gpu"),
+                             cpu_millis=_fields.read_amount(capacity, "cpu"),
+                             memory_mib=_fields.read_amount(capacity, "mem_mb"),
+                             accelerators=_fields.read_amount(capacity, "gpu"),
                              labels=frozenset(labels),
                              born_ms=_fields.read_int(document, "born", 0),
                              leaves_in_ms=leaves_in_ms)
-
-
-def _read_amount(capacity: dict[str, Any], name: str) -> int:
-    return _fields.read_int(capacity, name, 0, maximum=_fields.MAX_AMOUNT)
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -164,6 +164,24 @@
         with self.assertRaises(errors.ProtocolError):
             platform.parse_submission(b"\xff{", JOB_ID, QUEUE, 17)
 
+    def test_amounts(self):
+        """Guards against sums of a job that no report of a leader can hold."""
+        for name in ("cpu", "mem_mb", "gpu"):
+            for amount in (2**31, 2**53 - 1, 10**30):
+                with self.subTest(name), self.assertRaises(
+                        errors.ProtocolError):
+                    parse_submission_document(
+                        {"steps": [{
+                            "count": 1,
+                            name: amount
+                        }]})
+        job = parse_submission_document(
+            {"steps": [{
+                "count": 1,
+                "estimate_ms": 2**53 - 1
+            }]})
+        self.assertEqual(job.steps[0].estimate_ms, 2**31 - 1)
+
     def test_task_names(self):
         """Guards against a name that is decoded as another task."""
         task = model.TaskKey(JOB_ID, 1, 2, 30)
