Load the job topic past a record that cannot be applied

A record of the job topic that could be decoded but not applied kept a daemon from loading the topic: it loaded it again each second, and refused its callers all the while.

Cause: the reader of the job topic and the load of the table caught ProtocolError alone. A record under the key `c`, without a job, raised IndexError.

Evidence: the test of the reader failed, as the topic was not loaded within 5 s.

A record must be stored under its own key, else it is unreadable. No error of one record ends the load or the reader; such records count in `gentianlead_unreadable_records_total` and are logged by the same rule as those of the registry, instead of once for each load.

--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -12,6 +12,7 @@
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _topic_load
+from gentianlead.cluster import _unreadable_records
 
 PERSISTENT_APPEND_TIMEOUT = datetime.timedelta(days=1)
 """Timeout of appends that should repeat until they are stored or fenced."""
@@ -406,6 +407,8 @@
         self._on_jobs_changed = on_jobs_changed
         self._loader = _topic_load.TopicLoader(dispatch.JOB_TOPIC, store, clock,
                                                log, metrics)
+        self._unreadable_records = _unreadable_records.UnreadableRecords(
+            dispatch.JOB_TOPIC, clock, log, metrics)
         self._read_requested = asyncio.Event()
         self._records_applied = asyncio.Event()
         self._loop_task: asyncio.Task | None = None
@@ -509,10 +512,11 @@
 
     async def _load_topic(self) -> None:
         loaded_topic = await self._loader.load()
-        problems = self.job_table.load_newest_records(loaded_topic.batch,
-                                                      self._clock.monotonic())
-        for problem in problems:
-            self._log.write("record-unreadable", problem=problem)
+        self._unreadable_records.forget_missing(
+            record.key for record in loaded_topic.batch.records)
+        for stored_record, error in self.job_table.load_newest_records(
+                loaded_topic.batch, self._clock.monotonic()):
+            self._unreadable_records.report(stored_record, error)
         self.is_loaded = True
         self._handle_read_success("newest", loaded_topic.fresh_as_of, True)
 
@@ -540,11 +544,11 @@
         for stored_record in batch.records:
             try:
                 self.job_table.apply(stored_record, now)
-            except errors.ProtocolError as error:
-                self._log.write("record-unreadable",
-                                offset=stored_record.offset,
-                                key=stored_record.key,
-                                problem=str(error))
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # The other records apply. A load would meet the same error.
+                self._unreadable_records.report(stored_record, error)
+            else:
+                self._unreadable_records.mark_readable(stored_record.key)
         is_at_end = self.job_table.position >= batch.end_offset
         self._handle_read_success("read", sent_at, is_at_end)
         return bool(batch.records) and not is_at_end
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -178,13 +178,10 @@
         for record in records:
             try:
                 self._on_record(record)
-            except errors.ProtocolError as error:
-                self._unreadable_records.report(record, str(error))
             except Exception as error:  # pylint: disable=broad-exception-caught
                 # The other records apply. A record that causes the same error
                 # after each load would otherwise hide them for good.
-                self._unreadable_records.report(
-                    record, _decision_log.format_error(error), "internal-error")
+                self._unreadable_records.report(record, error)
             else:
                 self._unreadable_records.mark_readable(record.key)
 
--- a/src/gentianlead/cluster/_unreadable_records.py
+++ b/src/gentianlead/cluster/_unreadable_records.py
@@ -3,6 +3,7 @@
 import datetime
 from typing import Iterable
 
+from gentianlead import errors
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
@@ -21,7 +22,7 @@
 
     Example:
         >>> unreadable_records = UnreadableRecords("jobs", clock, log, metrics)
-        >>> unreadable_records.report(record, "state is missing")
+        >>> unreadable_records.report(record, error)
     """
 
     def __init__(self, topic: str, clock: ports.Clock,
@@ -34,17 +35,17 @@
         # Last logged problem and monotonic time of its line, by key.
         self._logged_problems: dict[str, tuple[str, float]] = {}
 
-    def report(self,
-               record: ports.KeyedRecord,
-               problem: str,
-               event: str = "record-unreadable") -> None:
+    def report(self, record: ports.KeyedRecord, error: Exception) -> None:
         """Counts a record that has no effect, and may log it.
 
         Args:
             record: The record.
-            problem: Why it has no effect.
-            event: Event of the log line.
+            error: Error of its decoder, or an unexpected error of its handler.
         """
+        is_expected = isinstance(error, errors.ProtocolError)
+        event = "record-unreadable" if is_expected else "internal-error"
+        problem = (str(error)
+                   if is_expected else _decision_log.format_error(error))
         self._metrics.unreadable_records.inc({"topic": self._topic})
         now = self._clock.monotonic()
         logged = self._logged_problems.get(record.key)
@@ -65,6 +66,6 @@
 
     def forget_missing(self, listed_keys: Iterable[str]) -> None:
         """Forgets the keys that a full read of the topic does not list."""
-        listed_keys = set(listed_keys)
-        for key in set(self._logged_problems) - listed_keys:
-            del self._logged_problems[key]
+        if self._logged_problems:
+            for key in set(self._logged_problems).difference(listed_keys):
+                del self._logged_problems[key]
--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -492,6 +492,34 @@
                                                        LONG_TIMEOUT))
         self.assertIn(JOB_ID, self.reader.job_table.jobs)
 
+    async def test_record_that_cannot_be_applied_is_skipped(self):
+        """Guards against one record that keeps the topic from being loaded.
+
+        A daemon that has not loaded the topic refuses its callers.
+        """
+        log = fakes.RecordingLog()
+        metrics = _metrics.ClusterMetrics()
+        reader = _job_topic.JobTopicReader(self.store, adapters.SystemClock(),
+                                           log, metrics, lambda job_ids: None)
+        self.addAsyncCleanup(reader.stop)
+        odd_record = dispatch.encode_record(
+            dispatch.CancelledRecord(JOB_ID))._replace(key="c")
+        self.store.write(dispatch.JOB_TOPIC, odd_record)
+        self.write_job()
+        reader.start()
+        self.assertTrue(await reader.wait_until_applied(1, LONG_TIMEOUT))
+        self.assertIn(JOB_ID, reader.job_table.jobs)
+        for _ in range(3):
+            self.store.write(dispatch.JOB_TOPIC, odd_record)
+        offset = self.write_job("00000000000000bb")
+        self.assertTrue(await reader.wait_until_applied(offset, LONG_TIMEOUT))
+        self.assertEqual(log.list_fields("internal-error"), [])
+        self.assertEqual([(fields["topic"], fields["key"])
+                          for fields in log.list_fields("record-unreadable")],
+                         [(dispatch.JOB_TOPIC, "c")])
+        self.assertIn(b'gentianlead_unreadable_records_total{topic="jobs"} 4',
+                      metrics.render())
+
     async def test_outage_is_detected(self):
         """Checks that `readable_since` is reset to None while reads fail."""
         self.write_job()
--- a/src/gentianlead/cluster/tests/test_unreadable_records.py
+++ b/src/gentianlead/cluster/tests/test_unreadable_records.py
@@ -3,6 +3,7 @@
 import datetime
 import unittest
 
+from gentianlead import errors
 from gentianlead import ports
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _unreadable_records
@@ -45,7 +46,8 @@
         for offset in range(count):
             self.unreadable_records.report(
                 ports.KeyedRecord("a", b"x", offset),
-                "bad" if is_same_problem else f"bad {offset}")
+                errors.ProtocolError(
+                    "bad" if is_same_problem else f"bad {offset}"))
             self.clock.seconds += 1
 
     def list_offsets(self) -> list[int]:
@@ -70,7 +72,8 @@
     def test_each_key_is_logged(self):
         """Guards against a second bad entry that nobody notices."""
         self.report_each_second(1, True)
-        self.unreadable_records.report(ports.KeyedRecord("b", b"x", 1), "bad")
+        self.unreadable_records.report(ports.KeyedRecord("b", b"x", 1),
+                                       errors.ProtocolError("bad"))
         self.assertEqual(self.list_offsets(), [0, 1])
 
     def test_record_is_logged_again_after_a_readable_one(self):
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -304,10 +304,10 @@
     """
     try:
         return msgspec.convert(msgpack.unpackb(data), value_type, strict=True)
-    except (ValueError, msgpack.UnpackException,
+    except (ValueError, RecursionError, msgpack.UnpackException,
             msgspec.ValidationError) as error:
         raise errors.ProtocolError(f"unreadable {value_type.__name__}: "
-                                   f"{error}") from error
+                                   f"{error!s:.200}") from error
 
 
 def decode_record(stored: ports.KeyedRecord) -> Record | None:
@@ -315,11 +315,16 @@
 
     Raises:
         ProtocolError: The key is of an unknown type, or the value cannot be
-            decoded.
+            decoded or belongs under another key.
     """
     value_type = _RECORD_TYPES.get(stored.key.partition("/")[0])
     if value_type is None:
         raise errors.ProtocolError(f"unknown type of key {stored.key!r}")
     if not stored.value:
         return None
-    return decode_value(stored.value, value_type)
+    record = decode_value(stored.value, value_type)
+    if build_key(record) != stored.key:
+        raise errors.ProtocolError(
+            f"record of the key {build_key(record)[:80]!r} is stored under "
+            f"another one")
+    return record
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -4,7 +4,6 @@
 import types
 from typing import Mapping, NamedTuple
 
-from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _records
@@ -178,15 +177,16 @@
             self._add_key(stored.key)
             self._apply_to_job(stored.offset, record, now)
 
-    def load_newest_records(self, batch: ports.KeyedBatch,
-                            now: float) -> list[str]:
+    def load_newest_records(
+            self, batch: ports.KeyedBatch,
+            now: float) -> list[tuple[ports.KeyedRecord, Exception]]:
         """Rebuilds the whole state from the newest record of each key.
 
-        All jobs then count as changed.
+        All jobs then count as changed. No error ends the load: it would end the
+        next one, too.
 
         Returns:
-            Descriptions of the records that cannot be decoded; they have no
-            effect.
+            The records that cannot be decoded or applied, each with its error.
         """
         self.jobs.clear()
         self.leaders.clear()
@@ -194,15 +194,15 @@
         self.recorded_workers.clear()
         self._early_records.clear()
         self.keys_by_job.clear()
-        decode_errors = []
+        failures: list[tuple[ports.KeyedRecord, Exception]] = []
         for stored in sorted(batch.records, key=lambda record: record.offset):
             try:
                 self.apply(stored, now)
-            except errors.ProtocolError as error:
-                decode_errors.append(f"{stored.key}: {error}")
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                failures.append((stored, error))
         self.position = batch.end_offset
         self.changed_jobs.update(self.jobs)
-        return decode_errors
+        return failures
 
     def take_changed_jobs(self) -> set[str]:
         """Returns and clears `changed_jobs`."""
