Go on polling a worker after an unexpected error

An error that nobody foresaw in one poll of a worker's status ended its polls without a log line. Its lease was not renewed until its registry entry was read again; while the registry cannot be read, its runs lapse.

Cause: the poller of a worker is a task of its own whose result nobody reads.

Evidence: with a client that raises ValueError twice, the worker was not reached within 5 s, and no line was written.

Such a poll now counts as one without a reply, with its error in the line `worker-lost`, and is repeated.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -411,6 +411,11 @@
                 self._flush_requested.set()
                 self._plan_requested.set()
                 return
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # Without polls, the lease of the worker would run out.
+                self._apply_no_reply(worker, _decision_log.format_error(error),
+                                     self._clock.monotonic())
+                has_replied = False
             if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
--- a/src/gentianlead/cluster/tests/test_status_polls.py
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import datetime
+import time
 import unittest
+from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _group_leader
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
@@ -78,10 +81,39 @@
         against polls of all workers at the same time that end before the
         replies arrive, while the late replies fill the link for the next polls.
         """
+        worker_client = SlowLinkWorkerClient(8_000)
+        self.start_leader(worker_client, WORKER_COUNT, fakes.build_log())
+        started_at = time.monotonic()
+        while (len(worker_client.reached_ids) < WORKER_COUNT and
+               time.monotonic() - started_at < 20):
+            await asyncio.sleep(0.05)
+        self.assertEqual(len(worker_client.reached_ids), WORKER_COUNT)
+
+    async def test_unexpected_error_does_not_end_the_polls(self):
+        """Guards against a worker whose lease is not renewed any more."""
+        worker_client = SlowLinkWorkerClient(0)
+        poll_status = worker_client.poll_status
+        errors_left = [ValueError("unexpected")] * 2
+
+        async def fail_first(*args: object) -> ports.WorkerStatus:
+            if errors_left:
+                raise errors_left.pop()
+            return await poll_status(*args)
+
+        log = fakes.RecordingLog()
+        with mock.patch.object(worker_client, "poll_status", fail_first):
+            self.start_leader(worker_client, 1, log)
+            async with asyncio.timeout(5):
+                while not worker_client.reached_ids:
+                    await asyncio.sleep(0.02)
+        (line,) = log.list_fields("worker-lost")
+        self.assertIn("unexpected", line["error"])
+
+    def start_leader(self, worker_client: ports.LeasedWorkerClient,
+                     worker_count: int, log: _decision_log.DecisionLog) -> None:
+        """Starts a leader of new workers, until the test ends."""
         clock = adapters.SystemClock()
-        log = fakes.build_log()
         metrics = _metrics.ClusterMetrics()
-        worker_client = SlowLinkWorkerClient(8_000)
         writer = _job_topic.JobTopicWriter(fakes.FakeStore(),
                                            ports.Producer("g/north-1", 64),
                                            clock, log, metrics)
@@ -95,13 +127,8 @@
             dispatch.InterferenceModel())
         leader.start()
         self.addAsyncCleanup(leader.stop)
-        for index in range(WORKER_COUNT):
+        for index in range(worker_count):
             leader.put_worker(
                 ports.WorkerEntry(f"w{index}", "service", f"10.0.0.{index}:80",
                                   "north-1", False, 32_000, 65_536, 0,
                                   frozenset()))
-        started_at = clock.monotonic()
-        while (len(worker_client.reached_ids) < WORKER_COUNT and
-               clock.monotonic() - started_at < 20):
-            await asyncio.sleep(0.05)
-        self.assertEqual(len(worker_client.reached_ids), WORKER_COUNT)
