Refuse the body of a request that holds an encoded surrogate

An operator's or caller's body with the bytes of a surrogate in a string, ED A0 80, got status 503 LOG_UNAVAILABLE from gentianleadd, which asks for a repetition that cannot succeed.

Cause: given bytes, `json.loads` accepts encoded surrogates; the check looked for escapes only. The record could not be encoded.

Evidence: the test of malformed documents failed for `/v1/jobs` with this body: status 503 is not one of 400, 409 and 422.

The body is decoded as UTF-8 first. JSON in UTF-16 or UTF-32, which RFC 8259 does not allow, is refused too.

Result: the test passes.

--- a/src/gentianlead/daemon/_documents.py
+++ b/src/gentianlead/daemon/_documents.py
@@ -32,8 +32,10 @@
         RequestError: The body is not a JSON object.
     """
     try:
-        document = json.loads(body)
-        if b"\\u" in body:
+        # Given bytes, `json.loads` accepts encoded surrogates and UTF-16.
+        text = body.decode("utf-8")
+        document = json.loads(text)
+        if "\\u" in text:
             # JSON permits a lone surrogate as an escape, but log records hold
             # text as UTF-8, which cannot encode it.
             json.dumps(document, ensure_ascii=False).encode("utf-8")
--- a/src/gentianlead/daemon/tests/test_bad_input.py
+++ b/src/gentianlead/daemon/tests/test_bad_input.py
@@ -127,7 +127,7 @@
                     b"", b"{", b"[]", b"null", b"\xff\xfe", deeply_nested_json,
                     b'{"tasks": "many"}', b'{"tasks": 1e400}',
                     b'{"patch_id": 5, "base_version": [], "operations": 1}',
-                    b'{"job_id": "\\ud800"}',
+                    b'{"job_id": "\\ud800"}', b'{"job_id": "\xed\xa0\x80"}',
                     json.dumps({
                         "patch_id": "p",
                         "base_version": configuration_before["version"],
