--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -6,6 +6,7 @@
 import datetime
 import json
 import random
+import tempfile
 import unittest
 from typing import Any, Callable
 from unittest import mock
@@ -277,6 +278,14 @@
                     except errors.SettingsError:
                         pass
 
+    def test_settings_file_that_is_not_text(self):
+        """Guards against a traceback instead of a message at the start."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(b"node_name = \"\xff\"")
+            file.flush()
+            with self.assertRaises(errors.SettingsError):
+                platform.read_settings(file.name)
+
     def test_task_names(self):
         """Guards against a name that is no number of a task."""
         for name in (TASK_NAME, "", "....", TASK_NAME + "9" * 30, TASK_NAME +
