--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -9,7 +9,6 @@
 import tempfile
 import unittest
 from typing import Any, Callable
-from unittest import mock
 
 import msgpack
 
@@ -94,6 +93,18 @@
     raise TypeError(type(value).__name__)
 
 
+class ReplyingEndpoint(_http.HttpEndpoint):
+    """Endpoint whose calls all get the same reply, without a connection."""
+
+    def __init__(self, reply: _http.HttpReply):
+        super().__init__("127.0.0.1:1", 1)
+        self._reply = reply
+
+    async def call(self, *args: object, **kwargs: object) -> _http.HttpReply:
+        del args, kwargs
+        return self._reply
+
+
 class OddInputTest(unittest.IsolatedAsyncioTestCase):
     """Passes mutated documents to each decoder."""
 
@@ -195,23 +206,16 @@
             }, decode)
 
     async def call_store(self, encoded: bytes, method_name: str, *args:
-                         object) -> object:
-        """Calls the store, which replies with `encoded`.
-
-        Raises:
-            ProtocolError: The call failed with `StoreError`.
-        """
+                         object) -> None:
+        """Calls the store, which replies with `encoded`; checks the result."""
         store = platform.PlatformStore("127.0.0.1:1")
         for status in (200, 409, 503):
             reply = _http.HttpReply(status, encoded)
-            with mock.patch.object(_http.HttpEndpoint,
-                                   "call",
-                                   return_value=reply):
-                try:
-                    result = await getattr(store, method_name)(*args)
-                    self.check_value(result)
-                except ports.StoreError as error:
-                    self.assertLess(len(str(error)), 1000)
+            store._endpoint = ReplyingEndpoint(reply)  # pylint: disable=protected-access
+            try:
+                self.check_value(await getattr(store, method_name)(*args))
+            except ports.StoreError as error:
+                self.assertLess(len(str(error)), 1000)
 
     async def test_store_replies(self):
         """Guards against a reply that ends a loop of the daemon."""
