--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -150,7 +150,7 @@
         if reply.status == _STATUS_WORKER_REPLACED:
             raise ports.WorkerReplacedError(
                 f"{entry.worker_id} was replaced by another instance")
-        if _read_refusal_reason(reply) == "fence":
+        if _read_refusal_reason(_decode_object_or_empty(reply)) == "fence":
             raise ports.StaleFencingTokenError(
                 f"{entry.worker_id} has seen a higher fencing token")
         raise errors.WorkerError(
@@ -166,15 +166,16 @@
         return {}
 
 
-def _read_refusal_reason(reply: _http.HttpReply) -> str:
-    reason = _decode_object_or_empty(reply).get("reason")
+def _read_refusal_reason(document: dict[str, Any]) -> str:
+    reason = document.get("reason")
     return reason if isinstance(reason, str) else ""
 
 
 def _decode_start_reply(reply: _http.HttpReply) -> ports.StartReply:
-    reason = _read_refusal_reason(reply)
+    document = _decode_object_or_empty(reply)
+    reason = _read_refusal_reason(document)
     try:
-        clock_ms = _fields.read_int(_decode_object_or_empty(reply), "clock_ms")
+        clock_ms = _fields.read_int(document, "clock_ms")
     except errors.ProtocolError:
         clock_ms = None
     detail = f"status {reply.status} {reason:.80}".strip()
