--- a/src/gentianlead/cluster/tests/test_topic.py
+++ b/src/gentianlead/cluster/tests/test_topic.py
@@ -7,6 +7,7 @@
 import time
 import unittest
 from typing import Sequence
+from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
@@ -83,6 +84,28 @@
                 count_after = len(self.store.records[dispatch.JOB_TOPIC])
                 self.assertEqual(count_after - count_before, 1)
 
+    async def test_unexpected_error_does_not_end_the_writer(self):
+        """Guards against a writer that never sends another record.
+
+        The store has the record of the call that failed.
+        """
+        store_append = self.store.append
+        errors_left = [ValueError("unexpected")]
+
+        async def append_and_fail(*args: object) -> int:
+            offset = await store_append(*args)
+            if errors_left:
+                raise errors_left.pop()
+            return offset
+
+        with mock.patch.object(self.store, "append", append_and_fail):
+            async with asyncio.timeout(LONG_TIMEOUT.total_seconds()):
+                for offset in (0, 1):
+                    self.assertEqual(
+                        await self.writer.append([build_record()],
+                                                 LONG_TIMEOUT), offset)
+        self.assertEqual(len(self.store.records[dispatch.JOB_TOPIC]), 2)
+
     async def test_refused_record_is_not_stored_later(self):
         """Checks that a record whose append was refused is not stored later.
 
@@ -498,6 +521,34 @@
                                                        LONG_TIMEOUT))
         self.assertIn(JOB_ID, self.reader.job_table.jobs)
 
+    async def test_record_that_cannot_be_applied_is_skipped(self):
+        """Guards against one record that keeps the topic from being loaded.
+
+        A daemon that has not loaded the topic refuses its callers.
+        """
+        log = fakes.RecordingLog()
+        metrics = _metrics.ClusterMetrics()
+        reader = _job_topic.JobTopicReader(self.store, adapters.SystemClock(),
+                                           log, metrics, lambda job_ids: None)
+        self.addAsyncCleanup(reader.stop)
+        odd_record = dispatch.encode_record(
+            dispatch.CancelledRecord(JOB_ID))._replace(key="c")
+        self.store.write(dispatch.JOB_TOPIC, odd_record)
+        self.write_job()
+        reader.start()
+        self.assertTrue(await reader.wait_until_applied(1, LONG_TIMEOUT))
+        self.assertIn(JOB_ID, reader.job_table.jobs)
+        for _ in range(3):
+            self.store.write(dispatch.JOB_TOPIC, odd_record)
+        offset = self.write_job("00000000000000bb")
+        self.assertTrue(await reader.wait_until_applied(offset, LONG_TIMEOUT))
+        self.assertEqual(log.list_fields("internal-error"), [])
+        self.assertEqual([(fields["topic"], fields["key"])
+                          for fields in log.list_fields("record-unreadable")],
+                         [(dispatch.JOB_TOPIC, "c")])
+        self.assertIn(b'gentianlead_unreadable_records_total{topic="jobs"} 4',
+                      metrics.render())
+
     async def test_outage_is_detected(self):
         """Checks that `readable_since` is reset to None while reads fail."""
         self.write_job()
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -4,7 +4,6 @@
 import types
 from typing import Mapping, NamedTuple
 
-from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _records
@@ -197,17 +196,18 @@
             self._add_key(stored.key)
             self._apply_to_job(stored.offset, record, now)
 
-    def load_newest_records(self, batch: ports.KeyedBatch,
-                            now: float) -> list[str]:
+    def load_newest_records(
+            self, batch: ports.KeyedBatch,
+            now: float) -> list[tuple[ports.KeyedRecord, Exception]]:
         """Rebuilds the whole state from the newest record of each key.
 
         All jobs then count as changed. What is known about the takeover by the
         leader of a group is kept while the group has the same leader, and when
-        a hand-over was first read.
+        a hand-over was first read. No error ends the load: it would end the
+        next one, too.
 
         Returns:
-            Descriptions of the records that cannot be decoded; they have no
-            effect.
+            The records that cannot be decoded or applied, each with its error.
         """
         known_leaders = dict(self.leaders)
         known_handovers = dict(self.handovers)
@@ -218,12 +218,12 @@
         self.handovers.clear()
         self._early_records.clear()
         self.keys_by_job.clear()
-        decode_errors = []
+        failures: list[tuple[ports.KeyedRecord, Exception]] = []
         for stored in sorted(batch.records, key=lambda record: record.offset):
             try:
                 self.apply(stored, now)
-            except errors.ProtocolError as error:
-                decode_errors.append(f"{stored.key}: {error}")
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                failures.append((stored, error))
         for known_leader in known_leaders.values():
             self._restore_takeover(known_leader)
         for group, known_entry in known_handovers.items():
@@ -232,7 +232,7 @@
                 self.handovers[group] = known_entry
         self.position = batch.end_offset
         self.changed_jobs.update(self.jobs)
-        return decode_errors
+        return failures
 
     def _restore_takeover(self, known_leader: LeaderEntry) -> None:
         # Between leaders of different epochs there may have been others, whose
--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -20,6 +20,10 @@
 
 _JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
+_TASK_NAME_PATTERN = re.compile(
+    r"([0-9a-fA-F]{16})\.([0-9]{1,4})\.([0-9]{1,2})\.([0-9]{1,4})")
+"""Name of a task of a job within the limits above."""
+
 _JOB_STATE_NAMES = {
     model.JobState.QUEUED: "queued",
     model.JobState.RUNNING: "in_progress",
@@ -49,12 +53,12 @@
     Raises:
         ProtocolError: The text is not the name of a task.
     """
-    job_id, *number_texts = str(text).split(".")
-    if len(number_texts) != 3 or not all(
-            number_text.isascii() and number_text.isdigit()
-            for number_text in number_texts):
-        raise errors.ProtocolError(f"{text!r:.60} is not the name of a task")
-    return model.TaskKey(job_id, *map(int, number_texts))
+    match = (_TASK_NAME_PATTERN.fullmatch(text)
+             if isinstance(text, str) else None)
+    if match is None:
+        raise errors.ProtocolError(
+            f"{_fields.describe(text)} is not the name of a task")
+    return model.TaskKey(match[1], int(match[2]), int(match[3]), int(match[4]))
 
 
 def format_job_state(state: model.JobState) -> str:
@@ -69,8 +73,8 @@
             isinstance(item, int) and not isinstance(item, bool) and
             0 <= item < step_index for item in value):
         raise errors.ProtocolError(
-            f"'depends_on' of step {step_index} is {value!r:.60}, expected "
-            "indexes of earlier steps")
+            f"'depends_on' of step {step_index} is {_fields.describe(value)}, "
+            "expected indexes of earlier steps")
     return tuple(value)
 
 
@@ -96,10 +100,12 @@
                        if "miss_allowed" in fields else None)
     return model.Step(
         count=count,
-        cpu_millis=_fields.read_int(fields, "cpu", 0),
-        memory_mib=_fields.read_int(fields, "mem_mb", 0),
-        accelerators=_fields.read_int(fields, "gpu", 0),
-        estimate_ms=_fields.read_int(fields, "estimate_ms", 0),
+        cpu_millis=_fields.read_amount(fields, "cpu"),
+        memory_mib=_fields.read_amount(fields, "mem_mb"),
+        accelerators=_fields.read_amount(fields, "gpu"),
+        # A longer estimate does not change when or where a task starts.
+        estimate_ms=min(_fields.MAX_AMOUNT,
+                        _fields.read_int(fields, "estimate_ms", 0)),
         depends_on=_parse_dependencies(fields.get("depends_on"), step_index),
         has_checkpoints=_fields.read_bool(fields, "checkpointing"),
         is_gang=_fields.read_bool(fields, "gang"),
--- a/src/gentianlead/platform/tests/test_odd_input.py
+++ b/src/gentianlead/platform/tests/test_odd_input.py
@@ -6,13 +6,14 @@
 import datetime
 import json
 import random
+import tempfile
 import unittest
 from typing import Any, Callable
-from unittest import mock
 
 import msgpack
 
 from gentianlead import errors
+from gentianlead import model
 from gentianlead import platform
 from gentianlead import ports
 from gentianlead.platform import _http
@@ -92,6 +93,18 @@
     raise TypeError(type(value).__name__)
 
 
+class ReplyingEndpoint(_http.HttpEndpoint):
+    """Endpoint whose calls all get the same reply, without a connection."""
+
+    def __init__(self, reply: _http.HttpReply):
+        super().__init__("127.0.0.1:1", 1)
+        self._reply = reply
+
+    async def call(self, *args: object, **kwargs: object) -> _http.HttpReply:
+        del args, kwargs
+        return self._reply
+
+
 class OddInputTest(unittest.IsolatedAsyncioTestCase):
     """Passes mutated documents to each decoder."""
 
@@ -193,23 +206,50 @@
             }, decode)
 
     async def call_store(self, encoded: bytes, method_name: str, *args:
-                         object) -> object:
-        """Calls the store, which replies with `encoded`.
-
-        Raises:
-            ProtocolError: The call failed with `StoreError`.
-        """
+                         object) -> None:
+        """Calls the store, which replies with `encoded`; checks the result."""
         store = platform.PlatformStore("127.0.0.1:1")
         for status in (200, 409, 503):
             reply = _http.HttpReply(status, encoded)
-            with mock.patch.object(_http.HttpEndpoint,
-                                   "call",
-                                   return_value=reply):
-                try:
-                    result = await getattr(store, method_name)(*args)
-                    self.check_value(result)
-                except ports.StoreError as error:
-                    self.assertLess(len(str(error)), 1000)
+            store._endpoint = ReplyingEndpoint(reply)  # pylint: disable=protected-access
+            try:
+                self.check_value(await getattr(store, method_name)(*args))
+            except ports.StoreError as error:
+                self.assertLess(len(str(error)), 1000)
+
+    async def test_store_replies(self):
+        """Guards against a reply that ends a loop of the daemon."""
+        page = {
+            "items": [{
+                "key": "a",
+                "value": "eA==",
+                "offset": 3
+            }, {
+                "key": "b",
+                "value": "",
+                "offset": 4
+            }],
+            "has_more": True,
+            "end_offset": 5
+        }
+        append_reply = {"offset": 7, "reason": "seq", "sequence": 3}
+        producer = ports.Producer("n1", 1)
+        for seed in SEEDS:
+            random_source = random.Random(seed)
+            for number in range(MUTATIONS_PER_SEED // 2):
+                encoded = mutations.mutate_document(page, random_source)
+                with self.subTest(seed=seed,
+                                  number=number,
+                                  encoded=encoded[:400]):
+                    await self.call_store(encoded, "read_newest_page", "jobs",
+                                          "", TIMEOUT)
+                encoded = mutations.mutate_document(append_reply, random_source)
+                with self.subTest(seed=seed,
+                                  number=number,
+                                  encoded=encoded[:400]):
+                    await self.call_store(encoded, "append", "jobs",
+                                          [ports.KeyedRecord("a", b"x")],
+                                          producer, 1, TIMEOUT)
 
     async def test_store_records(self):
         """Guards against a read of records that ends a reader."""
@@ -223,3 +263,43 @@
             encoded = mutations.mutate_bytes(reply, random_source)
             with self.subTest(number=number, encoded=encoded):
                 await self.call_store(encoded, "read", "jobs", 3, TIMEOUT)
+
+    def test_settings(self):
+        """Guards against a traceback instead of a message at the start."""
+        for seed in SEEDS:
+            random_source = random.Random(seed)
+            for number in range(MUTATIONS_PER_SEED // 2):
+                lines = test_formats.SETTINGS_TEXT.splitlines()
+                index = random_source.randrange(len(lines))
+                odd_text = random_source.choice(
+                    ("1e400", "-1", "nan", "[" * 5000, '""', "[1]", "inf",
+                     "9" * 4000, "true", "{}", "1979-05-27", '"\\u0000"'))
+                name, _, _ = lines[index].partition(" = ")
+                lines[index] = f"{name} = {odd_text}"
+                with self.subTest(seed=seed, number=number, line=lines[index]):
+                    try:
+                        platform.parse_settings("\n".join(lines))
+                    except errors.SettingsError:
+                        pass
+
+    def test_settings_file_that_is_not_text(self):
+        """Guards against a traceback instead of a message at the start."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(b"node_name = \"\xff\"")
+            file.flush()
+            with self.assertRaises(errors.SettingsError):
+                platform.read_settings(file.name)
+
+    def test_task_names(self):
+        """Guards against a name that is no number of a task."""
+        for name in (TASK_NAME, "", "....", TASK_NAME + "9" * 30, TASK_NAME +
+                     "9" * 5000, test_formats.JOB_ID + ".\u00b2.1.1",
+                     test_formats.JOB_ID + ".0.0.10000", "\ud800.1.1.1", 5,
+                     None, [], {}):
+            with self.subTest(str(name)[:60]):
+                try:
+                    task = platform.parse_task_name(name)
+                except errors.ProtocolError:
+                    continue
+                self.assertEqual(task,
+                                 model.TaskKey(test_formats.JOB_ID, 0, 1, 2))
