Limit the tasks of all occurrences of a submitted job

A body of some KB could name 64 steps of 10,000 tasks with 10,000 occurrences, each within its own limit. The job was accepted and stored, and each leader of its group in turn would keep 6.4 billion tasks in memory.

Larger jobs get status 400.

--- a/src/gentianlead/platform/_jobs.py
+++ b/src/gentianlead/platform/_jobs.py
@@ -14,9 +14,12 @@
 MAX_STEPS = 64
 MAX_TASKS_PER_STEP = 10_000
 MAX_OCCURRENCES = 10_000
-"""Limits on submitted jobs, so that a request cannot exhaust the memory. Jobs
-at the sites have at most five steps, 36 tasks per step and eight
-occurrences."""
+MAX_STEP_RUNS = 10_000
+MAX_TASKS = 200_000
+"""Limits on submitted jobs, so that a request cannot exhaust the memory. The
+last two count the steps and the tasks of all occurrences, which the leader
+keeps in memory. Jobs at the sites have at most five steps, 36 tasks per step
+and eight occurrences."""
 
 _JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
@@ -151,13 +154,19 @@
     if occurrences > MAX_OCCURRENCES:
         raise errors.ProtocolError(
             f"'repeat_count' is {occurrences}, at most {MAX_OCCURRENCES}")
+    steps = tuple(
+        parse_step(step, index) for index, step in enumerate(step_documents))
+    step_run_count = occurrences * len(steps)
+    task_count = occurrences * sum(step.count for step in steps)
+    if step_run_count > MAX_STEP_RUNS or task_count > MAX_TASKS:
+        raise errors.ProtocolError(
+            f"the job has {step_run_count} steps and {task_count} tasks in "
+            f"all occurrences, at most {MAX_STEP_RUNS} and {MAX_TASKS}")
     return model.SteppedJob(
         job_id=job_id,
         queue=queue,
         payload=payload,
-        steps=tuple(
-            parse_step(step, index)
-            for index, step in enumerate(step_documents)),
+        steps=steps,
         assignment=(),
         accepted_at_ms=accepted_at_ms,
         first_run_ms=_fields.read_int(document, "first_run_ms", 0),
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -164,6 +164,26 @@
         with self.assertRaises(errors.ProtocolError):
             platform.parse_submission(b"\xff{", JOB_ID, QUEUE, 17)
 
+    def test_size_of_all_occurrences(self):
+        """Guards against a small body that exhausts the leader's memory."""
+        for step_count, task_count, occurrences, is_accepted in (
+            (1, 20, 10_000, True), (5, 36, 1000, True), (1, 21, 10_000, False),
+            (64, 1, 3000, False), (64, 10_000, 1, False), (64, 10_000, 10_000,
+                                                           False)):
+            document = {
+                "steps": [{
+                    "count": task_count
+                }] * step_count,
+                "repeat_count": occurrences
+            }
+            with self.subTest(steps=step_count, occurrences=occurrences):
+                if is_accepted:
+                    parse_submission_document(document)
+                    continue
+                with self.assertRaisesRegex(errors.ProtocolError,
+                                            "all occurrences"):
+                    parse_submission_document(document)
+
     def test_amounts(self):
         """Guards against sums of a job that no report of a leader can hold."""
         for name in ("cpu", "mem_mb", "gpu"):
