Keep the runs of a stopping daemon while the log refuses appends

What callers would see: a daemon gets SIGTERM while the log can be read but refuses appends. After one lease (15 s) its runs ended, although the daemon still drained requests and could have held them until the log was back.

Cause: the handover ends the renewals before its records are appended, and must not resume them when their outcome is unknown. It began whenever the daemon's state of the stream was young.

Evidence: `test_log_refuses_appends` failed: the handover was called once although the log refused the records.

Change: a stopping daemon appends a heartbeat first, and hands over only when the log has given a verdict on it. Each round tries again.

Measured: the tests of `test_departure` and `test_planned_stops` pass, the latter with the same bounds.

--- a/src/gentianlead/control/_departure.py
+++ b/src/gentianlead/control/_departure.py
@@ -63,7 +63,8 @@
             return
         successors = self._list_successors()
         if successors and (self._is_member() or self._run_manager.list_runs()):
-            self._background_coroutines.start("leave", self._leave(successors))
+            self._background_coroutines.start(
+                "leave", self._leave_if_log_accepts(successors))
 
     async def finish(self) -> None:
         """Leaves before the daemon exits, also without a successor.
@@ -85,6 +86,20 @@
             if member.member != self._incarnation
         ]
 
+    async def _leave_if_log_accepts(self, successors: list[str]) -> None:
+        """Leaves if the log accepts a heartbeat.
+
+        The handover ends the renewals of the leases before its records are
+        appended. If the log refused these, the runs would end although this
+        daemon could go on to hold them.
+        """
+        try:
+            await self._domain_stream_client.submit(
+                model.MemberHeartbeat(self._incarnation))
+        except errors.LogUnavailableError:
+            return  # The next round tries again.
+        await self._leave(successors)
+
     async def _leave(self, successors: list[str]) -> None:
         await self._background_coroutines.wait(is_claim_key)
         await self._run_manager.release_ended_runs()
