Bound the time in which a daemon leaves its domain before it exits

What operators would see: with a log that does not answer, a planned stop took up to 20 s after the drain (four steps of 5 s each), more than the 15 s that the entry point allows, which then cancels the rest of the stop.

Cause: the departure before the exit now also waits for claims and for the ends of runs, and had no limit of its own.

Evidence: `test_exit_while_log_does_not_answer` failed: the departure did not end within 5 s.

Change: `FINISH_TIMEOUT` limits it to 10 s.

--- a/src/gentianlead/control/_departure.py
+++ b/src/gentianlead/control/_departure.py
@@ -1,5 +1,6 @@
 """Handover and departure of a daemon that stops as planned."""
 
+import asyncio
 import datetime
 from typing import Hashable
 
@@ -20,6 +21,11 @@
     return isinstance(key, tuple) and key[0] == CLAIM_KEY
 
 
+FINISH_TIMEOUT = datetime.timedelta(seconds=10)
+"""Longest time that the departure before the exit takes if the log does not
+answer; the entry point gives the whole end of a planned stop 15 s."""
+
+
 class DomainDeparture:
     """Hands over the runs of a stopping daemon and leaves the domain.
 
@@ -69,9 +75,14 @@
     async def finish(self) -> None:
         """Leaves before the daemon exits, also without a successor.
 
-        Without a successor, the held runs keep this daemon as their holder.
+        Without a successor, the held runs keep this daemon as their holder. An
+        attempt that takes longer than `FINISH_TIMEOUT` is given up.
         """
-        await self._leave(self._list_successors())
+        try:
+            async with asyncio.timeout(FINISH_TIMEOUT.total_seconds()):
+                await self._leave(self._list_successors())
+        except TimeoutError:
+            pass
 
     def _is_member(self) -> bool:
         state_machine = self._domain_stream_client.replica.state_machine
--- a/src/gentianlead/control/tests/test_departure.py
+++ b/src/gentianlead/control/tests/test_departure.py
@@ -1,5 +1,6 @@
 """Tests of a planned stop while the log accepts no appends."""
 
+import asyncio
 import datetime
 import unittest
 from unittest import mock
@@ -60,3 +61,17 @@
         self.client.get_age.return_value = 2 * _MAX_STATE_AGE
         await self.run_round()
         self.run_manager.hand_over_runs.assert_not_called()
+
+    async def test_exit_while_log_does_not_answer(self) -> None:
+        """Guards against a planned stop that outlasts its time limit."""
+
+        async def hang(record: model.Record) -> None:
+            del record
+            await asyncio.sleep(60)
+
+        self.client.submit.side_effect = hang
+        with mock.patch.object(_departure, "FINISH_TIMEOUT",
+                               datetime.timedelta(milliseconds=20)):
+            async with asyncio.timeout(5):
+                await self.departure.finish()
+        self.run_manager.hand_over_runs.assert_awaited_once_with(["b"])
