--- a/src/gentianlead/control/_departure.py
+++ b/src/gentianlead/control/_departure.py
@@ -1,5 +1,6 @@
 """Handover and departure of a daemon that stops as planned."""
 
+import asyncio
 import datetime
 from typing import Hashable
 
@@ -20,6 +21,11 @@
     return isinstance(key, tuple) and key[0] == CLAIM_KEY
 
 
+FINISH_TIMEOUT = datetime.timedelta(seconds=10)
+"""Longest time that the departure before the exit takes if the log does not
+answer; the entry point gives the whole end of a planned stop 15 s."""
+
+
 class DomainDeparture:
     """Hands over the runs of a stopping daemon and leaves the domain.
 
@@ -63,14 +69,20 @@
             return
         successors = self._list_successors()
         if successors and (self._is_member() or self._run_manager.list_runs()):
-            self._background_coroutines.start("leave", self._leave(successors))
+            self._background_coroutines.start(
+                "leave", self._leave_if_log_accepts(successors))
 
     async def finish(self) -> None:
         """Leaves before the daemon exits, also without a successor.
 
-        Without a successor, the held runs keep this daemon as their holder.
+        Without a successor, the held runs keep this daemon as their holder. An
+        attempt that takes longer than `FINISH_TIMEOUT` is given up.
         """
-        await self._leave(self._list_successors())
+        try:
+            async with asyncio.timeout(FINISH_TIMEOUT.total_seconds()):
+                await self._leave(self._list_successors())
+        except TimeoutError:
+            pass
 
     def _is_member(self) -> bool:
         state_machine = self._domain_stream_client.replica.state_machine
@@ -85,6 +97,20 @@
             if member.member != self._incarnation
         ]
 
+    async def _leave_if_log_accepts(self, successors: list[str]) -> None:
+        """Leaves if the log accepts a heartbeat.
+
+        The handover ends the renewals of the leases before its records are
+        appended. If the log refused these, the runs would end although this
+        daemon could go on to hold them.
+        """
+        try:
+            await self._domain_stream_client.submit(
+                model.MemberHeartbeat(self._incarnation))
+        except errors.LogUnavailableError:
+            return  # The next round tries again.
+        await self._leave(successors)
+
     async def _leave(self, successors: list[str]) -> None:
         await self._background_coroutines.wait(is_claim_key)
         await self._run_manager.release_ended_runs()
