Give a resignation a second instead of 0.4 s for each of its appends

Callers would see the wait after a failure (up to 10.1 s without a run, LOST) after a planned stop beside a slow store: if the call with the hand-over was not answered within 0.4 s, the leader stopped, and nothing was stored, not even the resignation.

Both appends now have 1 s, which covers a store that is 60 times slower than usual. Requests in progress are finished meanwhile, not afterwards, so the stop stays within its 3 s. test_handover_to_a_slow_store (0.6 s an append) failed before: no hand-over was stored.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -167,8 +167,8 @@
         self._job_service.is_draining = True
         try:
             async with asyncio.timeout(SHUTDOWN_TIMEOUT.total_seconds()):
-                await self._resign_leaderships()
-                await self._job_service.wait_for_submissions()
+                await asyncio.gather(self._resign_leaderships(),
+                                     self._job_service.wait_for_submissions())
                 await self._caller_server.close()
         except TimeoutError:
             self._log.write("stop-limit-reached")
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -54,9 +54,11 @@
 """Longest time for which a resigning leader waits for replies to its orders. A
 worker that is not overloaded replies within 10 ms."""
 
-RESIGNATION_TIMEOUT = datetime.timedelta(milliseconds=400)
-"""Longest wait for the store to take a resignation. Without it the group gets a
-new leader when the old one has been silent for long enough."""
+RESIGNATION_TIMEOUT = datetime.timedelta(seconds=1)
+"""Longest wait for the store to take the last progress, and again for the
+resignation. A store that is 60 times slower than usual takes 0.3 s for each.
+Without a resignation the group gets a new leader only when the old one has been
+silent for long enough, and that one waits for former runs."""
 
 ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
 """Longest wait for reported run ends to be stored, so that the next status
--- a/src/gentianlead/cluster/tests/fakes.py
+++ b/src/gentianlead/cluster/tests/fakes.py
@@ -34,6 +34,7 @@
             no reply.
         append_called_at: Monotonic time in seconds of each call of `append`.
         record_bytes: Size of a value above which an append is rejected.
+        append_delay_s: Time in seconds after which an append is stored.
         bytes_per_s: Rate in bytes per second at which an append reaches the
             store. If its timeout passes before, it is not stored and gets no
             reply.
@@ -52,6 +53,7 @@
         self.failed_pages: set[int] = set()
         self.append_called_at: list[float] = []
         self.record_bytes = 262_144
+        self.append_delay_s = 0.0
         self.bytes_per_s = float("inf")
         self._last_appends: dict[str, tuple[int, int, int]] = {}
         self._records_added = asyncio.Event()
@@ -80,7 +82,7 @@
         if any(len(record.value) > self.record_bytes for record in records):
             raise ports.RecordsRejectedError("too large",
                                              errors.Verdict.DID_NOT_RUN)
-        transfer_s = sum(
+        transfer_s = self.append_delay_s + sum(
             len(record.value) for record in records) / self.bytes_per_s
         await asyncio.sleep(min(transfer_s, timeout.total_seconds()))
         if transfer_s > timeout.total_seconds():
--- a/src/gentianlead/cluster/tests/test_resignation.py
+++ b/src/gentianlead/cluster/tests/test_resignation.py
@@ -126,3 +126,13 @@
         self.assertEqual(
             leading.list_records(self.store, dispatch.HandoverRecord), [])
         self.assertTrue(self.list_last_call()[-1].has_resigned)
+
+    async def test_handover_to_a_slow_store(self):
+        """Guards against the wait after a failure beside a slow store."""
+        await self.start_job()
+        self.leader.scheduler.jobs[JOB_ID].is_dirty = True
+        self.store.append_delay_s = 0.6
+        await self.leader.resign()
+        await self.leader.stop()
+        self.assertEqual(
+            len(leading.list_records(self.store, dispatch.HandoverRecord)), 1)
