--- a/src/gentianlead/execution/_worker_session.py
+++ b/src/gentianlead/execution/_worker_session.py
@@ -264,7 +264,7 @@
             self._mark_unreachable(error)
 
     def end_renewals(self, run: _held_run.HeldRun) -> datetime.timedelta:
-        """Stops to renew the lease of a run before another daemon holds it.
+        """Stops renewing the lease of a run before another daemon holds it.
 
         Renewals and start orders that were sent before can still take effect,
         but they carry the times at which their leases end.
--- a/src/gentianlead/model/_records.py
+++ b/src/gentianlead/model/_records.py
@@ -284,7 +284,7 @@
         job_id: Identifier of the job.
         task: Index of the task.
         run: Number of the run; rises with each run of the task.
-        holder: Incarnation of the daemon that has stopped to renew the lease.
+        holder: Incarnation of the daemon that has stopped renewing the lease.
         lease_ms: Greatest time in milliseconds for which the lease lasts after
             this record was appended.
     """
--- a/src/gentianlead/state/_domain_state.py
+++ b/src/gentianlead/state/_domain_state.py
@@ -169,7 +169,7 @@
         self._heartbeat_counts: dict[str, int] = {}
         self._heartbeats_at_claim: dict[TaskKey, int] = {}
         self._heartbeats_before_takeover: dict[TaskKey, int] = {}
-        # Leases that holders have stopped to renew, in milliseconds: those of
+        # Leases that holders have stopped renewing, in milliseconds: those of
         # the present holders, and those of the holders before them. They are
         # not part of snapshots either.
         self._ended_renewals: dict[TaskKey, int] = {}
