Give calls that must succeed 30 s in the test of idle connections

Seen once in a run of the whole suite on a busy machine: ProgressTimeoutTest.test_idle_connections_are_closed_after_a_timeout failed with "no complete reply after 0.31 s".

Cause: the three calls that only open the connections had the time limit of the call that has to time out, 0.3 s, while their replies take 0.1 s. An event loop that is held up for 0.2 s exceeds it. The client keeps its time limit, as it should.

Evidence: with a pause of 0.35 s in the server at the first of these calls, the test fails in the same way ("no complete reply after 0.37 s, received 0 bytes of its body"). With the change it passes with the same pause.

Change: these calls have 30 s. The call whose time-out the test is about keeps 0.3 s, and all checks stay as they were.

--- a/src/gentianlead/platform/tests/test_http.py
+++ b/src/gentianlead/platform/tests/test_http.py
@@ -12,6 +12,8 @@
 from gentianlead.platform import _http
 
 TIMEOUT = datetime.timedelta(milliseconds=300)
+# For calls that must succeed, however late the event loop runs.
+LONG_TIMEOUT = datetime.timedelta(seconds=30)
 PIECE = b"x" * 1000
 
 
@@ -137,8 +139,8 @@
 
         All connections may have when one has. They also must not pile up.
         """
-        await asyncio.gather(
-            *(self.endpoint.call("GET", "/2/50", TIMEOUT) for _ in range(3)))
+        await asyncio.gather(*(
+            self.endpoint.call("GET", "/2/50", LONG_TIMEOUT) for _ in range(3)))
         self.assertEqual(self.server.count_connections(), 3)
         with self.assertRaises(_http.HttpCallError):
             await self.endpoint.call("GET", "/silence", TIMEOUT)
