Stop the log only after the claim is accepted in the test of a refusal

Seen once in a run of the whole suite on a busy machine: OneTimeKeyTest.test_refusal_with_log_down_is_in_time failed with the code LOG_UNAVAILABLE.

Cause: the test stopped the log as soon as the log had written the claim of the key. The daemon sends the request only after it has read its claim back from the log. If the log stops in between, LOG_UNAVAILABLE is the right reply, and the refusal by a target that the test is about never happens.

Change: the test waits until a target has received the request, which the target delays by 700 ms, and then stops the log. All checks stay; that the claim is in the log is checked in addition.

--- a/src/gentianlead/daemon/tests/test_one_time_requests.py
+++ b/src/gentianlead/daemon/tests/test_one_time_requests.py
@@ -175,9 +175,15 @@
         log.control("clear_journal")
         began_at = time.monotonic()
         call = self.pool.submit(self.call_with_key, "entry-1", key, 3000)
+        # A target gets the request only after the daemon has read that its
+        # claim of the key is accepted.
         self.wait_for(
-            "record of the key", lambda: any(
-                entry.get("stream") == "once" for entry in log.read_journal()))
+            "request at a target",
+            lambda: any(entry["kind"] == "request_delayed"
+                        for rack in self.deployment.racks.values()
+                        for entry in rack.read_journal()))
+        self.assertIn("once",
+                      [entry.get("stream") for entry in log.read_journal()])
         log.control("fault", kind="down")
         response = call.result()
         elapsed = time.monotonic() - began_at
