Keep the port of a stand-in reserved while it is powered off

Seen once in a run of the whole suite on a busy machine: WorkerFailureTest.test_dead_worker failed with an error, because a rack answered the command `power` with text instead of JSON.

Cause: a stand-in that is powered off closed its port, which the system had chosen, and opened the same port at power-on. Any process of the machine could get the port in between. It would then also receive the requests meant for the worker.

Evidence: with a listening socket put on the port of the agent while the worker has no power, test_dead_worker fails in the same way (the answer to `power` is the text of an internal error). That another process took the port in the run that failed is likely but not shown. The new test test_down_keeps_the_port failed before the change ("OSError not raised": another socket could bind the port) and passes with it.

Change: an endpoint holds its port with a bound socket that does not listen, until it is closed for good, as the reserved ports of the daemons are held. Connections are still refused while it is down.

--- a/standins/_children.py
+++ b/standins/_children.py
@@ -14,6 +14,7 @@
 
 from standins import _endpoint
 from standins import _journal
+from standins import _ports
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 _READY_SECONDS = 30.0
@@ -26,22 +27,14 @@
 
 
 class PortReservations:
-    """Loopback ports that no other process takes.
-
-    A bound socket that does not listen keeps the port from others, while a
-    server that sets SO_REUSEADDR, as all event loops do, can still bind it.
-    The option is set after the bind, so that two reservations never share a
-    port.
-    """
+    """Loopback ports that no other process takes."""
 
     def __init__(self) -> None:
         self._sockets: list[socket.socket] = []
 
     def reserve(self) -> int:
         """Returns a free port and keeps it until `close`."""
-        holder = socket.socket()
-        holder.bind((_endpoint.HOST, 0))
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder = _ports.hold_port()
         self._sockets.append(holder)
         return holder.getsockname()[1]
 
--- a/standins/_endpoint.py
+++ b/standins/_endpoint.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import socket
 import weakref
 from typing import Any, Awaitable, Callable
 
@@ -13,8 +14,9 @@
 
 from standins import _faults
 from standins import _journal
+from standins import _ports
 
-HOST = "127.0.0.1"
+HOST = _ports.HOST
 MAX_BODY_BYTES = 64 * 1024 * 1024
 _BACKLOG = 1024
 _HANG_POLL_SECONDS = 0.2
@@ -88,14 +90,28 @@
         self._thawed = asyncio.Event()
         self._thawed.set()
         self._server: asyncio.AbstractServer | None = None
+        self._port_holder: socket.socket | None = None
 
     async def open(self, port: int) -> None:
-        """Listens on a port; 0 takes any free one."""
+        """Listens on a port; 0 takes any free one.
+
+        The port stays reserved until `close`, also while the endpoint is down,
+        so that no other process gets the requests meant for this endpoint.
+        """
+        if self._port_holder is None:
+            self._port_holder = _ports.hold_port(port)
+            self.port = self._port_holder.getsockname()[1]
         self._server = await asyncio.get_running_loop().create_server(
-            _Server(self), HOST, port, backlog=_BACKLOG)
-        self.port = self._server.sockets[0].getsockname()[1]
+            _Server(self), HOST, self.port, backlog=_BACKLOG)
 
     def close(self) -> None:
+        """Stops listening, resets the open connections and frees the port."""
+        self._stop_listening()
+        if self._port_holder is not None:
+            self._port_holder.close()
+            self._port_holder = None
+
+    def _stop_listening(self) -> None:
         """Refuses new connections and resets the open ones."""
         if self._server is not None:
             self._server.close()
@@ -115,7 +131,7 @@
             return
         self.faults.add(rule)
         if rule.kind is _faults.FaultKind.DOWN:
-            self.close()
+            self._stop_listening()
         elif rule.kind is _faults.FaultKind.FREEZE:
             self._thawed.clear()
 
--- a/standins/tests/test_faults.py
+++ b/standins/tests/test_faults.py
@@ -1,6 +1,7 @@
 """Tests of the fault switches, over real connections."""
 
 import asyncio
+import socket
 from typing import Any, Awaitable
 import unittest
 
@@ -73,6 +74,18 @@
         await self.command("clear")
         await self.assert_answers(self.append(), 0)
 
+    async def test_down_keeps_the_port(self) -> None:
+        """Guards against another process that takes the port meanwhile.
+
+        The stopped service could then not be started again.
+        """
+        await self.command("fault", kind="down")
+        with socket.socket() as other:
+            with self.assertRaises(OSError):
+                other.bind((_endpoint.HOST, self.port))
+        await self.command("clear")
+        await self.assert_answers(self.append(), 0)
+
     async def test_lost_reply_keeps_the_write(self) -> None:
         """Guards against a lost reply that also loses the write."""
         await self.command("fault", kind="lose_reply", method="POST", count=1)
