Move the state of requests and attempts out of the router module

The two classes and the three constants that they use move to a module of their own and lose the leading underscore; nothing else changes.

--- a/src/gentianlead/routing/_router.py
+++ b/src/gentianlead/routing/_router.py
@@ -14,13 +14,12 @@
 from gentianlead.routing import _messages
 from gentianlead.routing import _policies
 from gentianlead.routing import _queues
+from gentianlead.routing import _request_state
 from gentianlead.routing import _settings
 from gentianlead.routing import _slots
 from gentianlead.routing import _forwarding
 from gentianlead.routing import _target_state
 
-_VERDICT_ORDER = (errors.Verdict.DID_NOT_RUN, errors.Verdict.MAY_HAVE_RUN,
-                  errors.Verdict.RAN)
 _OVERLOAD_CODES = frozenset(
     (errors.ErrorCode.OVERLOADED, errors.ErrorCode.TARGET_TIMEOUT))
 _MAX_LOAN_IDLE_TIME = datetime.timedelta(seconds=1)
@@ -33,49 +32,6 @@
     HEDGE = "hedge"
 
 
-class _RequestState:
-    """State of a request from its admission to its end."""
-
-    def __init__(self, request: _messages.Request):
-        self.request = request
-        self.verdict = errors.Verdict.DID_NOT_RUN
-        self.error_code = errors.ErrorCode.DEADLINE_EXCEEDED
-        self.in_flight_ids: list[int] = []
-        self.tried_targets: list[str] = []
-        self.attempts_started = 0
-        self.next_attempt_kind = _messages.AttemptKind.FIRST
-        self.has_funded_retry_budget = False
-        self.remaining_forwards = 0 if request.is_forwarded else _MAX_FORWARDS
-
-    @property
-    def request_id(self) -> str:
-        """Identifier of the request."""
-        return self.request.request_id
-
-    def update_verdict(self, verdict: errors.Verdict) -> None:
-        """Keeps the highest verdict: DID_NOT_RUN < MAY_HAVE_RUN < RAN."""
-        if _VERDICT_ORDER.index(verdict) > _VERDICT_ORDER.index(self.verdict):
-            self.verdict = verdict
-
-
-class _Attempt:
-    """An attempt at a target (`peer` empty) or peer (`assignment` None)."""
-
-    def __init__(self, state: _RequestState, kind: _messages.AttemptKind,
-                 assignment: _target_pool.TargetAssignment | None, peer: str,
-                 latest_end: float):
-        self.request_state = state
-        self.kind = kind
-        self.assignment = assignment
-        self.peer = peer
-        self.latest_end = latest_end
-
-    @property
-    def max_attempts_at_targets(self) -> int:
-        """Maximum number of attempts at targets that this attempt causes."""
-        return _MAX_ATTEMPTS_OF_FORWARDED if self.peer else 1
-
-
 class RequestRouter:
     """Decides what happens to each request; the caller does the I/O.
 
@@ -126,18 +82,18 @@
         self._forwarding = _forwarding.ForwardingPolicy(random,
                                                         settings.forwarding)
         self._queues: _queues.RequestQueues[
-            _RequestState] = _queues.RequestQueues({
+            _request_state.RequestState] = _queues.RequestQueues({
                 _messages.RequestClass.INTERACTIVE:
                     settings.interactive_queue_limit,
                 _messages.RequestClass.BULK:
                     settings.bulk_queue_limit,
             })
-        self._active_requests: dict[str, _RequestState] = {}
-        self._attempts_in_flight: dict[int, _Attempt] = {}
+        self._active_requests: dict[str, _request_state.RequestState] = {}
+        self._attempts_in_flight: dict[int, _request_state.Attempt] = {}
         self._attempts_at_targets = 0
         self._attempt_ids = itertools.count(1)
-        self._timers: list[tuple[float, int, _TimerKind, _RequestState,
-                                 int]] = []
+        self._timers: list[tuple[float, int, _TimerKind,
+                                 _request_state.RequestState, int]] = []
         self._timer_ids = itertools.count()
         self._pending_steps: list[_messages.RoutingStep] = []
         self._is_draining = False
@@ -181,7 +137,7 @@
         if request.request_id in self._active_requests:
             raise ValueError(f"request {request.request_id!r} is active; "
                              "give each request an identifier of its own")
-        state = _RequestState(request)
+        state = _request_state.RequestState(request)
         if self._is_draining:
             return self._refuse(state, errors.ErrorCode.DRAINING,
                                 "the daemon is stopping")
@@ -320,7 +276,7 @@
         """Ends a loan that this daemon granted and the borrower returned."""
         self._targets.allocator.apply_loan_return(loan_return)
 
-    def _enqueue_or_refuse(self, state: _RequestState,
+    def _enqueue_or_refuse(self, state: _request_state.RequestState,
                            now: float) -> _messages.RoutingStep:
         request = state.request
         if not self._targets.can_serve(request):
@@ -339,7 +295,8 @@
         self._queues.push(request, state)
         return _messages.Wait(state.request_id, request.deadline)
 
-    def _decide_retry(self, state: _RequestState, attempt: _Attempt,
+    def _decide_retry(self, state: _request_state.RequestState,
+                      attempt: _request_state.Attempt,
                       outcome: _messages.AttemptOutcome,
                       now: float) -> _messages.RoutingStep:
         request = state.request
@@ -373,10 +330,11 @@
 
     def _get_max_attempts(self, request: _messages.Request) -> int:
         if request.is_forwarded:
-            return min(self._settings.max_attempts, _MAX_ATTEMPTS_OF_FORWARDED)
+            return min(self._settings.max_attempts,
+                       _request_state.MAX_ATTEMPTS_OF_FORWARDED)
         return self._settings.max_attempts
 
-    def _start_or_enqueue(self, state: _RequestState,
+    def _start_or_enqueue(self, state: _request_state.RequestState,
                           now: float) -> _messages.RoutingStep:
         step: _messages.StartAttempt | None = None
         if not self._queues.count_ahead(state.request.request_class):
@@ -384,7 +342,8 @@
         return (step or self._start_at_peer(state, now) or
                 self._enqueue_or_refuse(state, now))
 
-    def _avoids_own_domain(self, state: _RequestState, now: float) -> bool:
+    def _avoids_own_domain(self, state: _request_state.RequestState,
+                           now: float) -> bool:
         """Returns whether to forward a request because the own domain fails.
 
         False for a probe and when no peer is available or no forward is left.
@@ -394,7 +353,7 @@
                 self._forwarding.has_available_peer(now) and
                 not self._targets.try_domain_probe(state.request, now))
 
-    def _start_at_target(self, state: _RequestState,
+    def _start_at_target(self, state: _request_state.RequestState,
                          kind: _messages.AttemptKind,
                          now: float) -> _messages.StartAttempt | None:
         request = state.request
@@ -411,13 +370,14 @@
             return None
         self._attempts_at_targets += 1
         state.tried_targets.append(assignment.target)
-        attempt = _Attempt(state, kind, assignment, "", now + timeout)
+        attempt = _request_state.Attempt(state, kind, assignment, "",
+                                         now + timeout)
         step = self._register_attempt(
             state, attempt, _messages.TargetDestination(assignment.target), now)
         self._targets.record_start(assignment.target, step.attempt_id, now)
         return step
 
-    def _start_at_peer(self, state: _RequestState,
+    def _start_at_peer(self, state: _request_state.RequestState,
                        now: float) -> _messages.StartAttempt | None:
         if not state.remaining_forwards:
             return None
@@ -437,12 +397,12 @@
             return None
         self.counts.forwarded += 1
         state.remaining_forwards -= 1
-        attempt = _Attempt(state, state.next_attempt_kind, None, peer,
-                           latest_end)
+        attempt = _request_state.Attempt(state, state.next_attempt_kind, None,
+                                         peer, latest_end)
         return self._register_attempt(state, attempt,
                                       _messages.PeerDestination(peer), now)
 
-    def _start_hedge(self, state: _RequestState, attempt_id: int,
+    def _start_hedge(self, state: _request_state.RequestState, attempt_id: int,
                      now: float) -> _messages.StartAttempt | None:
         if (attempt_id not in state.in_flight_ids or
                 len(state.in_flight_ids) > 1 or self._queues or
@@ -458,7 +418,8 @@
             self._retry_budget.refund()
         return step
 
-    def _register_attempt(self, state: _RequestState, attempt: _Attempt,
+    def _register_attempt(self, state: _request_state.RequestState,
+                          attempt: _request_state.Attempt,
                           destination: (_messages.TargetDestination |
                                         _messages.PeerDestination),
                           now: float) -> _messages.StartAttempt:
@@ -483,7 +444,7 @@
             state.request_id, attempt_id, attempt.kind, destination,
             datetime.timedelta(seconds=attempt.latest_end - now))
 
-    def _record_end(self, attempt_id: int, attempt: _Attempt,
+    def _record_end(self, attempt_id: int, attempt: _request_state.Attempt,
                     outcome: _messages.AttemptOutcome, now: float) -> None:
         if attempt.assignment is None:
             if outcome.verdict is not errors.Verdict.RAN:
@@ -509,7 +470,8 @@
         After a request that finds no free slot, those with the same permitted
         targets are skipped; if it may use all targets, all later ones are.
         """
-        removals: list[tuple[_RequestState, _messages.StartAttempt | None]] = []
+        removals: list[tuple[_request_state.RequestState,
+                             _messages.StartAttempt | None]] = []
         blocked_target_sets: set[frozenset[str] | None] = set()
         for state in self._queues:
             targets = state.request.targets
@@ -541,13 +503,14 @@
             self._pending_steps.append(
                 self._fail(state, "its deadline came too close in the queue"))
 
-    def _estimate_service_time_s(self, state: _RequestState) -> float:
+    def _estimate_service_time_s(self,
+                                 state: _request_state.RequestState) -> float:
         if not self._settings.is_shedding_enabled:
             return 0.0
         return self._targets.get_latency(state.request.service).mean_s
 
-    def _would_miss_deadline(self, state: _RequestState, wait_s: float,
-                             now: float) -> bool:
+    def _would_miss_deadline(self, state: _request_state.RequestState,
+                             wait_s: float, now: float) -> bool:
         if not self._settings.is_shedding_enabled:
             return now >= state.request.deadline
         return now + wait_s + self._estimate_service_time_s(
@@ -562,35 +525,31 @@
         return (requests_ahead +
                 1) * self._targets.get_latency(service).mean_s / usable_slots
 
-    def _push_timer(self, due_at: float, kind: _TimerKind, state: _RequestState,
+    def _push_timer(self, due_at: float, kind: _TimerKind,
+                    state: _request_state.RequestState,
                     attempt_id: int) -> None:
         heapq.heappush(self._timers,
                        (due_at, next(self._timer_ids), kind, state, attempt_id))
 
-    def _refuse(self, state: _RequestState, code: errors.ErrorCode,
-                message: str) -> _messages.ReturnError:
+    def _refuse(self, state: _request_state.RequestState,
+                code: errors.ErrorCode, message: str) -> _messages.ReturnError:
         if not state.attempts_started:
             self.counts.refused += 1
         state.error_code = code
         return self._fail(state, message)
 
-    def _fail(self, state: _RequestState,
+    def _fail(self, state: _request_state.RequestState,
               message: str) -> _messages.ReturnError:
         self._remove_request(state)
         return _messages.ReturnError(state.request_id, state.error_code,
                                      state.verdict, message)
 
-    def _remove_request(self, state: _RequestState) -> None:
+    def _remove_request(self, state: _request_state.RequestState) -> None:
         if self._active_requests.pop(state.request_id, None) is not None:
             self._queues.remove(state.request_id)
 
 
 _RESERVE_ALL_SLOTS = 1_000_000
 _NO_CAPACITY_DELAY = datetime.timedelta(seconds=10)
-_MAX_FORWARDS = 2
-# One retry or hedge, so that a single slow or broken target does not make a
-# forwarded request fail. The daemon of the caller counts as many attempts for
-# each forward, so that the attempts of several daemons do not multiply.
-_MAX_ATTEMPTS_OF_FORWARDED = 2
 _QUEUE_POLL_INTERVAL_S = 0.02
 _NO_TARGET_MESSAGE = "no target and no peer can serve the request"
