--- a/src/gentianlead/daemon/tests/test_request_failures.py
+++ b/src/gentianlead/daemon/tests/test_request_failures.py
@@ -187,6 +187,21 @@
         self.check_journals(load.list_refused_ids())
 
 
+class SlowTargetTest(support.RequestTestCase):
+    """Sends requests whose deadlines pass before the targets have finished."""
+
+    def test_work_outlasts_deadlines(self) -> None:
+        """Guards against slots that are reused while targets still use them."""
+        headers = {"Gentianlead-Deadline-Ms": "300"}
+        with support.RequestLoad(self, 40, 600, headers) as load:
+            self.wait_for(
+                "timeouts",
+                lambda: sum(response.code == "TARGET_TIMEOUT"
+                            for response in load.get_failed_responses().values(
+                            )) > 48)
+        self.check_journals(load.list_refused_ids())
+
+
 class SpillTest(support.RequestTestCase):
     """Forwards the requests of a domain without targets to another domain."""
 
--- a/src/gentianlead/routing/tests/test_router.py
+++ b/src/gentianlead/routing/tests/test_router.py
@@ -269,6 +269,31 @@
         self.assertIsNone(router.report(step.attempt_id, _TIMED_OUT, 1.1))
         self.assertEqual(router.poll(20.0), [])
 
+    def test_deadline_does_not_free_the_slot(self) -> None:
+        """Guards against a slot that is reused while the target still runs.
+
+        The deadlines of the first two requests pass long before the attempt
+        timeout; one attempt times out, the other is abandoned.
+        """
+        router = _make_router(1, 2)
+        timeout = datetime.timedelta(seconds=3)
+        steps = [
+            router.admit(routing.Request(f"r-{i}", "s", 1.5, timeout), 1.0)
+            for i in range(2)
+        ]
+        router.report(steps[0].attempt_id, _TIMED_OUT, 1.5)
+        router.cancel("r-1")
+        router.report(
+            steps[1].attempt_id,
+            routing.AttemptOutcome(errors.Verdict.MAY_HAVE_RUN,
+                                   False,
+                                   is_aborted=True), 1.5)
+        waiting = router.admit(routing.Request("r-2", "s", 10.0, timeout), 1.6)
+        self.assertIsInstance(waiting, routing.Wait)
+        self.assertEqual(router.poll(3.9), [])
+        self.assertEqual([step.request_id for step in router.poll(4.0)],
+                         ["r-2"])
+
     def test_old_timer_does_not_affect_new_request(self) -> None:
         """Guards against a retry timer that retries a later request.
 
