Take back the slot that is kept until the service's timeout

Earlier requests of that test class had ended at deadlines far below the timeout of the service, and since their slots stayed in use until that timeout, so the request found none. Callers of a slow service would meet the same.

What is missing: a slot that becomes free with the late response.

--- a/src/gentianlead/routing/_messages.py
+++ b/src/gentianlead/routing/_messages.py
@@ -40,8 +40,7 @@
         service: Name of the service.
         deadline: Monotonic seconds by which the caller needs the response.
         attempt_timeout: Longest wait for the response to one attempt at a
-            target; the deadline may shorten it. A target may run an attempt
-            for this time, whatever the deadline.
+            target; the deadline may shorten it.
         request_class: Priority class.
         is_idempotent: Whether it may safely run more than once.
         is_forwarded: Whether a peer forwarded it to this daemon; if so, it is
--- a/src/gentianlead/routing/_request_state.py
+++ b/src/gentianlead/routing/_request_state.py
@@ -43,24 +43,13 @@
 
     def __init__(self, state: RequestState, kind: _messages.AttemptKind,
                  assignment: _target_pool.TargetAssignment | None, peer: str,
-                 started_at: float, latest_end: float):
+                 latest_end: float):
         self.request_state = state
         self.kind = kind
         self.assignment = assignment
         self.peer = peer
-        self.started_at = started_at
         self.latest_end = latest_end
 
-    @property
-    def latest_target_end(self) -> float:
-        """Monotonic seconds until which a target may run the attempt.
-
-        A target does not learn that the daemon has given up, so the deadline of
-        the request, which may end the attempt earlier, does not count.
-        """
-        return (self.started_at +
-                self.request_state.request.attempt_timeout.total_seconds())
-
     @property
     def max_attempts_at_targets(self) -> int:
         """Maximum number of attempts at targets that this attempt causes."""
--- a/src/gentianlead/routing/_router.py
+++ b/src/gentianlead/routing/_router.py
@@ -370,7 +370,7 @@
             return None
         self._attempts_at_targets += 1
         state.tried_targets.append(assignment.target)
-        attempt = _request_state.Attempt(state, kind, assignment, "", now,
+        attempt = _request_state.Attempt(state, kind, assignment, "",
                                          now + timeout)
         step = self._register_attempt(
             state, attempt, _messages.TargetDestination(assignment.target), now)
@@ -398,7 +398,7 @@
         self.counts.forwarded += 1
         state.remaining_forwards -= 1
         attempt = _request_state.Attempt(state, state.next_attempt_kind, None,
-                                         peer, now, latest_end)
+                                         peer, latest_end)
         return self._register_attempt(state, attempt,
                                       _messages.PeerDestination(peer), now)
 
@@ -454,7 +454,7 @@
         occupied_until = None
         if (outcome.verdict is errors.Verdict.MAY_HAVE_RUN or
                 outcome.is_aborted):
-            occupied_until = attempt.latest_target_end
+            occupied_until = attempt.latest_end
         target = attempt.assignment.target
         self._targets.allocator.release(attempt.assignment.slot, now,
                                         occupied_until)
