Let a waiting long-running task start on a worker in quarantine

Callers saw a long-running task without a run beside room (LOST). Three failed runs in a row put a worker into quarantine for 3 s, and each further one begins the 3 s anew. The failures also free the worker: a hopeless job of several large tasks that fail together leaves room there for two or more long-running tasks, and the worker takes none of them for as long as the rule allows a task to wait beside room (3 s). The room is not in the report of the group either.

A long-running task that found no room may now start on such a worker, one each 2 s: it loses nothing there. If it becomes ready, the quarantine ends. Reports list the room apart, for long-running tasks only. The obstacle in tasks-waiting is called quarantined, no longer paused.

test_long_running_task_need_not_wait_for_the_end, test_room_in_quarantine_is_for_long_running_tasks and test_failing_tests_are_no_more_frequent_than_probes fail on the code before.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -116,6 +116,9 @@
             task holds, likewise; also of those on probation.
         probation_rooms: Free capacity of the usable workers on probation, which
             receive one start at a time and may fail it, likewise.
+        quarantine_rooms: Free capacity of the workers in quarantine, which only
+            long-running tasks may test, one at a time, likewise. Reports of
+            older daemons lack it.
     """
 
     is_usable: bool
@@ -134,6 +137,7 @@
     free_rooms: tuple[WorkerRoom, ...] = ()
     reclaimable_rooms: tuple[WorkerRoom, ...] = ()
     probation_rooms: tuple[WorkerRoom, ...] = ()
+    quarantine_rooms: tuple[WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -275,8 +279,12 @@
 
 
 def has_probation_room(load: GroupLoad, step: model.Step, service: str) -> bool:
-    """Returns whether a task of a step may test a worker on probation."""
-    return _find_largest_room(load.probation_rooms, step, service) >= 0
+    """Returns whether a task may test a worker on probation or in quarantine.
+    """
+    rooms = load.probation_rooms
+    if step.is_long_running:
+        rooms += load.quarantine_rooms
+    return _find_largest_room(rooms, step, service) >= 0
 
 
 def _find_largest_room(rooms: tuple[WorkerRoom, ...], step: model.Step,
@@ -306,6 +314,15 @@
     rooms.append(room)
 
 
+def _add_free_room(rooms_by_kind: _Rooms,
+                   candidate: _placement.Candidate) -> None:
+    if candidate.free_cpu_millis >= 0:
+        entry = candidate.worker.entry
+        _add_room(rooms_by_kind.setdefault((entry.service, entry.labels), []),
+                  (candidate.free_cpu_millis, candidate.free_memory_mib,
+                   candidate.free_accelerators))
+
+
 def _list_rooms(rooms_by_kind: _Rooms) -> tuple[WorkerRoom, ...]:
     return tuple(
         WorkerRoom(*room, tuple(sorted(labels)), service)
@@ -391,7 +408,10 @@
     free_rooms: _Rooms = {}
     reclaimable_rooms: _Rooms = {}
     probation_rooms: _Rooms = {}
+    quarantine_rooms: _Rooms = {}
     for worker in workers:
+        if worker.may_be_tested(now):
+            _add_free_room(quarantine_rooms, _placement.build_candidate(worker))
         if worker.can_receive_starts(now):
             load = worker.compute_load()
             worker_count += 1
@@ -430,13 +450,10 @@
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
+            _add_free_room(
+                probation_rooms if worker.is_on_probation else free_rooms,
+                candidate)
             kind = (worker.entry.service, worker.entry.labels)
-            if candidate.free_cpu_millis >= 0:
-                rooms = (probation_rooms
-                         if worker.is_on_probation else free_rooms)
-                _add_room(rooms.setdefault(kind, []),
-                          (candidate.free_cpu_millis, candidate.free_memory_mib,
-                           candidate.free_accelerators))
             _add_room(reclaimable_rooms.setdefault(kind, []),
                       (candidate.reclaimable_cpu_millis,
                        candidate.reclaimable_memory_mib,
@@ -465,7 +482,7 @@
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
         _list_rooms(free_rooms), _list_rooms(reclaimable_rooms),
-        _list_rooms(probation_rooms))
+        _list_rooms(probation_rooms), _list_rooms(quarantine_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -8,6 +8,7 @@
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _probation
+from gentianlead.dispatch import _quarantine
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _task_runs
@@ -65,10 +66,19 @@
         self._unreconciled_since: dict[str, float] = {}
         self._reconciled_after: dict[str, float] = {}
         self._probation = _probation.ProbationPlanner(state)
+        self._quarantine_tester = _quarantine.QuarantineTester(
+            state, self._start_without_probation)
 
     def plan(self, orders: list[_orders.Order], now: float,
              now_ms: int) -> None:
         """Appends to `orders` the start orders and permit requests to send."""
+        self._plan_starts(orders, now, now_ms)
+        if not self._state.is_evacuated:
+            self._quarantine_tester.plan(
+                self._list_startable_steps(now, now_ms), orders, now)
+
+    def _plan_starts(self, orders: list[_orders.Order], now: float,
+                     now_ms: int) -> None:
         candidates = {
             worker.worker_id: _placement.build_candidate(worker)
             for worker in self._state.workers.values()
@@ -318,14 +328,13 @@
                     self._least_unplaced_cpu_millis[
                         service_and_image] = step.cpu_millis
                 return False
-            run_number = self._choose_run_number(job, step_run, index, now)
+            worker = chosen_candidate.worker
+            is_started = self._start_without_probation(job, step_run, index,
+                                                       worker, orders, now)
             if job.has_ended:
                 return True
-            if not run_number:
+            if not is_started:
                 continue
-            worker = chosen_candidate.worker
-            self._start_task(job, step_run, index, worker, run_number, orders,
-                             now)
             if step.prefers_same_rack and rack_labels is None:
                 rack_labels = worker.entry.labels
             relaxation = _placement.Relaxation.NORMAL
@@ -385,6 +394,18 @@
                 candidate.worker.worker_id, 0) + 1
         return are_all_placed
 
+    def _start_without_probation(self, job: _runs.JobRun,
+                                 step_run: _runs.StepRun, index: int,
+                                 worker: _workers.WorkerState,
+                                 orders: list[_orders.Order],
+                                 now: float) -> bool:
+        """Starts a task on a worker; returns False if it has to start later."""
+        run_number = self._choose_run_number(job, step_run, index, now)
+        if job.has_ended or not run_number:
+            return False
+        self._start_task(job, step_run, index, worker, run_number, orders, now)
+        return True
+
     def _choose_run_number(self, job: _runs.JobRun, step_run: _runs.StepRun,
                            index: int, now: float) -> int:
         """Returns the number of a start without probation; 0 to start later."""
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -37,7 +37,8 @@
 QUARANTINE_DURATION = datetime.timedelta(seconds=3)
 """Time for which a worker gets no starts after it failed
 `FAILURES_TO_QUARANTINE` runs in a row; then single runs test whether it is
-healthy."""
+healthy. A long-running task that fits nowhere else may test it earlier, as it
+loses nothing there."""
 
 PROBE_INTERVAL = datetime.timedelta(seconds=2)
 """Time between the starts of two runs on a worker after its quarantine, until a
@@ -69,7 +70,8 @@
             got no usable reply.
         ENTRY_OF_OTHER_INSTANCE: Its registry entry describes another instance
             than its last status report.
-        PAUSED: It is in quarantine, or has just refused a start order.
+        PAUSED: It has just refused a start order.
+        QUARANTINED: Runs failed on it in a row a short while ago.
         STATUS_TOO_OLD: Its last status report is older than `MAX_STATUS_AGE`.
         ON_PROBATION: A run that tests it after a quarantine has just started.
     """
@@ -80,6 +82,7 @@
     UNREACHABLE = "unreachable"
     ENTRY_OF_OTHER_INSTANCE = "entry-of-other-instance"
     PAUSED = "paused"
+    QUARANTINED = "quarantined"
     STATUS_TOO_OLD = "status-too-old"
     ON_PROBATION = "on-probation"
 
@@ -172,7 +175,11 @@
         last_status_at: Time of the last status report; None before the first.
         is_reachable: Whether a status report arrived, and since then no status
             call, start order or stop order lacked a usable reply.
-        paused_until: Time before which no run is started on the worker.
+        paused_until: Time before which no run is started on the worker, as it
+            has refused a start.
+        quarantined_until: Time before which only a long-running task that fits
+            nowhere else is started on the worker.
+        tested_at: Time at which such a task was last started there.
         capacity_refusals: Number of pauses since the worker last accepted a
             start that began when it refused one for lack of capacity.
         consecutive_failures: Number of failed runs since the last successful
@@ -208,6 +215,8 @@
         self.last_status_at: float | None = None
         self.is_reachable = False
         self.paused_until = 0.0
+        self.quarantined_until = 0.0
+        self.tested_at = float("-inf")
         self.capacity_refusals = 0
         self.consecutive_failures = 0
         self.duration_ratio = 1.0
@@ -336,6 +345,7 @@
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.consecutive_failures = 0
+        self.quarantined_until = 0.0
         self.duration_ratio = 1.0
         self.throttles.clear()
         self.throttle_changed_at.clear()
@@ -350,12 +360,12 @@
         """Returns why no start order may be sent to the worker now, or None.
 
         The registry and the stored `WorkersRecord` must contain the worker. It
-        must be reachable, neither draining nor paused, and its last status
-        report must not be older than `MAX_STATUS_AGE`. The registry entry must
-        describe the instance that sent the report: a new instance may have
-        other labels and less capacity, at the same address. After a quarantine,
-        and until a run succeeds, no other run may have started within
-        `PROBE_INTERVAL`.
+        must be reachable, neither draining nor paused nor in quarantine, and
+        its last status report must not be older than `MAX_STATUS_AGE`. The
+        registry entry must describe the instance that sent the report: a new
+        instance may have other labels and less capacity, at the same address.
+        After a quarantine, and until a run succeeds, no other run may have
+        started within `PROBE_INTERVAL`.
         """
         if not self.is_registered:
             return StartObstacle.NOT_REGISTERED
@@ -371,6 +381,8 @@
             return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
             return StartObstacle.STATUS_TOO_OLD
+        if now < self.quarantined_until:
+            return StartObstacle.QUARANTINED
         if self.is_on_probation and any(
                 now - run.start_sent_at < PROBE_INTERVAL.total_seconds()
                 for run in self.runs.values()):
@@ -381,6 +393,15 @@
         """Returns whether start orders may be sent to the worker now."""
         return self.find_start_obstacle(now) is None
 
+    def may_be_tested(self, now: float) -> bool:
+        """Returns whether a long-running task may end a quarantine early.
+
+        Nothing but the quarantine keeps the worker from receiving starts, and
+        it received no such task within `PROBE_INTERVAL`.
+        """
+        return (now - self.tested_at >= PROBE_INTERVAL.total_seconds() and
+                self.find_start_obstacle(now) is StartObstacle.QUARANTINED)
+
     def record_capacity_refusal(self, now: float) -> None:
         """Begins a pause that is longer after each refusal in a row.
 
@@ -401,14 +422,15 @@
         becomes ready.
 
         Each failed run from number `FAILURES_TO_QUARANTINE` on in a row starts
-        a quarantine; a successful run resets the count.
+        a quarantine; a successful run resets the count and ends it.
         """
         if has_succeeded:
             self.consecutive_failures = 0
+            self.quarantined_until = 0.0
             return
         self.consecutive_failures += 1
         if self.consecutive_failures >= FAILURES_TO_QUARANTINE:
-            self.paused_until = now + QUARANTINE_DURATION.total_seconds()
+            self.quarantined_until = now + QUARANTINE_DURATION.total_seconds()
 
     def record_duration(self, duration_s: float, estimate_ms: int) -> None:
         """Updates the average ratio of actual to estimated run duration.
--- a/src/gentianlead/dispatch/tests/test_quarantine.py
+++ b/src/gentianlead/dispatch/tests/test_quarantine.py
@@ -17,15 +17,18 @@
 class ReportTest(unittest.TestCase):
     """Tests the load reports of groups with an idle worker on probation."""
 
-    def build_report(self, is_on_probation: bool,
+    def build_report(self,
+                     is_on_probation: bool,
+                     failed_at: float = 0.0,
                      **fields) -> dispatch.GroupReport:
         """Builds the report of a group of one worker."""
         driver = builders.GroupDriver(builders.build_worker(**fields))
         if is_on_probation:
             worker = driver.scheduler.workers["w1"]
             for _ in range(_workers.FAILURES_TO_QUARANTINE):
-                worker.record_result(False, 0.0)
-            self.assertTrue(worker.can_receive_starts(driver.now))
+                worker.record_result(False, failed_at)
+            self.assertEqual(worker.can_receive_starts(driver.now),
+                             not failed_at)
         return dispatch.GroupReport(driver.scheduler.compute_load(driver.now),
                                     driver.now)
 
@@ -46,6 +49,22 @@
                                                    False, cpu_millis=4000))
             self.assertEqual(fallback_group.group, "n3")
 
+    def test_room_in_quarantine_is_for_long_running_tasks(self):
+        """Guards against long-running tasks that wait beside room elsewhere.
+
+        Short tasks would wait in the other group until the quarantine ends.
+        """
+        quarantined = self.build_report(True, failed_at=100.0)
+        usable = self.build_report(False, cpu_millis=1000)
+        report = usable._replace(load=usable.load._replace(
+            quarantine_rooms=quarantined.load.quarantine_rooms))
+        for step, group in ((test_lasting.build_service_step(4,
+                                                             cpu_millis=1500),
+                             "n2"), (builders.build_step(4,
+                                                         cpu_millis=1500), "")):
+            self.assertEqual(self.choose_group(step, n2=report),
+                             dispatch.FallbackGroup(group, 1))
+
     def test_untested_worker_is_tested_by_one_task(self):
         """Guards against many tasks that wait for one start each 2 s.
 
@@ -114,6 +133,36 @@
         self.report(builders.build_ended_run(probe, self.end_number))
         self.assertEqual(len(self.driver.start_all()), 2)
 
+    def test_long_running_task_need_not_wait_for_the_end(self):
+        """Guards against room that no long-running task gets for seconds.
+
+        The tasks of a hopeless job fail together on a healthy worker, which
+        then has room and is in quarantine.
+        """
+        self.begin_quarantine()
+        self.driver.put_job(SHORT_JOB_ID, builders.build_step(1))
+        self.driver.put_job(FAILING_JOB_ID[::-1],
+                            test_lasting.build_service_step(2))
+        (test,) = self.driver.start_all()
+        self.assertEqual(test.task.job_id, FAILING_JOB_ID[::-1])
+        self.assertEqual(self.driver.start_all(), [])
+        self.running.append(test)
+        self.report()
+        self.assertEqual(len(self.driver.start_all()), 2)
+
+    def test_failing_tests_are_no_more_frequent_than_probes(self):
+        """Guards against starts without a pause on a worker that fails all."""
+        self.begin_quarantine()
+        self.driver.put_job(SHORT_JOB_ID, test_lasting.build_service_step(1))
+        ends_at = self.driver.now + 8.0
+        test_count = 0
+        while self.driver.now < ends_at:
+            tests = self.driver.start_all()
+            test_count += len(tests)
+            self.running += tests
+            self.fail(*tests)
+        self.assertIn(test_count, range(4, 6))
+
     def test_one_probe_in_a_planning_pass(self):
         """Guards against many tasks that start on a worker not yet tested."""
         self.begin_quarantine()
