--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -27,6 +27,7 @@
             deleted when the task is done.
         last_failed_workers: Worker on which the task failed or stood still
             last, by index of the task.
+        failed_worker_ids: Workers on which tasks failed while none was done.
         unplaced_since: Monotonic time in seconds since which tasks wait because
             no worker that may run them has capacity; None if no task waits for
             that reason.
@@ -42,8 +43,8 @@
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
-                 "last_failed_workers", "unplaced_since", "reserved_worker",
-                 "permits", "suspicions", "arrived_indexes")
+                 "last_failed_workers", "failed_worker_ids", "unplaced_since",
+                 "reserved_worker", "permits", "suspicions", "arrived_indexes")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -55,6 +56,7 @@
         self.failed_runs: dict[int, set[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.last_failed_workers: dict[int, str] = {}
+        self.failed_worker_ids: set[str] = set()
         self.unplaced_since: float | None = None
         self.reserved_worker = ""
         self.permits = _permits.PermitCache()
--- a/src/gentianlead/dispatch/tests/test_quarantine.py
+++ b/src/gentianlead/dispatch/tests/test_quarantine.py
@@ -209,3 +209,65 @@
             self.fail(order)
             self.running += self.driver.start_all()
             self.assertEqual(len(self.running), 1)
+
+
+class HopelessJobTest(unittest.TestCase):
+    """Tests which failures put workers into quarantine."""
+
+    def report_ends(self, driver: builders.GroupDriver,
+                    running: list[dispatch.StartOrder],
+                    ended: list[dispatch.StartOrder],
+                    cause: ports.EndCause) -> None:
+        """Reports ends on a worker, and removes them from its running runs."""
+        worker_id = running[0].worker_id
+        first_number = 1 + driver.scheduler.workers[
+            worker_id].last_applied_end_number
+        ended_runs = tuple(
+            builders.build_ended_run(order, number, cause)
+            for number, order in enumerate(ended, first_number))
+        running[:] = [order for order in running if order not in ended]
+        driver.apply_status(worker_id,
+                            running=tuple(
+                                map(builders.build_active_run, running)),
+                            ended=ended_runs)
+
+    def fail_tasks(self, *job_ids: str, has_done_task: bool) -> list[bool]:
+        """Lets three tasks of each job fail on one worker, then on another.
+
+        Returns:
+            Whether each of the two workers is out of use after that.
+        """
+        driver = builders.GroupDriver(
+            *(builders.build_worker(name) for name in ("w1", "w2")))
+        for job_id in job_ids:
+            driver.put_job(job_id, builders.build_step(8))
+        orders = driver.start_all()
+        for worker_id in ("w1", "w2"):
+            running = [
+                order for order in orders if order.worker_id == worker_id
+            ]
+            if has_done_task:
+                self.report_ends(driver, running, running[-1:],
+                                 ports.EndCause.DONE)
+            self.report_ends(driver, running, [
+                order for job_id in job_ids for order in
+                [order for order in running if order.task.job_id == job_id][:3]
+            ], ports.EndCause.FAILED)
+        return [
+            not driver.scheduler.workers[worker_id].can_receive_starts(
+                driver.now) for worker_id in ("w1", "w2")
+        ]
+
+    def test_workers_are_blamed_for_failures_of_several_jobs(self):
+        """Guards against a hopeless job that takes healthy workers out of use.
+
+        It must not hide a worker that fails the tasks of several jobs.
+        """
+        jobs = (SERVICE_JOB_ID, SHORT_JOB_ID, FAILING_JOB_ID)
+        for job_ids, has_done_task, expected in ((jobs[:1], False, [
+                False, False
+        ]), (jobs[:1], True, [True, True]), (jobs, False, [True, True])):
+            with self.subTest(jobs=len(job_ids), has_done_task=has_done_task):
+                self.assertEqual(
+                    self.fail_tasks(*job_ids, has_done_task=has_done_task),
+                    expected)
