Log how much CPU long-running tasks leave to a task that waits

What operators saw: a long-running task waited for up to 25 s, and its tasks-waiting lines said no-cpu on all workers. They do not tell whether the group lacked capacity or had it in gaps too small for the task.

Cause: the lines have the most free CPU of a worker, in which running short tasks count as well, but not what long-running tasks leave.

Change: two fields, the most CPU on one worker of the service that no long-running task reserves, and the sum over its workers.

No decision of the scheduler changes.

--- a/src/gentianlead/dispatch/_waiting.py
+++ b/src/gentianlead/dispatch/_waiting.py
@@ -42,6 +42,10 @@
         cpu_millis: CPU that a task needs, in thousandths of a core.
         largest_free_cpu_millis: Most unreserved CPU on one worker that may
             receive starts.
+        largest_reclaimable_cpu_millis: Most CPU that no long-running task
+            reserves on one worker of the service that may receive starts. A
+            task that needs more waits for the end of long-running tasks.
+        reclaimable_cpu_millis: Sum of this CPU over these workers.
         memory_mib: Memory that a task needs in MiB.
         workers: Number of workers by obstacle; those that could take a task are
             counted under `free`.
@@ -55,6 +59,8 @@
     reserved_worker: str
     cpu_millis: int
     largest_free_cpu_millis: int
+    largest_reclaimable_cpu_millis: int
+    reclaimable_cpu_millis: int
     memory_mib: int
     workers: dict[str, int]
     oldest_status_s: float | None
@@ -109,6 +115,13 @@
          for worker in state.workers.values()
          if worker.can_receive_starts(now)),
         default=0)
+    service = state.find_queue(job).service
+    reclaimable_cpu_millis = [
+        max(0,
+            _placement.build_candidate(worker).reclaimable_cpu_millis)
+        for worker in state.workers.values()
+        if worker.entry.service == service and worker.can_receive_starts(now)
+    ]
     status_times = [
         worker.last_status_at
         for worker in state.workers.values()
@@ -118,7 +131,8 @@
         job.is_reconciled, job.pending_move_number is not None,
         None if step_run.unplaced_since is None else now -
         step_run.unplaced_since, step_run.reserved_worker, step.cpu_millis,
-        largest_free_cpu_millis, step.memory_mib,
+        largest_free_cpu_millis, max(reclaimable_cpu_millis, default=0),
+        sum(reclaimable_cpu_millis), step.memory_mib,
         _count_obstacles(state, job, step_run, now),
         None if None in status_times else now - min(status_times, default=now))
 
--- a/src/gentianlead/dispatch/tests/test_waiting.py
+++ b/src/gentianlead/dispatch/tests/test_waiting.py
@@ -77,3 +77,29 @@
                 "other-service": 1,
                 "no-label": 1
             })
+
+    def test_capacity_beside_long_running_tasks(self):
+        """Guards against a log that does not tell a lack of capacity from gaps.
+
+        Of the 20 cores of the service, long-running tasks reserve 8. The task
+        of 8 cores fits beside them on no worker although 12 are left.
+        """
+        driver = builders.GroupDriver(
+            *(builders.build_worker(worker_id, labels=frozenset({worker_id}))
+              for worker_id in ("w1", "w2")),
+            builders.build_worker("other", service="other"))
+        for label in ("w1", "w2"):
+            driver.put_job(
+                label,
+                test_lasting.build_service_step(cpu_millis=4000,
+                                                required_label=label))
+        driver.put_job(SHORT_JOB_ID, builders.build_step(2, cpu_millis=5000))
+        driver.start_all()
+        driver.put_job(SERVICE_JOB_ID,
+                       test_lasting.build_service_step(cpu_millis=8000))
+        driver.start_all()
+        (wait,) = dispatch.WaitMonitor().observe(driver.scheduler, driver.now,
+                                                 builders.NOW_MS)
+        cause = dispatch.find_wait_cause(driver.scheduler, wait, driver.now)
+        self.assertEqual((cause.largest_reclaimable_cpu_millis,
+                          cause.reclaimable_cpu_millis), (6000, 12000))
