Log what a leader holds against the topic and the workers

Users saw a long-running task without a run for 85 s beside free room. The log names obstacles only for tasks that a leader holds as waiting, so most causes of such a wait (memory that disagrees with the topic, a run that no worker has, a move that stays pending) leave no line and no metric.

About once a second, each leader now compares its jobs, tasks, moves, claims and runs with the topic as read and with the status reports. A difference that outlasts its limit is logged as `state-differs` with both sides, a long wait of long-running tasks as `tasks-stuck` with its reason, each again only when its age has doubled, at most four lines of a group at a time. New metrics: `gentianlead_state_differences_total` by kind and `gentianlead_longest_difference_seconds` by group and kind.

Nothing is decided by it. It keeps memory for present differences only, and for each worker the runs that its last report did not list. An error in it is logged and does not end the leadership.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -460,6 +460,7 @@
             self._registry_freshness.is_current)
         leader.scheduler.find_job_entry = self._find_job_entry
         leader.scheduler.crashes.reported_losses = self._reported_losses
+        leader.audit_log.topic_reader = self._topic_reader
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
             leader.put_job(job_entry)
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -7,6 +7,7 @@
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import ports
+from gentianlead.cluster import _audit_log
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _job_moves
 from gentianlead.cluster import _metrics
@@ -77,6 +78,7 @@
         group: Name of the group.
         epoch: Epoch of this leadership; also the fencing token of its orders.
         scheduler: Decides which runs to start, stop and throttle.
+        audit_log: Compares the state of the leader with the topic.
     """
 
     def __init__(self,
@@ -123,6 +125,8 @@
             self._spawn, self._is_start_allowed, self._plan_requested.set,
             lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
+        self.audit_log = _audit_log.AuditLog(self.scheduler, clock, log,
+                                             metrics, get_load_reports)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
                                                        clock.monotonic(), log,
                                                        metrics)
@@ -154,6 +158,7 @@
         """Cancels all loops and pending calls; runs go on while leases last."""
         self._is_stopped = True
         self._wait_log.close()
+        self.audit_log.close()
         tasks = [*self._background_tasks, *self._status_pollers.values()]
         for task in tasks:
             task.cancel()
@@ -397,6 +402,7 @@
         summary = self.scheduler.summarize(now)
         self._log.write("group-load", group=self.group, **summary._asdict())
         self._wait_log.write(now)
+        self.audit_log.write(now)
 
     async def _store_records(self, records: list[dispatch.Record]) -> None:
         try:
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -60,6 +60,11 @@
         longest_wait_seconds: Longest time for which a due task has waited for
             its start in a group that this daemon leads, by group and by whether
             the task is long-running (`long-running` or `other`).
+        state_differences: Number of differences that lasted for longer than
+            their limit between what a leader holds and what the topic and the
+            workers show, by kind. A difference counts once.
+        longest_difference_seconds: Age in seconds of the oldest such difference
+            that is present, by group and kind.
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
@@ -105,6 +110,13 @@
             "gentianlead_longest_wait_seconds",
             "Longest wait of a due task for its start",
             registry=self.registry)
+        self.state_differences = self._add_counter(
+            "state_differences_total",
+            "Lasting differences between leader, topic and workers")
+        self.longest_difference_seconds = aioprometheus.Gauge(
+            "gentianlead_longest_difference_seconds",
+            "Age of the oldest difference between leader, topic and workers",
+            registry=self.registry)
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -17,6 +17,11 @@
 from gentianlead.dispatch._admission import GroupReport
 from gentianlead.dispatch._admission import include_unreported_jobs
 from gentianlead.dispatch._admission import FallbackGroup
+from gentianlead.dispatch._audit import Difference
+from gentianlead.dispatch._audit import DifferenceKind
+from gentianlead.dispatch._audit import GroupAuditor
+from gentianlead.dispatch._audit import TOPIC_REPAIRED_KINDS
+from gentianlead.dispatch._audit import TopicView
 from gentianlead.dispatch._election import HEARTBEAT_INTERVAL
 from gentianlead.dispatch._election import choose_epoch
 from gentianlead.dispatch._election import ElectionView
@@ -40,6 +45,7 @@
 from gentianlead.dispatch._orders import Order
 from gentianlead.dispatch._orders import ThrottleOrder
 from gentianlead.dispatch._orders import PermitRequest
+from gentianlead.dispatch._orders import RefusedStarts
 from gentianlead.dispatch._orders import StartOrder
 from gentianlead.dispatch._orders import StopOrder
 from gentianlead.dispatch._records import AcceptedRecord
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -63,6 +63,8 @@
             registry stay until `drop_removed_workers`.
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
+        refused_starts: Starts of long-running tasks that were refused since the
+            task last started.
         is_evacuated: Whether operators took the group out of service.
         is_reconciled: Whether `mark_jobs_reconciled` has marked the jobs.
         is_registry_current: Whether the registry entries show the present
@@ -85,6 +87,7 @@
         self.jobs: dict[str, _runs.JobRun] = {}
         self.workers: dict[str, _workers.WorkerState] = {}
         self.ended_runs: list[_orders.AppliedRunEnd] = []
+        self.refused_starts: dict[model.TaskKey, _orders.RefusedStarts] = {}
         self.is_evacuated = False
         self.is_reconciled = False
         self.is_registry_current = True
@@ -256,6 +259,7 @@
             self._apply_active_run(worker, active_run, now)
         if not status.may_lack_ends:
             self._end_vanished_runs(worker, reported_runs, sent_at, now)
+        worker.unlisted_runs = tuple(worker.runs.keys() - reported_runs)
         for unknown_run in [
                 unknown_run for unknown_run in worker.unknown_runs
                 if unknown_run not in reported_runs
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -24,6 +24,7 @@
         outcome = reply.outcome
         if outcome is ports.StartOutcome.STARTED:
             worker.capacity_refusals = 0
+            self.refused_starts.pop(order.task, None)
             if run.phase in (_task_runs.RunPhase.STARTING,
                              _task_runs.RunPhase.UNKNOWN):
                 run.phase = _task_runs.RunPhase.RUNNING
@@ -80,6 +81,11 @@
         elif outcome is ports.StartOutcome.NO_FREE_CAPACITY:
             worker.record_capacity_refusal(now)
         worker.runs.pop((run.task, run.number), None)
+        if run.step.is_long_running:
+            refused = self.refused_starts.get(run.task)
+            self.refused_starts[run.task] = _orders.RefusedStarts(
+                1 + (refused.count if refused else 0), outcome.value,
+                worker.worker_id)
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             if outcome is ports.StartOutcome.NO_PERMIT:
--- a/src/gentianlead/dispatch/_orders.py
+++ b/src/gentianlead/dispatch/_orders.py
@@ -108,6 +108,20 @@
     seconds: float
 
 
+class RefusedStarts(NamedTuple):
+    """Starts of a task that workers refused since it last started.
+
+    Attributes:
+        count: Number of refusals.
+        last_outcome: Value of the `ports.StartOutcome` of the last one.
+        last_worker_id: Worker of the last one.
+    """
+
+    count: int
+    last_outcome: str
+    last_worker_id: str
+
+
 class GroupTimings(NamedTuple):
     """Durations that bound leases, takeovers and stops in a group.
 
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -19,6 +19,10 @@
                          interference)
         self._recorded_workers: set[str] = set()
 
+    def get_departed_offset(self, job_id: str) -> int | None:
+        """Returns the offset up to which `put_job` ignores assignments."""
+        return self._departed_job_offsets.get(job_id)
+
     def build_workers_record(self) -> _records.WorkersRecord | None:
         """Returns a record of the workers with runs, which the caller stores.
 
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -162,6 +162,7 @@
         runs: Runs that have not certainly ended, by task and run number.
         unknown_runs: Reported runs that the leader does not track, by task and
             run number.
+        unlisted_runs: Keys of `runs` that the last status report did not list.
         last_applied_end_number: Highest number among the run ends that this
             leader has applied; the worker numbers the run ends that it reports.
         last_stored_end_number: Highest number up to which the effects of all
@@ -202,6 +203,7 @@
         self.born_ms = 0
         self.runs: dict[tuple, _task_runs.Run] = {}
         self.unknown_runs: dict[tuple, UnknownRun] = {}
+        self.unlisted_runs: tuple[tuple, ...] = ()
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.first_status_at: float | None = None
