Repair jobs and tasks that differ from the topic

A job that the leader lacks, an older state of it, or a task that is neither waiting, running nor done stays so until the leader changes, also if the topic has what is needed: callers see a task without a run beside free capacity.

A difference of that kind that outlasts its limit (3 s, with the topic read to its end meanwhile) now makes the leader apply the state of the job in the topic again. That is what any later record of the job does, so nothing new may start by it. It is not done if a worker has a run of the job that its tasks do not show, as a task could then start a second time, or if a later leader was read. An assignment that the leader ignores as older than the departure of the job is only reported. `repair` in the `state-differs` line has the outcome.

A pending move is only reported: its append repeats until it is stored or the leader is fenced, so that a move that a read does not show may still be stored, or may be read by its destination.

--- a/src/gentianlead/cluster/_audit_log.py
+++ b/src/gentianlead/cluster/_audit_log.py
@@ -16,6 +16,9 @@
 class AuditLog:
     """Compares the state of a leader with the topic and the workers.
 
+    Jobs and tasks that differ from the topic are repaired, see
+    `dispatch.repair_from_topic`.
+
     Attributes:
         topic_reader: Reader of the job topic; None without one, so that nothing
             is compared.
@@ -66,11 +69,19 @@
             if difference.is_new:
                 self._metrics.state_differences.inc(
                     {"kind": difference.kind.value})
-        for difference in differences[:MAX_LINES]:
-            self._write_line(difference)
+        is_leader = not topic_reader.job_table.is_superseded(
+            self._scheduler.group, self._scheduler.epoch)
+        for number, difference in enumerate(differences):
+            outcome = dispatch.RepairOutcome.NOT_REPAIRED
+            if is_leader:
+                outcome = dispatch.repair_from_topic(self._scheduler, topic,
+                                                     difference)
+            if number < MAX_LINES:
+                self._write_line(difference, outcome)
         self._set_gauges(self._auditor.compute_longest_s(now))
 
-    def _write_line(self, difference: dispatch.Difference) -> None:
+    def _write_line(self, difference: dispatch.Difference,
+                    outcome: dispatch.RepairOutcome) -> None:
         is_stuck = difference.kind is dispatch.DifferenceKind.TASKS_STUCK
         self._log.write("tasks-stuck" if is_stuck else "state-differs",
                         kind=difference.kind.value,
@@ -79,6 +90,7 @@
                         group=self._scheduler.group,
                         epoch=self._scheduler.epoch,
                         age_s=round(difference.age_s, 1),
+                        repair=outcome.value,
                         topic=difference.topic,
                         held=difference.held)
 
--- a/src/gentianlead/cluster/tests/test_audit_log.py
+++ b/src/gentianlead/cluster/tests/test_audit_log.py
@@ -40,6 +40,12 @@
             self.driver.scheduler.put_job(entry)
             self.driver.scheduler.forget_job(job_id)
 
+    def assign_again(self) -> None:
+        """Assigns all jobs of the topic to the group at a later offset."""
+        jobs = self.reader.job_table.jobs
+        for job_id, entry in jobs.items():
+            jobs[job_id] = entry._replace(assignment_offsets={"north-1": 200})
+
     def write_for(self, seconds: int) -> list[dict]:
         """Writes once a second; returns the lines of that time."""
         line_count = len(self.log.list_fields("state-differs"))
@@ -64,15 +70,34 @@
         self.assertEqual(
             (line["kind"], line["job"], line["group"], line["epoch"],
              line["age_s"], line["topic"]["groups"],
-             line["held"]["departed_offset"]),
+             line["held"]["departed_offset"], line["repair"]),
             ("job-not-held", "0" * 16, "north-1", builders.EPOCH, 3.0,
-             ("north-1",), 100))
+             ("north-1",), 100, "assignment-ignored"))
         self.write_for(4)
         self.assertEqual(self.list_samples(COUNTER),
                          [COUNTER + '{kind="job-not-held"} 1'])
         self.assertEqual(self.list_samples(GAUGE),
                          [GAUGE + '{group="north-1",kind="job-not-held"} 7.0'])
 
+    async def test_lost_job_is_put_from_the_topic(self):
+        """Guards against a task that waits until its leader changes."""
+        self.add_to_topic(1)
+        self.assign_again()
+        (line,) = self.write_for(12)
+        self.assertEqual(line["repair"], "topic-applied")
+        self.driver.apply_status()
+        self.assertEqual(len(self.driver.start_all()), 1)
+
+    async def test_superseded_leader_puts_no_job(self):
+        """Guards against a task that two leaders of a group start."""
+        self.add_to_topic(1)
+        self.assign_again()
+        self.reader.job_table.leaders["north-1"] = dispatch.LeaderEntry(
+            dispatch.LeaderRecord("north-1", builders.EPOCH + 1, "entry-2",
+                                  "entry-2#1", 1), 150, 0.0)
+        self.write_for(4)
+        self.assertEqual(self.driver.scheduler.jobs, {})
+
     async def test_gauge_ends_with_the_leadership(self):
         """Guards against an alarm of a leader that leads no more."""
         self.add_to_topic(1)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -20,8 +20,9 @@
 from gentianlead.dispatch._audit import Difference
 from gentianlead.dispatch._audit import DifferenceKind
 from gentianlead.dispatch._audit import GroupAuditor
-from gentianlead.dispatch._audit import TOPIC_REPAIRED_KINDS
 from gentianlead.dispatch._audit import TopicView
+from gentianlead.dispatch._audit_repairs import repair_from_topic
+from gentianlead.dispatch._audit_repairs import RepairOutcome
 from gentianlead.dispatch._election import HEARTBEAT_INTERVAL
 from gentianlead.dispatch._election import choose_epoch
 from gentianlead.dispatch._election import ElectionView
--- a/src/gentianlead/dispatch/_audit.py
+++ b/src/gentianlead/dispatch/_audit.py
@@ -70,14 +70,6 @@
     TASKS_STUCK = "tasks-stuck"
 
 
-TOPIC_REPAIRED_KINDS = frozenset({
-    DifferenceKind.JOB_NOT_HELD, DifferenceKind.JOB_NOT_ASSIGNED,
-    DifferenceKind.ENTRY_OUTDATED, DifferenceKind.TASK_NOT_TRACKED,
-    DifferenceKind.TASK_NOT_ASSIGNED
-})
-"""Kinds that end when the state of the job in the topic is applied again."""
-
-
 class TopicView(NamedTuple):
     """What a daemon has read from the job topic.
 
