Count an order without an end as unanswered after 2 s

While an order for a run awaits its reply, no other order for the run is sent. A call ends by its own timeout of 0.8 s; one that does not would leave the run without stops, and its task without a next run, until the leader changes. No such call was seen.

After 2 s the call is given up and counts as one without reply: a started run is then of unknown state, gets one more order and then stops, and its task waits only once the run has certainly ended, as after any lost reply. The worker rejects a start that it carries out after the stop.

--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -15,10 +15,17 @@
 """Longest wait for the reply to an order. A worker in another domain that is
 not overloaded replies within 10 ms."""
 
+ORDER_END_LIMIT = datetime.timedelta(seconds=2)
+"""Time after which an order counts as unanswered although its call has not
+ended. A call ends by `ORDER_TIMEOUT`; while it does not, no other order for the
+run is sent."""
+
 PERMIT_TIMEOUT = datetime.timedelta(seconds=4)
 """Longest wait for a reply about permits. The advisory service needs time for
 each worker in a request and for the requests queued before it."""
 
+_CALL_NOT_ENDED = "the call has not ended in time"
+
 
 class OrderSender:
     """Sends the orders of a group's scheduler and applies the replies."""
@@ -116,8 +123,14 @@
             order.task, order.run, order.payload,
             worker.extend_lease(sent_at, self._scheduler.timings.lease),
             self._scheduler.epoch, order.checkpoint, order.permit)
-        reply = await self._worker_client.start(worker.entry, leased_order,
-                                                ORDER_TIMEOUT)
+        try:
+            async with asyncio.timeout(ORDER_END_LIMIT.total_seconds()):
+                reply = await self._worker_client.start(worker.entry,
+                                                        leased_order,
+                                                        ORDER_TIMEOUT)
+        except TimeoutError:
+            reply = ports.StartReply(ports.StartOutcome.UNKNOWN, None,
+                                     _CALL_NOT_ENDED)
         now = self._clock.monotonic()
         self._metrics.start_orders.inc({"outcome": reply.outcome.value})
         self._metrics.start_order_seconds.observe({}, now - sent_at)
@@ -182,10 +195,13 @@
             return False
         self._order_log.count_sending(order)
         try:
-            await send(worker.entry)
+            async with asyncio.timeout(ORDER_END_LIMIT.total_seconds()):
+                await send(worker.entry)
             return True
         except ports.StaleFencingTokenError:
             self._on_fenced()
         except (errors.WorkerError, ports.WorkerReplacedError) as error:
             self._order_log.write_failure(order, str(error))
+        except TimeoutError:
+            self._order_log.write_failure(order, _CALL_NOT_ENDED)
         return False
--- a/src/gentianlead/cluster/tests/test_order_sender.py
+++ b/src/gentianlead/cluster/tests/test_order_sender.py
@@ -1,6 +1,7 @@
 """Tests of the sending of orders."""
 
 import asyncio
+import datetime
 import unittest
 from unittest import mock
 
@@ -69,3 +70,53 @@
         self.assertEqual(self.workers.calls, [])
         (run,) = self.driver.scheduler.jobs[JOB_ID].list_active_runs()
         self.assertIs(run.phase, dispatch.RunPhase.UNKNOWN)
+
+
+class EndlessCallTest(unittest.IsolatedAsyncioTestCase):
+    """Tests orders whose calls do not end by their timeout."""
+
+    async def test_order_counts_as_unanswered(self):
+        """Guards against a run that no order can reach any more.
+
+        The worker may have carried out the order, so that the run is stopped,
+        and its task does not wait before that.
+        """
+        clock = adapters.SystemClock()
+        workers = leading.FakeWorkers()
+        workers.silent_workers.add("w1")
+        with mock.patch.multiple(
+                _order_sender,
+                ORDER_TIMEOUT=datetime.timedelta(minutes=1),
+                ORDER_END_LIMIT=datetime.timedelta(milliseconds=20)):
+            for kind in ("start", "stop", "throttle"):
+                with self.subTest(kind=kind):
+                    driver = builders.GroupDriver(builders.build_worker(),
+                                                  now=clock.monotonic())
+                    driver.put_job(JOB_ID)
+                    sender = _order_sender.OrderSender(
+                        driver.scheduler, workers,
+                        mock.create_autospec(ports.PermitService), clock,
+                        fakes.RecordingLog(), _metrics.ClusterMetrics(),
+                        asyncio.get_running_loop().create_task, lambda: True,
+                        lambda: None, lambda: None)
+                    (order,) = driver.plan_starts()
+                    (run,) = driver.scheduler.jobs[JOB_ID].list_active_runs()
+                    if kind != "start":
+                        driver.apply_start_outcome(order,
+                                                   ports.StartOutcome.STARTED)
+                        run.has_pending_order = True
+                        order = (dispatch.StopOrder if kind == "stop" else
+                                 dispatch.ThrottleOrder)("w1", run.task,
+                                                         run.number, 0)
+                    sender.send(order)
+                    await sender.end(datetime.timedelta(seconds=5))
+                    self.assertFalse(run.has_pending_order)
+                    self.assertIs(
+                        run.phase, dispatch.RunPhase.UNKNOWN
+                        if kind == "start" else dispatch.RunPhase.RUNNING)
+                    self.assertEqual(
+                        driver.scheduler.jobs[JOB_ID].list_active_runs(), [run])
+                    self.assertEqual(
+                        (run.stop_retry.failure_count,
+                         run.throttle_retry.failure_count),
+                        (int(kind == "stop"), int(kind == "throttle")))
