Claim the start of a suspect anew if its claim was cleared

The start of a suspect waits until a record with its claim is stored. If the claimed run was removed from the counted crashes meanwhile, no record contains it, and the task waited until its job moved or the leader changed. The claim is now replaced by one with a higher number, which is stored first as usual. Nothing was ordered under the cleared number. Found by reading; the new test fails without the change (no start after three flushes).

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -401,7 +401,7 @@
     def _claim_run(self, job: _runs.JobRun, suspicion: _suspicions.Suspicion,
                    is_probation: bool) -> bool:
         """Counts the next start of a suspect ahead; returns whether stored."""
-        if not suspicion.claimed_run:
+        if not suspicion.has_valid_claim:
             suspicion.claim(self._allocate_run_number(job))
             job.is_dirty = True
         if is_probation and not suspicion.is_claim_stored:
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -82,6 +82,14 @@
         """Whether a former start counts as a crash."""
         return any(run != self.claimed_run for run in self.crashes)
 
+    @property
+    def has_valid_claim(self) -> bool:
+        """Whether the next start is claimed and records contain the claim.
+
+        A claim whose crash was cleared would never count as stored.
+        """
+        return bool(self.claimed_run) and self.claimed_run in self.crashes
+
     def needs_probation(self, is_long_running: bool) -> bool:
         """Returns whether the next start needs a worker that is kept for it.
 
--- a/src/gentianlead/dispatch/tests/test_probation_claims.py
+++ b/src/gentianlead/dispatch/tests/test_probation_claims.py
@@ -44,6 +44,27 @@
                 model.TaskKey(job_id, 0, 0, 0)).claimed_run)
             for job_id in job_ids)
 
+    def test_cleared_claim_is_replaced(self):
+        """Checks the start of a suspect whose claim counts no more.
+
+        Guards against a task that waits forever for a record of its claim: no
+        record contains it.
+        """
+        driver = builders.GroupDriver(builders.build_worker())
+        (job_id,) = self.put_suspects(driver, 1, builders.build_step())
+        driver.plan()
+        suspicion = driver.scheduler.jobs[job_id].get_suspicion(
+            model.TaskKey(job_id, 0, 0, 0))
+        cleared_run = suspicion.claimed_run
+        self.assertTrue(suspicion.remove_unresolved(cleared_run))
+        driver.flush()
+        orders = []
+        for _ in range(3):
+            orders += driver.start_all()
+            driver.flush()
+        (order,) = orders
+        self.assertGreater(order.run, cleared_run)
+
     def test_suspects_claim_one_start_at_a_time(self):
         """Checks the claims of suspects that may all start, one after another.
 
