Report long-running tasks in groups without a live leader

A group whose leader is silent and gets no successor has no line about its tasks, as only leaders report them. Whether the last runs of these tasks go on is not in the topic, so nothing is said about that.

A test of a daemon also shows that its leaders are compared with the topic.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -20,6 +20,7 @@
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _report_sender
 from gentianlead.cluster import _takeover_wait
+from gentianlead.cluster import _unled_groups
 
 ELECTION_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which this daemon checks which groups it should start to lead."""
@@ -146,6 +147,10 @@
         self._spawn(self._announce_membership(peer_address))
         self._spawn(self._run_elections())
         self._spawn(self._job_remover.run())
+        self._spawn(
+            _unled_groups.UnledGroupLog(settings.domains, self._topic_reader,
+                                        self._clock, self._log,
+                                        self._metrics).run())
         await self._caller_server.start(settings.caller_address,
                                         settings.ready_address,
                                         self._metrics_address)
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -65,6 +65,8 @@
             workers show, by kind. A difference counts once.
         longest_difference_seconds: Age in seconds of the oldest such difference
             that is present, by group and kind.
+        unled_tasks: Number of long-running tasks in a group without a live
+            leader, by group, as far as this daemon has read the topic.
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
@@ -117,6 +119,10 @@
             "gentianlead_longest_difference_seconds",
             "Age of the oldest difference between leader, topic and workers",
             registry=self.registry)
+        self.unled_tasks = aioprometheus.Gauge(
+            "gentianlead_unled_long_running_tasks",
+            "Long-running tasks in groups without a live leader",
+            registry=self.registry)
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/cluster/tests/test_audit_log.py
+++ b/src/gentianlead/cluster/tests/test_audit_log.py
@@ -1,14 +1,18 @@
 """Tests of the log lines and metrics for lasting differences."""
 
+import datetime
 import unittest
 from unittest import mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
+from gentianlead import ports
 from gentianlead.cluster import _audit_log
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
+from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
+from gentianlead.cluster.tests import leading
 from gentianlead.dispatch.tests import builders
 
 GAUGE = "gentianlead_longest_difference_seconds"
@@ -131,3 +135,25 @@
         self.assertEqual(
             [line["errors"] for line in self.log.list_fields("internal-error")],
             [1, 2, 4, 8, 16])
+
+
+class AuditOfDaemonTest(unittest.IsolatedAsyncioTestCase):
+    """Tests that each leader of a daemon is compared with what it reads."""
+
+    async def test_lost_job_comes_back(self):
+        """Guards against a leader whose audit sees no topic."""
+        job = builders.build_job(f"{1:016x}")
+        store = fakes.FakeStore()
+        await store.append(
+            dispatch.JOB_TOPIC,
+            [dispatch.encode_record(dispatch.AcceptedRecord(job, "entry-1#0"))],
+            ports.Producer("n/entry-1#0", 1), 1, datetime.timedelta(seconds=1))
+        with mock.patch("gentianlead.dispatch._audit.TOPIC_LIMIT",
+                        datetime.timedelta(milliseconds=100)):
+            daemon = daemons.start_daemon(self, "entry-1", store)
+            leaders = daemon._leaders  # pylint: disable=protected-access
+            await leading.wait_until(lambda: daemons.GROUP in leaders)
+            jobs = leaders[daemons.GROUP].scheduler.jobs
+            self.assertIn(job.job_id, jobs)
+            del jobs[job.job_id]
+            await leading.wait_until(lambda: job.job_id in jobs)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -83,6 +83,8 @@
 from gentianlead.dispatch._table import LeaderEntry
 from gentianlead.dispatch._table import MemberEntry
 from gentianlead.dispatch._throttling import explain_throttles
+from gentianlead.dispatch._unled_groups import find_unled_groups
+from gentianlead.dispatch._unled_groups import UnledGroup
 from gentianlead.dispatch._waiting import find_wait_cause
 from gentianlead.dispatch._waiting import StepWait
 from gentianlead.dispatch._waiting import WaitMonitor
