--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -17,6 +17,12 @@
 from gentianlead.dispatch._admission import GroupReport
 from gentianlead.dispatch._admission import include_unreported_jobs
 from gentianlead.dispatch._admission import FallbackGroup
+from gentianlead.dispatch._audit import Difference
+from gentianlead.dispatch._audit import DifferenceKind
+from gentianlead.dispatch._audit import GroupAuditor
+from gentianlead.dispatch._audit import TopicView
+from gentianlead.dispatch._audit_repairs import repair_from_topic
+from gentianlead.dispatch._audit_repairs import RepairOutcome
 from gentianlead.dispatch._election import HEARTBEAT_INTERVAL
 from gentianlead.dispatch._election import choose_epoch
 from gentianlead.dispatch._election import ElectionView
@@ -40,6 +46,7 @@
 from gentianlead.dispatch._orders import Order
 from gentianlead.dispatch._orders import ThrottleOrder
 from gentianlead.dispatch._orders import PermitRequest
+from gentianlead.dispatch._orders import RefusedStarts
 from gentianlead.dispatch._orders import StartOrder
 from gentianlead.dispatch._orders import StopOrder
 from gentianlead.dispatch._records import AcceptedRecord
@@ -76,6 +83,8 @@
 from gentianlead.dispatch._table import LeaderEntry
 from gentianlead.dispatch._table import MemberEntry
 from gentianlead.dispatch._throttling import explain_throttles
+from gentianlead.dispatch._unled_groups import find_unled_groups
+from gentianlead.dispatch._unled_groups import UnledGroup
 from gentianlead.dispatch._waiting import find_wait_cause
 from gentianlead.dispatch._waiting import StepWait
 from gentianlead.dispatch._waiting import WaitMonitor
