Let the time without capacity of a task last until a start is confirmed

Callers saw nothing but a long-running task without a run. Found by reading the code.

Cause: the planner ended the time without capacity as soon as a start was ordered. A worker that refused each start got the task again after its pause, so that the delay before a move to a group with room (0.7 s, or 1.8 s) never passed if all other workers of the group were full. With several refusing workers, a start order could always be pending.

Change: each task keeps the time since which it has lacked capacity until a worker confirms or reports its run; a start that is refused, or a run that ends unconfirmed, restores it. Workers that refused the task come after all others. From the second refusal by one worker on, the task is not ordered to refusing workers for 0.2 s, so that its move can be planned.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -303,6 +303,9 @@
             run.phase = _task_runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
+            if active_run.task.job_id in self.jobs:
+                self.jobs[active_run.task.job_id].get_step(
+                    active_run.task).mark_confirmed(run)
         # The worker may have executed an order without reply late, or only a
         # repeated one, so the age of the first order is no proof.
         running_since = (run.confirmed_at if run.phase
@@ -395,6 +398,7 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             job.apply_end(run, cause, run.checkpoint)
+            job.get_step(run.task).avoid_worker(run, now)
             self.crashes.apply_end(run, cause, evidence, now)
 
     def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -33,8 +33,10 @@
             job = self.jobs.get(order.task.job_id)
             if job is not None:
                 job.mark_started()
-                job.get_step(order.task).permits.mark_accepted(
-                    worker.worker_id, worker.born_ms, now)
+                step_run = job.get_step(order.task)
+                step_run.mark_confirmed(run)
+                step_run.permits.mark_accepted(worker.worker_id, worker.born_ms,
+                                               now)
             return
         if run.phase is _task_runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
@@ -90,6 +92,9 @@
                 else:
                     permits.record_demand(now)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
+            # A new permit ends the other refusals.
+            if outcome is not ports.StartOutcome.NO_PERMIT:
+                job.get_step(run.task).avoid_worker(run, now)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
                 job.last_run_number += _group_state.RUN_NUMBERS_PER_EPOCH
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -5,7 +5,7 @@
 
 import abc
 import enum
-from typing import NamedTuple
+from typing import AbstractSet, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _interference
@@ -413,18 +413,20 @@
 
 
 def choose_worker(
-        candidates: list[Candidate],
-        step: model.Step,
-        last_failed_worker: str,
-        task_counts: dict[str, int],
-        rack_labels: frozenset[str] | None,
-        interference: _interference.InterferenceModel,
-        relaxation: Relaxation = Relaxation.NORMAL) -> Candidate | None:
+    candidates: list[Candidate],
+    step: model.Step,
+    last_failed_worker: str,
+    task_counts: dict[str, int],
+    rack_labels: frozenset[str] | None,
+    interference: _interference.InterferenceModel,
+    relaxation: Relaxation = Relaxation.NORMAL,
+    refusing_workers: AbstractSet[str] = frozenset()
+) -> Candidate | None:
     """Returns the best worker that may run a task, or None if there is none.
 
-    Any worker is better than the one on which the task failed last. Among the
-    others, one on the preferred rack is better, and then one with a higher
-    score.
+    Any worker is better than those that refused to start the task, and then
+    than the one on which it failed last. Among the others, one on the preferred
+    rack is better, and then one with a higher score.
 
     Args:
         candidates: Workers that may receive starts.
@@ -437,6 +439,7 @@
             step need not stay on one rack, or if no other task runs.
         interference: Estimated interference between images.
         relaxation: Which placement rules are ignored.
+        refusing_workers: Identifiers of workers that refused to start the task.
     """
     placement = choose_placement(step)
     best_candidate = None
@@ -450,7 +453,7 @@
         is_on_preferred_rack = ((not step.preferred_rack or
                                  step.preferred_rack in labels) and
                                 (rack_labels is None or rack_labels == labels))
-        sort_key = (worker.worker_id
+        sort_key = (worker.worker_id not in refusing_workers, worker.worker_id
                     != last_failed_worker, is_on_preferred_rack,
                     placement.score(candidate, step, interference))
         if best_sort_key is None or sort_key > best_sort_key:
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -4,6 +4,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _permits
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _refusals
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _task_runs
@@ -38,12 +39,14 @@
             those of a gang have index 0.
         arrived_indexes: Indexes of tasks that moved to this group after its
             leader got the job, so that no former leader has a run of them.
+        refusals: Starts that were not confirmed since the last one that was, by
+            index of the task; only for tasks that wait or start.
     """
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
                  "last_failed_workers", "unplaced_since", "reserved_worker",
-                 "permits", "suspicions", "arrived_indexes")
+                 "permits", "suspicions", "arrived_indexes", "refusals")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -60,6 +63,7 @@
         self.permits = _permits.PermitCache()
         self.suspicions: dict[int, _suspicions.Suspicion] = {}
         self.arrived_indexes: set[int] = set()
+        self.refusals: dict[int, _refusals.Refusals] = {}
 
     @property
     def is_done(self) -> bool:
@@ -79,6 +83,28 @@
             run_counts[run.worker_id] = run_counts.get(run.worker_id, 0) + 1
         return run_counts
 
+    def find_refused_since(self, now: float) -> float:
+        """Returns since when a waiting task has had no start confirmed.
+
+        Only tasks with a start that was not confirmed count; the result is
+        `now` if there are none.
+        """
+        return min((refusals.since
+                    for index, refusals in self.refusals.items()
+                    if index in self.waiting_indexes),
+                   default=now)
+
+    def avoid_worker(self, run: _task_runs.Run, now: float) -> None:
+        """Lets a task avoid the worker of a run that was not confirmed."""
+        refusals = self.refusals.get(run.task.index)
+        if refusals is not None and run.unplaced_since is not None:
+            refusals.add(run.worker_id, now)
+
+    def mark_confirmed(self, run: _task_runs.Run) -> None:
+        """Ends the time without capacity of a task whose worker runs it."""
+        run.unplaced_since = None
+        self.refusals.pop(run.task.index, None)
+
     def compute_remaining_ms(self) -> float:
         """Estimates the remaining duration of the step in milliseconds.
 
@@ -160,6 +186,7 @@
             self.moves_without_start = entry.moves_without_start
             for step_run in self.steps.values():
                 step_run.unplaced_since = None
+                step_run.refusals.clear()
         for group, progress in entry.progress_by_group.items():
             if (group != self.group and
                     progress is not self.entry.progress_by_group.get(group)):
@@ -190,6 +217,11 @@
                 index not in step_run.active_runs and
                 entry.has_task(self.group, step_run.key[1], index)
             }
+            step_run.refusals = {
+                index: refusals
+                for index, refusals in step_run.refusals.items()
+                if entry.has_task(self.group, step_run.key[1], index)
+            }
             if not step_run.waiting_indexes:
                 # Tasks that come back later have not waited since.
                 step_run.unplaced_since = None
@@ -450,6 +482,8 @@
         index = run.task.index
         if step_run.active_runs.get(index) is run:
             del step_run.active_runs[index]
+        if cause in (ports.EndCause.DONE, ports.EndCause.FAILED):
+            step_run.mark_confirmed(run)
         if index in step_run.done_indexes:
             return
         if cause is ports.EndCause.DONE and not run.step.is_long_running:
@@ -464,6 +498,12 @@
         if (index not in step_run.active_runs and
                 self.entry.has_task(self.group, run.task.step, index)):
             step_run.waiting_indexes.add(index)
+            if run.unplaced_since is not None:
+                step_run.refusals.setdefault(
+                    index, _refusals.Refusals(run.unplaced_since))
+                step_run.unplaced_since = step_run.find_refused_since(
+                    run.unplaced_since if step_run.unplaced_since is
+                    None else min(run.unplaced_since, step_run.unplaced_since))
 
     def count_failure(self, task: model.TaskKey, run_number: int) -> None:
         """Counts a failed run unless it was counted before.
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -145,14 +145,17 @@
 
         Long-running tasks that had to wait until all former runs were known
         count as lacking capacity since then: with the delay before a move, they
-        would wait twice.
+        would wait twice. A start that was not confirmed does not end the time
+        without capacity: with a worker that refuses again and again, the delay
+        before a move would never pass.
         """
-        if step_run.unplaced_since is not None:
-            return
-        step_run.unplaced_since = now
-        if step_run.step.is_long_running:
-            step_run.unplaced_since = self._reconciled_after.get(
-                job.job.job_id, now)
+        if step_run.unplaced_since is None:
+            step_run.unplaced_since = now
+            if step_run.step.is_long_running:
+                step_run.unplaced_since = self._reconciled_after.get(
+                    job.job.job_id, now)
+        step_run.unplaced_since = min(step_run.unplaced_since,
+                                      step_run.find_refused_since(now))
 
     def _reserve_worker(self, job: _runs.JobRun, step_run: _runs.StepRun,
                         candidates: dict[str, _placement.Candidate],
@@ -306,18 +309,25 @@
                 step.cpu_millis >= self._least_unplaced_cpu_millis.get(
                     service_and_image, step.cpu_millis + 1)):
             return False
+        are_all_placed = are_suspects_placed
         for index in job.list_startable_indexes(step_run):
             if step_run.needs_probation(index):
                 continue
+            refusals = step_run.refusals.get(index)
             chosen_candidate = _placement.choose_worker(
                 eligible_candidates, step,
                 step_run.last_failed_workers.get(index, ""), task_counts,
-                rack_labels, self._state.interference, relaxation)
+                rack_labels, self._state.interference, relaxation,
+                refusals.worker_ids if refusals is not None else frozenset())
             if chosen_candidate is None:
                 if is_unrelaxed_best_effort and not step.max_tasks_per_worker:
                     self._least_unplaced_cpu_millis[
                         service_and_image] = step.cpu_millis
                 return False
+            if refusals is not None and refusals.is_paused(
+                    chosen_candidate.worker.worker_id, now):
+                are_all_placed = False
+                continue
             run_number = self._choose_run_number(job, step_run, index, now)
             if job.has_ended:
                 return True
@@ -337,7 +347,7 @@
                 for candidate in eligible_candidates
                 if candidate.worker.worker_id in candidates
             ]
-        return are_suspects_placed
+        return are_all_placed
 
     def _start_suspects(self, job: _runs.JobRun, step_run: _runs.StepRun,
                         eligible_candidates: list[_placement.Candidate],
@@ -449,6 +459,9 @@
                     not self._probation.may_start_gang(now)):
                 return True
         chosen_workers: list[_workers.WorkerState] = []
+        refusing_workers = frozenset(
+            worker_id for refusals in step_run.refusals.values()
+            for worker_id in refusals.worker_ids)
         rack_labels = None
         remaining_candidates = {
             candidate.worker.worker_id: candidate
@@ -456,8 +469,13 @@
         }
         for _ in range(step.count):
             candidate = _placement.choose_worker(
-                list(remaining_candidates.values()), step, "", task_counts,
-                rack_labels, self._state.interference)
+                list(remaining_candidates.values()),
+                step,
+                "",
+                task_counts,
+                rack_labels,
+                self._state.interference,
+                refusing_workers=refusing_workers)
             if candidate is None:
                 return False
             worker = candidate.worker
@@ -512,6 +530,10 @@
         run.checkpoint = self._choose_checkpoint(step_run, index)
         run.start_attempts = 1
         run.has_pending_order = True
+        refusals = step_run.refusals.get(index)
+        run.unplaced_since = min(
+            now if step_run.unplaced_since is None else step_run.unplaced_since,
+            refusals.since if refusals is not None else now)
         self._state.crashes.mark_started(run)
         step_run.waiting_indexes.discard(index)
         step_run.active_runs[index] = run
--- a/src/gentianlead/dispatch/_task_runs.py
+++ b/src/gentianlead/dispatch/_task_runs.py
@@ -66,6 +66,9 @@
             first tail latency.
         over_limit_since: Time since which the tail latency of a
             latency-critical task has been above its limit; None if it is not.
+        unplaced_since: Time since which the task has lacked capacity, at the
+            latest that of the first start order; None once the worker has
+            confirmed or reported the run.
     """
 
     __slots__ = ("task", "step", "number", "worker_id", "phase",
@@ -74,7 +77,8 @@
                  "latency_ms_or_cpu_millis", "throttle_percent",
                  "has_pending_order", "stop_retry", "throttle_retry",
                  "is_proven", "is_on_probation", "is_adopted",
-                 "may_leave_group", "load_tracker", "over_limit_since")
+                 "may_leave_group", "load_tracker", "over_limit_since",
+                 "unplaced_since")
 
     def __init__(self, task: model.TaskKey, step: model.Step, number: int,
                  worker_id: str, now: float):
@@ -100,3 +104,4 @@
         self.may_leave_group = False
         self.load_tracker: _interference.LoadTracker | None = None
         self.over_limit_since: float | None = None
+        self.unplaced_since: float | None = None
