Count planned moves against the rooms in a load report

Cause: a planned move raised only the reserved CPU in the report of the other group. The rooms by worker stayed, so that each job moved into the same gap until the next report. The move counted for 150 ms from its beginning, although neither leader may have read it by then. A report listed one of several equal workers, so that the rooms could not be shared out.

Change: a move for lack of capacity takes its rooms out of the report (free rooms, else a worker on probation, and reclaimable rooms for long-running tasks) until a report arrives 150 ms after its own leader has read it. A report lists up to three workers that cover a fourth one; the format is the same. Of a report without rooms, the largest free and reclaimable CPU are lowered.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -19,6 +19,11 @@
 with absurd estimates would have sums of more than 64 bits, which no report can
 hold."""
 
+MAX_COVERING_ROOMS = 3
+"""A report leaves out the room of a worker that this number of others cover.
+Several tasks can then move at once to workers with equal room, and the report
+still does not grow with their number."""
+
 
 class ImageCapacity(NamedTuple):
     """CPU that best-effort tasks of one image can use in a group.
@@ -111,7 +116,8 @@
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
         free_rooms: Free capacity of the usable workers that are not on
-            probation, without those whose capacity another one covers.
+            probation, without those whose capacity `MAX_COVERING_ROOMS` others
+            of the same service and labels cover.
         reclaimable_rooms: Capacity of the usable workers that no long-running
             task holds, likewise; also of those on probation.
         probation_rooms: Free capacity of the usable workers on probation, which
@@ -286,6 +292,81 @@
         default=-1)
 
 
+def take_rooms(load: GroupLoad, step: model.Step, service: str,
+               task_count: int) -> GroupLoad:
+    """Returns the load of a group without the rooms that tasks will use.
+
+    Each task takes its resources from the worker with the most CPU, as the
+    group's leader may choose any. A worker on probation has no more room then,
+    as it receives one start at a time. Long-running tasks also take up
+    reclaimable room. Of a best-effort task, only memory and accelerators count.
+
+    Args:
+        load: Load of the group.
+        step: Step of the tasks.
+        service: Service whose workers run them.
+        task_count: Number of tasks; those that fit nowhere take nothing.
+    """
+    if not load.reclaimable_rooms:
+        # The report of a leader that does not list the capacity of workers.
+        if step.is_best_effort:
+            return load
+        cpu_millis = task_count * step.cpu_millis
+        long_running_cpu_millis = cpu_millis if step.is_long_running else 0
+        return load._replace(largest_free_cpu_millis=max(
+            0, load.largest_free_cpu_millis - cpu_millis),
+                             largest_reclaimable_cpu_millis=max(
+                                 0, load.largest_reclaimable_cpu_millis -
+                                 long_running_cpu_millis))
+    free_rooms = load.free_rooms
+    probation_rooms = load.probation_rooms
+    reclaimable_rooms = load.reclaimable_rooms
+    for _ in range(task_count):
+        number = _find_room(free_rooms, step, service)
+        if number is not None:
+            free_rooms = _take_room(free_rooms, number, step)
+        else:
+            number = _find_room(probation_rooms, step, service)
+            if number is not None:
+                probation_rooms = (probation_rooms[:number] +
+                                   probation_rooms[number + 1:])
+        reclaimable_number = (_find_room(reclaimable_rooms, step, service)
+                              if step.is_long_running else None)
+        if reclaimable_number is not None:
+            reclaimable_rooms = _take_room(reclaimable_rooms,
+                                           reclaimable_number, step)
+        if number is None and reclaimable_number is None:
+            break
+    return load._replace(free_rooms=free_rooms,
+                         probation_rooms=probation_rooms,
+                         reclaimable_rooms=reclaimable_rooms)
+
+
+def _find_room(rooms: tuple[WorkerRoom, ...], step: model.Step,
+               service: str) -> int | None:
+    """Returns the number of the room with the most CPU where a task fits."""
+    numbers = [
+        number for number, room in enumerate(rooms)
+        if (room._replace(
+            cpu_millis=step.cpu_millis) if step.is_best_effort else room
+           ).has_room_for(step, service)
+    ]
+    return max(numbers,
+               key=lambda number: rooms[number].cpu_millis,
+               default=None)
+
+
+def _take_room(rooms: tuple[WorkerRoom, ...], number: int,
+               step: model.Step) -> tuple[WorkerRoom, ...]:
+    room = rooms[number]
+    cpu_millis = 0 if step.is_best_effort else step.cpu_millis
+    left_room = room._replace(cpu_millis=room.cpu_millis - cpu_millis,
+                              memory_mib=room.memory_mib - step.memory_mib,
+                              accelerators=room.accelerators -
+                              step.accelerators)
+    return rooms[:number] + (left_room,) + rooms[number + 1:]
+
+
 _Resources = tuple[int, int, int]
 """CPU, memory and accelerators, in the units of `WorkerRoom`."""
 
@@ -293,24 +374,24 @@
 """Capacity of workers by their service and labels."""
 
 
-def _add_room(rooms: list[_Resources], room: _Resources) -> None:
-    """Adds the room of a worker, without rooms that another one covers."""
-    for other in rooms:
-        if (other[0] >= room[0] and other[1] >= room[1] and
-                other[2] >= room[2]):
-            return
-    rooms[:] = [
-        other for other in rooms
-        if other[0] > room[0] or other[1] > room[1] or other[2] > room[2]
-    ]
-    rooms.append(room)
+def _list_rooms_to_report(rooms: list[_Resources]) -> list[_Resources]:
+    """Returns the rooms of workers that not too many others cover."""
+    reported_rooms: list[_Resources] = []
+    # A room that covers another one precedes it in this order.
+    for room in sorted(rooms, reverse=True):
+        covering_count = sum(
+            other[0] >= room[0] and other[1] >= room[1] and other[2] >= room[2]
+            for other in reported_rooms)
+        if covering_count < MAX_COVERING_ROOMS:
+            reported_rooms.append(room)
+    return reported_rooms
 
 
 def _list_rooms(rooms_by_kind: _Rooms) -> tuple[WorkerRoom, ...]:
     return tuple(
         WorkerRoom(*room, tuple(sorted(labels)), service)
         for (service, labels), rooms in rooms_by_kind.items()
-        for room in rooms)
+        for room in _list_rooms_to_report(rooms))
 
 
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
@@ -434,13 +515,13 @@
             if candidate.free_cpu_millis >= 0:
                 rooms = (probation_rooms
                          if worker.is_on_probation else free_rooms)
-                _add_room(rooms.setdefault(kind, []),
-                          (candidate.free_cpu_millis, candidate.free_memory_mib,
-                           candidate.free_accelerators))
-            _add_room(reclaimable_rooms.setdefault(kind, []),
-                      (candidate.reclaimable_cpu_millis,
-                       candidate.reclaimable_memory_mib,
-                       candidate.reclaimable_accelerators))
+                rooms.setdefault(kind, []).append(
+                    (candidate.free_cpu_millis, candidate.free_memory_mib,
+                     candidate.free_accelerators))
+            reclaimable_rooms.setdefault(kind, []).append(
+                (candidate.reclaimable_cpu_millis,
+                 candidate.reclaimable_memory_mib,
+                 candidate.reclaimable_accelerators))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -90,18 +90,40 @@
     report_age_s: float
 
 
+class _TakenRooms(NamedTuple):
+    """Rooms that moved tasks of a step will use in their new group.
+
+    Attributes:
+        step: The step.
+        service: Service whose workers run the tasks.
+        task_count: Number of tasks.
+    """
+
+    step: model.Step
+    service: str
+    task_count: int
+
+
 class _RecentMove(NamedTuple):
     """Move that the load reports of its destination may not include yet.
 
     Attributes:
         group: Destination.
         demand: Demand of the moved job.
-        begun_at: Monotonic time in seconds at which the move began.
+        begun_at: Monotonic time in seconds at which the move began, or at which
+            it was last found not to be read from the topic.
+        job: The job.
+        move_number: Number of the move.
+        rooms: Rooms that the tasks will use; None for a move that does not need
+            them at once.
     """
 
     group: str
     demand: _load.JobDemand
     begun_at: float
+    job: _runs.JobRun
+    move_number: int
+    rooms: _TakenRooms | None = None
 
 
 class MovePlanner:
@@ -138,11 +160,13 @@
             choice = _choose_new_group(job, own_load, reports, now)
             if choice.group:
                 demand = _load.compute_job_demand(job)
-                moves.append(_begin_move(job, (), choice, reports, now))
-                self._recent_moves.append(_RecentMove(choice.group, demand,
-                                                      now))
+                move = _begin_move(job, (), choice, reports, now)
+                moves.append(move)
+                self._add_recent_move(
+                    reports,
+                    _RecentMove(choice.group, demand, now, job,
+                                move.record.move_number))
                 own_load = _load.subtract_demand_from_load(own_load, demand)
-                _add_demand_to_report(reports, choice.group, demand)
         for job, step_run in self._state.list_unplaced_steps(now):
             if job.pending_move_number is not None:
                 continue  # Another step of the job has just begun to move.
@@ -150,12 +174,15 @@
             if move is None:
                 continue
             moves.append(move)
-            demand = _load.compute_step_demand(
-                step_run.step,
-                len(move.record.task_indexes) or len(step_run.waiting_indexes))
-            self._recent_moves.append(
-                _RecentMove(move.choice.group, demand, now))
-            _add_demand_to_report(reports, move.choice.group, demand)
+            task_count = (len(move.record.task_indexes) or
+                          len(step_run.waiting_indexes))
+            self._add_recent_move(
+                reports,
+                _RecentMove(
+                    move.choice.group,
+                    _load.compute_step_demand(step_run.step, task_count), now,
+                    job, move.record.move_number,
+                    _TakenRooms(step_run.step, job.service, task_count)))
         self._release_leaving_runs(reports, now)
         return moves
 
@@ -189,7 +216,15 @@
 
     def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
                               now: float) -> dict[str, _admission.GroupReport]:
-        """Returns the reports with all moves that they may not include."""
+        """Returns the reports with all moves that they may not include.
+
+        A move that this leader has not read from the topic was not read by the
+        other one for longer than a moment.
+        """
+        self._recent_moves = [
+            move._replace(begun_at=now) if self._is_pending(move) else move
+            for move in self._recent_moves
+        ]
         self._recent_moves = [
             move for move in self._recent_moves
             if now - move.begun_at <= _admission.MAX_REPORT_AGE.total_seconds()
@@ -198,16 +233,28 @@
         ]
         reports = dict(reports)
         for move in self._recent_moves:
-            _add_demand_to_report(reports, move.group, move.demand)
+            _add_move_to_report(reports, move)
         return reports
 
-
-def _add_demand_to_report(reports: dict[str, _admission.GroupReport],
-                          group: str, demand: _load.JobDemand) -> None:
-    report = reports.get(group)
-    if report is not None:
-        reports[group] = report._replace(
-            load=_load.add_demand_to_load(report.load, demand))
+    def _is_pending(self, move: _RecentMove) -> bool:
+        return (move.job.pending_move_number == move.move_number and
+                self._state.jobs.get(move.job.job.job_id) is move.job)
+
+    def _add_recent_move(self, reports: dict[str, _admission.GroupReport],
+                         move: _RecentMove) -> None:
+        self._recent_moves.append(move)
+        _add_move_to_report(reports, move)
+
+
+def _add_move_to_report(reports: dict[str, _admission.GroupReport],
+                        move: _RecentMove) -> None:
+    report = reports.get(move.group)
+    if report is None:
+        return
+    load = _load.add_demand_to_load(report.load, move.demand)
+    if move.rooms is not None:
+        load = _load.take_rooms(load, *move.rooms)
+    reports[move.group] = report._replace(load=load)
 
 
 def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...], choice: MoveChoice,
