Let a task that moved in vain go on to an untried group sooner

Callers would see a long-running task without a run for longer than needed. Found by reading the code.

Cause: leaders of two groups do not know of each other's moves into a third one.

Change: a long-running task that moved to a group and had no start confirmed there may go on after 0.2 s, but only to a group that reports room for it at present and that no task of its job has left. Each such move adds its source to the groups that were left, so their number is bounded by the number of groups; all other moves keep their delays.

--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -18,6 +18,7 @@
 from gentianlead.cluster import _takeover_wait
 from gentianlead.dispatch import _election
 from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
@@ -166,13 +167,16 @@
     ]
 
 
-def list_move_waits() -> list[Wait]:
-    """Returns the waits from the first attempt to start to a run elsewhere."""
+def list_move_waits(
+    delay: datetime.timedelta = _group_state.RESERVED_TASK_MOVE_DELAY
+) -> list[Wait]:
+    """Returns the waits from the first attempt to start to a run elsewhere.
+
+    Args:
+        delay: Delay before the move; by default the longest.
+    """
     return [
-        Wait(
-            "lack of capacity before a move",
-            max(_group_state.TASK_MOVE_DELAY,
-                _group_state.RESERVED_TASK_MOVE_DELAY)),
+        Wait("lack of capacity before a move", delay),
         PLAN_AFTER_TIME,
         Wait("append of the move", STORE_CALL_TIME),
         TOPIC_READ,
@@ -352,6 +356,24 @@
         self.assert_within([PLAN_AFTER_EVENT, *list_move_waits()],
                            RESTART_LIMIT)
 
+    def test_delays(self):
+        """Guards against sums with a delay that is not the longest."""
+        self.assertLessEqual(_moves.ARRIVAL_MOVE_DELAY,
+                             _group_state.TASK_MOVE_DELAY)
+        self.assertLessEqual(_group_state.TASK_MOVE_DELAY,
+                             _group_state.RESERVED_TASK_MOVE_DELAY)
+
+    def test_task_that_finds_the_room_of_its_new_group_taken(self):
+        """Guards against the full delay in a group that it moved to in vain.
+
+        The leaders of several groups have moved tasks into the same room. The
+        task tries each group of a site with three, and the last one has room.
+        """
+        self.assert_within([
+            PLAN_AFTER_EVENT, *list_move_waits(),
+            *list_move_waits(_moves.ARRIVAL_MOVE_DELAY)
+        ], RESTART_LIMIT)
+
     def test_last_task_of_a_job_that_moves_task_by_task(self):
         """Guards against tasks that wait for the moves of their siblings.
 
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -354,6 +354,7 @@
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
         self.crashes.adopt_run(job, run)
+        step_run.mark_confirmed(run)
         step_run.waiting_indexes.discard(task.index)
         step_run.active_runs[task.index] = run
         worker.runs[(task, run_number)] = run
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -29,6 +29,12 @@
 """A waiting job moves to another group only if the load there, multiplied by
 this factor, is still below the load of the job's own group."""
 
+ARRIVAL_MOVE_DELAY = datetime.timedelta(milliseconds=200)
+"""Time without capacity after which a long-running task that moved to a group
+may go on to one with room that no task of its job has left. Leaders of several
+groups may have moved tasks into the same room. As each such move adds a group
+that the job has left, the delay before other moves bounds their rate."""
+
 MOVE_REPORT_DELAY = datetime.timedelta(milliseconds=150)
 """A load report that arrives at least this long after a move has begun includes
 the moved job: the time covers the append, the read by the destination's leader
@@ -170,22 +176,55 @@
         for job, step_run in self._state.list_unplaced_steps(now):
             if job.pending_move_number is not None:
                 continue  # Another step of the job has just begun to move.
-            move = _plan_step_move(job, step_run, reports, now)
-            if move is None:
+            move = _plan_step_move(job, step_run,
+                                   _list_idle_indexes(job, step_run), reports,
+                                   now)
+            if move is not None:
+                moves.append(move)
+                self._add_step_move(reports, step_run, move, now)
+        for job, step_run in self._list_unplaced_arrivals(now):
+            if job.pending_move_number is not None:
                 continue
-            moves.append(move)
-            task_count = (len(move.record.task_indexes) or
-                          len(step_run.waiting_indexes))
-            self._add_recent_move(
-                reports,
-                _RecentMove(
-                    move.choice.group,
-                    _load.compute_step_demand(step_run.step, task_count), now,
-                    job, move.record.move_number,
-                    _TakenRooms(step_run.step, job.service, task_count)))
+            move = _plan_step_move(
+                job, step_run, [
+                    index for index in _list_idle_indexes(job, step_run)
+                    if index in step_run.moved_indexes
+                ], _filter_untried_groups(job, step_run.step, reports), now)
+            if move is not None:
+                moves.append(move)
+                self._add_step_move(reports, step_run, move, now)
         self._release_leaving_runs(reports, now)
         return moves
 
+    def _add_step_move(self, reports: dict[str, _admission.GroupReport],
+                       step_run: _runs.StepRun, move: PlannedMove,
+                       now: float) -> None:
+        task_count = (len(move.record.task_indexes) or
+                      len(step_run.waiting_indexes))
+        self._add_recent_move(
+            reports,
+            _RecentMove(
+                move.choice.group,
+                _load.compute_step_demand(step_run.step, task_count), now,
+                move.job, move.record.move_number,
+                _TakenRooms(step_run.step, move.job.service, task_count)))
+
+    def _list_unplaced_arrivals(
+            self, now: float) -> list[tuple[_runs.JobRun, _runs.StepRun]]:
+        """Returns long-running steps with tasks that moved here in vain.
+
+        They have lacked capacity for `ARRIVAL_MOVE_DELAY`.
+        """
+        return [
+            (job, step_run) for job in self._state.jobs.values()
+            if job.is_reconciled and not job.has_ended
+            for step_run in job.steps.values()
+            if step_run.step.is_long_running and
+            step_run.unplaced_since is not None and now -
+            step_run.unplaced_since >= ARRIVAL_MOVE_DELAY.total_seconds() and
+            step_run.waiting_indexes & step_run.moved_indexes
+        ]
+
     def _release_leaving_runs(self, reports: dict[str, _admission.GroupReport],
                               now: float) -> None:
         """Marks long-running runs on leaving workers that fit in other groups.
@@ -269,15 +308,31 @@
     return PlannedMove(job, record, choice, report_age_s)
 
 
+def _filter_untried_groups(
+    job: _runs.JobRun, step: model.Step, reports: dict[str,
+                                                       _admission.GroupReport]
+) -> dict[str, _admission.GroupReport]:
+    """Returns the reports of groups with room that no task of a job has left.
+    """
+    return {
+        group: report
+        for group, report in reports.items()
+        if group not in job.entry.last_move_numbers and
+        (_load.find_free_cpu(report.load, step, job.service) >= 0 or
+         _load.has_probation_room(report.load, step, job.service))
+    }
+
+
 def _plan_step_move(job: _runs.JobRun, step_run: _runs.StepRun,
+                    idle_indexes: list[int],
                     reports: dict[str, _admission.GroupReport],
                     now: float) -> PlannedMove | None:
     """Begins a move of tasks that lack capacity; None if no group has any.
 
     The whole job moves if it has no active runs, unless its tasks are in
     several groups or no group has the labels of all its waiting steps. Else
-    only tasks of the step move: all those of a gang, or as many as fit on one
-    worker of the other group.
+    only tasks of the step move, of those in `idle_indexes`: all those of a
+    gang, or as many as fit on one worker of the other group.
     """
     is_whole = len(job.entry.assignment) == 1 and not job.list_active_runs()
     step_index = step_run.key[1]
@@ -291,7 +346,7 @@
                                      not is_whole):
         fallback_group = _choose_fallback_group(job, step_index, frozenset(),
                                                 reports, now)
-        indexes = _list_idle_indexes(job, step_run)
+        indexes = idle_indexes
         if not step_run.step.is_gang:
             indexes = indexes[:fallback_group.max_tasks]
         elif len(indexes) < step_run.step.count:
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -41,12 +41,15 @@
             leader got the job, so that no former leader has a run of them.
         refusals: Starts that were not confirmed since the last one that was, by
             index of the task; only for tasks that wait or start.
+        moved_indexes: Indexes of tasks that another group moved here and that
+            had no start confirmed here since.
     """
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
                  "last_failed_workers", "unplaced_since", "reserved_worker",
-                 "permits", "suspicions", "arrived_indexes", "refusals")
+                 "permits", "suspicions", "arrived_indexes", "refusals",
+                 "moved_indexes")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -64,6 +67,7 @@
         self.suspicions: dict[int, _suspicions.Suspicion] = {}
         self.arrived_indexes: set[int] = set()
         self.refusals: dict[int, _refusals.Refusals] = {}
+        self.moved_indexes: set[int] = set()
 
     @property
     def is_done(self) -> bool:
@@ -104,6 +108,7 @@
         """Ends the time without capacity of a task whose worker runs it."""
         run.unplaced_since = None
         self.refusals.pop(run.task.index, None)
+        self.moved_indexes.discard(run.task.index)
 
     def compute_remaining_ms(self) -> float:
         """Estimates the remaining duration of the step in milliseconds.
@@ -169,6 +174,12 @@
             for task_progress in progress.unfinished_tasks:
                 self._restore_suspicion(task_progress)
         self.update_entry(entry)
+        if entry.assignment_offsets.get(group, -1) > entry.offset:
+            self._mark_all_moved()
+
+    def _mark_all_moved(self) -> None:
+        for step_run in self.steps.values():
+            step_run.moved_indexes |= step_run.waiting_indexes
 
     def update_entry(self, entry: _table.JobEntry) -> None:
         """Applies the newest state of the job in the topic.
@@ -226,6 +237,8 @@
                 # Tasks that come back later have not waited since.
                 step_run.unplaced_since = None
                 step_run.reserved_worker = ""
+        if has_returned:
+            self._mark_all_moved()
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
         elif entry.state.is_final:
@@ -239,8 +252,10 @@
                 task = (step_run.key[1], index)
                 if not entry.has_task(self.group, *task):
                     step_run.arrived_indexes.discard(index)
+                    step_run.moved_indexes.discard(index)
                 elif not self.entry.has_task(self.group, *task):
                     step_run.arrived_indexes.add(index)
+                    step_run.moved_indexes.add(index)
 
     def _restore_progress(self, progress: _records.ProgressRecord,
                           replaces_checkpoints: bool) -> None:
--- a/src/gentianlead/dispatch/tests/test_wait_chains.py
+++ b/src/gentianlead/dispatch/tests/test_wait_chains.py
@@ -2,15 +2,62 @@
 
 import unittest
 
+from gentianlead import dispatch
 from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_lasting
 from gentianlead.dispatch.tests import test_moves
+from gentianlead.dispatch.tests import test_step_moves
 
 JOB_ID = test_lasting.SERVICE_JOB_ID
 FORMER_OFFSET = 20
 
 
+class ArrivedTaskTest(unittest.TestCase):
+    """Tests tasks that move to a group which cannot place them."""
+
+    def test_task_goes_on_without_the_full_delay(self):
+        """Guards against the delay of a first move in each further group.
+
+        The leaders of two groups moved tasks into one gap. The other task has
+        got it.
+        """
+        groups = test_step_moves.TwoGroups(
+            test_lasting.build_service_step(cpu_millis=6000), cpu_millis=500)
+        full_move = dispatch.MovedRecord(JOB_ID, "north-1", (), "north-2", 9, 0,
+                                         1)
+        groups.add(full_move)
+        driver = groups.other
+        report = dispatch.GroupReport(
+            builders.GroupDriver(
+                builders.build_worker()).scheduler.compute_load(driver.now),
+            driver.now + 0.25)
+        driver.plan()
+        for elapsed_s, group, destinations in ((0.1, "north-3",
+                                                []), (0.15, "north-1", []),
+                                               (0.0, "north-3", ["north-3"])):
+            with self.subTest((elapsed_s, group)):
+                driver.now += elapsed_s
+                driver.apply_status("w2")
+                driver.plan()
+                moves = driver.scheduler.plan_moves(
+                    lambda: driver.scheduler.compute_load(driver.now),
+                    {group: report}, driver.now)
+                self.assertEqual(
+                    [move.record.destination_group for move in moves],
+                    destinations)
+
+    def test_started_task_has_the_full_delay_again(self):
+        """Guards against early moves of all tasks that ever moved."""
+        groups = test_step_moves.TwoGroups(test_lasting.build_service_step())
+        groups.add(
+            dispatch.MovedRecord(JOB_ID, "north-1", (), "north-2", 9, 0, 1))
+        job = groups.other.scheduler.jobs[JOB_ID]
+        self.assertEqual(job.steps[0, 0].moved_indexes, {0})
+        groups.other.start_all()
+        self.assertEqual(job.steps[0, 0].moved_indexes, set())
+
+
 class UnreconciledTaskTest(unittest.TestCase):
     """Tests tasks that wait until a new leader knows all former runs."""
 
