Hide the room of a worker that keeps refusing starts

Cause: a load report listed the room of a worker that refuses each start, as soon as its pause was over, so that other groups sent it tasks.

Change: after two refusals in a row, the free room of the worker is left out of reports for 4 s after each refusal, or until it accepts a start. Its reclaimable room and its CPU still count, so that a group does not become unusable. Missing permits, outdated run numbers and fencing do not count, as they say nothing about the worker.

Evidence: test_refusals.RefusedTaskTest.test_report_hides_the_room fails on the code before for no-room and unhealthy.

Result: the tests of dispatch, and of wait bounds and reports of cluster, pass.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -116,8 +116,9 @@
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
         free_rooms: Free capacity of the usable workers that are not on
-            probation, without those whose capacity `MAX_COVERING_ROOMS` others
-            of the same service and labels cover.
+            probation and do not keep refusing starts, without those whose
+            capacity `MAX_COVERING_ROOMS` others of the same service and labels
+            cover.
         reclaimable_rooms: Capacity of the usable workers that no long-running
             task holds, likewise; also of those on probation.
         probation_rooms: Free capacity of the usable workers on probation, which
@@ -482,7 +483,8 @@
             latency_critical_cpu_millis += min(load.latency_critical_cpu_millis,
                                                worker.entry.cpu_millis)
             best_effort_cpu_millis += load.best_effort_cpu_millis
-            if not worker.is_on_probation:
+            has_room = not worker.keeps_refusing(now)
+            if has_room and not worker.is_on_probation:
                 largest_free_cpu_millis = max(
                     largest_free_cpu_millis,
                     worker.entry.cpu_millis - load.reserved_cpu_millis)
@@ -505,14 +507,14 @@
             for image, room_cpu_millis in image_rooms.items():
                 # Interference only lowers the room, so it needs no look if the
                 # spare CPU is not above the room on another worker.
-                if (spare_room_cpu_millis > room_cpu_millis and
+                if (spare_room_cpu_millis > room_cpu_millis and has_room and
                         not worker.is_on_probation):
                     image_rooms[image] = max(
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
             kind = (worker.entry.service, worker.entry.labels)
-            if candidate.free_cpu_millis >= 0:
+            if has_room and candidate.free_cpu_millis >= 0:
                 rooms = (probation_rooms
                          if worker.is_on_probation else free_rooms)
                 rooms.setdefault(kind, []).append(
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -24,6 +24,7 @@
         outcome = reply.outcome
         if outcome is ports.StartOutcome.STARTED:
             worker.capacity_refusals = 0
+            worker.refusals = 0
             if run.phase in (_task_runs.RunPhase.STARTING,
                              _task_runs.RunPhase.UNKNOWN):
                 run.phase = _task_runs.RunPhase.RUNNING
@@ -76,6 +77,10 @@
             ports.StartOutcome.FENCED:
                 _workers.LONG_REFUSAL_BACKOFF,
         }
+        if outcome not in (ports.StartOutcome.NO_PERMIT,
+                           ports.StartOutcome.OUTDATED_RUN,
+                           ports.StartOutcome.FENCED):
+            worker.record_refusal(now)
         if outcome in backoffs:
             worker.paused_until = max(worker.paused_until,
                                       now + backoffs[outcome].total_seconds())
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -34,6 +34,13 @@
 unhealthy or was replaced, or because the order is invalid or has an outdated
 fencing token."""
 
+REFUSALS_TO_HIDE_ROOM = 2
+HIDDEN_ROOM_DURATION = datetime.timedelta(seconds=4)
+"""After `REFUSALS_TO_HIDE_ROOM` refusals in a row, the room of a worker is left
+out of load reports for `HIDDEN_ROOM_DURATION` after each refusal: other groups
+would send it tasks that it refuses. The time covers the longest pause and the
+next attempt."""
+
 QUARANTINE_DURATION = datetime.timedelta(seconds=3)
 """Time for which a worker gets no starts after it failed
 `FAILURES_TO_QUARANTINE` runs in a row; then single runs test whether it is
@@ -175,6 +182,10 @@
         paused_until: Time before which no run is started on the worker.
         capacity_refusals: Number of pauses since the worker last accepted a
             start that began when it refused one for lack of capacity.
+        refusals: Number of refusals since the worker last accepted a start,
+            for lack of capacity or because it cannot take orders; several
+            starts that are refused at once count as one refusal.
+        refused_at: Time of the last of them; 0 before the first one.
         consecutive_failures: Number of failed runs since the last successful
             one.
         duration_ratio: Moving average of the ratio of actual to estimated run
@@ -209,6 +220,8 @@
         self.is_reachable = False
         self.paused_until = 0.0
         self.capacity_refusals = 0
+        self.refusals = 0
+        self.refused_at = 0.0
         self.consecutive_failures = 0
         self.duration_ratio = 1.0
         self.throttles: dict[str, int] = {}
@@ -333,6 +346,7 @@
         self.born_ms = born_ms
         self.unknown_runs.clear()
         self.capacity_refusals = 0
+        self.refusals = 0
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.consecutive_failures = 0
@@ -381,6 +395,17 @@
         """Returns whether start orders may be sent to the worker now."""
         return self.find_start_obstacle(now) is None
 
+    def record_refusal(self, now: float) -> None:
+        """Counts a refusal; the caller has not begun its pause yet."""
+        if now >= self.paused_until:
+            self.refusals += 1
+        self.refused_at = now
+
+    def keeps_refusing(self, now: float) -> bool:
+        """Returns whether the worker is expected to refuse the next start."""
+        return (self.refusals >= REFUSALS_TO_HIDE_ROOM and
+                now - self.refused_at < HIDDEN_ROOM_DURATION.total_seconds())
+
     def record_capacity_refusal(self, now: float) -> None:
         """Begins a pause that is longer after each refusal in a row.
 
--- a/src/gentianlead/dispatch/tests/test_refusals.py
+++ b/src/gentianlead/dispatch/tests/test_refusals.py
@@ -25,6 +25,7 @@
     Attributes:
         driver: Driver of the scheduler of the group.
         orders: All start orders.
+        has_other_group: Whether the other group sends reports.
     """
 
     def __init__(self, outcome: ports.StartOutcome, reply_delay_s: float,
@@ -35,6 +36,7 @@
               for number in range(worker_count)))
         self.driver.put_job(JOB_ID, step)
         self.orders: list[dispatch.StartOrder] = []
+        self.has_other_group = True
         self._outcome = outcome
         self._reply_delay_s = reply_delay_s
         self._replies: list[tuple[float, dispatch.Order]] = []
@@ -52,10 +54,12 @@
                     (self.driver.now + self._reply_delay_s, order))
                 if isinstance(order, dispatch.StartOrder):
                     self.orders.append(order)
+            reports = {
+                "north-2": OTHER_REPORT._replace(reported_at=self.driver.now)
+            } if self.has_other_group else {}
             moves = self.driver.scheduler.plan_moves(
                 lambda: self.driver.scheduler.compute_load(self.driver.now),
-                {"north-2": OTHER_REPORT._replace(reported_at=self.driver.now)},
-                self.driver.now)
+                reports, self.driver.now)
             if moves:
                 return moves[0]
         return None
@@ -107,6 +111,29 @@
         self.assertEqual(len({order.worker_id for order in group.orders[:4]}),
                          4)
 
+    def test_report_hides_the_room(self):
+        """Guards against moves into a group whose worker refuses starts.
+
+        The room is listed again some time after the last refusal.
+        """
+        step = test_lasting.build_service_step(cpu_millis=3000)
+        for outcome, duration_s, has_room in (
+            (ports.StartOutcome.NO_FREE_CAPACITY, 0.0,
+             False), (ports.StartOutcome.UNHEALTHY, 0.5,
+                      False), (ports.StartOutcome.NO_FREE_CAPACITY, 4.1, True)):
+            with self.subTest((outcome, duration_s)):
+                group = RefusingGroup(outcome, 0.01, 1, step)
+                group.has_other_group = False
+                group.find_move(2.4)
+                driver = group.driver
+                self.assertGreaterEqual(len(group.orders), 2)
+                driver.now += 0.5 + duration_s
+                driver.apply_status("w0")
+                driver.apply_status("small")
+                rooms = driver.scheduler.compute_load(driver.now).free_rooms
+                self.assertEqual(any(room.cpu_millis == 4000 for room in rooms),
+                                 has_room)
+
     def test_confirmed_start_ends_the_time_without_capacity(self):
         """Guards against a move at once when a task waits again much later."""
         group = RefusingGroup(ports.StartOutcome.NO_FREE_CAPACITY, 0.01, 1,
