Prefer groups whose workers with room are below the limit per worker

Callers would see a task of a step with max_tasks_per_worker that circles among groups. Found by reading the code.

Cause: a group counted as open while its workers together were below the limit, also if the only ones with room had reached it.

Change: among groups that the job left as long ago, one that lists more workers with room than may have reached the limit comes first. Groups are still tried in turn, so that a report that is too pessimistic excludes none.

Evidence: test_move_rooms.LimitedWorkersTest fails on the code before.

Result: the tests of dispatch and of the wait bounds pass.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -405,9 +405,10 @@
     A group in which a task fits only after short tasks have ended is chosen
     only if a task does not fit in the own group even then. Of several such
     groups, the one that tasks of the job left the longest ago is chosen, or
-    never left; among these, the one whose worker has the most CPU for them. A
-    report does not show all that placement checks, so tasks would otherwise
-    move in a circle between the groups that look best.
+    never left; among these, one that lists more workers with room than may have
+    reached the step's limit of tasks per worker, and then the one whose worker
+    has the most CPU for them. A report does not show all that placement checks,
+    so tasks would otherwise move in a circle between the groups that look best.
 
     Groups are left out if they are not usable, have no recent load report, lack
     the label of the step, one of `required_labels` or a worker of the service
@@ -419,7 +420,7 @@
         required_labels = required_labels | {step.required_label}
     step_groups = _list_step_groups(job, step_index, assignment)
     best_group = ""
-    best_sort_key = (0, 0, 0)
+    best_sort_key = (0, 0, False, 0)
     own_report = reports.get(own_group)
     may_fit_in_own_group = (own_report is not None and
                             own_report.load.is_usable and
@@ -445,10 +446,19 @@
             continue
         else:
             rank, usable_cpu_millis = 0, reclaimable_cpu_millis
-        sort_key = (rank, -last_move_numbers.get(group, 0), usable_cpu_millis)
+        # A report does not tell which workers have reached the limit of the
+        # step, but at most this number have.
+        full_worker_count = (step_groups.count(group) //
+                             step.max_tasks_per_worker
+                             if step.max_tasks_per_worker else 0)
+        may_be_limited = (bool(load.reclaimable_rooms) and
+                          0 < full_worker_count >= _load.count_free_rooms(
+                              load, step, service))
+        sort_key = (rank, -last_move_numbers.get(group, 0), not may_be_limited,
+                    usable_cpu_millis)
         if not best_group or sort_key > best_sort_key:
             best_group, best_sort_key = group, sort_key
     if step.max_tasks_per_worker:
         return FallbackGroup(best_group)
     return FallbackGroup(best_group,
-                         max(1, best_sort_key[2] // max(1, step.cpu_millis)))
+                         max(1, best_sort_key[3] // max(1, step.cpu_millis)))
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -267,6 +267,12 @@
     return _find_largest_room(load.free_rooms, step, service)
 
 
+def count_free_rooms(load: GroupLoad, step: model.Step, service: str) -> int:
+    """Returns how many of the listed workers have room for a task at present.
+    """
+    return sum(room.has_room_for(step, service) for room in load.free_rooms)
+
+
 def find_reclaimable_cpu(load: GroupLoad, step: model.Step,
                          service: str) -> int:
     """Returns the most CPU that no long-running task holds on one worker.
--- a/src/gentianlead/dispatch/tests/test_move_rooms.py
+++ b/src/gentianlead/dispatch/tests/test_move_rooms.py
@@ -24,6 +24,34 @@
         driver.scheduler.compute_load(driver.now)._replace(**fields), 100.0)
 
 
+class LimitedWorkersTest(unittest.TestCase):
+    """Tests steps with a limit of tasks per worker."""
+
+    def test_group_whose_workers_with_room_may_be_at_the_limit(self):
+        """Guards against a move to a group that cannot take the task.
+
+        `n2` has the most room, on the worker that runs a task of the step.
+        """
+        step = test_lasting.build_service_step(3,
+                                               cpu_millis=2000,
+                                               max_tasks_per_worker=1)
+        job = builders.build_job(JOB_IDS[0], step)
+        small = {"cpu_millis": 500}
+        for workers, assignment, group in ((({}, small), ("n1", "n2", "n1"),
+                                            "n3"), (({}, {}), ("n1", "n2",
+                                                               "n1"), "n2"),
+                                           (({}, small), ("n1", "n1", "n1"),
+                                            "n2")):
+            with self.subTest((workers, assignment)):
+                reports = {
+                    "n2": build_report(*workers),
+                    "n3": build_report({"cpu_millis": 3000})
+                }
+                self.assertEqual(
+                    dispatch.choose_fallback_group(job, assignment, "n1",
+                                                   reports, 100.0).group, group)
+
+
 class SharedRoomTest(unittest.TestCase):
     """Tests long-running tasks of several jobs that wait in a full group."""
 
