--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -308,6 +308,9 @@
             run.phase = _task_runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
+            if active_run.task.job_id in self.jobs:
+                self.jobs[active_run.task.job_id].get_step(
+                    active_run.task).mark_confirmed(run)
         # The worker may have executed an order without reply late, or only a
         # repeated one, so the age of the first order is no proof.
         running_since = (run.confirmed_at if run.phase
@@ -356,6 +359,7 @@
         run.confirmed_at = now
         run.throttle_percent = -1  # Unknown until a throttle order succeeds.
         self.crashes.adopt_run(job, run)
+        step_run.mark_confirmed(run)
         step_run.waiting_indexes.discard(task.index)
         step_run.active_runs[task.index] = run
         worker.runs[(task, run_number)] = run
@@ -400,6 +404,7 @@
         job = self.jobs.get(run.task.job_id)
         if job is not None:
             job.apply_end(run, cause, run.checkpoint)
+            job.get_step(run.task).avoid_worker(run, now)
             self.crashes.apply_end(run, cause, evidence, now)
 
     def _end_lost_runs(self, worker: _workers.WorkerState, is_replaced: bool,
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -10,6 +10,7 @@
 from gentianlead import model
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _placement
+from gentianlead.dispatch import _rooms
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _workers
@@ -48,32 +49,6 @@
     cpu_millis: int
 
 
-class WorkerRoom(NamedTuple):
-    """Capacity of one worker that a task may use.
-
-    Attributes:
-        cpu_millis: CPU in thousandths of a core.
-        memory_mib: Memory in MiB.
-        accelerators: Number of accelerators.
-        labels: Labels of the worker, sorted.
-        service: Service of the worker.
-    """
-
-    cpu_millis: int
-    memory_mib: int
-    accelerators: int
-    labels: tuple[str, ...]
-    service: str = ""
-
-    def has_room_for(self, step: model.Step, service: str) -> bool:
-        """Returns whether a task of a service fits that is not best-effort."""
-        return (service == self.service and
-                step.cpu_millis <= self.cpu_millis and
-                step.memory_mib <= self.memory_mib and
-                step.accelerators <= self.accelerators and
-                (not step.required_label or step.required_label in self.labels))
-
-
 class GroupLoad(NamedTuple):
     """Load of a group as its leader reports it.
 
@@ -111,7 +86,9 @@
         image_rooms: Room for best-effort tasks of each image with an estimate,
             and of those without.
         free_rooms: Free capacity of the usable workers that are not on
-            probation, without those whose capacity another one covers.
+            probation and do not keep refusing starts, without those whose
+            capacity `_rooms.MAX_COVERING_ROOMS` others of the same service and
+            labels cover.
         reclaimable_rooms: Capacity of the usable workers that no long-running
             task holds, likewise; also of those on probation.
         probation_rooms: Free capacity of the usable workers on probation, which
@@ -134,10 +111,10 @@
     best_effort_capacity_cpu_millis: int = 0
     largest_reclaimable_cpu_millis: int = 0
     image_rooms: tuple[ImageRoom, ...] = ()
-    free_rooms: tuple[WorkerRoom, ...] = ()
-    reclaimable_rooms: tuple[WorkerRoom, ...] = ()
-    probation_rooms: tuple[WorkerRoom, ...] = ()
-    quarantine_rooms: tuple[WorkerRoom, ...] = ()
+    free_rooms: tuple[_rooms.WorkerRoom, ...] = ()
+    reclaimable_rooms: tuple[_rooms.WorkerRoom, ...] = ()
+    probation_rooms: tuple[_rooms.WorkerRoom, ...] = ()
+    quarantine_rooms: tuple[_rooms.WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -261,7 +238,13 @@
         # The report of a leader that does not list the capacity of workers.
         return (load.largest_free_cpu_millis
                 if load.largest_free_cpu_millis >= step.cpu_millis else -1)
-    return _find_largest_room(load.free_rooms, step, service)
+    return _rooms.find_largest_room(load.free_rooms, step, service)
+
+
+def count_free_rooms(load: GroupLoad, step: model.Step, service: str) -> int:
+    """Returns how many of the listed workers have room for a task at present.
+    """
+    return sum(room.has_room_for(step, service) for room in load.free_rooms)
 
 
 def find_reclaimable_cpu(load: GroupLoad, step: model.Step,
@@ -275,7 +258,7 @@
     if not load.reclaimable_rooms:
         return (load.largest_reclaimable_cpu_millis if
                 load.largest_reclaimable_cpu_millis >= step.cpu_millis else -1)
-    return _find_largest_room(load.reclaimable_rooms, step, service)
+    return _rooms.find_largest_room(load.reclaimable_rooms, step, service)
 
 
 def has_probation_room(load: GroupLoad, step: model.Step, service: str) -> bool:
@@ -284,50 +267,65 @@
     rooms = load.probation_rooms
     if step.is_long_running:
         rooms += load.quarantine_rooms
-    return _find_largest_room(rooms, step, service) >= 0
-
+    return _rooms.find_largest_room(rooms, step, service) >= 0
 
-def _find_largest_room(rooms: tuple[WorkerRoom, ...], step: model.Step,
-                       service: str) -> int:
-    return max(
-        (room.cpu_millis for room in rooms if room.has_room_for(step, service)),
-        default=-1)
 
+def take_rooms(load: GroupLoad, step: model.Step, service: str,
+               task_count: int) -> GroupLoad:
+    """Returns the load of a group without the rooms that tasks will use.
 
-_Resources = tuple[int, int, int]
-"""CPU, memory and accelerators, in the units of `WorkerRoom`."""
+    Each task takes its resources from the worker with the most CPU, as the
+    group's leader may choose any. A worker on probation or in quarantine has no
+    more room then, as it receives one start at a time. Long-running tasks also
+    take up reclaimable room. Of a best-effort task, only memory and
+    accelerators count.
 
-_Rooms = dict[tuple[str, frozenset[str]], list[_Resources]]
-"""Capacity of workers by their service and labels."""
-
-
-def _add_room(rooms: list[_Resources], room: _Resources) -> None:
-    """Adds the room of a worker, without rooms that another one covers."""
-    for other in rooms:
-        if (other[0] >= room[0] and other[1] >= room[1] and
-                other[2] >= room[2]):
-            return
-    rooms[:] = [
-        other for other in rooms
-        if other[0] > room[0] or other[1] > room[1] or other[2] > room[2]
-    ]
-    rooms.append(room)
-
-
-def _add_free_room(rooms_by_kind: _Rooms,
-                   candidate: _placement.Candidate) -> None:
-    if candidate.free_cpu_millis >= 0:
-        entry = candidate.worker.entry
-        _add_room(rooms_by_kind.setdefault((entry.service, entry.labels), []),
-                  (candidate.free_cpu_millis, candidate.free_memory_mib,
-                   candidate.free_accelerators))
-
-
-def _list_rooms(rooms_by_kind: _Rooms) -> tuple[WorkerRoom, ...]:
-    return tuple(
-        WorkerRoom(*room, tuple(sorted(labels)), service)
-        for (service, labels), rooms in rooms_by_kind.items()
-        for room in rooms)
+    Args:
+        load: Load of the group.
+        step: Step of the tasks.
+        service: Service whose workers run them.
+        task_count: Number of tasks; those that fit nowhere take nothing.
+    """
+    if not load.reclaimable_rooms:
+        # The report of a leader that does not list the capacity of workers.
+        if step.is_best_effort:
+            return load
+        cpu_millis = task_count * step.cpu_millis
+        long_running_cpu_millis = cpu_millis if step.is_long_running else 0
+        return load._replace(largest_free_cpu_millis=max(
+            0, load.largest_free_cpu_millis - cpu_millis),
+                             largest_reclaimable_cpu_millis=max(
+                                 0, load.largest_reclaimable_cpu_millis -
+                                 long_running_cpu_millis))
+    free_rooms = load.free_rooms
+    probation_rooms = load.probation_rooms
+    quarantine_rooms = load.quarantine_rooms
+    reclaimable_rooms = load.reclaimable_rooms
+    for _ in range(task_count):
+        number = _rooms.find_room(free_rooms, step, service)
+        if number is not None:
+            free_rooms = _rooms.take_room(free_rooms, number, step)
+        else:
+            number = _rooms.find_room(probation_rooms, step, service)
+            if number is not None:
+                probation_rooms = (probation_rooms[:number] +
+                                   probation_rooms[number + 1:])
+            elif step.is_long_running:
+                number = _rooms.find_room(quarantine_rooms, step, service)
+                if number is not None:
+                    quarantine_rooms = (quarantine_rooms[:number] +
+                                        quarantine_rooms[number + 1:])
+        reclaimable_number = (_rooms.find_room(reclaimable_rooms, step, service)
+                              if step.is_long_running else None)
+        if reclaimable_number is not None:
+            reclaimable_rooms = _rooms.take_room(reclaimable_rooms,
+                                                 reclaimable_number, step)
+        if number is None and reclaimable_number is None:
+            break
+    return load._replace(free_rooms=free_rooms,
+                         probation_rooms=probation_rooms,
+                         quarantine_rooms=quarantine_rooms,
+                         reclaimable_rooms=reclaimable_rooms)
 
 
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
@@ -405,13 +403,14 @@
     image_capacities = dict.fromkeys(interference.list_best_effort_images(), 0)
     image_rooms = dict.fromkeys([*image_capacities, ""], 0)
     labels: set[str] = set()
-    free_rooms: _Rooms = {}
-    reclaimable_rooms: _Rooms = {}
-    probation_rooms: _Rooms = {}
-    quarantine_rooms: _Rooms = {}
+    free_rooms: _rooms.RoomsByKind = {}
+    reclaimable_rooms: _rooms.RoomsByKind = {}
+    probation_rooms: _rooms.RoomsByKind = {}
+    quarantine_rooms: _rooms.RoomsByKind = {}
     for worker in workers:
         if worker.may_be_tested(now):
-            _add_free_room(quarantine_rooms, _placement.build_candidate(worker))
+            _rooms.add_free_room(quarantine_rooms,
+                                 _placement.build_candidate(worker))
         if worker.can_receive_starts(now):
             load = worker.compute_load()
             worker_count += 1
@@ -421,7 +420,8 @@
             latency_critical_cpu_millis += min(load.latency_critical_cpu_millis,
                                                worker.entry.cpu_millis)
             best_effort_cpu_millis += load.best_effort_cpu_millis
-            if not worker.is_on_probation:
+            has_room = not worker.keeps_refusing(now)
+            if has_room and not worker.is_on_probation:
                 largest_free_cpu_millis = max(
                     largest_free_cpu_millis,
                     worker.entry.cpu_millis - load.reserved_cpu_millis)
@@ -444,20 +444,21 @@
             for image, room_cpu_millis in image_rooms.items():
                 # Interference only lowers the room, so it needs no look if the
                 # spare CPU is not above the room on another worker.
-                if (spare_room_cpu_millis > room_cpu_millis and
+                if (spare_room_cpu_millis > room_cpu_millis and has_room and
                         not worker.is_on_probation):
                     image_rooms[image] = max(
                         room_cpu_millis,
                         _placement.compute_best_effort_room(
                             candidate, image, interference, margins))
-            _add_free_room(
-                probation_rooms if worker.is_on_probation else free_rooms,
-                candidate)
+            if has_room:
+                _rooms.add_free_room(
+                    probation_rooms if worker.is_on_probation else free_rooms,
+                    candidate)
             kind = (worker.entry.service, worker.entry.labels)
-            _add_room(reclaimable_rooms.setdefault(kind, []),
-                      (candidate.reclaimable_cpu_millis,
-                       candidate.reclaimable_memory_mib,
-                       candidate.reclaimable_accelerators))
+            reclaimable_rooms.setdefault(kind, []).append(
+                (candidate.reclaimable_cpu_millis,
+                 candidate.reclaimable_memory_mib,
+                 candidate.reclaimable_accelerators))
             labels |= worker.entry.labels
     short_work = best_effort_work = 0
     for job in jobs:
@@ -481,8 +482,8 @@
         tuple(sorted(labels)), best_effort_capacity_cpu_millis,
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
-        _list_rooms(free_rooms), _list_rooms(reclaimable_rooms),
-        _list_rooms(probation_rooms), _list_rooms(quarantine_rooms))
+        _rooms.list_rooms(free_rooms), _rooms.list_rooms(reclaimable_rooms),
+        _rooms.list_rooms(probation_rooms), _rooms.list_rooms(quarantine_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -25,6 +25,7 @@
         if outcome is ports.StartOutcome.STARTED:
             worker.capacity_refusals = 0
             self.refused_starts.pop(order.task, None)
+            worker.refusals = 0
             if run.phase in (_task_runs.RunPhase.STARTING,
                              _task_runs.RunPhase.UNKNOWN):
                 run.phase = _task_runs.RunPhase.RUNNING
@@ -34,8 +35,10 @@
             job = self.jobs.get(order.task.job_id)
             if job is not None:
                 job.mark_started()
-                job.get_step(order.task).permits.mark_accepted(
-                    worker.worker_id, worker.born_ms, now)
+                step_run = job.get_step(order.task)
+                step_run.mark_confirmed(run)
+                step_run.permits.mark_accepted(worker.worker_id, worker.born_ms,
+                                               now)
             return
         if run.phase is _task_runs.RunPhase.RUNNING:
             return  # A status report has confirmed the run meanwhile.
@@ -75,6 +78,10 @@
             ports.StartOutcome.FENCED:
                 _workers.LONG_REFUSAL_BACKOFF,
         }
+        if outcome not in (ports.StartOutcome.NO_PERMIT,
+                           ports.StartOutcome.OUTDATED_RUN,
+                           ports.StartOutcome.FENCED):
+            worker.record_refusal(now)
         if outcome in backoffs:
             worker.paused_until = max(worker.paused_until,
                                       now + backoffs[outcome].total_seconds())
@@ -96,6 +103,9 @@
                 else:
                     permits.record_demand(now)
             job.apply_end(run, ports.EndCause.STOPPED, run.checkpoint)
+            # A new permit ends the other refusals.
+            if outcome is not ports.StartOutcome.NO_PERMIT:
+                job.get_step(run.task).avoid_worker(run, now)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
                 job.last_run_number += _group_state.RUN_NUMBERS_PER_EPOCH
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -4,6 +4,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _permits
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _refusals
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _task_runs
@@ -39,12 +40,17 @@
             those of a gang have index 0.
         arrived_indexes: Indexes of tasks that moved to this group after its
             leader got the job, so that no former leader has a run of them.
+        refusals: Starts that were not confirmed since the last one that was, by
+            index of the task; only for tasks that wait or start.
+        moved_indexes: Indexes of tasks that another group moved here and that
+            had no start confirmed here since.
     """
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
                  "last_failed_workers", "failed_worker_ids", "unplaced_since",
-                 "reserved_worker", "permits", "suspicions", "arrived_indexes")
+                 "reserved_worker", "permits", "suspicions", "arrived_indexes",
+                 "refusals", "moved_indexes")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -62,6 +68,8 @@
         self.permits = _permits.PermitCache()
         self.suspicions: dict[int, _suspicions.Suspicion] = {}
         self.arrived_indexes: set[int] = set()
+        self.refusals: dict[int, _refusals.Refusals] = {}
+        self.moved_indexes: set[int] = set()
 
     @property
     def is_done(self) -> bool:
@@ -81,6 +89,29 @@
             run_counts[run.worker_id] = run_counts.get(run.worker_id, 0) + 1
         return run_counts
 
+    def find_refused_since(self, now: float) -> float:
+        """Returns since when a waiting task has had no start confirmed.
+
+        Only tasks with a start that was not confirmed count; the result is
+        `now` if there are none.
+        """
+        return min((refusals.since
+                    for index, refusals in self.refusals.items()
+                    if index in self.waiting_indexes),
+                   default=now)
+
+    def avoid_worker(self, run: _task_runs.Run, now: float) -> None:
+        """Lets a task avoid the worker of a run that was not confirmed."""
+        refusals = self.refusals.get(run.task.index)
+        if refusals is not None and run.unplaced_since is not None:
+            refusals.add(run.worker_id, now)
+
+    def mark_confirmed(self, run: _task_runs.Run) -> None:
+        """Ends the time without capacity of a task whose worker runs it."""
+        run.unplaced_since = None
+        self.refusals.pop(run.task.index, None)
+        self.moved_indexes.discard(run.task.index)
+
     def compute_remaining_ms(self) -> float:
         """Estimates the remaining duration of the step in milliseconds.
 
@@ -145,6 +176,12 @@
             for task_progress in progress.unfinished_tasks:
                 self._restore_suspicion(task_progress)
         self.update_entry(entry)
+        if entry.assignment_offsets.get(group, -1) > entry.offset:
+            self._mark_all_moved()
+
+    def _mark_all_moved(self) -> None:
+        for step_run in self.steps.values():
+            step_run.moved_indexes |= step_run.waiting_indexes
 
     def update_entry(self, entry: _table.JobEntry) -> None:
         """Applies the newest state of the job in the topic.
@@ -162,6 +199,7 @@
             self.moves_without_start = entry.moves_without_start
             for step_run in self.steps.values():
                 step_run.unplaced_since = None
+                step_run.refusals.clear()
         for group, progress in entry.progress_by_group.items():
             if (group != self.group and
                     progress is not self.entry.progress_by_group.get(group)):
@@ -192,10 +230,17 @@
                 index not in step_run.active_runs and
                 entry.has_task(self.group, step_run.key[1], index)
             }
+            step_run.refusals = {
+                index: refusals
+                for index, refusals in step_run.refusals.items()
+                if entry.has_task(self.group, step_run.key[1], index)
+            }
             if not step_run.waiting_indexes:
                 # Tasks that come back later have not waited since.
                 step_run.unplaced_since = None
                 step_run.reserved_worker = ""
+        if has_returned:
+            self._mark_all_moved()
         if is_cancelled:
             self.set_state(model.JobState.CANCELLED)
         elif entry.state.is_final:
@@ -209,8 +254,10 @@
                 task = (step_run.key[1], index)
                 if not entry.has_task(self.group, *task):
                     step_run.arrived_indexes.discard(index)
+                    step_run.moved_indexes.discard(index)
                 elif not self.entry.has_task(self.group, *task):
                     step_run.arrived_indexes.add(index)
+                    step_run.moved_indexes.add(index)
 
     def _restore_progress(self, progress: _records.ProgressRecord,
                           replaces_checkpoints: bool) -> None:
@@ -452,6 +499,8 @@
         index = run.task.index
         if step_run.active_runs.get(index) is run:
             del step_run.active_runs[index]
+        if cause in (ports.EndCause.DONE, ports.EndCause.FAILED):
+            step_run.mark_confirmed(run)
         if index in step_run.done_indexes:
             return
         if cause is ports.EndCause.DONE and not run.step.is_long_running:
@@ -466,6 +515,12 @@
         if (index not in step_run.active_runs and
                 self.entry.has_task(self.group, run.task.step, index)):
             step_run.waiting_indexes.add(index)
+            if run.unplaced_since is not None:
+                step_run.refusals.setdefault(
+                    index, _refusals.Refusals(run.unplaced_since))
+                step_run.unplaced_since = step_run.find_refused_since(
+                    run.unplaced_since if step_run.unplaced_since is
+                    None else min(run.unplaced_since, step_run.unplaced_since))
 
     def count_failure(self, task: model.TaskKey, run_number: int) -> None:
         """Counts a failed run unless it was counted before.
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -35,6 +35,13 @@
 unhealthy or was replaced, or because the order is invalid or has an outdated
 fencing token."""
 
+REFUSALS_TO_HIDE_ROOM = 2
+HIDDEN_ROOM_DURATION = datetime.timedelta(seconds=4)
+"""After `REFUSALS_TO_HIDE_ROOM` refusals in a row, the room of a worker is left
+out of load reports for `HIDDEN_ROOM_DURATION` after each refusal: other groups
+would send it tasks that it refuses. The time covers the longest pause and the
+next attempt."""
+
 QUARANTINE_DURATION = datetime.timedelta(seconds=3)
 """Time for which a worker gets no starts after it failed
 `FAILURES_TO_QUARANTINE` runs in a row; then single runs test whether it is
@@ -184,6 +191,10 @@
         tested_at: Time at which such a task was last started there.
         capacity_refusals: Number of pauses since the worker last accepted a
             start that began when it refused one for lack of capacity.
+        refusals: Number of refusals since the worker last accepted a start,
+            for lack of capacity or because it cannot take orders; several
+            starts that are refused at once count as one refusal.
+        refused_at: Time of the last of them; 0 before the first one.
         failures: Failed runs since the last successful one.
         duration_ratio: Moving average of the ratio of actual to estimated run
             duration.
@@ -220,6 +231,8 @@
         self.quarantined_until = 0.0
         self.tested_at = float("-inf")
         self.capacity_refusals = 0
+        self.refusals = 0
+        self.refused_at = 0.0
         self.failures = _failures.FailureStreak()
         self.duration_ratio = 1.0
         self.throttles: dict[str, int] = {}
@@ -344,6 +357,7 @@
         self.born_ms = born_ms
         self.unknown_runs.clear()
         self.capacity_refusals = 0
+        self.refusals = 0
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
         self.failures.clear()
@@ -395,6 +409,17 @@
         """Returns whether start orders may be sent to the worker now."""
         return self.find_start_obstacle(now) is None
 
+    def record_refusal(self, now: float) -> None:
+        """Counts a refusal; the caller has not begun its pause yet."""
+        if now >= self.paused_until:
+            self.refusals += 1
+        self.refused_at = now
+
+    def keeps_refusing(self, now: float) -> bool:
+        """Returns whether the worker is expected to refuse the next start."""
+        return (self.refusals >= REFUSALS_TO_HIDE_ROOM and
+                now - self.refused_at < HIDDEN_ROOM_DURATION.total_seconds())
+
     def may_be_tested(self, now: float) -> bool:
         """Returns whether a long-running task may end a quarantine early.
 
