End runs that a worker cannot have started any more

Callers could see a long-running task without a run for good, beside free capacity and with the same leader all the while: its start order and all stop orders had no reply, while its worker went on replying to status calls. A new leader, or the loss of the worker, ended the wait. No line told about it, as the task counted as started.

Cause: a run whose start order has no conclusive reply (RunPhase.UNKNOWN) ended only by an accepted stop order, a report of the run or its end, a new instance, or an expired lease of an unreachable worker. Status calls renew the lease, and a worker that never got the start has no end to report. The class: a state that only an event ends that need not come.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -8,6 +8,7 @@
   status call that was sent later lists all ends but not the run.
 - The worker was replaced by a new instance.
 - The worker is unreachable and its lease has expired.
+- Its last start order is too old, and a later status report lists it nowhere.
 """
 
 import datetime
@@ -308,9 +309,8 @@
             run.phase = _task_runs.RunPhase.RUNNING
             run.start_attempts = 0
             run.confirmed_at = now
-            if active_run.task.job_id in self.jobs:
-                self.jobs[active_run.task.job_id].get_step(
-                    active_run.task).mark_confirmed(run)
+            if job := self.jobs.get(active_run.task.job_id):
+                job.get_step(active_run.task).mark_confirmed(run)
         # The worker may have executed an order without reply late, or only a
         # repeated one, so the age of the first order is no proof.
         running_since = (run.confirmed_at if run.phase
@@ -377,13 +377,13 @@
     def _end_vanished_runs(self, worker: _workers.WorkerState,
                            reported_runs: set, sent_at: float,
                            now: float) -> None:
+        longest_lease_s = _workers.compute_longest_lease_s(self.timings.lease)
         for run_key, run in list(worker.runs.items()):
-            if (run_key in reported_runs or run.confirmed_at is None or
-                    run.confirmed_at > sent_at or
-                    run.phase in (_task_runs.RunPhase.STARTING,
-                                  _task_runs.RunPhase.UNKNOWN)):
-                continue
-            self.end_run(worker, run, None, now)
+            if run_key not in reported_runs and run.has_vanished(
+                    sent_at, longest_lease_s):
+                if run.phase is _task_runs.RunPhase.UNKNOWN:
+                    worker.pause(_workers.LONG_REFUSAL_BACKOFF, now)
+                self.end_run(worker, run, None, now)
 
     def end_run(self, worker: _workers.WorkerState, run: _task_runs.Run,
                 evidence: _suspicions.CrashEvidence | None, now: float) -> None:
