Take back the count of hopeless steps, and fix what a review of the joined code found

The false quarantines stay open. - Reports have no new field: daemons of the version before read none of them with it. The room in quarantine is listed with that of workers on probation, also for short tasks, which then wait for its end. - A run that vanished or was lost with its worker set the time without capacity of its step back, so its task moved away beside a free worker of its own group (test_start_elsewhere checks that now). - A test of a worker in quarantine starts only after 1 s without capacity; with three or more failing workers the wait before a move would begin anew with each. - A start that was not sent is no refusal of its worker. - The waiting steps are listed a second time only if a worker may be tested; best-effort tasks that need neither memory nor accelerators take no room.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -16,7 +16,6 @@
 
 from gentianlead import model
 from gentianlead import ports
-from gentianlead.dispatch import _blame
 from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _orders
@@ -291,7 +290,7 @@
             if not run.step.is_best_effort:
                 worker.record_duration(duration_s, run.step.estimate_ms)
         elif ended_run.cause is ports.EndCause.FAILED:
-            _blame.record_failure(self.workers, worker, run, job, now)
+            worker.record_result(False, now)
         if job is not None:
             job.apply_end(run, ended_run.cause, ended_run.checkpoint or
                           run.checkpoint)
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -92,10 +92,8 @@
         reclaimable_rooms: Capacity of the usable workers that no long-running
             task holds, likewise; also of those on probation.
         probation_rooms: Free capacity of the usable workers on probation, which
-            receive one start at a time and may fail it, likewise.
-        quarantine_rooms: Free capacity of the workers in quarantine, which only
-            long-running tasks may test, one at a time, likewise. Reports of
-            older daemons lack it.
+            receive one start at a time and may fail it, likewise; also of those
+            in quarantine that a long-running task may test.
     """
 
     is_usable: bool
@@ -114,7 +112,6 @@
     free_rooms: tuple[_rooms.WorkerRoom, ...] = ()
     reclaimable_rooms: tuple[_rooms.WorkerRoom, ...] = ()
     probation_rooms: tuple[_rooms.WorkerRoom, ...] = ()
-    quarantine_rooms: tuple[_rooms.WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -262,12 +259,8 @@
 
 
 def has_probation_room(load: GroupLoad, step: model.Step, service: str) -> bool:
-    """Returns whether a task may test a worker on probation or in quarantine.
-    """
-    rooms = load.probation_rooms
-    if step.is_long_running:
-        rooms += load.quarantine_rooms
-    return _rooms.find_largest_room(rooms, step, service) >= 0
+    """Returns whether a task of a step may test a worker on probation."""
+    return _rooms.find_largest_room(load.probation_rooms, step, service) >= 0
 
 
 def take_rooms(load: GroupLoad, step: model.Step, service: str,
@@ -275,9 +268,9 @@
     """Returns the load of a group without the rooms that tasks will use.
 
     Each task takes its resources from the worker with the most CPU, as the
-    group's leader may choose any. A worker on probation or in quarantine has no
-    more room then, as it receives one start at a time. Long-running tasks also
-    take up reclaimable room. Of a best-effort task, only memory and
+    group's leader may choose any. A worker on probation has no more room then,
+    as it receives one start at a time. Long-running tasks also take up
+    reclaimable room. Of a best-effort task, only memory and
     accelerators count.
 
     Args:
@@ -297,9 +290,10 @@
                              largest_reclaimable_cpu_millis=max(
                                  0, load.largest_reclaimable_cpu_millis -
                                  long_running_cpu_millis))
+    if step.is_best_effort and not (step.memory_mib or step.accelerators):
+        return load
     free_rooms = load.free_rooms
     probation_rooms = load.probation_rooms
-    quarantine_rooms = load.quarantine_rooms
     reclaimable_rooms = load.reclaimable_rooms
     for _ in range(task_count):
         number = _rooms.find_room(free_rooms, step, service)
@@ -310,11 +304,6 @@
             if number is not None:
                 probation_rooms = (probation_rooms[:number] +
                                    probation_rooms[number + 1:])
-            elif step.is_long_running:
-                number = _rooms.find_room(quarantine_rooms, step, service)
-                if number is not None:
-                    quarantine_rooms = (quarantine_rooms[:number] +
-                                        quarantine_rooms[number + 1:])
         reclaimable_number = (_rooms.find_room(reclaimable_rooms, step, service)
                               if step.is_long_running else None)
         if reclaimable_number is not None:
@@ -324,7 +313,6 @@
             break
     return load._replace(free_rooms=free_rooms,
                          probation_rooms=probation_rooms,
-                         quarantine_rooms=quarantine_rooms,
                          reclaimable_rooms=reclaimable_rooms)
 
 
@@ -406,10 +394,9 @@
     free_rooms: _rooms.RoomsByKind = {}
     reclaimable_rooms: _rooms.RoomsByKind = {}
     probation_rooms: _rooms.RoomsByKind = {}
-    quarantine_rooms: _rooms.RoomsByKind = {}
     for worker in workers:
         if worker.may_be_tested(now):
-            _rooms.add_free_room(quarantine_rooms,
+            _rooms.add_free_room(probation_rooms,
                                  _placement.build_candidate(worker))
         if worker.can_receive_starts(now):
             load = worker.compute_load()
@@ -483,7 +470,7 @@
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
         _rooms.list_rooms(free_rooms), _rooms.list_rooms(reclaimable_rooms),
-        _rooms.list_rooms(probation_rooms), _rooms.list_rooms(quarantine_rooms))
+        _rooms.list_rooms(probation_rooms))
 
 
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -82,6 +82,7 @@
         }
         if outcome not in (ports.StartOutcome.NO_PERMIT,
                            ports.StartOutcome.OUTDATED_RUN,
+                           ports.StartOutcome.LEASE_ALREADY_EXPIRED,
                            ports.StartOutcome.FENCED):
             worker.record_refusal(now)
         if outcome in backoffs:
--- a/src/gentianlead/dispatch/_quarantine.py
+++ b/src/gentianlead/dispatch/_quarantine.py
@@ -5,15 +5,22 @@
 nothing there.
 """
 
+import datetime
 from typing import Callable
 
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
+from gentianlead.dispatch import _probation
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _step_priority
 from gentianlead.dispatch import _workers
 
+MIN_UNPLACED_TIME = datetime.timedelta(seconds=1)
+"""Time without capacity after which a task may test a worker. Tasks that may
+move to a group with room have begun to do so by then; a test that fails would
+begin their wait anew."""
+
 StartTask = Callable[[
     _runs.JobRun, _runs.StepRun, int, _workers.WorkerState, list[_orders.
                                                                  Order], float
@@ -35,12 +42,13 @@
         self._state = state
         self._start_task = start_task
 
-    def plan(self, steps: list[_step_priority.WaitingStep],
+    def plan(self, list_steps: Callable[[], list[_step_priority.WaitingStep]],
              orders: list[_orders.Order], now: float) -> None:
         """Starts at most one task on each worker that may be tested.
 
         Args:
-            steps: Steps with tasks that may start, the most urgent first.
+            list_steps: Returns the steps with tasks that may start, the most
+                urgent first.
             orders: Receives the start orders.
             now: Present monotonic time in seconds.
         """
@@ -48,12 +56,14 @@
             _placement.build_candidate(worker)
             for worker in self._state.workers.values()
             if worker.may_be_tested(now) and
+            not _probation.has_probation(worker) and
             (worker.enforces_capacity or self._state.is_registry_current)
         ]
-        for job, step_run in steps:
-            if not candidates:
-                return
-            if (step_run.unplaced_since is None or
+        if not candidates:
+            return
+        for job, step_run in list_steps():
+            if (step_run.unplaced_since is None or now - step_run.unplaced_since
+                    < MIN_UNPLACED_TIME.total_seconds() or
                     not step_run.step.is_long_running or step_run.step.is_gang):
                 continue
             index = next(
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -28,7 +28,6 @@
             deleted when the task is done.
         last_failed_workers: Worker on which the task failed or stood still
             last, or that did not answer its start, by index of the task.
-        failed_worker_ids: Workers on which tasks failed while none was done.
         unplaced_since: Monotonic time in seconds since which tasks wait because
             no worker that may run them has capacity; None if no task waits for
             that reason.
@@ -48,9 +47,9 @@
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
-                 "last_failed_workers", "failed_worker_ids", "unplaced_since",
-                 "reserved_worker", "permits", "suspicions", "arrived_indexes",
-                 "refusals", "moved_indexes")
+                 "last_failed_workers", "unplaced_since", "reserved_worker",
+                 "permits", "suspicions", "arrived_indexes", "refusals",
+                 "moved_indexes")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -62,7 +61,6 @@
         self.failed_runs: dict[int, set[int]] = {}
         self.checkpoints: dict[int, str] = {}
         self.last_failed_workers: dict[int, str] = {}
-        self.failed_worker_ids: set[str] = set()
         self.unplaced_since: float | None = None
         self.reserved_worker = ""
         self.permits = _permits.PermitCache()
@@ -520,9 +518,10 @@
             if run.unplaced_since is not None:
                 step_run.refusals.setdefault(
                     index, _refusals.Refusals(run.unplaced_since))
-                step_run.unplaced_since = step_run.find_refused_since(
-                    run.unplaced_since if step_run.unplaced_since is
-                    None else min(run.unplaced_since, step_run.unplaced_since))
+                if cause is not ports.EndCause.LEASE_EXPIRED:
+                    step_run.unplaced_since = step_run.find_refused_since(
+                        run.unplaced_since if step_run.unplaced_since is None
+                        else min(run.unplaced_since, step_run.unplaced_since))
 
     def count_failure(self, task: model.TaskKey, run_number: int) -> None:
         """Counts a failed run unless it was counted before.
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -75,7 +75,7 @@
         self._plan_starts(orders, now, now_ms)
         if not self._state.is_evacuated:
             self._quarantine_tester.plan(
-                self._list_startable_steps(now, now_ms), orders, now)
+                lambda: self._list_startable_steps(now, now_ms), orders, now)
 
     def _plan_starts(self, orders: list[_orders.Order], now: float,
                      now_ms: int) -> None:
--- a/src/gentianlead/dispatch/_task_runs.py
+++ b/src/gentianlead/dispatch/_task_runs.py
@@ -8,10 +8,10 @@
 from gentianlead.dispatch import _order_retries
 
 MAX_ORDER_DELAY = datetime.timedelta(seconds=15)
-"""Time after which an order without a reply is certainly not carried out any
-more. The platform speaks of seconds, and workers that were slow to carry out
-orders did so after up to 12 s. A worker may count the lease of such an order
-from its arrival, so the end of the lease alone is no proof."""
+"""Time after which an order without a reply counts as one that is not carried
+out any more. The platform speaks of seconds, and workers that were slow to
+carry out orders did so after up to 12 s. A worker may count the lease of such
+an order from its arrival, so the end of the lease alone is no proof."""
 
 
 class RunPhase(enum.Enum):
@@ -126,8 +126,7 @@
         """
         if self.phase is RunPhase.UNKNOWN:
             # A worker that replies to status calls, but to no order, would keep
-            # the task from starting elsewhere. It refuses late orders whose
-            # lease has expired.
+            # the task from starting elsewhere.
             longest_delay_s = max(longest_lease_s,
                                   MAX_ORDER_DELAY.total_seconds())
             return (self.unanswered_at is not None and
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -6,7 +6,6 @@
 
 from gentianlead import model
 from gentianlead import ports
-from gentianlead.dispatch import _failures
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _order_retries
 from gentianlead.dispatch import _task_runs
@@ -197,14 +196,16 @@
             has refused a start.
         quarantined_until: Time before which only a long-running task that fits
             nowhere else is started on the worker.
-        tested_at: Time at which such a task was last started there.
+        tested_at: Time at which a long-running task was last started there
+            during a quarantine.
         capacity_refusals: Number of pauses since the worker last accepted a
             start that began when it refused one for lack of capacity.
         refusals: Number of refusals since the worker last accepted a start,
             for lack of capacity or because it cannot take orders; several
             starts that are refused at once count as one refusal.
         refused_at: Time of the last of them; 0 before the first one.
-        failures: Failed runs since the last successful one.
+        consecutive_failures: Number of failed runs since the last successful
+            one.
         duration_ratio: Moving average of the ratio of actual to estimated run
             duration.
         throttles: Share of their full speed, in percent, that best-effort tasks
@@ -242,7 +243,7 @@
         self.capacity_refusals = 0
         self.refusals = 0
         self.refused_at = 0.0
-        self.failures = _failures.FailureStreak()
+        self.consecutive_failures = 0
         self.duration_ratio = 1.0
         self.throttles: dict[str, int] = {}
         self.throttle_changed_at: dict[str, float] = {}
@@ -273,7 +274,7 @@
     @property
     def is_on_probation(self) -> bool:
         """Whether no run has succeeded since the failures of a quarantine."""
-        return self.failures.count >= FAILURES_TO_QUARANTINE
+        return self.consecutive_failures >= FAILURES_TO_QUARANTINE
 
     @property
     def may_exceed_capacity(self) -> bool:
@@ -369,7 +370,7 @@
         self.refusals = 0
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
-        self.failures.clear()
+        self.consecutive_failures = 0
         self.quarantined_until = 0.0
         self.duration_ratio = 1.0
         self.throttles.clear()
@@ -432,10 +433,12 @@
     def may_be_tested(self, now: float) -> bool:
         """Returns whether a long-running task may end a quarantine early.
 
-        Nothing but the quarantine keeps the worker from receiving starts, and
-        it received no such task within `PROBE_INTERVAL`.
+        Nothing but the quarantine keeps the worker from receiving starts, it
+        does not keep refusing them, and it received no long-running task as a
+        test within `PROBE_INTERVAL`.
         """
         return (now - self.tested_at >= PROBE_INTERVAL.total_seconds() and
+                not self.keeps_refusing(now) and
                 self.find_start_obstacle(now) is StartObstacle.QUARANTINED)
 
     def pause(self, duration: datetime.timedelta, now: float) -> None:
@@ -456,41 +459,23 @@
         self.capacity_refusals += 1
         self.paused_until = now + backoff.total_seconds()
 
-    def record_result(self,
-                      has_succeeded: bool,
-                      now: float,
-                      task: model.TaskKey | None = None) -> None:
-        """Counts failed runs in a row, and starts a quarantine if needed.
+    def record_result(self, has_succeeded: bool, now: float) -> None:
+        """Counts consecutive failed runs, and starts a quarantine if needed.
 
         A run succeeds when it ends as done, or when its long-running task
         becomes ready.
 
         Each failed run from number `FAILURES_TO_QUARANTINE` on in a row starts
         a quarantine; a successful run resets the count and ends it.
-
-        Args:
-            has_succeeded: Whether the run has succeeded.
-            now: Present monotonic time in seconds.
-            task: Task of a failed run that `excuse_failures` may name later.
         """
         if has_succeeded:
-            self.failures.clear()
+            self.consecutive_failures = 0
             self.quarantined_until = 0.0
             return
-        self.failures.add(None if task is
-                          None else _failures.get_step_key(task))
-        if self.is_on_probation:
+        self.consecutive_failures += 1
+        if self.consecutive_failures >= FAILURES_TO_QUARANTINE:
             self.quarantined_until = now + QUARANTINE_DURATION.total_seconds()
 
-    def excuse_failures(self, task: model.TaskKey) -> None:
-        """Counts the failed runs of a task's step as one, as it is hopeless.
-
-        Ends a quarantine that began because of them.
-        """
-        self.failures.mark_hopeless(_failures.get_step_key(task))
-        if not self.is_on_probation:
-            self.quarantined_until = 0.0
-
     def record_duration(self, duration_s: float, estimate_ms: int) -> None:
         """Updates the average ratio of actual to estimated run duration.
 
--- a/src/gentianlead/dispatch/tests/test_unanswered_starts.py
+++ b/src/gentianlead/dispatch/tests/test_unanswered_starts.py
@@ -38,6 +38,9 @@
                                     running=(builders.build_active_run(
                                         first_order, 100),) if is_listed else
                                     ())
+            # Moves are planned before starts, and another worker is free.
+            self.assertEqual(driver.scheduler.list_unplaced_steps(driver.now),
+                             [])
             for order in driver.plan():
                 if isinstance(order, dispatch.StopOrder):
                     driver.scheduler.apply_stop_reply(order, False, driver.now)
