Acknowledge no run ends to a worker until it is reached again

Callers could have a task run again after it was done (TWICE).

The cause: the number in a status call belongs to an instance, and the call goes to whichever has the identifier.

A status call to a worker that counts as unreachable acknowledges nothing now; a restart breaks the connection, so the call before it has failed. A worker of the same instance loses nothing by it, as it has forgotten those ends.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -543,7 +543,7 @@
         reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
         try:
             status = await self._worker_client.poll_status(
-                worker.entry, self.epoch, worker.last_stored_end_number,
+                worker.entry, self.epoch, worker.acknowledged_end_number,
                 expires_at_ms, status_wait, reply_timeout)
         except errors.WorkerError as error:
             now = self._clock.monotonic()
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -262,6 +262,16 @@
         """Identifier of the worker."""
         return self.entry.worker_id
 
+    @property
+    def acknowledged_end_number(self) -> int:
+        """Number up to which the next status call acknowledges run ends.
+
+        It is 0 while the worker is unreachable: another instance may reply
+        under the same identifier, which numbers its run ends anew and would
+        forget those that this leader has not seen.
+        """
+        return self.last_stored_end_number if self.is_reachable else 0
+
     @property
     def latency_critical_images(self) -> set[str]:
         """Images of latency-critical tasks that run or start here."""
--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -209,7 +209,7 @@
         expiry_ms = None
         if worker.born_ms and worker.is_reachable and may_start:
             expiry_ms = worker.extend_lease(sent_at, self.lease)
-        acknowledged_number = worker.last_stored_end_number
+        acknowledged_number = worker.acknowledged_end_number
         self._polls[worker_id] = float("inf")
 
         def apply(status: ports.WorkerStatus) -> None:
--- a/src/gentianlead/dispatch/tests/test_troubled_fleets.py
+++ b/src/gentianlead/dispatch/tests/test_troubled_fleets.py
@@ -19,10 +19,12 @@
 with drift (5.8 s) of a worker that is gone, and a move or a queue of suspects
 (2 s)."""
 
-UNANSWERED_DAYS = ((13, ()), (33, ()), (3001, ("deaf", "drain", "loss",
-                                               "reload")))
+UNANSWERED_DAYS = ((13, ()), (33, ()), (4308, ()), (3001, ("deaf", "drain",
+                                                           "loss", "reload")))
 """Days on which a worker replies to status calls only, also after the troubles.
-A leader waited for good for the end of a run that it had never started."""
+A leader waited for good for the end of a run that it had never started; on day
+4308, a worker that restarted under its identifier forgot that a task was done.
+"""
 
 MAX_UNANSWERED_WAIT_S = _task_runs.MAX_ORDER_DELAY.total_seconds() + 2.0
 """Replaces `MAX_WAIT_S` on these days, as no reply tells of the end."""
