Limit how long long-running suspects queue for a probation

Callers could see long-running tasks without a run beside free capacity for seconds after the troubles had ended: of a burst of tasks that lost two workers each right after their starts, one after the other ran again.

Cause: after a second crash without strong evidence, a long-running task starts only on a worker that is kept for it, and a group keeps one worker of three, at least one, and starts one probation each 0.4 s. So the wait grows with the number of suspects, and as the queue does not count as a lack of capacity, no task moves either.

The new test: twelve suspects in a group of four free workers, 6.7 s before.

Change: a long-running suspect that has waited 2 s for its probation starts like other tasks, with its start stored ahead as before, unless there is strong evidence or one more crash would give it up. The crashes that give up a task are the same.

Gangs still queue.

--- a/src/gentianlead/dispatch/_probation.py
+++ b/src/gentianlead/dispatch/_probation.py
@@ -32,6 +32,13 @@
 Otherwise suspects that do not fit would keep all others from starting for as
 long as the tasks on the kept workers run."""
 
+MAX_LONG_RUNNING_WAIT = datetime.timedelta(seconds=2)
+"""Time after which a long-running suspect no longer waits for its probation, if
+`Suspicion.may_start_beside_others` holds. One suspect after the other starts on
+probation, at about one a second in a small group. All long-running tasks that
+were lost twice right after their starts would queue without a run, beside free
+capacity."""
+
 
 class _Lapse(NamedTuple):
     """Releases of workers that were kept for a suspect in vain.
@@ -69,6 +76,8 @@
         self._preparations: dict[model.TaskKey, tuple[str, float]] = {}
         self._kept_candidates: dict[str, _placement.Candidate] = {}
         self._lapses: dict[model.TaskKey, _Lapse] = {}
+        # Time since which each suspect has waited for its probation.
+        self._waiting_since: dict[model.TaskKey, float] = {}
         self._free_slots = 0
         # Whether a suspect found all workers in use that may be kept.
         self._has_refused = False
@@ -83,6 +92,11 @@
         """Removes the workers that are kept for suspects from `candidates`."""
         self._kept_candidates.clear()
         self._is_next_start_claimed = False
+        self._waiting_since = {
+            task: since
+            for task, since in self._waiting_since.items()
+            if self._is_waiting(task)
+        }
         used_slots = 0
         for worker in self._state.workers.values():
             if has_probation(worker):
@@ -93,7 +107,8 @@
             if is_overdue and self._has_refused:
                 self._add_lapse(task, now)
             if (is_overdue or worker_id not in candidates or
-                    not self._is_waiting(task)):
+                    not self._is_waiting(task) or
+                    self._has_waited_too_long(task, now)):
                 del self._preparations[task]
         for worker_id, _ in self._preparations.values():
             if worker_id in candidates:
@@ -122,6 +137,31 @@
             return False
         return task.index in job.get_step(task).waiting_indexes
 
+    def _has_waited_too_long(self, task: model.TaskKey, now: float) -> bool:
+        step_run = self._state.jobs[task.job_id].get_step(task)
+        waited_s = now - self._waiting_since.get(task, now)
+        return (step_run.step.is_long_running and
+                waited_s >= MAX_LONG_RUNNING_WAIT.total_seconds() and
+                step_run.suspicions[task.index].may_start_beside_others)
+
+    def list_suspects(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                      now: float) -> list[int]:
+        """Returns the tasks of a step that may only start on probation.
+
+        These are indexes of tasks that may start now, sorted. A long-running
+        task that has waited too long for its probation is left out.
+
+        Args:
+            job: The job.
+            step_run: The step, which is no gang.
+            now: Present monotonic time in seconds.
+        """
+        return [
+            index for index in job.list_startable_indexes(step_run) if
+            step_run.needs_probation(index) and not self._has_waited_too_long(
+                model.TaskKey(job.job.job_id, *step_run.key, index), now)
+        ]
+
     def list_kept_candidates(
             self, job: _runs.JobRun,
             step_run: _runs.StepRun) -> list[_placement.Candidate]:
@@ -153,6 +193,7 @@
             fits: Returns whether the task may start on a worker now.
             now: Present monotonic time in seconds.
         """
+        self._waiting_since.setdefault(task, now)
         if task not in self._preparations:
             lapse = self._lapses.get(task)
             has_lapsed = lapse is not None and now < lapse.ends_at
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -285,7 +285,8 @@
             return self._start_gang(job, step_run, eligible_candidates,
                                     task_counts, candidates, orders, now)
         relaxation = self._choose_relaxation(job, step_run, now)
-        are_suspects_placed = self._start_suspects(job, step_run,
+        suspects = self._probation.list_suspects(job, step_run, now)
+        are_suspects_placed = self._start_suspects(job, step_run, suspects,
                                                    eligible_candidates,
                                                    task_counts, candidates,
                                                    relaxation, orders, now)
@@ -298,17 +299,17 @@
         service_and_image = (service, step.image)
         is_unrelaxed_best_effort = (step.is_best_effort and
                                     relaxation is _placement.Relaxation.NORMAL)
-        if all(
-                map(step_run.needs_probation,
-                    job.list_startable_indexes(step_run))):
+        other_indexes = [
+            index for index in job.list_startable_indexes(step_run)
+            if index not in suspects
+        ]
+        if not other_indexes:
             return are_suspects_placed
         if (is_unrelaxed_best_effort and
                 step.cpu_millis >= self._least_unplaced_cpu_millis.get(
                     service_and_image, step.cpu_millis + 1)):
             return False
-        for index in job.list_startable_indexes(step_run):
-            if step_run.needs_probation(index):
-                continue
+        for index in other_indexes:
             chosen_candidate = _placement.choose_worker(
                 eligible_candidates, step,
                 step_run.last_failed_workers.get(index, ""), task_counts,
@@ -340,6 +341,7 @@
         return are_suspects_placed
 
     def _start_suspects(self, job: _runs.JobRun, step_run: _runs.StepRun,
+                        suspects: list[int],
                         eligible_candidates: list[_placement.Candidate],
                         task_counts: dict[str, int],
                         candidates: dict[str, _placement.Candidate],
@@ -347,15 +349,15 @@
                         orders: list[_orders.Order], now: float) -> bool:
         """Starts waiting tasks that may crash their workers, on probation.
 
-        Removes the workers that are kept for them from `candidates`. Fails the
-        job if a task has to be given up.
+        `suspects` has the indexes of these tasks. Removes the workers that are
+        kept for them from `candidates`. Fails the job if a task has to be given
+        up.
 
         Returns:
             Whether no such task lacks capacity.
         """
         are_all_placed = True
-        for index in filter(step_run.needs_probation,
-                            job.list_startable_indexes(step_run)):
+        for index in suspects:
             task = model.TaskKey(job.job.job_id, *step_run.key, index)
             suspicion = job.get_suspicion(task)
             if self._state.crashes.give_up_if_due(job, task):
--- a/src/gentianlead/dispatch/_suspicions.py
+++ b/src/gentianlead/dispatch/_suspicions.py
@@ -101,6 +101,20 @@
         return any(
             evidence is not CrashEvidence.SHARED for evidence in evidences)
 
+    @property
+    def may_start_beside_others(self) -> bool:
+        """Whether the next start may do without a worker that is kept for it.
+
+        That is so without strong evidence, unless one more crash would suffice
+        to give up the task: it may be due to another task on the same worker.
+        """
+        evidences = [
+            evidence for run, evidence in self.crashes.items()
+            if run != self.claimed_run
+        ]
+        return (len(evidences) < MAX_COUNTED_CRASHES - 1 and
+                CrashEvidence.STRONG not in evidences)
+
     @property
     def should_give_up(self) -> bool:
         """Whether the evidence suffices to give up the task."""
