End runs that a worker cannot have started any more

Callers could see a long-running task without a run for good, beside free capacity and with the same leader all the while: its start order and all stop orders had no reply, while its worker went on replying to status calls. A new leader, or the loss of the worker, ended the wait. No line of the log or metric told about it, as the task counted as started.

Cause: a run whose start order has no conclusive reply (RunPhase.UNKNOWN) ended only by an accepted stop order, a report of the run or its end, a new instance, or an expired lease of an unreachable worker. Status calls renew the lease, and a worker that never got the start has no end to report.

--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -106,6 +106,7 @@
                             run.start_attempts = _group_state.MAX_START_ATTEMPTS
                             continue
                     run.has_pending_order = True
+                    run.unanswered_at = None
                     run.start_attempts += 1
                     orders.append(
                         _orders.StartOrder(
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -8,6 +8,8 @@
   status call that was sent later lists all ends but not the run.
 - The worker was replaced by a new instance.
 - The worker is unreachable and its lease has expired.
+- The lease of its last start order has expired, and the reply to a status call
+  that was sent later lists neither the run nor its end.
 """
 
 import datetime
@@ -368,13 +370,14 @@
     def _end_vanished_runs(self, worker: _workers.WorkerState,
                            reported_runs: set, sent_at: float,
                            now: float) -> None:
+        longest_lease_s = _workers.compute_longest_lease_s(self.timings.lease)
         for run_key, run in list(worker.runs.items()):
-            if (run_key in reported_runs or run.confirmed_at is None or
-                    run.confirmed_at > sent_at or
-                    run.phase in (_task_runs.RunPhase.STARTING,
-                                  _task_runs.RunPhase.UNKNOWN)):
-                continue
-            self.end_run(worker, run, None, now)
+            if (run_key not in reported_runs and
+                    run.has_vanished(sent_at, longest_lease_s)):
+                if run.phase is _task_runs.RunPhase.UNKNOWN:
+                    # Time to find another group if no other worker has room.
+                    worker.pause(_workers.LONG_REFUSAL_BACKOFF, now)
+                self.end_run(worker, run, None, now)
 
     def end_run(self, worker: _workers.WorkerState, run: _task_runs.Run,
                 evidence: _suspicions.CrashEvidence | None, now: float) -> None:
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -40,6 +40,7 @@
             return  # A status report has confirmed the run meanwhile.
         if outcome is ports.StartOutcome.UNKNOWN:
             run.phase = _task_runs.RunPhase.UNKNOWN
+            run.unanswered_at = now
             worker.is_reachable = False
             return
         if (run.start_attempts > 1 and
@@ -47,6 +48,7 @@
             # The worker may execute the run because of an earlier start order,
             # although it refused this one.
             run.phase = _task_runs.RunPhase.UNKNOWN
+            run.unanswered_at = now
             run.start_attempts = max(run.start_attempts,
                                      _group_state.MAX_START_ATTEMPTS)
             return
@@ -75,8 +77,7 @@
                 _workers.LONG_REFUSAL_BACKOFF,
         }
         if outcome in backoffs:
-            worker.paused_until = max(worker.paused_until,
-                                      now + backoffs[outcome].total_seconds())
+            worker.pause(backoffs[outcome], now)
         elif outcome is ports.StartOutcome.NO_FREE_CAPACITY:
             worker.record_capacity_refusal(now)
         worker.runs.pop((run.task, run.number), None)
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -26,7 +26,7 @@
         checkpoints: Newest checkpoint from an ended run, by index of the task;
             deleted when the task is done.
         last_failed_workers: Worker on which the task failed or stood still
-            last, by index of the task.
+            last, or that did not answer its start, by index of the task.
         unplaced_since: Monotonic time in seconds since which tasks wait because
             no worker that may run them has capacity; None if no task waits for
             that reason.
@@ -461,6 +461,8 @@
         if cause is ports.EndCause.FAILED:
             step_run.last_failed_workers[index] = run.worker_id
             self.count_failure(run.task, run.number)
+        if run.phase is _task_runs.RunPhase.UNKNOWN:
+            step_run.last_failed_workers[index] = run.worker_id
         if (index not in step_run.active_runs and
                 self.entry.has_task(self.group, run.task.step, index)):
             step_run.waiting_indexes.add(index)
--- a/src/gentianlead/dispatch/_task_runs.py
+++ b/src/gentianlead/dispatch/_task_runs.py
@@ -37,6 +37,8 @@
         phase: State of the run at the worker.
         start_sent_at: Time of the first start order; for a run that a former
             leader started, time at which this leader took it over.
+        unanswered_at: Time by which the last start order had no conclusive
+            reply; None before that, and while a repeated one awaits its reply.
         confirmed_at: Time at which the worker confirmed the start or accepted a
             stop order; None before that.
         start_attempts: Number of start orders sent; 0 once the start is
@@ -69,11 +71,11 @@
     """
 
     __slots__ = ("task", "step", "number", "worker_id", "phase",
-                 "start_sent_at", "confirmed_at", "start_attempts",
-                 "checkpoint", "progress_percent", "progressed_at",
-                 "latency_ms_or_cpu_millis", "throttle_percent",
-                 "has_pending_order", "stop_retry", "throttle_retry",
-                 "is_proven", "is_on_probation", "is_adopted",
+                 "start_sent_at", "unanswered_at", "confirmed_at",
+                 "start_attempts", "checkpoint", "progress_percent",
+                 "progressed_at", "latency_ms_or_cpu_millis",
+                 "throttle_percent", "has_pending_order", "stop_retry",
+                 "throttle_retry", "is_proven", "is_on_probation", "is_adopted",
                  "may_leave_group", "load_tracker", "over_limit_since")
 
     def __init__(self, task: model.TaskKey, step: model.Step, number: int,
@@ -84,6 +86,7 @@
         self.worker_id = worker_id
         self.phase = RunPhase.STARTING
         self.start_sent_at = now
+        self.unanswered_at: float | None = None
         self.confirmed_at: float | None = None
         self.start_attempts = 0
         self.checkpoint = ""
@@ -100,3 +103,20 @@
         self.may_leave_group = False
         self.load_tracker: _interference.LoadTracker | None = None
         self.over_limit_since: float | None = None
+
+    def has_vanished(self, sent_at: float, longest_lease_s: float) -> bool:
+        """Returns whether the run has ended if a status report lacks it.
+
+        Args:
+            sent_at: Time at which the status call was sent.
+            longest_lease_s: Time in seconds after which the lease of a start
+                order has certainly expired.
+        """
+        if self.phase is RunPhase.UNKNOWN:
+            # A worker that replies to status calls, but to no order, would keep
+            # the task from starting elsewhere. It refuses late orders whose
+            # lease has expired.
+            return (self.unanswered_at is not None and
+                    sent_at >= self.unanswered_at + longest_lease_s)
+        return (self.phase is not RunPhase.STARTING and
+                self.confirmed_at is not None and self.confirmed_at <= sent_at)
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -58,6 +58,15 @@
 """Weight of the newest run in the moving average of the duration ratio."""
 
 
+def compute_longest_lease_s(lease: datetime.timedelta) -> float:
+    """Returns after which time in seconds a new lease has certainly expired.
+
+    The clock of the worker may be slow.
+    """
+    return ((lease.total_seconds() + LEASE_EXPIRY_MARGIN_MS / 1000) /
+            (1 - MAX_RELATIVE_CLOCK_DRIFT))
+
+
 class StartObstacle(enum.Enum):
     """Why a worker may not receive start orders.
 
@@ -381,6 +390,11 @@
         """Returns whether start orders may be sent to the worker now."""
         return self.find_start_obstacle(now) is None
 
+    def pause(self, duration: datetime.timedelta, now: float) -> None:
+        """Lets no run start for at least `duration` from `now`."""
+        self.paused_until = max(self.paused_until,
+                                now + duration.total_seconds())
+
     def record_capacity_refusal(self, now: float) -> None:
         """Begins a pause that is longer after each refusal in a row.
 
