--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -40,21 +40,37 @@
 
 
 class Proxy:
-    """Forwards the channels of one daemon to the store.
+    """Forwards channels to a server: to the store or to a worker.
 
     Attributes:
-        is_cut: Whether nothing is forwarded at all.
-        on_request: Called with the first line of each request.
+        target: Port of the server.
+        port: Port of the proxy.
+        is_cut: Whether nothing is forwarded; what is sent meanwhile arrives
+            after the cut, as on a real network.
+        channels: First line of the last request, by open channel.
+        silent: Channels that are silent for good.
+        last_request_at: Time of the last request, by its first line.
     """
 
     def __init__(self, target):
         self.target = target
         self.port = 0
         self.is_cut = False
-        self.channels = {}  # channel -> first line of the last request
+        self.channels = {}
         self.silent = set()
+        self.last_request_at = {}
+        self._dead = set()
         self._server = None
 
+    def lose_power(self):
+        """Silences all open channels; the server has forgotten them."""
+        self.is_cut = True
+        self._dead.update(self.channels)
+
+    def restore_power(self):
+        """Lets new channels work; data on an old one resets it."""
+        self.is_cut = False
+
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -70,11 +86,14 @@
     async def _serve(self, reader, writer):
         channel = object()
         self.channels[channel] = ""
+        while self.is_cut:
+            await asyncio.sleep(0.02)
         try:
             far_reader, far_writer = await asyncio.open_connection(
                 "127.0.0.1", self.target)
         except OSError:
-            writer.close()
+            self.channels.pop(channel, None)
+            writer.transport.abort()
             return
         pumps = [
             asyncio.create_task(self._pump(channel, reader, far_writer, True)),
@@ -84,21 +103,36 @@
         for pump in pumps:
             pump.cancel()
         for each in (writer, far_writer):
-            each.close()
+            if channel in self._dead:
+                each.transport.abort()
+            else:
+                each.close()
         self.channels.pop(channel, None)
         self.silent.discard(channel)
+        self._dead.discard(channel)
 
     async def _pump(self, channel, reader, writer, is_request):
         while True:
             data = await reader.read(65536)
+            if channel in self._dead:
+                if data and not is_request or not data and not is_request:
+                    # The server has lost its power; its end sends nothing.
+                    await asyncio.Event().wait()
+                while self.is_cut:
+                    await asyncio.sleep(0.02)
+                writer.transport.abort()
+                return
             if not data:
                 return
             if is_request:
                 line = data.split(b"\r\n", 1)[0].decode(errors="replace")
                 if " HTTP/1" in line:
                     self.channels[channel] = line
-            if channel in self.silent or self.is_cut:
+                    self.last_request_at[line] = time.monotonic()
+            if channel in self.silent:
                 continue
+            while self.is_cut:
+                await asyncio.sleep(0.02)
             writer.write(data)
             await writer.drain()
 
@@ -110,7 +144,13 @@
     by `stop`.
     """
 
-    def __init__(self, case_directory, daemons_per_zone=1, workers_per_zone=2):
+    def __init__(self,
+                 case_directory,
+                 daemons_per_zone=1,
+                 workers_per_zone=2,
+                 hold_max_ms=6000,
+                 stop_ms=900,
+                 cut_workers=()):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.case_directory = pathlib.Path(case_directory)
         self.zones = ["zone-a", "zone-b", "zone-c"]
@@ -125,6 +165,10 @@
         self.session = None
         self.daemons_per_zone = daemons_per_zone
         self.workers_per_zone = workers_per_zone
+        self.hold_max_ms = hold_max_ms
+        self.stop_ms = stop_ms
+        self.cut_workers = cut_workers
+        self.worker_proxies = {}
         self.worker_log = self.directory / "workers.jsonl"
         self.worker_log.touch()
         self._log_position = 0
@@ -205,6 +249,10 @@
             for number in range(self.workers_per_zone):
                 name = f"w{number + 1}-{zone}"
                 self.workers[name] = (zone, free_ports(1)[0])
+                if name in self.cut_workers:
+                    proxy = Proxy(self.workers[name][1])
+                    await proxy.start()
+                    self.worker_proxies[name] = proxy
                 self.start_worker(name)
         for zone in self.zones:
             for number in range(self.daemons_per_zone):
@@ -227,7 +275,10 @@
             f"r-{zone}", "--service", SERVICE, "--port",
             str(port), "--store",
             str(self.store_port), "--log",
-            str(self.worker_log)
+            str(self.worker_log), "--hold-max-ms",
+            str(self.hold_max_ms), "--shown-port",
+            str(self.worker_proxies[name].port if name in
+                self.worker_proxies else port)
         ], self._environment())
 
     def kill(self, name):
@@ -282,8 +333,8 @@
 grace_s = 6
 config_apply_ms = 2000
 recovery_s = 12
-hold_max_ms = 6000
-stop_ms = 900
+hold_max_ms = {self.hold_max_ms}
+stop_ms = {self.stop_ms}
 gang_ms = 3000
 cancel_ms = 3000
 visible_ms = 3000
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -194,7 +194,7 @@
         options = self.options
         entry = {
             "service": options.service,
-            "address": f"127.0.0.1:{options.port}",
+            "address": f"127.0.0.1:{options.shown_port or options.port}",
             "zone": options.zone,
             "version": "1",
             "slots": 8,
@@ -229,6 +229,7 @@
         parser.add_argument(f"--{name}", required=True)
     for name in ("port", "store"):
         parser.add_argument(f"--{name}", type=int, required=True)
+    parser.add_argument("--shown-port", type=int, default=0)
     parser.add_argument("--cpu", type=int, default=32000)
     parser.add_argument("--hold-max-ms", type=int, default=6000)
     parser.add_argument("--report-ms", type=int, default=1500)
