--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -50,6 +50,8 @@
         channels: First line of the last request, by open channel.
         silent: Channels that are silent for good.
         last_request_at: Time of the last request, by its first line.
+        bytes_per_s: Rate of the link to the client for all channels together;
+            0 for no limit.
     """
 
     def __init__(self, target):
@@ -59,6 +61,8 @@
         self.channels = {}
         self.silent = set()
         self.last_request_at = {}
+        self.bytes_per_s = 0
+        self._link_free_at = 0.0
         self._dead = set()
         self._server = None
 
@@ -133,6 +137,11 @@
                 continue
             while self.is_cut:
                 await asyncio.sleep(0.02)
+            if self.bytes_per_s and not is_request:
+                self._link_free_at = max(
+                    self._link_free_at,
+                    time.monotonic()) + len(data) / self.bytes_per_s
+                await asyncio.sleep(self._link_free_at - time.monotonic())
             writer.write(data)
             await writer.drain()
 
@@ -150,7 +159,8 @@
                  workers_per_zone=2,
                  hold_max_ms=6000,
                  stop_ms=900,
-                 cut_workers=()):
+                 cut_workers=(),
+                 contact_ms=3000):
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.case_directory = pathlib.Path(case_directory)
         self.zones = ["zone-a", "zone-b", "zone-c"]
@@ -167,6 +177,7 @@
         self.workers_per_zone = workers_per_zone
         self.hold_max_ms = hold_max_ms
         self.stop_ms = stop_ms
+        self.contact_ms = contact_ms
         self.cut_workers = cut_workers
         self.worker_proxies = {}
         self.worker_log = self.directory / "workers.jsonl"
@@ -328,7 +339,7 @@
 link_mbps = 1000.0
 disk_mb = 0
 [bounds]
-contact_ms = 3000
+contact_ms = {self.contact_ms}
 ack_ms = 4000
 grace_s = 6
 config_apply_ms = 2000
@@ -401,12 +412,18 @@
                     pass
                 await asyncio.sleep(0.1)
 
-    async def call(self, name, method, job_id, document=None, wait_ms=3000):
+    async def call(self,
+                   name,
+                   method,
+                   job_id,
+                   document=None,
+                   wait_ms=3000,
+                   is_quiet=False):
         """Calls a daemon as a consumer does; returns status and body."""
         port = self.daemons[name][1][0]
         shown = "" if document is None else f" {json.dumps(document)}"
         is_get = method == "GET"
-        if not is_get:
+        if not is_get and not is_quiet:
             self.record(f"consumer to {name}: {method} {job_id}, waits "
                         f"{wait_ms} ms{shown}")
         status, body = 0, ""
@@ -424,8 +441,9 @@
                 status, body = reply.status, await reply.text()
         except (aiohttp.ClientError, TimeoutError) as error:
             body = repr(error)
-        self.record(f"{name} to consumer: {method} {job_id}: {status} "
-                    f"{body.strip()[:160]}")
+        if not is_quiet:
+            self.record(f"{name} to consumer: {method} {job_id}: {status} "
+                        f"{body.strip()[:160]}")
         return status, body
 
     async def state(self, name, job_id):
