--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -64,6 +64,7 @@
         self.bytes_per_s = 0
         self._link_free_at = 0.0
         self._dead = set()
+        self._waiting = set()
         self._server = None
 
     def lose_power(self):
@@ -80,12 +81,16 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     def silence(self, text):
-        """Silences the open channels whose last request contains a text."""
-        found = [
-            channel for channel, line in self.channels.items() if text in line
-        ]
-        self.silent.update(found)
-        return len(found)
+        """Silences a channel whose request contains a text and has no answer.
+
+        Returns:
+            Whether there is such a channel.
+        """
+        for channel in self._waiting:
+            if text in self.channels[channel]:
+                self.silent.add(channel)
+                return True
+        return False
 
     async def _serve(self, reader, writer):
         channel = object()
@@ -113,13 +118,14 @@
                 each.close()
         self.channels.pop(channel, None)
         self.silent.discard(channel)
+        self._waiting.discard(channel)
         self._dead.discard(channel)
 
     async def _pump(self, channel, reader, writer, is_request):
         while True:
             data = await reader.read(65536)
             if channel in self._dead:
-                if data and not is_request or not data and not is_request:
+                if not is_request:
                     # The server has lost its power; its end sends nothing.
                     await asyncio.Event().wait()
                 while self.is_cut:
@@ -132,7 +138,10 @@
                 line = data.split(b"\r\n", 1)[0].decode(errors="replace")
                 if " HTTP/1" in line:
                     self.channels[channel] = line
+                    self._waiting.add(channel)
                     self.last_request_at[line] = time.monotonic()
+            else:
+                self._waiting.discard(channel)
             if channel in self.silent:
                 continue
             while self.is_cut:
@@ -184,6 +193,7 @@
         self.worker_log.touch()
         self._log_position = 0
         self.events = []
+        self.kills = []
 
     def record(self, text, at=None):
         at = time.monotonic() if at is None else at
@@ -296,6 +306,7 @@
         process = self.processes[name]
         process.send_signal(signal.SIGKILL)
         process.wait()
+        self.kills.append((name, time.monotonic()))
         self.record(f"{name} is killed")
 
     def start_daemon(self, name):
@@ -388,6 +399,14 @@
                 }) as reply:
             reply.raise_for_status()
 
+    async def slow_store(self, factor):
+        """Makes the answers of the store slower by a factor."""
+        async with self.session.post(
+                f"http://127.0.0.1:{self.store_port}/admin/slow",
+                json={"x": factor}) as reply:
+            reply.raise_for_status()
+        self.record(f"answers of the store take {factor} times as long")
+
     async def _wait_for_port(self, port):
         async with asyncio.timeout(20):
             while True:
@@ -478,6 +497,32 @@
             await asyncio.sleep(0.01)
         return None
 
+    def find_double_runs(self):
+        """Returns pairs of runs of one task that were at work at the same time.
+
+        A run ends with the life of its worker.
+        """
+        runs = {}
+        for row in self.events:
+            key = row.get("task"), row.get("run"), row["worker"]
+            if row["event"] == "start":
+                runs[key] = [row["t"], float("inf")]
+            elif row["event"] == "end" and key in runs:
+                runs[key][1] = row["t"]
+        for (_, _, worker), span in runs.items():
+            span[1] = min([span[1]] + [
+                killed_at for killed, killed_at in self.kills
+                if killed == worker and killed_at > span[0]
+            ])
+        pairs = []
+        for first, (began, ended) in runs.items():
+            for second, (other_began, other_ended) in runs.items():
+                if (first[0] == second[0] and first[1] < second[1] and
+                        other_began < ended and began < other_ended):
+                    pairs.append((first, second,
+                                  min(ended, other_ended) - other_began))
+        return pairs
+
     async def stop(self):
         for process in self.all_processes:
             if process.poll() is None:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 ANSWER_S = 0.004
+APPEND_S = 0.002
 PAGE_RECORDS = 500
 KEPT_ANSWERS = 5
 SILENT_REPORTS = 3
@@ -64,6 +65,7 @@
     def __init__(self, report_s):
         self.topics = {}
         self.report_s = report_s
+        self.slowness = 1.0
         self.reports = {}  # worker id -> (entry without sequence, time)
 
     def topic(self, name):
@@ -71,7 +73,13 @@
 
     async def append(self, request):
         body = await request.read()
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep((ANSWER_S / 2 + APPEND_S) * self.slowness)
+        try:
+            return self.store(request, body)
+        finally:
+            await asyncio.sleep(ANSWER_S / 2 * self.slowness)
+
+    def store(self, request, body):
         topic = self.topic(request.query["topic"])
         name = request.query.get("producer")
         epoch = int(request.query.get("epoch", 0))
@@ -113,13 +121,14 @@
         start = int(request.query["from"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
         limit = int(request.query.get("max_kb", 1024)) * 1024
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(ANSWER_S / 2 * self.slowness)
         if start >= len(topic.records) and wait_s:
             try:
                 async with asyncio.timeout(wait_s):
                     await topic.grown.wait()
             except TimeoutError:
                 pass
+        await asyncio.sleep(ANSWER_S / 2 * self.slowness)
         body = struct.pack(">QQ", len(topic.records), 0)
         for key, value in topic.records[start:]:
             record = encode(key, value)
@@ -131,7 +140,7 @@
     async def newest(self, request):
         topic = self.topic(request.query["topic"])
         after = request.query.get("depends_on", "")
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(ANSWER_S * self.slowness)
         rows = [row for row in topic.newest() if row[0] > after]
         return web.json_response({
             "items": [{
@@ -149,6 +158,10 @@
                                                document["value"].encode())])
         return web.json_response({})
 
+    async def slow_down(self, request):
+        self.slowness = (await request.json())["x"]
+        return web.json_response({})
+
     async def report(self, request):
         document = await request.json()
         entry = document["entry"]
@@ -182,6 +195,7 @@
     app.router.add_get("/log-newest", store.newest)
     app.router.add_post("/admin/write", store.write)
     app.router.add_post("/admin/report", store.report)
+    app.router.add_post("/admin/slow", store.slow_down)
     runner = web.AppRunner(app, access_log=None, handle_signals=False)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", options.port).start()
