--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -22,20 +23,30 @@
 PREFIX = "/bundles/"
 SERVICE = "drive-svc"
 LIMIT_S = 110
+PORTS = (12000, 30000)
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+_given_ports = set()
+
+
 class Broken(Exception):
     """The rule was broken."""
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Returns free ports that the system gives to no outgoing connection."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _given_ports:
+            _given_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -108,18 +119,18 @@
             asyncio.create_task(self._pump(channel, reader, far_writer, True)),
             asyncio.create_task(self._pump(channel, far_reader, writer, False))
         ]
-        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
-        for pump in pumps:
-            pump.cancel()
-        for each in (writer, far_writer):
-            if channel in self._dead:
-                each.transport.abort()
-            else:
-                each.close()
-        self.channels.pop(channel, None)
-        self.silent.discard(channel)
-        self._waiting.discard(channel)
-        self._dead.discard(channel)
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            for each in (writer, far_writer):
+                each.transport.abort() if channel in self._dead else each.close(
+                )
+            self.channels.pop(channel, None)
+            self.silent.discard(channel)
+            self._waiting.discard(channel)
+            self._dead.discard(channel)
 
     async def _pump(self, channel, reader, writer, is_request):
         while True:
@@ -389,6 +400,26 @@
                 **environment, "GENTIANLEAD_NODE_FILE": str(path)
             }))
 
+    async def add_daemon(self, name, zone):
+        """Adds a machine with a daemon."""
+        proxy = Proxy(self.store_port)
+        await proxy.start()
+        self.proxies[name] = proxy
+        self.daemons[name] = (zone, free_ports(6))
+        self.start_daemon(name)
+        self.record(f"{name} is added")
+
+    def find_leader(self, zone):
+        """Returns the daemon that said last that it leads a zone's workers."""
+        found = []
+        for name in self.daemons:
+            log = self.directory / f"{name}.log"
+            for line in log.read_text(encoding="utf-8").splitlines():
+                if '"lead-taken"' in line and json.loads(
+                        line)["group"] == zone:
+                    found.append((json.loads(line)["time"], name))
+        return max(found)[1]
+
     async def write_op(self, key, value):
         async with self.session.post(
                 f"http://127.0.0.1:{self.store_port}/admin/write",
