--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,26 +13,28 @@
 SLOW_X = 60
 SLOW_S = 4.5
 PATIENCE_MS = 500
-JOBS = 10
+JOBS = 24
 SPREAD_S = 0.3
 TASK_MS = 20000
-TASK_CPU = 3500
+TASK_CPU = 2100
 WATCH_S = 12
 
 
-async def hand_in(site, name):
+async def hand_in(site):
+    """Hands a job in, again and again at any daemon, until it is accepted."""
+    names = list(site.daemons)
     job_id = f"{random.getrandbits(64):016x}"
     await asyncio.sleep(random.uniform(0, SPREAD_S))
     for _ in range(12):
         status, _ = await site.call(
-            name,
+            random.choice(names),
             "POST",
             job_id, {
                 "spec": f'{{"ms": [{TASK_MS}], "cpu": {TASK_CPU}}}',
                 "steps": [{
                     "count": 4,
                     "cpu": TASK_CPU,
-                    "mem_mb": 6400,
+                    "mem_mb": 4200,
                     "estimate_ms": TASK_MS
                 }]
             },
@@ -50,8 +52,7 @@
     if harness.TROUBLE:
         await site.slow_store(SLOW_X)
         await asyncio.sleep(0.5)
-    jobs = await asyncio.gather(
-        *[hand_in(site, names[0]) for _ in range(JOBS)])
+    jobs = await asyncio.gather(*[hand_in(site) for _ in range(JOBS)])
     site.record(f"{sum(job is not None for job in jobs)} jobs were accepted")
     await asyncio.sleep(max(0, slow_until - time.monotonic()))
     if harness.TROUBLE:
