--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,7 @@
 
 WORKERS = [f"w{number}-zone-a" for number in range(1, 5)]
 LOOK = "POST /hold HTTP/1.1"
-DARK_S = 0.2
+DARK_S = 0.5
 CUT_S = 5.5
 TASK_MS = 10000
 TASK_CPU = 12000
