Admit a job once, and keep each acceptance under a key of its own

A caller could also be told that a job never runs whose append was still under way.

Cause: a daemon forgot a submission when its caller's time was over, though the append went on, and admitted the repeated one anew. Both acceptances had the key j/ID/PROCESS. Daemons that had read the first one followed it, those that loaded the newest record of each key saw the second one.

Ruled out: acceptances by two daemons (different keys), the order of pages, and moves. A property test of drawn acceptances, moves, progress, cancellations and removals fails after two records with the former keys.

Change: acceptances are numbered, so that none replaces another, and a daemon keeps an acceptance until its outcome is known. A repeated submission waits for that outcome; while the store is unavailable it is relayed, but not refused. The two go together: without the first, acceptances of one process that are stored twice still differ for readers; without the second, a job that is about to be stored can be refused.

--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -2,22 +2,17 @@
 
 import asyncio
 import datetime
-from typing import Callable
 
 from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import model
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _job_acceptances
 from gentianlead.cluster import _peering
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
 
-STORE_RETRY_DELAY = datetime.timedelta(seconds=1)
-"""Retry delay in the reply to a caller whose request is refused because the
-store is unavailable, or because this daemon has not read the job from the store
-yet."""
-
 REPLY_MARGIN = datetime.timedelta(milliseconds=150)
 """Unused; the server for callers already subtracts its own reply margin from
 the deadline passed to `submit`."""
@@ -33,11 +28,6 @@
 at the peer. The two timeouts add up to 550 ms, so a caller is refused within a
 fifth of its time limit of three seconds."""
 
-READ_BACK_TIMEOUT = datetime.timedelta(seconds=2)
-"""Longest wait for an accepted job to be read back from the topic. The leaders
-of its groups are notified once it is read back. After a timeout they get no
-notice, and find the job only by reading the topic themselves."""
-
 RELAY_TIMEOUT = datetime.timedelta(seconds=1)
 """Longest wait for the reply of one peer, which may be frozen. An append to a
 store that is slow by a factor of 60 takes about this long. The caller's limit
@@ -47,10 +37,6 @@
 """Largest number of peers to which a request is sent in turn while this daemon
 cannot store or read the job itself."""
 
-# Sends a notice to the leader of a group; takes the name of the group, the
-# subject of the notice and the notice.
-SendToLeader = Callable[[str, str, object], None]
-
 
 class SteppedJobService(ports.JobService):
     """Handles submissions, cancellations and state requests at one daemon.
@@ -72,7 +58,8 @@
                  topic_reader: _job_topic.JobTopicReader,
                  topic_writer: _job_topic.JobTopicWriter,
                  peering: _peering.Peering, clock: ports.Clock,
-                 log: _decision_log.DecisionLog, send_to_leader: SendToLeader):
+                 log: _decision_log.DecisionLog,
+                 send_to_leader: _job_acceptances.SendToLeader):
         self.configuration: model.FleetConfiguration | None = None
         self.load_reports: dict[str, dispatch.GroupReport] = {}
         self.is_draining = False
@@ -85,18 +72,12 @@
         self._log = log
         self._send_to_leader = send_to_leader
         self._submissions: dict[str, asyncio.Task] = {}
-        # Long-running jobs, by identifier, whose acceptance this daemon has
-        # sent to the store but not read back from the topic yet.
-        self._unread_long_running_jobs: dict[str, model.SteppedJob] = {}
-        # Jobs whose acceptance this daemon has stored but not read back yet. A
-        # repeated submission must not be decided anew: the caller would be told
-        # that the job does not run.
-        self._unread_accepted_jobs: set[str] = set()
+        self._acceptances = _job_acceptances.JobAcceptances(
+            incarnation, topic_reader, topic_writer, clock, log, send_to_leader)
         # Job states, by job identifier, that were received in leaders' reports
         # or that cancellations at this daemon set. They are stored, but this
         # daemon may not have read them from the topic yet.
         self._unread_job_states: dict[str, model.JobState] = {}
-        self._background_tasks: set[asyncio.Task] = set()
         peering.handlers[_peer_messages.CALL_SUBMIT] = self._serve_submission
         peering.handlers[_peer_messages.CALL_CANCEL] = self._serve_cancellation
         peering.handlers[_peer_messages.CALL_STATE] = self._serve_state_query
@@ -130,7 +111,7 @@
     async def _submit(self, job: model.SteppedJob, timeout: datetime.timedelta,
                       may_relay: bool) -> ports.SubmitReply:
         if (job.job_id in self._topic_reader.job_table.jobs or
-                job.job_id in self._unread_accepted_jobs):
+                self._acceptances.is_unread(job.job_id)):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         submission = self._submissions.get(job.job_id)
         if submission is None:
@@ -148,7 +129,8 @@
                                   may_relay: bool) -> ports.SubmitReply:
         expires_at = self._clock.monotonic() + timeout.total_seconds()
         unknown_reply = None
-        if may_relay and job.is_long_running and self._is_store_available():
+        if (may_relay and job.is_long_running and self._is_store_available() and
+                not self._acceptances.is_pending(job.job_id)):
             relayed_reply = await self._relay_submission(
                 job, expires_at, [
                     peer_name for peer_name in (self._find_coordinator(),)
@@ -162,14 +144,19 @@
         if self._is_store_available() or not may_relay:
             refusal_timeout = (REFUSAL_TIMEOUT
                                if may_relay else RELAYED_REFUSAL_TIMEOUT)
-            reply = await self._accept_locally(
-                job, self._compute_time_left(expires_at), refusal_timeout)
+            reply = await self._accept_locally(job, expires_at, refusal_timeout)
         if reply is None and may_relay:
             reply = await self._relay_submission(job, expires_at,
                                                  self._choose_relay_peers())
+        if reply is None or reply.outcome is ports.SubmitOutcome.REFUSED:
+            # The writer may still have an acceptance that was begun before the
+            # store became unavailable.
+            pending_reply = await self._acceptances.wait_for_outcome(
+                job.job_id, self._compute_time_left(expires_at))
+            reply = pending_reply or reply
         if reply is None:
-            reply = _build_refusal("the store does not reply",
-                                   STORE_RETRY_DELAY)
+            reply = _job_acceptances.build_refusal(
+                "the store does not reply", _job_acceptances.STORE_RETRY_DELAY)
         # A job may be accepted twice without harm, but must not be refused if
         # the coordinator may have accepted it; the outcome is then unknown.
         if unknown_reply and reply.outcome is ports.SubmitOutcome.REFUSED:
@@ -191,10 +178,12 @@
         return None if relayed_reply is None else _decode_reply(relayed_reply)
 
     async def _accept_locally(
-            self, job: model.SteppedJob, timeout: datetime.timedelta,
+            self, job: model.SteppedJob, expires_at: float,
             refusal_timeout: datetime.timedelta) -> (ports.SubmitReply | None):
         """Admits a job according to the load reports, and stores it.
 
+        A job whose acceptance is pending is not admitted anew.
+
         Long-running jobs keep their workers for minutes. If daemons admitted
         them in parallel, each by load reports that lack the jobs of the others,
         such jobs would fill all workers. `_process_submission` therefore tries
@@ -204,44 +193,23 @@
             The reply to the caller, or None if the job was admitted but is
             certainly not stored.
         """
-        now = self._clock.monotonic()
-        load_reports = self._include_long_running_jobs(
-        ) if job.is_long_running else self.load_reports
-        admission = dispatch.decide_admission(job, load_reports, self._domain,
-                                              now)
-        if not admission.assignment:
-            return _build_refusal(admission.reason, admission.retry_after)
-        job = job._replace(assignment=admission.assignment)
-        if job.is_long_running:
-            self._unread_long_running_jobs[job.job_id] = job
-        self._add_job_to_load_reports(job)
-        try:
-            offset = await self._topic_writer.append(
-                [dispatch.AcceptedRecord(job, self._incarnation)], timeout,
-                refusal_timeout)
-        except ports.RecordsRejectedError as error:
-            self._unread_long_running_jobs.pop(job.job_id, None)
-            return _build_refusal(str(error), STORE_RETRY_DELAY)
-        except ports.StoreError as error:
-            if error.verdict is errors.Verdict.DID_NOT_RUN:
-                self._unread_long_running_jobs.pop(job.job_id, None)
-                self._log.write("job-not-stored",
-                                job=job.job_id,
-                                error=str(error))
-                return None
-            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
-        self._log.write(
-            "job-accepted",
-            job=job.job_id,
-            groups=sorted(set(job.assignment)),
-            offset=offset,
-            steps=[step.count for step in job.steps],
-            store_ms=_to_ms(
-                datetime.timedelta(seconds=self._clock.monotonic() - now)),
-            report_age_ms=self._get_load_report_age_ms(job.assignment[0]))
-        self._unread_accepted_jobs.add(job.job_id)
-        self._spawn(self._notify_leaders(job, offset))
-        return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
+        if not self._acceptances.is_pending(job.job_id):
+            now = self._clock.monotonic()
+            load_reports = (self._include_long_running_jobs()
+                            if job.is_long_running else self.load_reports)
+            admission = dispatch.decide_admission(job, load_reports,
+                                                  self._domain, now)
+            if not admission.assignment:
+                return _job_acceptances.build_refusal(admission.reason,
+                                                      admission.retry_after)
+            job = job._replace(assignment=admission.assignment)
+            report_age_ms = self._get_load_report_age_ms(job.assignment[0])
+            self._add_job_to_load_reports(job)
+            self._acceptances.begin(
+                job, min(refusal_timeout, self._compute_time_left(expires_at)),
+                report_age_ms)
+        return await self._acceptances.wait_for_outcome(
+            job.job_id, self._compute_time_left(expires_at))
 
     def _find_coordinator(self) -> str:
         """Returns the daemon that admits long-running jobs for all daemons.
@@ -276,18 +244,14 @@
         long-running jobs that have not ended need.
         """
         stored_jobs = self._topic_reader.job_table.jobs
-        for job_id in [
-                job_id for job_id in self._unread_long_running_jobs
-                if job_id in stored_jobs
-        ]:
-            del self._unread_long_running_jobs[job_id]
         assigned_jobs = [
             (entry.job, entry.assignment)
             for entry in stored_jobs.values()
             if entry.job.is_long_running and not entry.state.is_final
         ]
-        assigned_jobs.extend((job, job.assignment)
-                             for job in self._unread_long_running_jobs.values())
+        assigned_jobs.extend(
+            (job, job.assignment)
+            for job in self._acceptances.list_unread_long_running_jobs())
         return dispatch.include_unreported_jobs(
             self.load_reports, dispatch.sum_long_running_cpu(assigned_jobs))
 
@@ -304,34 +268,6 @@
             return None
         return int((self._clock.monotonic() - report.reported_at) * 1000)
 
-    async def _notify_leaders(self, job: model.SteppedJob, offset: int) -> None:
-        """Notifies the leaders of a job's groups once the job is read back.
-
-        Another daemon may have accepted the same job, and only reading the job
-        back shows which acceptance took effect. No notice is sent if another
-        acceptance took effect, or if the job is not read back within
-        `READ_BACK_TIMEOUT`.
-        """
-        if not await self._topic_reader.wait_until_applied(
-                offset, READ_BACK_TIMEOUT):
-            self._log.write("job-not-read-back", job=job.job_id, offset=offset)
-            return
-        job_entry = self._topic_reader.job_table.jobs.get(job.job_id)
-        if job_entry is not None:
-            self._unread_accepted_jobs.discard(job.job_id)
-        if job_entry is None or job_entry.offset != offset:
-            self._log.write("job-already-accepted",
-                            job=job.job_id,
-                            offset=offset)
-            return
-        for group in job_entry.groups:
-            leader_entry = self._topic_reader.job_table.leaders.get(group)
-            if leader_entry is not None:
-                self._send_to_leader(
-                    group, _peer_messages.NOTICE_JOB,
-                    _peer_messages.JobNotice(group, leader_entry.record.epoch,
-                                             job_entry.offset, job_entry.job))
-
     async def cancel(self, job_id: str,
                      deadline: datetime.timedelta) -> ports.SubmitReply | None:
         reply = await self._cancel(job_id, deadline, may_relay=True)
@@ -357,11 +293,12 @@
             if relayed_reply is not None:
                 return _decode_reply(
                     relayed_reply) if relayed_reply.outcome else None
-            return _build_refusal("the store does not reply", STORE_RETRY_DELAY)
+            return _job_acceptances.build_refusal(
+                "the store does not reply", _job_acceptances.STORE_RETRY_DELAY)
         if job_entry is None:
-            return _build_refusal(
+            return _job_acceptances.build_refusal(
                 "this daemon has not read the job from the store yet",
-                STORE_RETRY_DELAY)
+                _job_acceptances.STORE_RETRY_DELAY)
         if job_entry.is_cancelled or job_entry.state.is_final:
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         try:
@@ -369,7 +306,8 @@
                                             timeout, REFUSAL_TIMEOUT)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
-                return _build_refusal(str(error), STORE_RETRY_DELAY)
+                return _job_acceptances.build_refusal(
+                    str(error), _job_acceptances.STORE_RETRY_DELAY)
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._unread_job_states.setdefault(job_id, model.JobState.CANCELLED)
         for group in job_entry.groups:
@@ -442,7 +380,7 @@
         """Drops the state kept for a job that was removed from the job topic.
         """
         self._unread_job_states.pop(job_id, None)
-        self._unread_accepted_jobs.discard(job_id)
+        self._acceptances.forget_job(job_id)
 
     # Reports of leaders, requests relayed to peers, and requests that peers
     # relayed to this daemon.
@@ -546,11 +484,6 @@
             lookup.state.value if lookup.state is not None else "",
             lookup.is_certain)
 
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._background_tasks.add(task)
-        task.add_done_callback(self._background_tasks.discard)
-
     async def wait_for_submissions(self) -> None:
         """Waits until all submissions in progress at the call have ended."""
         submissions = list(self._submissions.values())
@@ -562,12 +495,6 @@
     return int(duration.total_seconds() * 1000)
 
 
-def _build_refusal(refusal_reason: str,
-                   retry_after: datetime.timedelta) -> ports.SubmitReply:
-    return ports.SubmitReply(ports.SubmitOutcome.REFUSED, refusal_reason,
-                             retry_after)
-
-
 def _encode_reply(reply: ports.SubmitReply) -> _peer_messages.RelayedReply:
     return _peer_messages.RelayedReply(reply.outcome.value, reply.reason,
                                        _to_ms(reply.retry_after))
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -1,12 +1,12 @@
 """Records of the shared job topic and their encoding.
 
 The prefix of a key gives the type of its record. Each acceptance of a job has
-a key of its own, so that two daemons that accept the same job cannot overwrite
-each other: the record with the lowest offset takes effect. Each move of tasks
-has a key of its own, too, and all moves take effect in the order of their
-offsets. Under any other key the newest record takes effect, except that a
-leader record has no effect if its epoch is lower than that of an earlier leader
-record of the group.
+a key of its own, also if one daemon accepts the job twice: the record with the
+lowest offset takes effect, and a daemon that reads only the newest record of
+each key must find it. Each move of tasks has a key of its own, too, and all
+moves take effect in the order of their offsets. Under any other key the newest
+record takes effect, except that a leader record has no effect if its epoch is
+lower than that of an earlier leader record of the group.
 """
 
 from typing import NamedTuple
@@ -27,11 +27,13 @@
 
     Attributes:
         job: The job.
-        writer_incarnation: Identity of the daemon process that accepted it.
+        acceptance_id: Identity of the daemon process that accepted it, and a
+            number that no other acceptance by this process has. Records of
+            older daemons lack the number.
     """
 
     job: model.SteppedJob
-    writer_incarnation: str
+    acceptance_id: str
 
 
 class CancelledRecord(NamedTuple):
@@ -327,7 +329,7 @@
     if isinstance(record, RemovedKey):
         return record.key
     if isinstance(record, AcceptedRecord):
-        return f"j/{record.job.job_id}/{record.writer_incarnation}"
+        return f"j/{record.job.job_id}/{record.acceptance_id}"
     if isinstance(record, LeaderRecord):
         return f"g/{record.group}"
     if isinstance(record, MemberRecord):
