Bound the lease that an order for a former instance gives a worker

Cause: the end of a lease is a time on the clock of one instance. Start orders name the id, which both instances share, so the new one, whose clock is behind, held a lease of hold_max_ms (10 s). The next report showed the new instance, and the leader set the lease that it had given to 0.

Ruled out: permits, throttle orders and stops, which the new instance refuses or which have no effect there.

Change: calls that extend a lease are kept until the instance that was meant has answered. Once a report shows a new one, those that may have reached it bound its lease by hold_max_ms. The worker gets no start while that is longer than a usual lease. A reply with a clock that is behind shows the new instance at once. Handed-over leases and takeovers count the calls of the former leader likewise.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -446,7 +446,8 @@
         takeover_wait = (_takeover_wait.START_PERMISSION_PERIOD +
                          lease_length * _takeover_wait.CLOCK_DRIFT_FACTOR +
                          _takeover_wait.TAKEOVER_MARGIN)
-        timings = dispatch.GroupTimings(lease_length, takeover_wait,
+        timings = dispatch.GroupTimings(lease_length, self._settings.max_lease,
+                                        takeover_wait,
                                         self._settings.stop_limit)
         leader_topic_writer = _job_topic.JobTopicWriter(self._store,
                                                         ports.Producer(
--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -533,18 +533,20 @@
     async def _request_status(self, worker: dispatch.WorkerState) -> bool:
         """Polls a worker once; returns whether it gave a usable reply."""
         sent_at = self._clock.monotonic()
-        expires_at_ms = None
+        lease_call = None
         # A worker may renew its lease although its reply is lost. The lease of
         # an unreachable worker is therefore not renewed until it replies.
         if worker.born_ms and worker.is_reachable and self._is_start_allowed():
-            expires_at_ms = worker.extend_lease(sent_at,
-                                                self.scheduler.timings.lease)
+            lease_call = worker.begin_lease_call(sent_at)
         status_wait = _status_polls.choose_wait(worker)
         reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
+        clock_ms = None
         try:
             status = await self._worker_client.poll_status(
                 worker.entry, self.epoch, worker.acknowledged_end_number,
-                expires_at_ms, status_wait, reply_timeout)
+                lease_call.expires_ms if lease_call else None, status_wait,
+                reply_timeout)
+            clock_ms = status.clock_ms
         except errors.WorkerError as error:
             now = self._clock.monotonic()
             # A worker that gives no reply may have been lost at any time
@@ -553,6 +555,10 @@
             self._apply_no_reply(worker, str(error),
                                  sent_at if is_silent else now)
             return False
+        finally:
+            if lease_call:
+                worker.end_lease_call(lease_call, clock_ms,
+                                      self._clock.monotonic())
         self._metrics.status_requests.inc({"outcome": "ok"})
         self._unreachable_worker_ids.discard(worker.worker_id)
         if not worker.is_reachable:
@@ -566,20 +572,8 @@
         self.scheduler.apply_status(worker.worker_id, status, sent_at,
                                     self._clock.monotonic())
         if worker.throttles != old_throttles:
-            self._log.write(
-                "pace-changed",
-                group=self.group,
-                worker=worker.worker_id,
-                tails={
-                    image: round(latency_ratio, 2)
-                    for image, latency_ratio in worker.latency_ratios.items()
-                },
-                paces=worker.throttles,
-                causes={
-                    image: cause._asdict()
-                    for image, cause in dispatch.explain_throttles(
-                        worker, self._interference).items()
-                })
+            _scheduler_log.report_throttles(worker, self.group,
+                                            self._interference, self._log)
         self._plan_requested.set()
         return True
 
--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -119,10 +119,12 @@
                 ports.StartReply(ports.StartOutcome.LEASE_ALREADY_EXPIRED),
                 sent_at)
             return
-        leased_order = ports.LeasedStartOrder(
-            order.task, order.run, order.payload,
-            worker.extend_lease(sent_at, self._scheduler.timings.lease),
-            self._scheduler.epoch, order.checkpoint, order.permit)
+        lease_call = worker.begin_lease_call(sent_at)
+        leased_order = ports.LeasedStartOrder(order.task, order.run,
+                                              order.payload,
+                                              lease_call.expires_ms,
+                                              self._scheduler.epoch,
+                                              order.checkpoint, order.permit)
         try:
             async with asyncio.timeout(ORDER_END_LIMIT.total_seconds()):
                 reply = await self._worker_client.start(worker.entry,
@@ -132,6 +134,13 @@
             reply = ports.StartReply(ports.StartOutcome.UNKNOWN, None,
                                      _CALL_NOT_ENDED)
         now = self._clock.monotonic()
+        if worker.end_lease_call(lease_call, reply.clock_ms, now):
+            self._log.write("start-answered-by-new-instance",
+                            job=order.task.job_id,
+                            task=tuple(order.task[1:]),
+                            run=order.run,
+                            worker=order.worker_id,
+                            clock_ms=reply.clock_ms)
         self._metrics.start_orders.inc({"outcome": reply.outcome.value})
         self._metrics.start_order_seconds.observe({}, now - sent_at)
         self._log.write("run-ordered",
--- a/src/gentianlead/cluster/_scheduler_log.py
+++ b/src/gentianlead/cluster/_scheduler_log.py
@@ -38,3 +38,22 @@
                   worker=event.worker_id,
                   detail=event.detail,
                   crashes=event.crashes)
+
+
+def report_throttles(worker: dispatch.WorkerState, group: str,
+                     interference: dispatch.InterferenceModel,
+                     log: _decision_log.DecisionLog) -> None:
+    """Logs the throttles of a worker after a change, and their causes."""
+    log.write("pace-changed",
+              group=group,
+              worker=worker.worker_id,
+              tails={
+                  image: round(latency_ratio, 2)
+                  for image, latency_ratio in worker.latency_ratios.items()
+              },
+              paces=worker.throttles,
+              causes={
+                  image: cause._asdict()
+                  for image, cause in dispatch.explain_throttles(
+                      worker, interference).items()
+              })
--- a/src/gentianlead/cluster/tests/leading.py
+++ b/src/gentianlead/cluster/tests/leading.py
@@ -21,7 +21,7 @@
 LEASE = datetime.timedelta(seconds=1)
 STOP_LIMIT = datetime.timedelta(seconds=0.5)
 TIMINGS = dispatch.GroupTimings(
-    LEASE, _takeover_wait.START_PERMISSION_PERIOD +
+    LEASE, LEASE, _takeover_wait.START_PERMISSION_PERIOD +
     LEASE * _takeover_wait.CLOCK_DRIFT_FACTOR + _takeover_wait.TAKEOVER_MARGIN,
     STOP_LIMIT)
 
--- a/src/gentianlead/cluster/tests/test_status_polls.py
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -138,7 +138,7 @@
         one_second = datetime.timedelta(seconds=1)
         leader = _group_leader.GroupLeader(
             "north-1", 64, 0,
-            dispatch.GroupTimings(one_second, one_second,
+            dispatch.GroupTimings(one_second, one_second, one_second,
                                   one_second), ("entry-1", "entry-1#1"),
             worker_client, None, writer, clock, log, metrics,
             lambda report: None, lambda group, reason: None, lambda: {},
--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -20,6 +20,7 @@
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _suspicions
+from gentianlead.dispatch import _lease_calls
 from gentianlead.dispatch import _workers
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_election
@@ -100,10 +101,11 @@
 
 def build_lease_expiry(settings: SiteSettings) -> Wait:
     """Returns the wait from the last renewal of a lease to its certain end."""
-    margin = datetime.timedelta(milliseconds=_workers.LEASE_EXPIRY_MARGIN_MS)
+    margin = datetime.timedelta(
+        milliseconds=_lease_calls.LEASE_EXPIRY_MARGIN_MS)
     return Wait("lease expiry of a worker that is gone",
                 (get_lease(settings) + margin) /
-                (1 - _workers.MAX_RELATIVE_CLOCK_DRIFT))
+                (1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT))
 
 
 def build_takeover_wait(settings: SiteSettings) -> Wait:
@@ -209,7 +211,9 @@
         """Guards against a sum with a lease that the scheduler exceeds."""
         for site, settings in SITES.items():
             with self.subTest(site):
-                worker = _workers.WorkerState(builders.build_worker())
+                worker = _workers.WorkerState(
+                    builders.build_worker(),
+                    builders.GroupDriver().scheduler.timings)
                 worker.update_clock(1000, 100.0)
                 # The clock was last read long before the renewal.
                 worker.extend_lease(102.0, get_lease(settings))
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -9,7 +9,6 @@
 
 from gentianlead.dispatch import _admission
 from gentianlead.dispatch import _crashes
-from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _moves
@@ -89,7 +88,7 @@
             for run in worker.runs.values():
                 if (run.phase is _task_runs.RunPhase.UNKNOWN and
                         not run.has_pending_order and
-                        run.start_attempts < _group_state.MAX_START_ATTEMPTS):
+                        run.start_attempts < _orders.MAX_START_ATTEMPTS):
                     job = self.jobs.get(run.task.job_id)
                     if job is None or job.has_ended:
                         continue
@@ -103,7 +102,7 @@
                             continue
                         if (is_closed or worker.is_over_capacity() or
                                 worker.may_exceed_capacity):
-                            run.start_attempts = _group_state.MAX_START_ATTEMPTS
+                            run.start_attempts = _orders.MAX_START_ATTEMPTS
                             continue
                     run.has_pending_order = True
                     run.unanswered_at = None
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -18,6 +18,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _lease_calls
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _throttling
@@ -27,18 +28,10 @@
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _workers
 
-RUN_NUMBERS_PER_EPOCH = 1 << 13
-"""How many run numbers each epoch sets aside for a job; a job starts far fewer
-runs in one epoch."""
-
 REMOVED_WORKER_GRACE = datetime.timedelta(milliseconds=2500)
 """Minimum time for which a worker without runs is kept after its removal from
 the registry: its entry may reappear after an outage of the store."""
 
-MAX_START_ATTEMPTS = 2
-"""Number of start orders for one run, all without a conclusive reply, after
-which the run is stopped."""
-
 TASK_MOVE_DELAY = datetime.timedelta(milliseconds=700)
 """Time without capacity after which waiting long-running tasks should move to
 another group."""
@@ -121,7 +114,7 @@
         """Adds a worker that the registry lists, or updates its entry."""
         worker = self.workers.get(entry.worker_id)
         if worker is None:
-            worker = _workers.WorkerState(entry)
+            worker = _workers.WorkerState(entry, self.timings)
             self.workers[entry.worker_id] = worker
         worker.entry = entry
         worker.is_registered = True
@@ -137,7 +130,7 @@
         """
         worker = self.workers.get(entry.worker_id)
         if worker is None:
-            worker = _workers.WorkerState(entry)
+            worker = _workers.WorkerState(entry, self.timings)
             worker.is_registered = False
             worker.removed_at = now
             self.workers[entry.worker_id] = worker
@@ -237,7 +230,10 @@
                 return
             if worker.born_ms:
                 self._end_lost_runs(worker, True, now)
-            worker.reset_after_replacement(status.born_ms)
+            worker.set_instance(status, self._unseen_workers.get(worker_id, 0),
+                                sent_at, now)
+        else:
+            worker.drop_settled_lease_calls(sent_at)
         worker.update_clock(status.clock_ms, now)
         worker.last_status_at = now
         worker.mark_reachable()
@@ -340,7 +336,7 @@
         if (step_run is None or job.has_ended or
                 active_run.task.index not in step_run.waiting_indexes):
             unknown_run = worker.unknown_runs.setdefault(
-                (active_run.task, active_run.run), _workers.UnknownRun(now))
+                (active_run.task, active_run.run), _task_runs.UnknownRun(now))
             unknown_run.step = self._find_step(active_run.task)
             return None
         worker.unknown_runs.pop((active_run.task, active_run.run), None)
@@ -376,7 +372,8 @@
     def _end_vanished_runs(self, worker: _workers.WorkerState,
                            reported_runs: set, sent_at: float,
                            now: float) -> None:
-        longest_lease_s = _workers.compute_longest_lease_s(self.timings.lease)
+        longest_lease_s = _lease_calls.compute_longest_lease_s(
+            self.timings.lease)
         for run_key, run in list(worker.runs.items()):
             if run_key not in reported_runs and run.has_vanished(
                     sent_at, longest_lease_s):
--- a/src/gentianlead/dispatch/_order_replies.py
+++ b/src/gentianlead/dispatch/_order_replies.py
@@ -54,7 +54,7 @@
             run.phase = _task_runs.RunPhase.UNKNOWN
             run.unanswered_at = now
             run.start_attempts = max(run.start_attempts,
-                                     _group_state.MAX_START_ATTEMPTS)
+                                     _orders.MAX_START_ATTEMPTS)
             return
         if run.start_attempts > 1:
             # The replaced worker may have executed the earlier order.
@@ -110,7 +110,7 @@
                 job.get_step(run.task).avoid_worker(run, now)
             self.crashes.apply_end(run, ports.EndCause.STOPPED, None, now)
             if outcome is ports.StartOutcome.OUTDATED_RUN:
-                job.last_run_number += _group_state.RUN_NUMBERS_PER_EPOCH
+                job.last_run_number += _orders.RUN_NUMBERS_PER_EPOCH
 
     def apply_stop_reply(self, order: _orders.StopOrder, has_succeeded: bool,
                          now: float) -> None:
--- a/src/gentianlead/dispatch/_orders.py
+++ b/src/gentianlead/dispatch/_orders.py
@@ -8,6 +8,14 @@
 
 from gentianlead import model
 
+RUN_NUMBERS_PER_EPOCH = 1 << 13
+"""How many run numbers each epoch sets aside for a job; a job starts far fewer
+runs in one epoch."""
+
+MAX_START_ATTEMPTS = 2
+"""Number of start orders for one run, all without a conclusive reply, after
+which the run is stopped."""
+
 
 class StartOrder(NamedTuple):
     """Order to start a run on a worker.
@@ -127,6 +135,7 @@
 
     Attributes:
         lease: Time for which an order or status call extends a worker's lease.
+        max_lease: Longest lease that a worker holds; it shortens longer ones.
         takeover_wait: Time after a takeover until which a worker that has not
             replied to the new leader may still execute runs that a former
             leader started.
@@ -134,5 +143,6 @@
     """
 
     lease: datetime.timedelta
+    max_lease: datetime.timedelta
     takeover_wait: datetime.timedelta
     stop_limit: datetime.timedelta
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -539,7 +539,7 @@
     def _allocate_run_number(self, job: _runs.JobRun) -> int:
         job.last_run_number = max(
             job.last_run_number + 1,
-            self._state.epoch * _group_state.RUN_NUMBERS_PER_EPOCH + 1)
+            self._state.epoch * _orders.RUN_NUMBERS_PER_EPOCH + 1)
         return job.last_run_number
 
     def _start_task(self, job: _runs.JobRun, step_run: _runs.StepRun,
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -8,7 +8,6 @@
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _throttling
-from gentianlead.dispatch import _workers
 
 UNKNOWN_RUN_GRACE = datetime.timedelta(seconds=3)
 """Time for which a worker may report an unknown run before the run is stopped:
@@ -106,7 +105,7 @@
                 > 2 * self._state.timings.stop_limit.total_seconds())
 
     def _should_stop_unknown_run(self, task: model.TaskKey,
-                                 unknown_run: _workers.UnknownRun,
+                                 unknown_run: _task_runs.UnknownRun,
                                  now: float) -> bool:
         if (unknown_run.has_pending_order or
                 not unknown_run.stop_retry.is_due(now)):
@@ -132,7 +131,7 @@
         if job is None or job.has_ended:
             return "job has ended"
         if run.phase is _task_runs.RunPhase.UNKNOWN and (
-                run.start_attempts >= _group_state.MAX_START_ATTEMPTS):
+                run.start_attempts >= _orders.MAX_START_ATTEMPTS):
             return "no reply to its start order"
         if run.phase is _task_runs.RunPhase.STOPPING:
             return "its stop had no effect"
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -129,7 +129,7 @@
         for handed_over in record.workers:
             worker = self._add_handed_over_worker(handed_over, now)
             lease_ends_at = read_at + handed_over.lease_ms / 1000
-            worker.set_handed_over_lease(lease_ends_at)
+            worker.set_handed_over_lease(lease_ends_at, read_at)
             self._handed_over_runs_end_at = max(self._handed_over_runs_end_at,
                                                 lease_ends_at)
             for handed_over_run in handed_over.runs:
--- a/src/gentianlead/dispatch/_task_runs.py
+++ b/src/gentianlead/dispatch/_task_runs.py
@@ -133,3 +133,29 @@
                     sent_at >= self.unanswered_at + longest_delay_s)
         return (self.phase is not RunPhase.STARTING and
                 self.confirmed_at is not None and self.confirmed_at <= sent_at)
+
+
+class UnknownRun:
+    """A run that a worker reports and that this leader does not track.
+
+    It holds capacity of its worker until a status report no longer lists it.
+    Times are monotonic and in seconds.
+
+    Attributes:
+        first_reported_at: Time of the first status report that listed the run.
+        step: Resource needs of its task; None if the job is not known.
+        has_pending_order: Whether a stop order for the run awaits its reply.
+        stop_accepted_at: Time at which the worker last accepted a stop order;
+            None before that.
+        stop_retry: When a stop order that failed may be repeated.
+    """
+
+    __slots__ = ("first_reported_at", "step", "has_pending_order",
+                 "stop_accepted_at", "stop_retry")
+
+    def __init__(self, first_reported_at: float):
+        self.first_reported_at = first_reported_at
+        self.step: model.Step | None = None
+        self.has_pending_order = False
+        self.stop_accepted_at: float | None = None
+        self.stop_retry = _order_retries.OrderRetry()
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -4,24 +4,20 @@
 import enum
 from typing import NamedTuple
 
-from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _interference
-from gentianlead.dispatch import _order_retries
+from gentianlead.dispatch import _lease_calls
+from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _task_runs
 
-MAX_RELATIVE_CLOCK_DRIFT = 0.02
-"""Largest relative error of a worker's clock; guaranteed by the platform."""
-
-LEASE_EXPIRY_MARGIN_MS = 150
-"""Time in milliseconds that a worker may need after the end of its lease to
-stop its runs: covers scheduling delays at the worker."""
-
 MAX_STATUS_AGE = datetime.timedelta(milliseconds=2600)
 """No run is started on a worker whose last status report arrived longer ago. A
 status call may wait two seconds at the worker; the rest is for the reply to
 arrive."""
 
+CALL_END_LIMIT = datetime.timedelta(seconds=2.5)
+"""Time by which each call to a worker has ended."""
+
 SHORT_REFUSAL_BACKOFF = datetime.timedelta(milliseconds=200)
 """Time for which a worker gets no starts after it refused one for lack of
 capacity, an outdated run number or an expired lease: about two status calls. It
@@ -66,15 +62,6 @@
 """Weight of the newest run in the moving average of the duration ratio."""
 
 
-def compute_longest_lease_s(lease: datetime.timedelta) -> float:
-    """Returns after which time in seconds a new lease has certainly expired.
-
-    The clock of the worker may be slow.
-    """
-    return ((lease.total_seconds() + LEASE_EXPIRY_MARGIN_MS / 1000) /
-            (1 - MAX_RELATIVE_CLOCK_DRIFT))
-
-
 class StartObstacle(enum.Enum):
     """Why a worker may not receive start orders.
 
@@ -86,6 +73,8 @@
             got no usable reply.
         ENTRY_OF_OTHER_INSTANCE: Its registry entry describes another instance
             than its last status report.
+        LEASE_TOO_LONG: A call to its former instance may have given it a lease
+            that lasts longer than those that leaders give.
         PAUSED: It has just refused a start order.
         QUARANTINED: Runs failed on it in a row a short while ago.
         STATUS_TOO_OLD: Its last status report is older than `MAX_STATUS_AGE`.
@@ -97,6 +86,7 @@
     DRAINING = "draining"
     UNREACHABLE = "unreachable"
     ENTRY_OF_OTHER_INSTANCE = "entry-of-other-instance"
+    LEASE_TOO_LONG = "lease-too-long"
     PAUSED = "paused"
     QUARANTINED = "quarantined"
     STATUS_TOO_OLD = "status-too-old"
@@ -134,32 +124,6 @@
     long_running_accelerators: int
 
 
-class UnknownRun:
-    """A run that a worker reports and that this leader does not track.
-
-    It holds capacity of its worker until a status report no longer lists it.
-    Times are monotonic and in seconds.
-
-    Attributes:
-        first_reported_at: Time of the first status report that listed the run.
-        step: Resource needs of its task; None if the job is not known.
-        has_pending_order: Whether a stop order for the run awaits its reply.
-        stop_accepted_at: Time at which the worker last accepted a stop order;
-            None before that.
-        stop_retry: When a stop order that failed may be repeated.
-    """
-
-    __slots__ = ("first_reported_at", "step", "has_pending_order",
-                 "stop_accepted_at", "stop_retry")
-
-    def __init__(self, first_reported_at: float):
-        self.first_reported_at = first_reported_at
-        self.step: model.Step | None = None
-        self.has_pending_order = False
-        self.stop_accepted_at: float | None = None
-        self.stop_retry = _order_retries.OrderRetry()
-
-
 class WorkerState:
     """Tracks the clock, lease, runs and health of one worker of the group.
 
@@ -221,7 +185,7 @@
             less and less, as its effect on tail latencies fades.
     """
 
-    def __init__(self, entry: ports.WorkerEntry):
+    def __init__(self, entry: ports.WorkerEntry, timings: _orders.GroupTimings):
         self.entry = entry
         self.is_registered = True
         self.removed_at = 0.0
@@ -230,7 +194,7 @@
         self.enforces_capacity = False
         self.born_ms = 0
         self.runs: dict[tuple, _task_runs.Run] = {}
-        self.unknown_runs: dict[tuple, UnknownRun] = {}
+        self.unknown_runs: dict[tuple, _task_runs.UnknownRun] = {}
         self.unlisted_runs: tuple[tuple, ...] = ()
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
@@ -250,8 +214,10 @@
         self.latency_ratios: dict[str, float] = {}
         self.is_overloaded = False
         self.best_effort_usage = _interference.DecayedUsage()
+        self._timings = timings
         self._clock_ms = 0
         self._clock_read_at = 0.0
+        self._lease_calls = _lease_calls.LeaseCalls()
         self._lease_expiry_ms = 0
         # Monotonic time in seconds by which the lease that a former leader
         # handed over has expired, also if this leader has not seen the worker.
@@ -328,8 +294,8 @@
     def get_min_clock_ms(self, now: float) -> int:
         """Returns a lower bound of the worker's clock at `now`, in ms."""
         elapsed_s = max(0.0, now - self._clock_read_at)
-        return self._clock_ms + int(elapsed_s *
-                                    (1 - MAX_RELATIVE_CLOCK_DRIFT) * 1000)
+        return self._clock_ms + int(
+            elapsed_s * (1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT) * 1000)
 
     def extend_lease(self, now: float, duration: datetime.timedelta) -> int:
         """Extends the lease to at least `duration` from `now`.
@@ -342,39 +308,106 @@
         self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
         return self._lease_expiry_ms
 
+    def begin_lease_call(self, now: float) -> _lease_calls.LeaseCall:
+        """Extends the lease by a call that is sent to the worker now."""
+        return self._lease_calls.begin(
+            self.extend_lease(now, self._timings.lease),
+            self.get_min_clock_ms(now))
+
+    def end_lease_call(self, call: _lease_calls.LeaseCall, clock_ms: int | None,
+                       now: float) -> bool:
+        """Ends a call that was to extend the lease.
+
+        Args:
+            call: The call.
+            clock_ms: Clock of the worker according to the reply; None without a
+                reply.
+            now: Present monotonic time in seconds.
+
+        Returns:
+            Whether a new instance has replied. The worker then counts as
+            unreachable until a status report shows that instance.
+        """
+        is_replaced = self._lease_calls.end(call, clock_ms, now)
+        if is_replaced:
+            self.is_reachable = False
+        return is_replaced
+
+    def drop_settled_lease_calls(self, seen_at: float) -> None:
+        """Drops calls that ended before the present instance was seen last."""
+        self._lease_calls.drop_settled(seen_at)
+
     def is_lease_expired(self, now: float) -> bool:
         """Returns whether the lease has certainly expired and all runs stopped.
 
-        This is so `LEASE_EXPIRY_MARGIN_MS` after the end of the lease.
+        This is so `LEASE_EXPIRY_MARGIN_MS` after the end of the lease. Calls
+        that were meant for a former instance count, too.
         """
         return (now >= self._handed_over_lease_ends_at and
-                self.get_min_clock_ms(now)
-                >= self._lease_expiry_ms + LEASE_EXPIRY_MARGIN_MS)
+                self.get_min_clock_ms(now) >= self._lease_expiry_ms +
+                _lease_calls.LEASE_EXPIRY_MARGIN_MS and
+                self._compute_misdirected_rest_s(now) <= 0.0)
 
     def compute_lease_rest_s(self, now: float) -> float:
         """Returns after which time `is_lease_expired` is true, in seconds."""
-        rest_s = self._handed_over_lease_ends_at - now
+        rest_s = max(self._handed_over_lease_ends_at - now,
+                     self._compute_misdirected_rest_s(now))
         if self._lease_expiry_ms:
-            rest_ms = (self._lease_expiry_ms + LEASE_EXPIRY_MARGIN_MS -
+            rest_ms = (self._lease_expiry_ms +
+                       _lease_calls.LEASE_EXPIRY_MARGIN_MS -
                        self.get_min_clock_ms(now))
-            rest_s = max(rest_s,
-                         rest_ms / 1000 / (1 - MAX_RELATIVE_CLOCK_DRIFT))
+            rest_s = max(
+                rest_s,
+                rest_ms / 1000 / (1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT))
         return max(0.0, rest_s)
 
-    def set_handed_over_lease(self, ends_at: float) -> None:
+    def _compute_misdirected_rest_s(self, now: float) -> float:
+        return self._lease_calls.compute_rest_s(
+            _lease_calls.compute_longest_lease_s(self._timings.max_lease),
+            self.get_min_clock_ms(now), now)
+
+    def set_handed_over_lease(self, ends_at: float, read_at: float) -> None:
         """Sets when the lease of a former leader has certainly expired.
 
         Args:
             ends_at: Monotonic time in seconds.
+            read_at: Monotonic time in seconds after the last call of the former
+                leader.
         """
         self._handed_over_lease_ends_at = ends_at
+        self._lease_calls.add_former_calls(read_at)
 
-    def reset_after_replacement(self, born_ms: int) -> None:
+    def set_instance(self, status: ports.WorkerStatus, recorded_born_ms: int,
+                     sent_at: float, now: float) -> None:
         """Resets the state that depends on the instance of the worker.
 
         The caller has already ended the runs of the former instance.
+
+        Args:
+            status: First report of the instance to this leader.
+            recorded_born_ms: Start time of the instance that a former leader
+                knew, in milliseconds since 1970; 0 if there is none.
+            sent_at: Monotonic time in seconds at which the status call was
+                sent.
+            now: Present monotonic time in seconds.
         """
-        self.born_ms = born_ms
+        # The clock of an instance begins with it.
+        started_at = sent_at - status.clock_ms / 1000 / (
+            1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT)
+        if not self.born_ms and recorded_born_ms not in (0, status.born_ms):
+            # A leader sends nothing to a worker that it has not seen lately.
+            self._lease_calls.add_former_calls(
+                min(
+                    now, now - status.clock_ms / 1000 +
+                    (MAX_STATUS_AGE + CALL_END_LIMIT).total_seconds()))
+        elif not self.born_ms:
+            self._lease_calls.drop_settled(now)
+        self._lease_calls.apply_replacement(started_at)
+        if status.clock_ms < self.get_min_clock_ms(sent_at):
+            self._lease_expiry_ms = 0
+        self._clock_ms = 0
+        self._handed_over_lease_ends_at = 0.0
+        self.born_ms = status.born_ms
         self.unknown_runs.clear()
         self.capacity_refusals = 0
         self.refusals = 0
@@ -388,9 +421,6 @@
         self.latency_ratios.clear()
         self.is_overloaded = False
         self.best_effort_usage = _interference.DecayedUsage()
-        self._clock_ms = 0
-        self._lease_expiry_ms = 0
-        self._handed_over_lease_ends_at = 0.0
 
     def find_start_obstacle(self, now: float) -> StartObstacle | None:
         """Returns why no start order may be sent to the worker now, or None.
@@ -400,6 +430,8 @@
         its last status report must not be older than `MAX_STATUS_AGE`. The
         registry entry must describe the instance that sent the report: a new
         instance may have other labels and less capacity, at the same address.
+        Its lease must not last longer than those that leaders give: if the
+        worker were cut off, its tasks would have to wait until it expires.
         After a quarantine, and until a run succeeds, no other run may have
         started within `PROBE_INTERVAL`.
         """
@@ -413,6 +445,10 @@
             return StartObstacle.UNREACHABLE
         if self.entry.born_ms and self.entry.born_ms != self.born_ms:
             return StartObstacle.ENTRY_OF_OTHER_INSTANCE
+        if self._compute_misdirected_rest_s(
+                now) > _lease_calls.compute_longest_lease_s(
+                    self._timings.lease):
+            return StartObstacle.LEASE_TOO_LONG
         if now < self.paused_until:
             return StartObstacle.PAUSED
         if now - self.last_status_at > MAX_STATUS_AGE.total_seconds():
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -7,6 +7,7 @@
 from gentianlead import ports
 
 LEASE = datetime.timedelta(seconds=5)
+MAX_LEASE = datetime.timedelta(seconds=10)
 TAKEOVER_WAIT = datetime.timedelta(seconds=10)
 STOP_LIMIT = datetime.timedelta(seconds=1)
 EPOCH = 64
@@ -98,7 +99,8 @@
                  group: str = "north-1",
                  epoch: int = EPOCH,
                  leadership_offset: int = 50):
-        timings = dispatch.GroupTimings(LEASE, TAKEOVER_WAIT, STOP_LIMIT)
+        timings = dispatch.GroupTimings(LEASE, MAX_LEASE, TAKEOVER_WAIT,
+                                        STOP_LIMIT)
         self.now = now
         self.interference = dispatch.InterferenceModel()
         self.scheduler = dispatch.GroupScheduler(group, epoch, timings, now,
--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -78,7 +78,7 @@
         self.is_stopped = False
         self.scheduler = dispatch.GroupScheduler(
             group, epoch,
-            dispatch.GroupTimings(self.lease, self.takeover_wait,
+            dispatch.GroupTimings(self.lease, self.lease, self.takeover_wait,
                                   datetime.timedelta(seconds=0.2)), site.now,
             leadership_offset, dispatch.InterferenceModel())
         self._site = site
