--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -544,7 +544,7 @@
         try:
             status = await self._worker_client.poll_status(
                 worker.entry, self.epoch, worker.acknowledged_end_number,
-                lease_call.expires_ms if lease_call else None, status_wait,
+                lease_call.lease_end_ms if lease_call else None, status_wait,
                 reply_timeout)
             clock_ms = status.clock_ms
         except errors.WorkerError as error:
--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -122,7 +122,7 @@
         lease_call = worker.begin_lease_call(sent_at)
         leased_order = ports.LeasedStartOrder(order.task, order.run,
                                               order.payload,
-                                              lease_call.expires_ms,
+                                              lease_call.lease_end_ms,
                                               self._scheduler.epoch,
                                               order.checkpoint, order.permit)
         try:
--- a/src/gentianlead/dispatch/_lease_calls.py
+++ b/src/gentianlead/dispatch/_lease_calls.py
@@ -31,7 +31,7 @@
     Times are monotonic and in seconds unless stated otherwise.
 
     Attributes:
-        expires_ms: End of the lease in milliseconds on the clock of the
+        lease_end_ms: End of the lease in milliseconds on the clock of the
             instance that was meant; None if a former leader made the call.
         clock_ms: Lower bound of that clock, in milliseconds, when the call was
             sent.
@@ -39,11 +39,11 @@
             while it lasts. No instance that starts later gets the call.
     """
 
-    __slots__ = ("expires_ms", "clock_ms", "ended_at")
+    __slots__ = ("lease_end_ms", "clock_ms", "ended_at")
 
-    def __init__(self, expires_ms: int | None, clock_ms: int,
+    def __init__(self, lease_end_ms: int | None, clock_ms: int,
                  ended_at: float | None):
-        self.expires_ms = expires_ms
+        self.lease_end_ms = lease_end_ms
         self.clock_ms = clock_ms
         self.ended_at = ended_at
 
@@ -60,9 +60,9 @@
         self._unconfirmed: list[LeaseCall] = []
         self._misdirected: list[LeaseCall] = []
 
-    def begin(self, expires_ms: int, clock_ms: int) -> LeaseCall:
+    def begin(self, lease_end_ms: int, clock_ms: int) -> LeaseCall:
         """Adds a call that is sent now."""
-        call = LeaseCall(expires_ms, clock_ms, None)
+        call = LeaseCall(lease_end_ms, clock_ms, None)
         self._unconfirmed.append(call)
         return call
 
@@ -130,10 +130,10 @@
             call_rest_s = longest_lease_s
             if call.ended_at is not None:
                 call_rest_s += call.ended_at - now
-            if call.expires_ms is not None:
+            if call.lease_end_ms is not None:
                 call_rest_s = min(
                     call_rest_s,
-                    (call.expires_ms + LEASE_EXPIRY_MARGIN_MS - clock_ms) /
+                    (call.lease_end_ms + LEASE_EXPIRY_MARGIN_MS - clock_ms) /
                     1000 / (1 - MAX_RELATIVE_CLOCK_DRIFT))
             rest_s = max(rest_s, call_rest_s)
         return rest_s
