Keep runs whose start order may reach a new instance of their worker

Cause: the report of a new instance of a worker ended all its runs in the leader's books. A start order that was still under way to the id could reach the new instance afterwards, or had already begun a run there, and the task was started elsewhere as well (TWICE; shown by the tests, not by users).

Ruled out: orders that the former instance answered, and those whose call ended before the new instance began, which its clock shows.

Change: runs that the new instance lists, and those whose start order may still reach it, are kept. The reply, a repeated start, a stop or a later report resolves them, as for a worker that was not replaced. The delays before a move get a module of their own, as _group_state was too long.

--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -17,7 +17,7 @@
 from gentianlead.cluster import _status_polls
 from gentianlead.cluster import _takeover_wait
 from gentianlead.dispatch import _election
-from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _move_delays
 from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _lease_calls
@@ -170,7 +170,7 @@
 
 
 def list_move_waits(
-    delay: datetime.timedelta = _group_state.RESERVED_TASK_MOVE_DELAY
+    delay: datetime.timedelta = _move_delays.RESERVED_TASK_MOVE_DELAY
 ) -> list[Wait]:
     """Returns the waits from the first attempt to start to a run elsewhere.
 
@@ -363,9 +363,9 @@
     def test_delays(self):
         """Guards against sums with a delay that is not the longest."""
         self.assertLessEqual(_moves.ARRIVAL_MOVE_DELAY,
-                             _group_state.TASK_MOVE_DELAY)
-        self.assertLessEqual(_group_state.TASK_MOVE_DELAY,
-                             _group_state.RESERVED_TASK_MOVE_DELAY)
+                             _move_delays.TASK_MOVE_DELAY)
+        self.assertLessEqual(_move_delays.TASK_MOVE_DELAY,
+                             _move_delays.RESERVED_TASK_MOVE_DELAY)
 
     def test_task_that_finds_the_room_of_its_new_group_taken(self):
         """Guards against the full delay in a group that it moved to in vain.
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -19,6 +19,7 @@
 from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _lease_calls
+from gentianlead.dispatch import _move_delays
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _throttling
@@ -32,15 +33,6 @@
 """Minimum time for which a worker without runs is kept after its removal from
 the registry: its entry may reappear after an outage of the store."""
 
-TASK_MOVE_DELAY = datetime.timedelta(milliseconds=700)
-"""Time without capacity after which waiting long-running tasks should move to
-another group."""
-
-RESERVED_TASK_MOVE_DELAY = datetime.timedelta(milliseconds=1800)
-"""Replaces `TASK_MOVE_DELAY` while a worker starts no short tasks, so that a
-long-running task fits there soon, and for tasks that are not long-running
-themselves: most short tasks end within this time."""
-
 
 class GroupState:
     """Keeps the jobs, workers and runs of a group up to date.
@@ -229,7 +221,7 @@
                 # clocks jump.
                 return
             if worker.born_ms:
-                self._end_lost_runs(worker, True, now)
+                self._end_replaced_runs(worker, status, sent_at, now)
             worker.set_instance(status, self._unseen_workers.get(worker_id, 0),
                                 sent_at, now)
         else:
@@ -409,6 +401,26 @@
         for run in list(worker.runs.values()):
             self.end_run(worker, run, evidence, now)
 
+    def _end_replaced_runs(self, worker: _workers.WorkerState,
+                           status: ports.WorkerStatus, sent_at: float,
+                           now: float) -> None:
+        """Ends the runs that ended with the former instance of a worker.
+
+        A start order may reach the new one, also after this report. Its run is
+        kept until a reply, a stop or a later report shows what became of it.
+        """
+        listed_runs = {
+            (run.task, run.run) for run in (*status.running, *status.ended)
+        }
+        started_at = worker.compute_earliest_start(status, sent_at)
+        kept_runs = {
+            run_key: worker.runs.pop(run_key)
+            for run_key, run in list(worker.runs.items())
+            if run_key in listed_runs or run.may_reach_instance(started_at)
+        }
+        self._end_lost_runs(worker, True, now)
+        worker.runs.update(kept_runs)
+
     # Jobs that the topic assigns to the group.
 
     def put_job(self, entry: _table.JobEntry) -> None:
@@ -577,7 +589,7 @@
                 continue
             step_runs = [
                 step_run for step_run in job.steps.values()
-                if _is_move_due(step_run, now)
+                if _move_delays.is_move_due(step_run, now)
             ]
             if step_runs and job.list_active_runs():
                 step_runs = [
@@ -586,11 +598,3 @@
                 ]
             unplaced_steps.extend((job, step_run) for step_run in step_runs)
         return unplaced_steps
-
-
-def _is_move_due(step_run: _runs.StepRun, now: float) -> bool:
-    if step_run.unplaced_since is None or not step_run.waiting_indexes:
-        return False
-    move_delay = (TASK_MOVE_DELAY if step_run.step.is_long_running and
-                  not step_run.reserved_worker else RESERVED_TASK_MOVE_DELAY)
-    return now - step_run.unplaced_since >= move_delay.total_seconds()
--- a/src/gentianlead/dispatch/_task_runs.py
+++ b/src/gentianlead/dispatch/_task_runs.py
@@ -116,6 +116,20 @@
         self.over_limit_since: float | None = None
         self.unplaced_since: float | None = None
 
+    def may_reach_instance(self, started_at: float) -> bool:
+        """Returns whether a start order may reach an instance of the worker.
+
+        It may while its reply is awaited, or if it got none and its call ended
+        after the instance started.
+
+        Args:
+            started_at: Time at which the instance started, or earlier.
+        """
+        if self.phase not in (RunPhase.STARTING, RunPhase.UNKNOWN):
+            return False
+        return (self.has_pending_order or self.unanswered_at is None or
+                self.unanswered_at >= started_at)
+
     def has_vanished(self, sent_at: float, longest_lease_s: float) -> bool:
         """Returns whether the run has ended if a status report lacks it.
 
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -377,6 +377,26 @@
         self._handed_over_lease_ends_at = ends_at
         self._lease_calls.add_former_calls(read_at)
 
+    def compute_earliest_start(self, status: ports.WorkerStatus,
+                               sent_at: float) -> float:
+        """Returns a time before which a new instance has not started.
+
+        Its clock, which may be slow, began with it. If its clock is not behind
+        that of the former instance, it did not, and the start is not known.
+
+        Args:
+            status: First report of the instance.
+            sent_at: Monotonic time in seconds at which the status call was
+                sent.
+
+        Returns:
+            Monotonic time in seconds; `sent_at` if the start is not known.
+        """
+        if status.clock_ms >= self.get_min_clock_ms(sent_at):
+            return sent_at
+        return sent_at - status.clock_ms / 1000 / (
+            1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT)
+
     def set_instance(self, status: ports.WorkerStatus, recorded_born_ms: int,
                      sent_at: float, now: float) -> None:
         """Resets the state that depends on the instance of the worker.
@@ -391,9 +411,7 @@
                 sent.
             now: Present monotonic time in seconds.
         """
-        # The clock of an instance begins with it.
-        started_at = sent_at - status.clock_ms / 1000 / (
-            1 - _lease_calls.MAX_RELATIVE_CLOCK_DRIFT)
+        started_at = self.compute_earliest_start(status, sent_at)
         if not self.born_ms and recorded_born_ms not in (0, status.born_ms):
             # A leader sends nothing to a worker that it has not seen lately.
             self._lease_calls.add_former_calls(
--- a/src/gentianlead/dispatch/tests/test_refusals.py
+++ b/src/gentianlead/dispatch/tests/test_refusals.py
@@ -5,7 +5,7 @@
 from gentianlead import dispatch
 from gentianlead import model
 from gentianlead import ports
-from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _move_delays
 from gentianlead.dispatch.tests import builders
 from gentianlead.dispatch.tests import test_lasting
 
@@ -101,7 +101,7 @@
                     self.assertIsNotNone(move)
                     self.assertGreaterEqual(
                         group.driver.now,
-                        100.0 + _group_state.TASK_MOVE_DELAY.total_seconds())
+                        100.0 + _move_delays.TASK_MOVE_DELAY.total_seconds())
 
     def test_other_workers_are_tried_first(self):
         """Guards against orders to one refusing worker beside free ones."""
--- a/src/gentianlead/dispatch/tests/test_replaced_workers.py
+++ b/src/gentianlead/dispatch/tests/test_replaced_workers.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from gentianlead import dispatch
+from gentianlead import ports
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
@@ -175,3 +176,71 @@
         self.assertGreater(worker.compute_lease_rest_s(driver.now), MAX_LEASE_S)
         self.assertEqual(
             worker.find_start_obstacle(driver.now).value, "lease-too-long")
+
+
+class PendingStartTest(unittest.TestCase):
+    """Tests a start order for the former instance of a restarted worker."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(
+            builders.build_worker("w1"),
+            builders.build_worker("w2", is_draining=True))
+        self.driver.put_job(JOB_ID, builders.build_step(is_long_running=True))
+        (self.order,) = self.driver.plan_starts()
+        self.driver.scheduler.put_worker(builders.build_worker("w2"))
+
+    def report(self, *running: ports.ActiveRun, clock_ms: int = 700) -> None:
+        """Applies a report of the new instance."""
+        self.driver.apply_status("w1",
+                                 clock_ms=clock_ms,
+                                 born_ms=NEXT_BORN_MS,
+                                 running=running)
+        self.driver.apply_status("w2")
+
+    def test_which_runs_end_with_the_former_instance(self):
+        """Guards against a second run beside one that a late order starts.
+
+        The task of a run that ends starts on another worker. The new instance
+        reports before the order reaches it.
+        """
+        started = ports.StartOutcome.STARTED
+        unknown = ports.StartOutcome.UNKNOWN
+        for name, outcome, replied_at, has_ended in (
+            ("the reply is awaited", None, 0.0,
+             False), ("no reply, the new instance is up", unknown, 0.5,
+                      False), ("no reply, it starts later", unknown, 0.1, True),
+            ("the former instance has replied", started, 0.1, True)):
+            with self.subTest(name):
+                self.setUp()
+                self.driver.now += replied_at
+                if outcome is not None:
+                    self.driver.apply_start_outcome(self.order, outcome)
+                self.driver.now += 1.0 - replied_at
+                self.report()
+                self.assertEqual(len(self.driver.scheduler.ended_runs),
+                                 int(has_ended))
+
+    def test_late_order(self):
+        """Guards against a run that its leader ends although it begins."""
+        self.driver.now += 1.0
+        self.report()
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.STARTED)
+        self.report(builders.build_active_run(self.order), clock_ms=900)
+        self.assertEqual(self.driver.plan(), [])
+        self.assertEqual(self.driver.scheduler.ended_runs, [])
+
+    def test_order_that_the_new_instance_has_carried_out(self):
+        """Guards against counting its run as lost with the former instance."""
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.STARTED)
+        self.report(builders.build_active_run(self.order))
+        self.assertEqual(self.driver.plan(), [])
+        self.assertEqual(self.driver.scheduler.ended_runs, [])
+
+    def test_order_that_was_not_carried_out(self):
+        """Guards against a task that waits for an order that was lost."""
+        self.driver.now += 1.0
+        self.report()
+        self.driver.apply_start_outcome(self.order, ports.StartOutcome.UNKNOWN)
+        self.report(clock_ms=900)
+        (retry,) = self.driver.plan_starts()
+        self.assertEqual((retry.worker_id, retry.run), ("w1", self.order.run))
