Answer 410 to a cancellation only after a read that was sent later

The daemon's read of the topic had gone silent.

Cause: the table, fresh for 2.2 s after its last read, was taken as proof that there was no such job, also when the wait for a later read timed out; and the acceptances that the daemon had not read back were not looked at.

Ruled out: lost notices (nothing was stored), the limits of reads.

Change: 410 needs a read sent after the request, and no acceptance pending here. A job that was accepted here and not read back is cancelled at once, and its state is queued. After half of the caller's time a peer is asked.

--- a/src/gentianlead/cluster/_job_acceptances.py
+++ b/src/gentianlead/cluster/_job_acceptances.py
@@ -58,8 +58,8 @@
         self._acceptance_count = 0
         # Acceptances whose outcome is not known yet, by job identifier.
         self._pending: dict[str, asyncio.Task] = {}
-        # Jobs whose acceptance is stored but not read back yet.
-        self._unread_job_ids: set[str] = set()
+        # Jobs whose acceptance is stored but not read back yet, by identifier.
+        self._unread_jobs: dict[str, model.SteppedJob] = {}
         # Long-running jobs, by identifier, whose acceptance was sent to the
         # store but not read back yet.
         self._unread_long_running_jobs: dict[str, model.SteppedJob] = {}
@@ -69,9 +69,12 @@
         """Returns whether the outcome of an acceptance is not known yet."""
         return job_id in self._pending
 
-    def is_unread(self, job_id: str) -> bool:
-        """Returns whether an acceptance is stored but not read back yet."""
-        return job_id in self._unread_job_ids
+    def find_unread(self, job_id: str) -> model.SteppedJob | None:
+        """Returns the job of an acceptance that is stored but not read back.
+
+        Another acceptance of the job, with other groups, may take effect.
+        """
+        return self._unread_jobs.get(job_id)
 
     def list_unread_long_running_jobs(self) -> list[model.SteppedJob]:
         """Returns the long-running jobs that may be stored, and are not read.
@@ -86,7 +89,7 @@
 
     def forget_job(self, job_id: str) -> None:
         """Drops what is kept for a job that was removed from the job topic."""
-        self._unread_job_ids.discard(job_id)
+        self._unread_jobs.pop(job_id, None)
 
     def begin(self, job: model.SteppedJob, refusal_timeout: datetime.timedelta,
               report_age_ms: int | None) -> None:
@@ -161,7 +164,7 @@
                         store_ms=int(
                             (self._clock.monotonic() - started_at) * 1000),
                         report_age_ms=report_age_ms)
-        self._unread_job_ids.add(job.job_id)
+        self._unread_jobs[job.job_id] = job
         notification = asyncio.get_running_loop().create_task(
             self._notify_leaders(job, offset))
         self._notifications.add(notification)
@@ -182,7 +185,7 @@
             return
         job_entry = self._topic_reader.job_table.jobs.get(job.job_id)
         if job_entry is not None:
-            self._unread_job_ids.discard(job.job_id)
+            self._unread_jobs.pop(job.job_id, None)
         if job_entry is None or job_entry.offset != offset:
             self._log.write("job-already-accepted",
                             job=job.job_id,
--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -111,7 +111,7 @@
     async def _submit(self, job: model.SteppedJob, timeout: datetime.timedelta,
                       may_relay: bool) -> ports.SubmitReply:
         if (job.job_id in self._topic_reader.job_table.jobs or
-                self._acceptances.is_unread(job.job_id)):
+                self._acceptances.find_unread(job.job_id)):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         submission = self._submissions.get(job.job_id)
         if submission is None:
@@ -279,58 +279,70 @@
 
     async def _cancel(self, job_id: str, timeout: datetime.timedelta,
                       may_relay: bool) -> ports.SubmitReply | None:
+        expires_at = self._clock.monotonic() + timeout.total_seconds()
         job_entry = self._topic_reader.job_table.jobs.get(job_id)
         if job_entry is None and self._is_store_available():
-            await self._wait_until_table_is_current(timeout)
-            job_entry = self._topic_reader.job_table.jobs.get(job_id)
-            if job_entry is None and self._topic_reader.is_fresh():
-                return None
-        if not self._is_store_available() and may_relay:
-            relayed_reply = await self._relay_to_peers(
-                _peer_messages.CALL_CANCEL,
-                _peer_messages.RelayedCancellation(job_id, _to_ms(timeout)),
-                timeout, self._choose_relay_peers())
-            if relayed_reply is not None:
-                return _decode_reply(
-                    relayed_reply) if relayed_reply.outcome else None
+            await self._acceptances.wait_for_outcome(job_id, timeout / 2)
+            if self._acceptances.find_unread(job_id) is None:
+                # Half of the time, as a peer is asked afterwards.
+                is_current = await self._wait_until_table_is_current(
+                    self._compute_time_left(expires_at) / 2)
+                job_entry = self._topic_reader.job_table.jobs.get(job_id)
+                if (job_entry is None and is_current and
+                        not self._acceptances.is_pending(job_id)):
+                    return None
+        unread_job = self._acceptances.find_unread(job_id)
+        if not self._is_store_available() or not (job_entry or unread_job):
+            reply = None
+            if may_relay:
+                time_left = self._compute_time_left(expires_at)
+                reply = await self._relay_to_peers(
+                    _peer_messages.CALL_CANCEL,
+                    _peer_messages.RelayedCancellation(job_id,
+                                                       _to_ms(time_left)),
+                    time_left, self._choose_relay_peers())
+            if reply is not None:
+                return _decode_reply(reply) if reply.outcome else None
             return _job_acceptances.build_refusal(
-                "the store does not reply", _job_acceptances.STORE_RETRY_DELAY)
-        if job_entry is None:
-            return _job_acceptances.build_refusal(
-                "this daemon has not read the job from the store yet",
+                "this daemon cannot read the job from the store now",
                 _job_acceptances.STORE_RETRY_DELAY)
-        if job_entry.is_cancelled or job_entry.state.is_final:
+        if job_entry and (job_entry.is_cancelled or job_entry.state.is_final):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
         try:
             await self._topic_writer.append([dispatch.CancelledRecord(job_id)],
-                                            timeout, REFUSAL_TIMEOUT)
+                                            self._compute_time_left(expires_at),
+                                            REFUSAL_TIMEOUT)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 return _job_acceptances.build_refusal(
                     str(error), _job_acceptances.STORE_RETRY_DELAY)
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._unread_job_states.setdefault(job_id, model.JobState.CANCELLED)
-        for group in job_entry.groups:
+        groups = job_entry.groups if job_entry else unread_job.assignment
+        for group in set(groups):
             self._send_to_leader(group, _peer_messages.NOTICE_CANCEL,
                                  _peer_messages.CancelNotice(group, job_id))
         return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
     async def _wait_until_table_is_current(self,
-                                           timeout: datetime.timedelta) -> None:
+                                           timeout: datetime.timedelta) -> bool:
         """Waits until the table includes all records stored before the call.
 
-        Returns without an error after the timeout, although the table may then
-        lack some of these records.
+        Returns:
+            Whether it does; False after the timeout.
         """
         requested_at = self._clock.monotonic()
         expires_at = requested_at + timeout.total_seconds()
-        while self._clock.monotonic() < expires_at:
+        while True:
             fresh_as_of = self._topic_reader.fresh_as_of
             if fresh_as_of is not None and fresh_as_of >= requested_at:
-                return
+                return True
+            if self._clock.monotonic() >= expires_at:
+                return False
             await self._topic_reader.wait_until_applied(
                 self._topic_reader.job_table.position,
-                _job_topic.MIN_READ_INTERVAL)
+                min(_job_topic.MIN_READ_INTERVAL,
+                    self._compute_time_left(expires_at)))
 
     async def find_state(self, job_id: str,
                          deadline: datetime.timedelta) -> ports.JobLookup:
@@ -360,6 +372,8 @@
         unread_state = self._unread_job_states.get(job_id)
         job_entry = self._topic_reader.job_table.jobs.get(job_id)
         if job_entry is None:
+            if unread_state is None and self._acceptances.find_unread(job_id):
+                unread_state = model.JobState.QUEUED
             is_certain = (self._topic_reader.is_loaded and
                           self._topic_reader.is_fresh())
             return ports.JobLookup(unread_state, is_certain or
--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -352,3 +352,48 @@
         self.assertIs((await self.job_service.find_state(JOB_ID,
                                                          SHORT_TIMEOUT)).state,
                       model.JobState.CANCELLED)
+
+    async def test_cancellation_of_a_job_that_is_not_read_back(self):
+        """Guards against a 410 for a job that runs on.
+
+        The reader gets no replies, and its last read counts as fresh for a
+        while. The job was accepted here, or its append is under way.
+        """
+        for append_delay_s, submitted in ((0.0, ACCEPTED), (0.4, UNKNOWN)):
+            with self.subTest(append_delay_s=append_delay_s):
+                await self.asyncSetUp()
+                await self.reader.stop()
+                self.store.append_delay_s = append_delay_s
+                self.assertIs((await self.submit()).outcome, submitted)
+                reply = await self.job_service.cancel(JOB_ID, TIMEOUT)
+                self.assertIs(reply.outcome, ACCEPTED)
+                self.assertEqual([
+                    stored.key[0]
+                    for stored in self.store.records[dispatch.JOB_TOPIC]
+                ], ["j", "c"])
+                lookup = await self.job_service.find_state(
+                    JOB_ID, SHORT_TIMEOUT)
+                self.assertIs(lookup.state, model.JobState.CANCELLED)
+
+    async def test_state_of_a_job_that_is_not_read_back(self):
+        """Guards against a 410 for a job that this daemon has accepted."""
+        await self.reader.stop()
+        await self.submit()
+        self.assertEqual(
+            await self.job_service.find_state(JOB_ID, SHORT_TIMEOUT),
+            ports.JobLookup(model.JobState.QUEUED, True))
+
+    async def test_cancellation_by_an_old_table(self):
+        """Guards against a 410 for a job that another daemon has accepted.
+
+        This daemon cannot tell; a peer that has read the topic can.
+        """
+        await self.reader.stop()
+        reply = await self.job_service.cancel(JOB_ID, SHORT_TIMEOUT)
+        self.assertIs(reply.outcome, REFUSED)
+        for peer_reply, is_known in ((_peer_messages.RelayedReply(
+                "accepted", "", 0), True), (_peer_messages.RelayedReply(
+                    "", "the job does not exist", 0), False)):
+            self.peering.replies[_peer_messages.CALL_CANCEL] = peer_reply
+            reply = await self.job_service.cancel(JOB_ID, SHORT_TIMEOUT)
+            self.assertEqual(reply is not None, is_known)
