Refuse to count waiting jobs before the topic is loaded

Cause: requests are answered once the configuration is read, and the count came from the table of jobs, which was still empty.

Change: the count is refused with 503 and Retry-After while the topic is not loaded, as the state of a job is.

--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -383,7 +383,9 @@
         self._unread_job_states.pop(job_id, None)
         return ports.JobLookup(job_entry.state, True)
 
-    def count_pending(self, queue: model.Queue) -> int:
+    def count_pending(self, queue: model.Queue) -> int | None:
+        if not self._topic_reader.is_loaded:
+            return None
         return sum(
             1 for entry in self._topic_reader.job_table.jobs.values()
             if entry.job.queue.path_prefix == queue.path_prefix and
--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -397,3 +397,15 @@
             self.peering.replies[_peer_messages.CALL_CANCEL] = peer_reply
             reply = await self.job_service.cancel(JOB_ID, SHORT_TIMEOUT)
             self.assertEqual(reply is not None, is_known)
+
+    async def test_count_of_waiting_jobs(self):
+        """Guards against a count by a daemon that has not read the topic.
+
+        It would be 0, whatever waits. The topic is loaded, and then lost.
+        """
+        await self.submit()
+        await self.reader.wait_until_applied(0, TIMEOUT)
+        self.assertEqual(self.job_service.count_pending(builders.QUEUE), 1)
+        await self.reader.stop()
+        self.reader.is_loaded = False
+        self.assertIsNone(self.job_service.count_pending(builders.QUEUE))
--- a/src/gentianlead/platform/_callers.py
+++ b/src/gentianlead/platform/_callers.py
@@ -26,6 +26,9 @@
 CONFIGURATION_RETRY_AFTER = datetime.timedelta(seconds=1)
 """Delay in the header Retry-After while the daemon has no configuration yet."""
 
+JOBS_RETRY_AFTER = datetime.timedelta(seconds=1)
+"""Delay in the header Retry-After while the daemon cannot read the jobs."""
+
 MAX_READ_BODY_BYTES = 1 << 20
 """Maximum size of a request body that the server reads. The limit of the
 configuration is checked after the body was read."""
@@ -138,8 +141,7 @@
                                          "no queue serves this host and path")
         job_id = request.path[len(queue.path_prefix):]
         if not job_id and request.method == "GET":
-            return web.json_response(
-                {"pending": self._job_service.count_pending(queue)})
+            return self._serve_count(queue)
         if not _jobs.is_job_id(job_id):
             return _build_error_response(
                 404, "UNKNOWN_JOB",
@@ -155,6 +157,14 @@
         return _build_error_response(405, "BAD_METHOD",
                                      "the method must be POST, GET or DELETE")
 
+    def _serve_count(self, queue: model.Queue) -> web.Response:
+        pending_count = self._job_service.count_pending(queue)
+        if pending_count is None:
+            return _build_refusal_response(
+                "the daemon has not read the jobs from the store yet",
+                JOBS_RETRY_AFTER)
+        return web.json_response({"pending": pending_count})
+
     async def _serve_submission(self, request: web.Request,
                                 configuration: model.FleetConfiguration,
                                 queue: model.Queue, job_id: str,
@@ -181,8 +191,7 @@
         if lookup.is_certain:
             return _build_error_response(410, "UNKNOWN_JOB", "no such job")
         return _build_refusal_response(
-            "the state of the job cannot be read now",
-            datetime.timedelta(seconds=1))
+            "the state of the job cannot be read now", JOBS_RETRY_AFTER)
 
     async def _serve_cancellation(self, job_id: str,
                                   deadline: datetime.timedelta) -> web.Response:
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -446,6 +446,7 @@
             ports.SubmitOutcome.ACCEPTED)
         self.lookup = ports.JobLookup(model.JobState.RUNNING, True)
         self.jobs: list[model.SteppedJob] = []
+        self.pending_count: int | None = 12
 
     def get_configuration(self) -> model.FleetConfiguration | None:
         return self.configuration
@@ -466,8 +467,8 @@
                          deadline: datetime.timedelta) -> ports.JobLookup:
         return self.lookup
 
-    def count_pending(self, queue: model.Queue) -> int:
-        return 12
+    def count_pending(self, queue: model.Queue) -> int | None:
+        return self.pending_count
 
     def get_unix_time_ms(self) -> int:
         return 17
@@ -556,6 +557,12 @@
             "pending": 12
         }, ""))
 
+    async def test_count_before_the_jobs_are_read(self):
+        """Guards against a count of 0 by a daemon that knows no jobs yet."""
+        self.job_service.pending_count = None
+        status, _, retry_header = await self.call("GET", "/q/")
+        self.assertEqual((status, retry_header), (503, "1"))
+
     async def test_bodies_that_cannot_be_decoded(self):
         """Guards against status 500 for a body of a caller."""
         self.job_service.configuration = (
--- a/src/gentianlead/ports/_job_service.py
+++ b/src/gentianlead/ports/_job_service.py
@@ -87,8 +87,11 @@
         """Looks up the state of a job, at other daemons if necessary."""
 
     @abc.abstractmethod
-    def count_pending(self, queue: model.Queue) -> int:
-        """Returns the number of accepted jobs of a queue that wait to start."""
+    def count_pending(self, queue: model.Queue) -> int | None:
+        """Returns the number of accepted jobs of a queue that wait to start.
+
+        None if the jobs are not known yet.
+        """
 
     @abc.abstractmethod
     def get_unix_time_ms(self) -> int:
