Hold the place of a long-running task while it is stopped to move there

What users see: long-running tasks of a leaving worker are stopped and then have no run for 20 to 30 s, although the worker is still up.

Cause: a stop was justified by a place that was reserved for one plan only. Until the stopped task started, each further plan saw the place free again and stopped another run for it, or another task took it. The room in another group's report was not counted as taken between the end of the run and the move of its task.

Ruled out for the tasks in the logs: memory that differs from the topic (state-differs wrote no line), pending moves, workers that refuse starts.

Change: the place is held until the task starts there, for 3 s at most; a room of another group counts as taken for 2.5 s. Tasks that are not long-running reserve their place in one plan as before.

--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -9,6 +9,7 @@
 
 from gentianlead.dispatch import _admission
 from gentianlead.dispatch import _crashes
+from gentianlead.dispatch import _held_places
 from gentianlead.dispatch import _interference
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _moves
@@ -37,8 +38,9 @@
                  interference: _interference.InterferenceModel):
         super().__init__(group, epoch, timings, now, leadership_offset,
                          interference)
-        self._start_planner = _starting.StartPlanner(self)
-        self._stop_planner = _stopping.StopPlanner(self)
+        held_places = _held_places.HeldPlaces(self)
+        self._start_planner = _starting.StartPlanner(self, held_places)
+        self._stop_planner = _stopping.StopPlanner(self, held_places)
         self._move_planner = _moves.MovePlanner(self)
 
     def plan(self, now: float, now_ms: int,
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -10,6 +10,7 @@
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _task_runs
 
 JOB_MOVE_DELAY = datetime.timedelta(milliseconds=400)
 """Time without capacity after which a job without active runs may move to a
@@ -40,6 +41,11 @@
 the moved job: the time covers the append, the read by the destination's leader
 and the age of the load in its report."""
 
+RELEASED_ROOM_DURATION = datetime.timedelta(milliseconds=2500)
+"""Time for which the room of another group that justified the stop of a run is
+not used for a further one: the stop, the delay before the move, the move, and
+the next load report of that group."""
+
 
 class MoveReason(enum.Enum):
     """Why tasks leave their group.
@@ -143,6 +149,9 @@
     def __init__(self, state: _group_state.GroupState):
         self._state = state
         self._recent_moves: list[_RecentMove] = []
+        # Runs that may leave the group, each with the monotonic time in seconds
+        # at which they were marked.
+        self._released_runs: list[tuple[_task_runs.Run, float]] = []
 
     def plan(self, get_own_load: Callable[[], _load.GroupLoad],
              reports: dict[str, _admission.GroupReport],
@@ -232,8 +241,8 @@
         They are stopped although their own group may have no room. Without a
         stop, such a run ends with its worker, and its task can move only after
         the lease. No more runs are marked at a time than fit on one worker of
-        the other group. A gang is left out, as all its members would have to
-        move.
+        the other group; those that have ended count until a report can show
+        their tasks. A gang is left out, as all its members would have to move.
         """
         leaving_runs = [
             run for worker in self._state.workers.values()
@@ -241,7 +250,12 @@
             for run in worker.runs.values()
             if run.step.is_long_running and not run.step.is_gang
         ]
-        released_count = sum(run.may_leave_group for run in leaving_runs)
+        self._released_runs = [
+            (run, released_at)
+            for run, released_at in self._released_runs
+            if run in leaving_runs or now -
+            released_at <= RELEASED_ROOM_DURATION.total_seconds()
+        ]
         for run in leaving_runs:
             job = self._state.jobs.get(run.task.job_id)
             if job is None or job.has_ended or run.may_leave_group:
@@ -249,9 +263,9 @@
             fallback_group = _choose_fallback_group(job, run.task.step,
                                                     frozenset(), reports, now)
             if (fallback_group.group and
-                    released_count < fallback_group.max_tasks):
+                    len(self._released_runs) < fallback_group.max_tasks):
                 run.may_leave_group = True
-                released_count += 1
+                self._released_runs.append((run, now))
 
     def _include_recent_moves(self, reports: dict[str, _admission.GroupReport],
                               now: float) -> dict[str, _admission.GroupReport]:
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -4,6 +4,7 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _held_places
 from gentianlead.dispatch import _step_priority
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
@@ -43,8 +44,10 @@
 class StartPlanner:
     """Plans the start orders and permit requests of a group."""
 
-    def __init__(self, state: _group_state.GroupState):
+    def __init__(self, state: _group_state.GroupState,
+                 held_places: _held_places.HeldPlaces):
         self._state = state
+        self._held_places = held_places
         # CPU of the smallest best-effort task that found no capacity in this
         # pass, by service and image. Steps of the same service and image whose
         # tasks need at least as much are skipped in this pass.
@@ -79,8 +82,11 @@
 
     def _plan_starts(self, orders: list[_orders.Order], now: float,
                      now_ms: int) -> None:
+        if not self._state.is_evacuated:
+            self._held_places.start_tasks(self._start_without_probation, orders,
+                                          now)
         candidates = {
-            worker.worker_id: _placement.build_candidate(worker)
+            worker.worker_id: self._held_places.build_candidate(worker)
             for worker in self._state.workers.values()
             if worker.can_receive_starts(now) and
             (worker.enforces_capacity or self._state.is_registry_current) and
@@ -350,7 +356,7 @@
             relaxation = _placement.Relaxation.NORMAL
             task_counts[worker.worker_id] = task_counts.get(
                 worker.worker_id, 0) + 1
-            _update_candidate(candidates, worker, now)
+            self._update_candidate(candidates, worker, now)
             eligible_candidates = [
                 candidates[candidate.worker.worker_id]
                 for candidate in eligible_candidates
@@ -523,9 +529,21 @@
             if is_probation:
                 candidates.pop(worker.worker_id, None)
             else:
-                _update_candidate(candidates, worker, now)
+                self._update_candidate(candidates, worker, now)
         return True
 
+    def _update_candidate(self, candidates: dict[str, _placement.Candidate],
+                          worker: _workers.WorkerState, now: float) -> None:
+        """Updates the capacity of a worker after a start; may remove it.
+
+        A worker on probation receives no further start after the first one.
+        """
+        if worker.can_receive_starts(now):
+            candidates[worker.worker_id] = self._held_places.build_candidate(
+                worker)
+        else:
+            candidates.pop(worker.worker_id, None)
+
     def _find_rack_labels(self,
                           step_run: _runs.StepRun) -> frozenset[str] | None:
         if not step_run.step.prefers_same_rack:
@@ -578,15 +596,3 @@
         step: _step_priority.WaitingStep) -> tuple[str, tuple[int, int]]:
     job, step_run = step
     return job.job.job_id, step_run.key
-
-
-def _update_candidate(candidates: dict[str, _placement.Candidate],
-                      worker: _workers.WorkerState, now: float) -> None:
-    """Updates the capacity of a worker after a start; may remove the worker.
-
-    A worker on probation receives no further start after the first one.
-    """
-    if worker.can_receive_starts(now):
-        candidates[worker.worker_id] = _placement.build_candidate(worker)
-    else:
-        candidates.pop(worker.worker_id, None)
--- a/src/gentianlead/dispatch/_stopping.py
+++ b/src/gentianlead/dispatch/_stopping.py
@@ -4,6 +4,7 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _held_places
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _task_runs
@@ -56,13 +57,14 @@
     but this leader does not track (`WorkerState.unknown_runs`).
     """
 
-    def __init__(self, state: _group_state.GroupState):
+    def __init__(self, state: _group_state.GroupState,
+                 held_places: _held_places.HeldPlaces):
         self._state = state
+        self._held_places = held_places
         # Capacity left on the workers that may receive starts, by worker
         # identifier, without those on probation: they may fail the run, and
-        # receive one start at a time. Runs that the present plan moves to a
-        # worker are already subtracted. None until the plan looks for capacity
-        # for a first run.
+        # receive one start at a time. Held places are already subtracted. None
+        # until the plan looks for capacity for a first run.
         self._destination_candidates: dict[str,
                                            _placement.Candidate] | None = None
 
@@ -143,9 +145,9 @@
         if run.phase is not _task_runs.RunPhase.RUNNING:
             return ""
         if self._should_leave_worker(run) and (
-                run.may_leave_group or self._reserve_elsewhere(run, now)):
+                run.may_leave_group or self._find_place_elsewhere(run, now)):
             return "worker is leaving"
-        if _is_faster_elsewhere(run) and self._reserve_elsewhere(run, now):
+        if _is_faster_elsewhere(run) and self._find_place_elsewhere(run, now):
             return "interferes with latency-critical tasks"
         return ""
 
@@ -166,17 +168,20 @@
         remaining_ms = run.step.estimate_ms * (100 - run.progress_percent) / 100
         return remaining_ms > (entry.leaves_in_ms or 0)
 
-    def _reserve_elsewhere(self, run: _task_runs.Run, now: float) -> bool:
-        """Reserves capacity for a run on another worker of the same service.
+    def _find_place_elsewhere(self, run: _task_runs.Run, now: float) -> bool:
+        """Finds a place for a run on another worker of the same service.
 
-        The reservation holds for the present plan only.
+        The place is held for the next run of a long-running task; for any other
+        task it is reserved in the present plan only.
 
         Returns:
-            Whether another worker has the capacity.
+            Whether there is a place.
         """
+        if self._held_places.has_place(run, now):
+            return True
         if self._destination_candidates is None:
             self._destination_candidates = {
-                worker.worker_id: _placement.build_candidate(worker)
+                worker.worker_id: self._held_places.build_candidate(worker)
                 for worker in self._state.workers.values()
                 if worker.can_receive_starts(now) and not worker.is_on_probation
             }
@@ -194,9 +199,11 @@
             None, self._state.interference)
         if chosen_candidate is None:
             return False
-        self._destination_candidates[
-            chosen_candidate.worker.worker_id] = _placement.subtract_task(
-                chosen_candidate, run.step)
+        worker_id = chosen_candidate.worker.worker_id
+        if run.step.is_long_running:
+            self._held_places.hold(run, worker_id, now)
+        self._destination_candidates[worker_id] = _placement.subtract_task(
+            chosen_candidate, run.step)
         return True
 
     def _is_stalled(self, run: _task_runs.Run, now: float) -> bool:
