--- a/src/gentianlead/cluster/tests/test_desk.py
+++ b/src/gentianlead/cluster/tests/test_desk.py
@@ -359,7 +359,7 @@
         The reader gets no replies, and its last read counts as fresh for a
         while. The job was accepted here, or its append is under way.
         """
-        for append_delay_s, submitted in ((0.0, ACCEPTED), (0.4, UNKNOWN)):
+        for append_delay_s, submitted in ((0.0, ACCEPTED), (0.7, UNKNOWN)):
             with self.subTest(append_delay_s=append_delay_s):
                 await self.asyncSetUp()
                 await self.reader.stop()
--- a/src/gentianlead/cluster/tests/test_repeated_submissions.py
+++ b/src/gentianlead/cluster/tests/test_repeated_submissions.py
@@ -76,12 +76,12 @@
         The second one replaced the first one in the store. Daemons that had
         read the first one and daemons that started later ran the job twice.
         """
-        self.store.append_delay_s = 0.3
+        self.store.append_delay_s = 0.6
         self.set_loads(north_1=True, north_2=False)
         self.assertIs((await self.submit(SHORT_TIMEOUT)).outcome, UNKNOWN)
         self.set_loads(north_1=False, north_2=True)
         self.assertIs((await self.submit(TIMEOUT)).outcome, ACCEPTED)
-        await self.clock.sleep(datetime.timedelta(seconds=0.4))
+        await self.clock.sleep(datetime.timedelta(seconds=0.8))
         self.assertEqual(self.read_accepted_groups(), [("north-1",)])
 
     async def test_job_that_may_be_stored_is_not_refused(self):
@@ -92,7 +92,7 @@
         for is_store_available in (True, False):
             with self.subTest(is_store_available=is_store_available):
                 await self.asyncSetUp()
-                self.store.append_delay_s = 0.5
+                self.store.append_delay_s = 1.0
                 self.set_loads(north_1=True)
                 self.assertIs((await self.submit(SHORT_TIMEOUT)).outcome,
                               UNKNOWN)
@@ -117,11 +117,11 @@
 
     async def test_job_that_was_not_stored_is_admitted_again(self):
         """Guards against a job that stays unknown after a refused append."""
-        self.store.append_delay_s = 0.2
+        self.store.append_delay_s = 0.6
         self.store.failures = ["refuse"]
         self.set_loads(north_1=True, north_2=False)
         self.assertIs((await self.submit(SHORT_TIMEOUT)).outcome, UNKNOWN)
-        await self.clock.sleep(datetime.timedelta(seconds=0.3))
+        await self.clock.sleep(datetime.timedelta(seconds=0.8))
         self.set_loads(north_1=False, north_2=True)
         self.writer.last_call_succeeded = True
         self.assertIs((await self.submit(TIMEOUT)).outcome, ACCEPTED)
