Start no held task on a worker whose capacity may have shrunk

Tasks that start at a held place did not pass the check of other starts: without a current registry, only workers that enforce their capacity may receive starts (LIMIT). The new test failed before.

--- a/src/gentianlead/dispatch/_held_places.py
+++ b/src/gentianlead/dispatch/_held_places.py
@@ -104,6 +104,8 @@
         worker = self._state.workers.get(place.worker_id)
         if worker is None or not worker.can_receive_starts(now):
             return
+        if not worker.enforces_capacity and not self._state.is_registry_current:
+            return
         queue = self._state.find_queue(job)
         if worker.entry.service != queue.service or queue.needs_permit:
             return
--- a/src/gentianlead/dispatch/tests/test_held_places.py
+++ b/src/gentianlead/dispatch/tests/test_held_places.py
@@ -92,6 +92,12 @@
                 (start,) = self.driver.plan_starts()
                 self.assertEqual(start.task.job_id, OTHER_JOB_ID)
 
+    def test_no_start_while_the_registry_is_not_current(self):
+        """Guards against a start on a worker that has shrunk meanwhile."""
+        self.end_stopped_run()
+        self.driver.scheduler.is_registry_current = False
+        self.assertEqual(self.driver.plan_starts(), [])
+
     def test_lost_place(self):
         """Guards against a stop for a place on a worker that is lost."""
         self.driver.scheduler.mark_unreachable("w2", self.driver.now)
