Skip the check of misdirected calls for workers that have none

find_start_obstacle is called several times a plan for each worker. The check of the lease raised its cost from 0.7 us to 2.5 us a call (timeit on one worker); it is 0.8 us now.

--- a/src/gentianlead/dispatch/_lease_calls.py
+++ b/src/gentianlead/dispatch/_lease_calls.py
@@ -63,6 +63,11 @@
         self._unconfirmed: list[LeaseCall] = []
         self._misdirected: list[LeaseCall] = []
 
+    @property
+    def has_misdirected(self) -> bool:
+        """Whether a call may have reached another instance than was meant."""
+        return bool(self._misdirected)
+
     def begin(self, lease_end_ms: int, clock_ms: int) -> LeaseCall:
         """Adds a call that is sent now."""
         call = LeaseCall(lease_end_ms, clock_ms, None)
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -465,9 +465,9 @@
             return StartObstacle.UNREACHABLE
         if self.entry.born_ms and self.entry.born_ms != self.born_ms:
             return StartObstacle.ENTRY_OF_OTHER_INSTANCE
-        if self._compute_misdirected_rest_s(
-                now) > _lease_calls.compute_longest_lease_s(
-                    self._timings.lease):
+        if (self.lease_calls.has_misdirected and
+                self._compute_misdirected_rest_s(now)
+                > _lease_calls.compute_longest_lease_s(self._timings.lease)):
             return StartObstacle.LEASE_TOO_LONG
         if now < self.paused_until:
             return StartObstacle.PAUSED
