--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -88,14 +88,19 @@
 
 
 class HttpServer:
-    """Serves HTTP/1.1 on one port; a crash breaks all connections.
+    """Serves HTTP/1.1 on one port.
 
     Attributes:
         port: Port, which the server keeps when it starts again.
+        has_power: Whether the machine has power. Without power, nothing on its
+            channels is answered, and neither are new channels. Channels from
+            before that stay silent, and are reset once something arrives on
+            them after the power is back.
     """
 
     def __init__(self, handler: Handler):
         self.port = 0
+        self.has_power = True
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
@@ -107,15 +112,18 @@
         return f"{HOST}:{self.port}"
 
     async def start(self) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._serve,
+        """Starts to listen, unless the server does so."""
+        self.has_power = True
+        if self._server is not None:
+            return
+        self._server = await asyncio.start_server(self._accept,
                                                   HOST,
                                                   self.port,
                                                   limit=1 << 22)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def crash(self) -> None:
-        """Stops to listen and resets all connections."""
+        """Stops to listen and resets all channels."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -124,33 +132,51 @@
         for task in self._tasks:
             task.cancel()
 
-    async def _serve(self, reader: asyncio.StreamReader,
-                     writer: asyncio.StreamWriter) -> None:
+    def lose_power(self) -> None:
+        """Leaves all channels without an answer."""
+        self.has_power = False
+        for task in self._tasks:
+            task.cancel()
+
+    async def _accept(self, reader: asyncio.StreamReader,
+                      writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
         self._writers.add(writer)
         try:
-            while True:
-                words, headers, body = await _read_message(reader)
-                path, _, query = words[1].partition("?")
-                reply = await self._handler(
-                    Request(words[0], urllib.parse.unquote(path),
-                            dict(urllib.parse.parse_qsl(query)), headers,
-                            body))
-                if reply is None:
-                    writer.transport.abort()
+            try:
+                if self.has_power:
+                    await self._serve(reader, writer)
+            except asyncio.CancelledError:
+                if self.has_power:
                     return
-                writer.write(f"HTTP/1.1 {reply.status} X\r\nContent-Length: "
-                             f"{len(reply.body)}\r\n\r\n".encode() + reply.body)
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError,
-                asyncio.CancelledError):
+            if not self.has_power:
+                self._tasks.discard(task)
+                await reader.read(1)
+                while not self.has_power:
+                    await asyncio.sleep(0.01)
+        except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
             self._tasks.discard(task)
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _serve(self, reader: asyncio.StreamReader,
+                     writer: asyncio.StreamWriter) -> None:
+        while True:
+            words, headers, body = await _read_message(reader)
+            path, _, query = words[1].partition("?")
+            reply = await self._handler(
+                Request(words[0], urllib.parse.unquote(path),
+                        dict(urllib.parse.parse_qsl(query)), headers, body))
+            if reply is None:
+                writer.transport.abort()
+                return
+            writer.write(f"HTTP/1.1 {reply.status} X\r\nContent-Length: "
+                         f"{len(reply.body)}\r\n\r\n".encode() + reply.body)
+            await writer.drain()
+
 
 class Record:
     """Notes what was sent, answered and run, in the order of time."""
@@ -211,6 +237,9 @@
 
     def __init__(self) -> None:
         self.server = HttpServer(self._handle)
+        self.is_down = False
+        self.lost_share = 0.0
+        self.delay_s = STORE_DELAY_S
         self._topics: dict[str, _Topic] = {}
 
     def write(self, topic: str, key: str, value: bytes) -> None:
@@ -221,10 +250,16 @@
         return self._topics.setdefault(name, _Topic())
 
     async def _handle(self, request: Request) -> Reply:
-        await asyncio.sleep(STORE_DELAY_S)
+        await asyncio.sleep(self.delay_s)
+        if self.is_down:
+            return Reply(503)
         topic = self._get(request.query.get("topic", ""))
         if request.path == "/log-append":
-            return self._append(topic, request)
+            reply = self._append(topic, request)
+            if random.random() < self.lost_share:
+                await asyncio.sleep(60.0)
+                return None
+            return reply
         if request.path == "/log-read":
             return await self._read(topic, request)
         if request.path == "/log-newest":
@@ -366,16 +401,19 @@
         self.failing_share = 0.0
         self.enforces_capacity = True
         self._world = world
+        self.kind = "a"
         self._rack = rack
         self._capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}
         self._server = HttpServer(self._handle)
         self._tasks: list[asyncio.Task] = []
         self._sequence = 0
         self._reset()
+        # The first life began before the deployment.
+        self._uptime_s = random.uniform(60.0, 600.0)
 
     def _reset(self) -> None:
         self._born_ms = int(time.time() * 1000)
-        self._clock_start = time.monotonic() - random.uniform(60.0, 600.0)
+        self._clock_start = time.monotonic()
         self._fence = 0
         self._lease_until = 0.0
         self._holds_lease = False
@@ -393,6 +431,8 @@
     async def start(self) -> None:
         """Starts to serve and to report to the registry."""
         self._reset()
+        self._clock_start -= self._uptime_s
+        self._uptime_s = 0.0
         await self._server.start()
         self.is_up = True
         self._tasks = [
@@ -400,14 +440,22 @@
             asyncio.create_task(self._report())
         ]
 
-    def crash(self) -> None:
-        """Ends the process; all of its runs are lost."""
+    def crash(self, *, loses_power: bool = False) -> None:
+        """Ends the process; all of its runs are lost.
+
+        Args:
+            loses_power: Whether the machine goes silent. Otherwise its channels
+                are reset.
+        """
         if not self.is_up:
             return
         self.is_up = False
         for task in self._tasks:
             task.cancel()
-        self._server.crash()
+        if loses_power:
+            self._server.lose_power()
+        else:
+            self._server.crash()
         self._world.record.add("worker-down", worker=self.worker_id)
         for run in list(self.runs.values()):
             self._note_end(run, "crashed")
@@ -428,7 +476,7 @@
                     "cold_remaining_ms": 0,
                     "sequence": self._sequence,
                     "capacity": self._capacity,
-                    "labels": ["a", self._rack],
+                    "labels": [self.kind, self._rack],
                     "born": self._born_ms
                 })
             await asyncio.sleep(HEARTBEAT_S)
@@ -570,6 +618,7 @@
         self._world.record.add("run-started",
                                worker=self.worker_id,
                                zone=self.zone,
+                               kind=self.kind,
                                task=task,
                                run=number,
                                checkpoint=document.get("checkpoint", ""))
