--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A gang loses its zone's spare worker and has to start again."""
+"""A job of two steps with different labels loses the workers of its zone."""
 
 import asyncio
 import pathlib
@@ -9,40 +9,42 @@
 
 import world  # pylint: disable=wrong-import-position
 
-JOB = "5c0e7a21d94b36f8"
-SMALL_JOB = "7d1f8b32ea5c4709"
-MEMBERS = 8
-MEMBER_CPU = 18000
-MEMBER_MEM_MB = 64000
-WORK_MS = 5000
-LOST_PER_ZONE = 1
+JOB = "6f2e90b7c1d4835a"
+KINDS = {"north-a": ("x", "y"), "north-b": ("x",), "north-c": ("y",)}
+TASK_CPU = 3500
+TASK_MEM_MB = 6400
+WORK_MS = 2700
 FINISH_S = 14.0
 WAIT_S = 3.0
 
 
+def build_site() -> world.World:
+    """Builds a deployment; one zone has both kinds, two have one of them."""
+    site = world.World(workers_per_zone=8)
+    for zone, kinds in KINDS.items():
+        zone_workers = [w for w in site.workers if w.zone == zone]
+        for worker, kind in zip(zone_workers, kinds):
+            worker.kind = kind
+    return site
+
+
 async def run_case(site: world.World) -> int:
-    """Submits the gang, takes workers away, and asks for the job's end."""
+    """Submits the job, takes its two workers away, and asks for its end."""
     await site.start()
-    step = {
-        "count": MEMBERS,
-        "cpu": MEMBER_CPU,
-        "mem_mb": MEMBER_MEM_MB,
+    steps = [{
+        "count": 1,
+        "cpu": TASK_CPU,
+        "mem_mb": TASK_MEM_MB,
         "estimate_ms": WORK_MS,
-        "gang": True
-    }
-    work = {
-        "cpu": MEMBER_CPU,
-        "mem_mb": MEMBER_MEM_MB,
-        "ms": WORK_MS,
-        "gang": MEMBERS
-    }
-    if await site.submit(JOB, [step], [work]) != 200:
+        "requires": kind
+    } for kind in ("x", "y")]
+    work = [{"cpu": TASK_CPU, "mem_mb": TASK_MEM_MB, "ms": WORK_MS}] * 2
+    if await site.submit(JOB, steps, work) != 200:
         raise RuntimeError("the job was not accepted")
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(1.0)
     if world.is_trouble_on():
-        for zone in world.ZONES:
-            zone_workers = [w for w in site.workers if w.zone == zone]
-            for worker in zone_workers[:LOST_PER_ZONE]:
+        for worker in site.workers:
+            if worker.zone == "north-a" and worker.kind in ("x", "y"):
                 worker.crash()
     # The traffic ends here; the workers that are left are idle.
     await asyncio.sleep(FINISH_S)
@@ -55,22 +57,19 @@
     late_starts = [
         row for row in site.record.list("run-started") if row["at"] >= since
     ]
-    capacity = sum(w.is_up for w in site.workers)
+    fitting_workers = [
+        w.worker_id for w in site.workers if w.is_up and w.kind in ("x", "y")
+    ]
     running = sum(len(w.runs) for w in site.workers)
     site.record.add("checked",
-                    workers_up=capacity,
-                    workers_for_the_gang_twice=2 * MEMBERS,
+                    idle_workers_with_the_labels=fitting_workers,
                     starts_since=len(late_starts),
                     running=running,
                     last_states=states[-3:])
     if "completed" in states:
         return 0
-    is_broken = (not late_starts and not running and
-                 capacity >= 2 * MEMBERS)
-    return 1 if is_broken else 0
+    return 1 if fitting_workers and not late_starts and not running else 0
 
 
 if __name__ == "__main__":
-    sys.exit(
-        world.run_case(run_case, lambda: world.World(workers_per_zone=8),
-                       FOLDER))
+    sys.exit(world.run_case(run_case, build_site, FOLDER))
