Run the steps of a job in different groups if no group has their labels

Cause: an idle short job moved only as a whole, to a group with the labels of all ready steps, and admission asked one group for the labels of all steps. Short steps also waited for any run of their job, even for a long-running one, which does not end.

Ruled out: waits for leases or takeovers (no leader changed; the runs were ended after 5 s), and capacity (both workers were idle and usable).

Now a step of an idle job moves alone if no group with room has the labels of all ready steps, a job is admitted by steps if no group can run it whole, and a short step moves beside runs of its job whose end cannot help it. A job has one move at a time, and a step moves only to a group with its label and room.

--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -72,8 +72,8 @@
 
     Attributes:
         assignment: Groups that get the job: either one group for the whole job,
-            or the group of each task of its only step. Empty when the job is
-            refused.
+            or the group of each task by `SteppedJob.compute_task_number`. Empty
+            when the job is refused.
         reason: Why the job is refused; empty when it is accepted.
         retry_after: Delay after which the caller of a refused job may retry; 0
             when the job is accepted.
@@ -88,7 +88,8 @@
                      reports: dict[str, GroupReport],
                      own_group: str,
                      now: float,
-                     service: str = "") -> Admission:
+                     service: str = "",
+                     may_divide: bool = True) -> Admission:
     """Chooses the groups for a job, or refuses it.
 
     Eligible groups are usable, have a recent load report, a worker of the job's
@@ -96,11 +97,12 @@
     job with one step that is no gang are spread over them. Any other job goes
     to one eligible group: if possible, one that has a rack which the job
     prefers; among these, the one with the lowest load score, less
-    `OWN_GROUP_BONUS` for the own group.
+    `OWN_GROUP_BONUS` for the own group. If no group has all labels, the steps
+    are divided between groups, each of which has the labels of its steps.
 
-    A job is refused if no group is eligible, unless the reports of all usable
+    A job is refused if a step has no group, unless the reports of all usable
     groups are too old. It is also refused if it would exceed
-    `MAX_LONG_RUNNING_RESERVED_SHARE`, or if the backlog of the chosen group is
+    `MAX_LONG_RUNNING_RESERVED_SHARE`, or if the backlog of a chosen group is
     too long.
 
     Args:
@@ -110,6 +112,8 @@
         now: Present monotonic time in seconds.
         service: Service whose workers run the job, if it is not the one of the
             queue that is stored with the job.
+        may_divide: Whether steps may get different groups if no group has the
+            labels of all of them.
     """
     usable_loads = {
         group: report.load
@@ -120,15 +124,20 @@
     required_labels = {
         step.required_label for step in job.steps if step.required_label
     }
-    preferred_racks = {
-        step.preferred_rack for step in job.steps if step.preferred_rack
+    service_loads = {
+        group: load
+        for group, load in usable_loads.items()
+        if _load.has_service(load, service or job.queue.service)
     }
     eligible_loads = {
         group: load
-        for group, load in usable_loads.items()
-        if required_labels <= set(load.labels) and
-        _load.has_service(load, service or job.queue.service)
+        for group, load in service_loads.items()
+        if required_labels <= set(load.labels)
     }
+    step_groups: tuple[str, ...] = ()
+    if not eligible_loads and may_divide:
+        step_groups = _divide_steps(job, service_loads, own_group)
+        eligible_loads = {group: service_loads[group] for group in step_groups}
     if not eligible_loads:
         if usable_loads or any(
                 report.load.is_usable for report in reports.values()):
@@ -151,22 +160,67 @@
     if _may_be_spread(job):
         return Admission(spread_tasks(job, eligible_loads))
 
-    def compute_sort_key(group: str) -> tuple[bool, float]:
-        load = eligible_loads[group]
-        lacks_preferred_rack = bool(
-            preferred_racks) and not preferred_racks & set(load.labels)
-        own_group_bonus = OWN_GROUP_BONUS if group == own_group else 0.0
-        return lacks_preferred_rack, compute_load_score(job,
-                                                        load) - own_group_bonus
-
-    group = min(eligible_loads, key=compute_sort_key)
-    excess_ms = compute_excess_backlog_ms(job, eligible_loads[group])
+    if step_groups:
+        assignment = tuple(group for step, group in zip(job.steps, step_groups)
+                           for _ in range(step.count))
+    else:
+        assignment = (min(eligible_loads,
+                          key=lambda group: _compute_group_sort_key(
+                              job, group, eligible_loads[group], own_group)),)
+    excess_ms = max(
+        compute_excess_backlog_ms(job, eligible_loads[group])
+        for group in set(assignment))
     if excess_ms > 0:
         return Admission(
             (), "the backlog is too long",
             min(MAX_RETRY_DELAY,
                 datetime.timedelta(milliseconds=max(500, excess_ms))))
-    return Admission((group,))
+    return Admission(assignment)
+
+
+def _compute_group_sort_key(job: model.SteppedJob, group: str,
+                            load: _load.GroupLoad,
+                            own_group: str) -> tuple[bool, float]:
+    preferred_racks = {
+        step.preferred_rack for step in job.steps if step.preferred_rack
+    }
+    lacks_preferred_rack = bool(preferred_racks) and not preferred_racks & set(
+        load.labels)
+    own_group_bonus = OWN_GROUP_BONUS if group == own_group else 0.0
+    return lacks_preferred_rack, compute_load_score(job, load) - own_group_bonus
+
+
+def _divide_steps(job: model.SteppedJob, loads: dict[str, _load.GroupLoad],
+                  own_group: str) -> tuple[str, ...]:
+    """Divides the steps of a job between groups that have their labels.
+
+    The group that can run the most of the remaining steps comes first, so that
+    few steps depend on steps of other groups, whose ends their leader learns
+    only with its next read of the topic.
+
+    Returns:
+        The group of each step; empty if no group has the label of a step.
+    """
+    step_groups: dict[int, str] = {}
+    while len(step_groups) < len(job.steps):
+        runnable_steps = {
+            group: [
+                index
+                for index, step in enumerate(job.steps)
+                if index not in step_groups and
+                (not step.required_label or step.required_label in load.labels)
+            ] for group, load in loads.items()
+        }
+        group = min(
+            loads,
+            key=lambda group:
+            (-len(runnable_steps[group]),
+             _compute_group_sort_key(job, group, loads[group], own_group)),
+            default="")
+        if not group or not runnable_steps[group]:
+            return ()
+        step_groups.update(dict.fromkeys(runnable_steps[group], group))
+    return tuple(step_groups[index] for index in range(len(job.steps)))
 
 
 def _may_be_spread(job: model.SteppedJob) -> bool:
@@ -204,22 +258,12 @@
         for index, step in enumerate(job.steps):
             if not step.is_long_running:
                 continue
-            for group in _list_step_groups(job, index, assignment):
+            for group in _load.list_step_groups(job, index, assignment):
                 cpu_millis_by_group[group] = cpu_millis_by_group.get(
                     group, 0) + step.cpu_millis
     return cpu_millis_by_group
 
 
-def _list_step_groups(job: model.SteppedJob, step_index: int,
-                      assignment: tuple[str, ...]) -> tuple[str, ...]:
-    """Returns the group of each task of a step."""
-    task_count = job.steps[step_index].count
-    if len(assignment) == 1:
-        return assignment * task_count
-    first_number = job.compute_task_number(step_index, 0)
-    return assignment[first_number:first_number + task_count]
-
-
 def include_unreported_jobs(
         reports: dict[str, GroupReport],
         long_running_cpu_millis_by_group: dict[str,
@@ -418,7 +462,7 @@
     service = service or job.queue.service
     if step.required_label:
         required_labels = required_labels | {step.required_label}
-    step_groups = _list_step_groups(job, step_index, assignment)
+    step_groups = _load.list_step_groups(job, step_index, assignment)
     best_group = ""
     best_sort_key = (0, 0, False, 0)
     own_report = reports.get(own_group)
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -571,22 +571,20 @@
         Their tasks have lacked capacity for `TASK_MOVE_DELAY`, or for
         `RESERVED_TASK_MOVE_DELAY` if a worker is reserved for one of them or
         they are not long-running. Steps that are not long-running are left out
-        if their job has active runs. Jobs that have ended, are not reconciled
-        or have a pending move are left out, too.
+        while the end of a short run of their job may let them start here. Jobs
+        that have ended, are not reconciled or have a pending move are left out,
+        too.
         """
         unplaced_steps = []
         for job in self.jobs.values():
             if (job.has_ended or job.pending_move_number is not None or
                     not job.is_reconciled):
                 continue
-            step_runs = [
-                step_run for step_run in job.steps.values()
-                if _move_delays.is_move_due(step_run, now)
-            ]
-            if step_runs and job.list_active_runs():
-                step_runs = [
-                    step_run for step_run in step_runs
-                    if step_run.step.is_long_running
-                ]
-            unplaced_steps.extend((job, step_run) for step_run in step_runs)
+            unplaced_steps.extend(
+                (job, step_run)
+                for step_run in job.steps.values()
+                if _move_delays.is_move_due(step_run, now) and
+                (step_run.step.is_long_running or
+                 not _move_delays.may_start_after_own_runs(
+                     job, step_run, self.workers.values(), now)))
         return unplaced_steps
--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -473,6 +473,16 @@
         _rooms.list_rooms(probation_rooms))
 
 
+def list_step_groups(job: model.SteppedJob, step_index: int,
+                     assignment: tuple[str, ...]) -> tuple[str, ...]:
+    """Returns the group of each task of a step."""
+    task_count = job.steps[step_index].count
+    if len(assignment) == 1:
+        return assignment * task_count
+    first_number = job.compute_task_number(step_index, 0)
+    return assignment[first_number:first_number + task_count]
+
+
 def add_job_to_load(load: GroupLoad, job: model.SteppedJob,
                     group: str) -> GroupLoad:
     """Returns the load of a group increased by the tasks of a newly placed job.
@@ -484,10 +494,8 @@
     reserved_cpu_millis = load.reserved_cpu_millis
     short_work = best_effort_work = 0.0
     best_effort_cpu_millis = load.best_effort_cpu_millis
-    for step in job.steps:
-        task_count = step.count
-        if len(job.assignment) > 1:
-            task_count = job.assignment.count(group)
+    for index, step in enumerate(job.steps):
+        task_count = list_step_groups(job, index, job.assignment).count(group)
         step_cpu_millis = task_count * step.cpu_millis
         if step.is_long_running:
             reserved_cpu_millis += step_cpu_millis
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -344,27 +344,29 @@
     """Begins a move of tasks that lack capacity; None if no group has any.
 
     The whole job moves if it has no active runs, unless its tasks are in
-    several groups or no group has the labels of all its waiting steps. Else
-    only tasks of the step move, of those in `idle_indexes`: all those of a
-    gang, or as many as fit on one worker of the other group.
+    several groups or no group with capacity has the labels of all its ready
+    steps. Else only tasks of the step move, of those in `idle_indexes`: all
+    those of a short step or a gang, or as many as fit on one worker of the
+    other group.
     """
-    is_whole = len(job.entry.assignment) == 1 and not job.list_active_runs()
+    step = step_run.step
     step_index = step_run.key[1]
+    is_whole = len(job.entry.assignment) == 1 and not job.list_active_runs()
+    needed_labels = _list_needed_labels(job)
     fallback_group = _admission.FallbackGroup("")
     if is_whole:
-        fallback_group = _choose_fallback_group(job, step_index,
-                                                _list_needed_labels(job),
+        fallback_group = _choose_fallback_group(job, step_index, needed_labels,
                                                 reports, now)
         indexes = []
-    if not fallback_group.group and (step_run.step.is_long_running or
-                                     not is_whole):
+    if not fallback_group.group and (not is_whole or
+                                     needed_labels - {step.required_label}):
         fallback_group = _choose_fallback_group(job, step_index, frozenset(),
                                                 reports, now)
         indexes = idle_indexes
-        if not step_run.step.is_gang:
-            indexes = indexes[:fallback_group.max_tasks]
-        elif len(indexes) < step_run.step.count:
+        if step.is_gang and len(indexes) < step.count:
             return None
+        if step.is_long_running and not step.is_gang:
+            indexes = indexes[:fallback_group.max_tasks]
         if not indexes:
             return None
     if not fallback_group.group:
@@ -452,7 +454,7 @@
         group: report for group, report in reports.items() if group != job.group
     }
     admission = _admission.decide_admission(job.job, other_reports, job.group,
-                                            now, job.service)
+                                            now, job.service, False)
     group = admission.assignment[0] if admission.assignment else ""
     return (MoveChoice(group, MoveReason.GROUP_UNUSABLE)
             if group != job.group else _STAY)
@@ -509,7 +511,7 @@
         group: report for group, report in reports.items() if group != job.group
     }
     admission = _admission.decide_admission(job.job, other_reports, job.group,
-                                            now, job.service)
+                                            now, job.service, False)
     if len(set(admission.assignment)) != 1:
         return _STAY
     group = admission.assignment[0]
--- a/src/gentianlead/dispatch/tests/test_admission.py
+++ b/src/gentianlead/dispatch/tests/test_admission.py
@@ -78,6 +78,51 @@
                 }, "n1", NOW)
                 self.assertEqual(admission.assignment, (expected_group,))
 
+    def test_steps_are_divided_by_their_labels(self):
+        """Guards against a refusal of a job each of whose steps could run.
+
+        Steps stay together where one group has their labels, and a job with a
+        label that no group has is refused.
+        """
+        reports = {
+            "n1": build_report(labels=("a",)),
+            "n2": build_report(labels=("b",)),
+            "n3": build_report(labels=("b", "c"))
+        }
+        cases = (
+            (("a", "b"), ("n1", "n1", "n2", "n2")),
+            (("b", "a"), ("n2", "n2", "n1", "n1")),
+            (("a", "", "b"), ("n1", "n1", "n1", "n1", "n2", "n2")),
+            (("b", "a", "c"), ("n3", "n3", "n1", "n1", "n3", "n3")),
+            (("b", "c"), ("n3",)),
+            (("a", "d"), ()),
+        )
+        for labels, expected_assignment in cases:
+            for is_gang in (False, True):
+                with self.subTest(labels, is_gang=is_gang):
+                    job = builders.build_job(
+                        JOB_ID, *[
+                            builders.build_step(2,
+                                                required_label=label,
+                                                is_gang=is_gang)
+                            for label in labels
+                        ])
+                    self.assertEqual(
+                        dispatch.decide_admission(job, reports, "n1",
+                                                  NOW).assignment,
+                        expected_assignment)
+
+    def test_load_of_a_divided_job(self):
+        """Guards against load of all steps in each group of a divided job."""
+        job = builders.build_job(JOB_ID,
+                                 builders.build_step(2, is_long_running=True),
+                                 builders.build_step(is_long_running=True),
+                                 assignment=("n1", "n1", "n2"))
+        for group, cpu_millis in (("n1", 2000), ("n2", 1000)):
+            with self.subTest(group):
+                load = dispatch.add_job_to_load(build_report().load, job, group)
+                self.assertEqual(load.reserved_cpu_millis, cpu_millis)
+
     def test_best_effort_job_goes_where_it_does_not_interfere(self):
         """Checks that a best-effort job goes where its image can use more CPU.
 
