Store the cancellation of a job whose acceptance is still pending

Cause: the daemon relayed the cancelling to a peer, which did not know the job and answered 410.

Ruled out: lost notices (no cancellation was stored); dropping the pending append (a call without a reply may be executed later); an answer before the cancellation is stored (the daemon may be lost in between).

Now the peer stores a cancellation that applies to later acceptances, too, and answers 2xx; without a daemon that can store it, the caller is refused. An acceptance without an outcome is given up after 30 s, so that these records can be removed after 150 s. Leaders are not notified of jobs that were cancelled before their acceptance.

--- a/src/gentianlead/cluster/_append_queue.py
+++ b/src/gentianlead/cluster/_append_queue.py
@@ -51,6 +51,8 @@
         refuse_at: Monotonic time in seconds after which the request is dropped
             and the caller gets an error, if the records are certainly not
             stored.
+        replacements: Records that calls after `give_up_at` append instead, one
+            for each of `records`; empty if they still append `records`.
     """
 
     records: list[ports.KeyedRecord]
@@ -58,6 +60,7 @@
     future: asyncio.Future
     give_up_at: float
     refuse_at: float
+    replacements: tuple[ports.KeyedRecord, ...] = ()
 
 
 class AppendQueue:
@@ -157,6 +160,21 @@
                                   errors.Verdict.MAY_HAVE_RUN))
 
 
+def replace_expired(appends: list[PendingAppend],
+                    now: float) -> list[PendingAppend]:
+    """Returns the requests with the replacements of those given up.
+
+    The number of records stays the same, and with it the offsets of those that
+    follow. If an earlier call has stored the records, the store replies to the
+    repeated call as to that one, and does not store the replacements.
+    """
+    return [
+        pending._replace(records=list(pending.replacements))
+        if pending.replacements and pending.give_up_at <= now else pending
+        for pending in appends
+    ]
+
+
 def fail_appends(appends: list[PendingAppend], error: ports.StoreError) -> None:
     """Raises an error to the callers of requests that are not completed."""
     for pending in appends:
--- a/src/gentianlead/cluster/_job_acceptances.py
+++ b/src/gentianlead/cluster/_job_acceptances.py
@@ -23,6 +23,12 @@
 dropped the append. The server for callers subtracts more than this from their
 deadlines."""
 
+ACCEPTANCE_TIMEOUT = datetime.timedelta(seconds=30)
+"""Time after which an acceptance without an outcome is no longer stored. It is
+longer than outages of the store usually last, and far below the time for which
+a cancellation that holds for it is kept
+(`dispatch.EARLY_CANCELLATION_RETENTION`)."""
+
 READ_BACK_TIMEOUT = datetime.timedelta(seconds=2)
 """Longest wait for an accepted job to be read back from the topic. The leaders
 of its groups are notified once it is read back. After a timeout they get no
@@ -133,7 +139,7 @@
     async def _store(self, job: model.SteppedJob,
                      refusal_timeout: datetime.timedelta,
                      report_age_ms: int | None) -> ports.SubmitReply | None:
-        """Stores a job, however long the store takes.
+        """Stores a job within `ACCEPTANCE_TIMEOUT`.
 
         Returns:
             The reply to the caller, or None if the job is certainly not stored.
@@ -141,20 +147,25 @@
         started_at = self._clock.monotonic()
         self._acceptance_count += 1
         acceptance_id = f"{self._incarnation}/{self._acceptance_count}"
+        record = dispatch.AcceptedRecord(job, acceptance_id)
         try:
             offset = await self._topic_writer.append(
-                [dispatch.AcceptedRecord(job, acceptance_id)],
-                _job_topic.PERSISTENT_APPEND_TIMEOUT, refusal_timeout)
+                [record], ACCEPTANCE_TIMEOUT, refusal_timeout,
+                [dispatch.build_withdrawal(record)])
         except ports.RecordsRejectedError as error:
             self._unread_long_running_jobs.pop(job.job_id, None)
             return build_refusal(str(error), STORE_RETRY_DELAY)
         except ports.StoreError as error:
+            # An acceptance that was given up takes effect only if it is read.
+            self._unread_long_running_jobs.pop(job.job_id, None)
             if error.verdict is errors.Verdict.DID_NOT_RUN:
-                self._unread_long_running_jobs.pop(job.job_id, None)
                 self._log.write("job-not-stored",
                                 job=job.job_id,
                                 error=str(error))
                 return None
+            self._log.write("acceptance-given-up",
+                            job=job.job_id,
+                            error=str(error))
             return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
         self._log.write("job-accepted",
                         job=job.job_id,
@@ -176,8 +187,9 @@
 
         Another daemon may have accepted the same job, and only reading the job
         back shows which acceptance took effect. No notice is sent if another
-        acceptance took effect, or if the job is not read back within
-        `READ_BACK_TIMEOUT`.
+        acceptance took effect, if the job is not read back within
+        `READ_BACK_TIMEOUT`, or if it was cancelled before its acceptance, which
+        the leader may not have read.
         """
         if not await self._topic_reader.wait_until_applied(
                 offset, READ_BACK_TIMEOUT):
@@ -191,6 +203,8 @@
                             job=job.job_id,
                             offset=offset)
             return
+        if job_entry.is_cancelled:
+            return
         for group in job_entry.groups:
             leader_entry = self._topic_reader.job_table.leaders.get(group)
             if leader_entry is not None:
--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+from typing import Iterable
 
 from gentianlead import dispatch
 from gentianlead import errors
@@ -72,6 +73,7 @@
         self._log = log
         self._send_to_leader = send_to_leader
         self._submissions: dict[str, asyncio.Task] = {}
+        self._early_cancellation_count = 0
         self._acceptances = _job_acceptances.JobAcceptances(
             incarnation, topic_reader, topic_writer, clock, log, send_to_leader)
         # Job states, by job identifier, that were received in leaders' reports
@@ -277,8 +279,24 @@
                         reason=reply.reason if reply else "")
         return reply
 
-    async def _cancel(self, job_id: str, timeout: datetime.timedelta,
-                      may_relay: bool) -> ports.SubmitReply | None:
+    async def _cancel(
+            self,
+            job_id: str,
+            timeout: datetime.timedelta,
+            may_relay: bool,
+            may_be_accepted: bool = False) -> ports.SubmitReply | None:
+        """Stores the cancellation of a job, here or through a peer.
+
+        Args:
+            job_id: Identifier of the job.
+            timeout: Time left for the reply.
+            may_relay: Whether a peer may store the cancellation.
+            may_be_accepted: Whether another daemon holds an acceptance of the
+                job that may be stored later.
+
+        Returns:
+            The reply to the caller, or None if the job does not exist.
+        """
         expires_at = self._clock.monotonic() + timeout.total_seconds()
         job_entry = self._topic_reader.job_table.jobs.get(job_id)
         if job_entry is None and self._is_store_available():
@@ -290,7 +308,9 @@
                 job_entry = self._topic_reader.job_table.jobs.get(job_id)
                 if (job_entry is None and is_current and
                         not self._acceptances.is_pending(job_id)):
-                    return None
+                    if not may_be_accepted:
+                        return None
+                    return await self._cancel_early(job_id, expires_at)
         unread_job = self._acceptances.find_unread(job_id)
         if not self._is_store_available() or not (job_entry or unread_job):
             reply = None
@@ -298,9 +318,10 @@
                 time_left = self._compute_time_left(expires_at)
                 reply = await self._relay_to_peers(
                     _peer_messages.CALL_CANCEL,
-                    _peer_messages.RelayedCancellation(job_id,
-                                                       _to_ms(time_left)),
-                    time_left, self._choose_relay_peers())
+                    _peer_messages.RelayedCancellation(
+                        job_id, _to_ms(time_left),
+                        self._acceptances.is_pending(job_id)), time_left,
+                    self._choose_relay_peers())
             if reply is not None:
                 return _decode_reply(reply) if reply.outcome else None
             return _job_acceptances.build_refusal(
@@ -308,21 +329,59 @@
                 _job_acceptances.STORE_RETRY_DELAY)
         if job_entry and (job_entry.is_cancelled or job_entry.state.is_final):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
+        reply, _ = await self._store_cancellation(
+            dispatch.CancelledRecord(job_id), expires_at)
+        if reply.outcome is ports.SubmitOutcome.ACCEPTED:
+            self._mark_cancelled(
+                job_id,
+                job_entry.groups if job_entry else unread_job.assignment)
+        return reply
+
+    async def _cancel_early(self, job_id: str,
+                            expires_at: float) -> ports.SubmitReply:
+        """Cancels a job whose acceptance is not stored, but may be later."""
+        self._early_cancellation_count += 1
+        reply, offset = await self._store_cancellation(
+            dispatch.EarlyCancelledRecord(
+                job_id,
+                f"{self._incarnation}/{self._early_cancellation_count}"),
+            expires_at)
+        if (reply.outcome is ports.SubmitOutcome.ACCEPTED and
+                await self._topic_reader.wait_until_applied(
+                    offset,
+                    self._compute_time_left(expires_at) / 2)):
+            # The acceptance may have been stored just before, so that a leader
+            # has started tasks of the job.
+            job_entry = self._topic_reader.job_table.jobs.get(job_id)
+            if job_entry is not None:
+                self._mark_cancelled(job_id, job_entry.groups)
+        return reply
+
+    async def _store_cancellation(
+            self,
+            record: dispatch.CancelledRecord | dispatch.EarlyCancelledRecord,
+            expires_at: float) -> tuple[ports.SubmitReply, int]:
+        """Returns the reply to the caller and the offset of the record.
+
+        The offset is -1 if the record is not stored, or at an unknown offset.
+        """
         try:
-            await self._topic_writer.append([dispatch.CancelledRecord(job_id)],
-                                            self._compute_time_left(expires_at),
-                                            REFUSAL_TIMEOUT)
+            offset = await self._topic_writer.append(
+                [record], self._compute_time_left(expires_at), REFUSAL_TIMEOUT)
         except ports.StoreError as error:
             if error.verdict is errors.Verdict.DID_NOT_RUN:
                 return _job_acceptances.build_refusal(
-                    str(error), _job_acceptances.STORE_RETRY_DELAY)
-            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN, str(error))
+                    str(error), _job_acceptances.STORE_RETRY_DELAY), -1
+            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN,
+                                     str(error)), -1
+        return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED), offset
+
+    def _mark_cancelled(self, job_id: str, groups: Iterable[str]) -> None:
+        """Notifies the leaders of a job's groups of its stored cancellation."""
         self._unread_job_states.setdefault(job_id, model.JobState.CANCELLED)
-        groups = job_entry.groups if job_entry else unread_job.assignment
         for group in set(groups):
             self._send_to_leader(group, _peer_messages.NOTICE_CANCEL,
                                  _peer_messages.CancelNotice(group, job_id))
-        return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
 
     async def _wait_until_table_is_current(self,
                                            timeout: datetime.timedelta) -> bool:
@@ -488,7 +547,7 @@
                 "the store does not reply to this daemon either")
         reply = await self._cancel(
             request.job_id, datetime.timedelta(milliseconds=request.timeout_ms),
-            False)
+            False, request.may_be_accepted)
         if reply is None:
             return _peer_messages.RelayedReply("", "the job does not exist", 0)
         return _encode_reply(reply)
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -111,10 +111,13 @@
             self._end_error = error
         self._queue.fail_all(error)
 
-    async def append(self,
-                     records: Sequence[dispatch.Record],
-                     timeout: datetime.timedelta,
-                     refusal_timeout: datetime.timedelta | None = None) -> int:
+    async def append(
+        self,
+        records: Sequence[dispatch.Record],
+        timeout: datetime.timedelta,
+        refusal_timeout: datetime.timedelta | None = None,
+        replacements: Sequence[dispatch.Record] = ()
+    ) -> int:
         """Queues records for the next append and waits until they are stored.
 
         Args:
@@ -124,6 +127,8 @@
             refusal_timeout: Time after which the request is dropped and an
                 error is raised, if the records are certainly not stored. None
                 or a value above `timeout` stands for `timeout`.
+            replacements: Records that calls after `timeout` append instead, one
+                for each of `records`; see `_append_queue.PendingAppend`.
 
         Returns:
             The offset of the first record; -1 if the records were stored by a
@@ -136,7 +141,8 @@
         """
         if refusal_timeout is None:
             refusal_timeout = timeout
-        return await self._enqueue(records, timeout, refusal_timeout)
+        return await self._enqueue(records, timeout, refusal_timeout,
+                                   replacements)
 
     async def append_each(self, records: Sequence[dispatch.Record]) -> None:
         """Appends records in order that need not be stored all at once.
@@ -155,7 +161,7 @@
         """
         results = await asyncio.gather(*[
             self._enqueue([record], PERSISTENT_APPEND_TIMEOUT,
-                          PERSISTENT_APPEND_TIMEOUT) for record in records
+                          PERSISTENT_APPEND_TIMEOUT, ()) for record in records
         ],
                                        return_exceptions=True)
         for record, result in zip(records, results):
@@ -167,14 +173,10 @@
 
     async def _append_without_checkpoints(
             self, record: dispatch.ProgressRecord) -> None:
-        counted_tasks = tuple(
-            task._replace(checkpoint="")
-            for task in record.unfinished_tasks
-            if task.failures or task.crashed_runs or task.proven_run)
         try:
-            await self._enqueue(
-                [record._replace(unfinished_tasks=counted_tasks)],
-                PERSISTENT_APPEND_TIMEOUT, PERSISTENT_APPEND_TIMEOUT)
+            await self._enqueue([record.drop_checkpoints()],
+                                PERSISTENT_APPEND_TIMEOUT,
+                                PERSISTENT_APPEND_TIMEOUT, ())
         except ports.RecordsRejectedError:
             # `append-rejected` has been logged. The tasks of the job run again
             # if the leader changes before a smaller record is stored.
@@ -182,7 +184,8 @@
 
     def _enqueue(self, records: Sequence[dispatch.Record],
                  timeout: datetime.timedelta,
-                 refusal_timeout: datetime.timedelta) -> asyncio.Future:
+                 refusal_timeout: datetime.timedelta,
+                 replacements: Sequence[dispatch.Record]) -> asyncio.Future:
         future = asyncio.get_running_loop().create_future()
         if self._end_error is not None:
             future.set_exception(self._end_error)
@@ -193,7 +196,8 @@
             _append_queue.PendingAppend(
                 encoded_records, _append_queue.count_bytes(encoded_records),
                 future, now + timeout.total_seconds(),
-                now + min(timeout, refusal_timeout).total_seconds()))
+                now + min(timeout, refusal_timeout).total_seconds(),
+                tuple(map(dispatch.encode_record, replacements))))
         self._append_queued.set()
         return future
 
@@ -224,6 +228,7 @@
         stored_at_earliest = first_sent_at = self._clock.monotonic()
         for attempt_number in itertools.count(1):
             sent_at = self._clock.monotonic()
+            batch = _append_queue.replace_expired(batch, sent_at)
             try:
                 offset = await self._send_batch(batch)
             except ports.SequenceError as error:
--- a/src/gentianlead/cluster/_peer_messages.py
+++ b/src/gentianlead/cluster/_peer_messages.py
@@ -105,10 +105,13 @@
     Attributes:
         job_id: Identifier of the job to cancel.
         timeout_ms: Time left for the cancellation, in milliseconds.
+        may_be_accepted: Whether the sender holds an acceptance of the job that
+            may be stored later, so that the cancellation has to hold for it.
     """
 
     job_id: str
     timeout_ms: int
+    may_be_accepted: bool = False
 
 
 class RelayedReply(NamedTuple):
--- a/src/gentianlead/cluster/tests/test_repeated_submissions.py
+++ b/src/gentianlead/cluster/tests/test_repeated_submissions.py
@@ -2,10 +2,12 @@
 
 import datetime
 import unittest
+import unittest.mock
 
 from gentianlead import adapters
 from gentianlead import dispatch
 from gentianlead import ports
+from gentianlead.cluster import _job_acceptances
 from gentianlead.cluster import _job_service
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _metrics
@@ -115,6 +117,31 @@
                 "accepted", "", 0)
         self.assertIs((await self.submit(SHORT_TIMEOUT)).outcome, ACCEPTED)
 
+    async def test_acceptance_is_given_up(self):
+        """Guards against a job that is stored long after its caller gave up.
+
+        Its cancellation would have been removed by then. Calls of the append
+        get no reply until its time is over; the first one may be executed.
+        """
+        for first_failure, stored_number in (("drop", 2), ("lose", 1)):
+            with self.subTest(first_failure):
+                await self.asyncSetUp()
+                self.store.failures = [first_failure] + ["drop"] * 3
+                self.set_loads(north_1=True)
+                with unittest.mock.patch.object(
+                        _job_acceptances, "ACCEPTANCE_TIMEOUT",
+                        datetime.timedelta(milliseconds=150)):
+                    self.assertIs((await self.submit(SHORT_TIMEOUT)).outcome,
+                                  UNKNOWN)
+                    await self.clock.sleep(datetime.timedelta(seconds=0.5))
+                self.set_loads(north_1=True)
+                self.assertIs((await self.submit(TIMEOUT)).outcome, ACCEPTED)
+                self.assertEqual([
+                    stored.key
+                    for stored in self.store.records[dispatch.JOB_TOPIC]
+                    if stored.value
+                ], [f"j/{JOB_ID}/entry-1#1/{stored_number}"])
+
     async def test_job_that_was_not_stored_is_admitted_again(self):
         """Guards against a job that stays unknown after a refused append."""
         self.store.append_delay_s = 0.6
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -51,10 +51,12 @@
 from gentianlead.dispatch._orders import StopOrder
 from gentianlead.dispatch._records import AcceptedRecord
 from gentianlead.dispatch._records import build_key
+from gentianlead.dispatch._records import build_withdrawal
 from gentianlead.dispatch._records import CancelledRecord
 from gentianlead.dispatch._records import CrashedRun
 from gentianlead.dispatch._records import decode_record
 from gentianlead.dispatch._records import decode_value
+from gentianlead.dispatch._records import EarlyCancelledRecord
 from gentianlead.dispatch._records import encode_record
 from gentianlead.dispatch._records import encode_value
 from gentianlead.dispatch._records import HandedOverRun
@@ -69,6 +71,7 @@
 from gentianlead.dispatch._records import TaskProgress
 from gentianlead.dispatch._records import JOB_TOPIC
 from gentianlead.dispatch._records import WorkersRecord
+from gentianlead.dispatch._retention import EARLY_CANCELLATION_RETENTION
 from gentianlead.dispatch._retention import RETENTION_MARGIN
 from gentianlead.dispatch._retention import RetentionPlanner
 from gentianlead.dispatch._runs import compute_critical_path_ms
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -46,6 +46,22 @@
     job_id: str
 
 
+class EarlyCancelledRecord(NamedTuple):
+    """States that a caller cancelled a job that may be accepted later.
+
+    Each has a key of its own, so that the removal of an old one cannot remove
+    one that was stored meanwhile.
+
+    Attributes:
+        job_id: Identifier of the job.
+        cancellation_id: Identity of the daemon process that stored the record,
+            and a number that no other such record of this process has.
+    """
+
+    job_id: str
+    cancellation_id: str
+
+
 class DoneTasks(NamedTuple):
     """Lists the tasks of one step that are done, as a bit mask.
 
@@ -134,6 +150,13 @@
     done_tasks: tuple[DoneTasks, ...] = ()
     unfinished_tasks: tuple[TaskProgress, ...] = ()
 
+    def drop_checkpoints(self) -> "ProgressRecord":
+        """Returns the record with only the tasks whose failures count."""
+        return self._replace(unfinished_tasks=tuple(
+            task._replace(checkpoint="")
+            for task in self.unfinished_tasks
+            if task.failures or task.crashed_runs or task.proven_run))
+
 
 class MovedRecord(NamedTuple):
     """States that a leader handed tasks over to another group.
@@ -308,13 +331,14 @@
     key: str
 
 
-Record = (AcceptedRecord | CancelledRecord | ProgressRecord | MovedRecord |
-          LeaderRecord | MemberRecord | WorkersRecord | HandoverRecord |
-          RemovedKey)
+Record = (AcceptedRecord | CancelledRecord | EarlyCancelledRecord |
+          ProgressRecord | MovedRecord | LeaderRecord | MemberRecord |
+          WorkersRecord | HandoverRecord | RemovedKey)
 
 _RECORD_TYPES: dict[str, type] = {
     "j": AcceptedRecord,
     "c": CancelledRecord,
+    "e": EarlyCancelledRecord,
     "p": ProgressRecord,
     "m": MovedRecord,
     "g": LeaderRecord,
@@ -340,12 +364,23 @@
         return f"h/{record.group}"
     if isinstance(record, CancelledRecord):
         return f"c/{record.job_id}"
+    if isinstance(record, EarlyCancelledRecord):
+        return f"e/{record.job_id}/{record.cancellation_id}"
     if isinstance(record, ProgressRecord):
         return f"p/{record.job_id}/{record.group}"
     # Each move applies on top of the earlier ones, so each has its own key.
     return f"m/{record.job_id}/{record.source_group}/{record.move_number}"
 
 
+def build_withdrawal(record: AcceptedRecord) -> RemovedKey:
+    """Returns a record without effect that takes the place of an acceptance.
+
+    It does not remove the key of the acceptance: that would remove the job,
+    which another acceptance may have created.
+    """
+    return RemovedKey(f"e/{record.job.job_id}/{record.acceptance_id}")
+
+
 def _convert_unsupported_value(value: object) -> object:
     if isinstance(value, model.JobState):
         return value.value
--- a/src/gentianlead/dispatch/_retention.py
+++ b/src/gentianlead/dispatch/_retention.py
@@ -1,4 +1,7 @@
-"""Choice of the records to remove: those of jobs that ended long ago."""
+"""Choice of the records to remove: those of jobs that ended long ago.
+
+Cancellations of jobs that do not exist are removed after the same time.
+"""
 
 import datetime
 
@@ -10,6 +13,12 @@
 retention of job states. Callers may repeat a submission some seconds after its
 reply, and the clocks of daemons differ."""
 
+EARLY_CANCELLATION_RETENTION = datetime.timedelta(seconds=150)
+"""Time for which a cancellation of a job that does not exist is kept. A daemon
+that holds an acceptance of the job stops to store it after 30 s; the rest
+allows for calls that the store executes late and for a daemon that was frozen
+while it sent one."""
+
 MAX_JOBS_PER_APPEND = 40
 """Highest number of jobs whose keys one append removes. A job has about five
 keys, so they fit into one append."""
@@ -18,20 +27,23 @@
 class RetentionPlanner:
     """Finds the keys of jobs that ended long ago, so that they can be removed.
 
-    The retention counts from the moment at which this process first saw the end
-    of the job, so a restart of the process only extends it.
+    It also finds old cancellations of jobs that do not exist. The retention
+    counts from the moment at which this process first saw the end of the job or
+    the cancellation, so a restart of the process only extends it.
     """
 
     def __init__(self, retention: datetime.timedelta):
         self._retention_s = (retention + RETENTION_MARGIN).total_seconds()
         self._end_seen_at: dict[str, float] = {}
+        self._cancellation_seen_at: dict[str, float] = {}
 
     def list_expired_keys(self, table: _table.JobTable,
                           now: float) -> list[_records.RemovedKey]:
         """Returns all keys of the ended jobs whose retention has passed.
 
-        The keys are of at most `MAX_JOBS_PER_APPEND` jobs. For a job whose end
-        is seen for the first time, the retention begins at `now`.
+        The keys are of at most `MAX_JOBS_PER_APPEND` jobs, and cancellations of
+        as many jobs that do not exist may be added. For a job whose end is seen
+        for the first time, the retention begins at `now`.
         """
         for job_id in [
                 ended_id for ended_id in self._end_seen_at
@@ -51,4 +63,20 @@
             removal_records.extend(
                 _records.RemovedKey(key)
                 for key in sorted(table.keys_by_job[job_id]))
-        return removal_records
+        return removal_records + self._list_expired_cancellations(table, now)
+
+    def _list_expired_cancellations(self, table: _table.JobTable,
+                                    now: float) -> list[_records.RemovedKey]:
+        self._cancellation_seen_at = {
+            key: self._cancellation_seen_at.get(key, now)
+            for job_id, keys in table.early_cancellations.items()
+            if job_id not in table.jobs for key in keys
+        }
+        expired_keys = [
+            key for key, seen_at in self._cancellation_seen_at.items()
+            if now - seen_at >= EARLY_CANCELLATION_RETENTION.total_seconds()
+        ]
+        return [
+            _records.RemovedKey(key)
+            for key in sorted(expired_keys)[:MAX_JOBS_PER_APPEND]
+        ]
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -151,6 +151,9 @@
             last `take_changed_jobs`.
         keys_by_job: Keys under which records of a job are stored, by job
             identifier.
+        early_cancellations: Keys of the cancellations of a job that hold for
+            acceptances stored later, too, by job identifier. The job need not
+            exist.
     """
 
     def __init__(self) -> None:
@@ -162,6 +165,7 @@
         self.position = 0
         self.changed_jobs: set[str] = set()
         self.keys_by_job: dict[str, set[str]] = {}
+        self.early_cancellations: dict[str, set[str]] = {}
         # Records that were read before the acceptance of their job, with their
         # offsets, by job identifier. They exist because pages of newest records
         # are not in offset order.
@@ -192,6 +196,11 @@
         elif isinstance(record, _records.AcceptedRecord):
             self._add_key(stored.key)
             self._apply_accepted(stored.offset, record)
+        elif isinstance(record, _records.EarlyCancelledRecord):
+            self._add_key(stored.key)
+            self.early_cancellations.setdefault(record.job_id,
+                                                set()).add(stored.key)
+            self._cancel_job(record.job_id)
         else:
             self._add_key(stored.key)
             self._apply_to_job(stored.offset, record, now)
@@ -218,6 +227,7 @@
         self.handovers.clear()
         self._early_records.clear()
         self.keys_by_job.clear()
+        self.early_cancellations.clear()
         failures: list[tuple[ports.KeyedRecord, Exception]] = []
         for stored in sorted(batch.records, key=lambda record: record.offset):
             try:
@@ -297,6 +307,11 @@
         if key_prefix == "j":
             self.jobs.pop(job_id, None)
             self.changed_jobs.add(job_id)
+        elif key_prefix == "e":
+            cancellation_keys = self.early_cancellations.get(job_id, set())
+            cancellation_keys.discard(key)
+            if not cancellation_keys:
+                self.early_cancellations.pop(job_id, None)
         else:
             self._early_records.pop(job_id, None)
 
@@ -332,6 +347,14 @@
         for early_offset, early_record in self._early_records.pop(
                 job.job_id, ()):
             self._apply_to_job(early_offset, early_record, 0.0)
+        if job.job_id in self.early_cancellations:
+            self._cancel_job(job.job_id)
+
+    def _cancel_job(self, job_id: str) -> None:
+        entry = self.jobs.get(job_id)
+        if entry is not None:
+            self.jobs[job_id] = entry._replace(is_cancelled=True)
+            self.changed_jobs.add(job_id)
 
     def _apply_to_job(self, offset: int, record: _records.Record,
                       now: float) -> None:
--- a/src/gentianlead/dispatch/tests/test_retention.py
+++ b/src/gentianlead/dispatch/tests/test_retention.py
@@ -66,6 +66,28 @@
         self.assertEqual((self.table.jobs, self.table.keys_by_job), ({}, {}))
         self.assertEqual(self.planner.list_expired_keys(self.table, 2000.0), [])
 
+    def test_cancellation_of_a_job_that_does_not_exist(self):
+        """Guards against keys of such cancellations that stay for good.
+
+        Each is kept for its own retention, also if an earlier one is removed,
+        and the job may be accepted meanwhile.
+        """
+        retention_s = dispatch.EARLY_CANCELLATION_RETENTION.total_seconds()
+        other_id = "00000000000000bb"
+        self.apply_records(dispatch.EarlyCancelledRecord(other_id, "d#1/1"))
+        self.assertEqual(self.planner.list_expired_keys(self.table, 0.0), [])
+        self.apply_records(dispatch.EarlyCancelledRecord(other_id, "d#1/2"))
+        self.assertEqual(
+            self.planner.list_expired_keys(self.table, retention_s - 1), [])
+        removal_records = self.planner.list_expired_keys(
+            self.table, retention_s)
+        self.assertEqual(removal_records,
+                         [dispatch.RemovedKey(f"e/{other_id}/d#1/1")])
+        self.apply_records(
+            *removal_records,
+            dispatch.AcceptedRecord(builders.build_job(other_id), "d#1/1"))
+        self.assertIs(self.table.jobs[other_id].state, model.JobState.CANCELLED)
+
     def test_removed_key_has_no_value(self):
         """Checks that the removal of a key is encoded as an empty value.
 
