Store the cancellation of an unknown job before answering 410

Cause: a 410 promises that the job never runs, and the daemon gave it by its own table and stored nothing. An acceptance may be under way at any other daemon, and a request may arrive again.

Ruled out: an old table (it was read to its end after the request); asking the other daemons (the one that holds the acceptance may be cut off from them, too); waiting until acceptances are given up (30 s, and callers wait 3 s).

Now the cancellation of an unknown job is stored before the 410 and holds for each later acceptance. A submission that arrives after it is accepted and shown as cancelled.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -594,4 +594,6 @@
 
     def _render_metrics(self) -> bytes:
         self._metrics.log_lines_dropped.set({}, self._log.dropped_line_count)
+        self._metrics.early_cancellations.set(
+            {}, self._topic_reader.job_table.count_early_cancellations())
         return self._metrics.render()
--- a/src/gentianlead/cluster/_job_acceptances.py
+++ b/src/gentianlead/cluster/_job_acceptances.py
@@ -12,6 +12,11 @@
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _peer_messages
 
+REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=400)
+"""How long a daemon repeats an append that the store refuses: a few attempts.
+After this time a submission is relayed to peers, and a cancellation is
+refused."""
+
 STORE_RETRY_DELAY = datetime.timedelta(seconds=1)
 """Retry delay in the reply to a caller whose request is refused because the
 store is unavailable, or because this daemon has not read the job from the store
--- a/src/gentianlead/cluster/_job_service.py
+++ b/src/gentianlead/cluster/_job_service.py
@@ -10,6 +10,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _job_acceptances
+from gentianlead.cluster import _job_cancellations
 from gentianlead.cluster import _peering
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
@@ -18,16 +19,11 @@
 """Unused; the server for callers already subtracts its own reply margin from
 the deadline passed to `submit`."""
 
-REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=400)
-"""How long a daemon repeats an append that the store refuses: a few attempts.
-After this time a submission is relayed to peers, and a cancellation is
-refused."""
-
 RELAYED_REFUSAL_TIMEOUT = datetime.timedelta(milliseconds=150)
-"""Used instead of `REFUSAL_TIMEOUT` for a submission that a peer has relayed to
-this daemon. It allows only two attempts, because the caller has already waited
-at the peer. The two timeouts add up to 550 ms, so a caller is refused within a
-fifth of its time limit of three seconds."""
+"""Used instead of `_job_acceptances.REFUSAL_TIMEOUT` for a submission that a
+peer has relayed to this daemon. It allows only two attempts, because the caller
+has already waited at the peer. The two timeouts add up to 550 ms, so a caller
+is refused within a fifth of its time limit of three seconds."""
 
 RELAY_TIMEOUT = datetime.timedelta(seconds=1)
 """Longest wait for the reply of one peer, which may be frozen. An append to a
@@ -73,7 +69,8 @@
         self._log = log
         self._send_to_leader = send_to_leader
         self._submissions: dict[str, asyncio.Task] = {}
-        self._early_cancellation_count = 0
+        self._cancellations = _job_cancellations.JobCancellations(
+            incarnation, topic_reader, topic_writer)
         self._acceptances = _job_acceptances.JobAcceptances(
             incarnation, topic_reader, topic_writer, clock, log, send_to_leader)
         # Job states, by job identifier, that were received in leaders' reports
@@ -144,7 +141,7 @@
             unknown_reply = relayed_reply
         reply = None
         if self._is_store_available() or not may_relay:
-            refusal_timeout = (REFUSAL_TIMEOUT
+            refusal_timeout = (_job_acceptances.REFUSAL_TIMEOUT
                                if may_relay else RELAYED_REFUSAL_TIMEOUT)
             reply = await self._accept_locally(job, expires_at, refusal_timeout)
         if reply is None and may_relay:
@@ -308,9 +305,8 @@
                 job_entry = self._topic_reader.job_table.jobs.get(job_id)
                 if (job_entry is None and is_current and
                         not self._acceptances.is_pending(job_id)):
-                    if not may_be_accepted:
-                        return None
-                    return await self._cancel_early(job_id, expires_at)
+                    return await self._cancel_early(job_id, expires_at,
+                                                    may_be_accepted)
         unread_job = self._acceptances.find_unread(job_id)
         if not self._is_store_available() or not (job_entry or unread_job):
             reply = None
@@ -329,52 +325,36 @@
                 _job_acceptances.STORE_RETRY_DELAY)
         if job_entry and (job_entry.is_cancelled or job_entry.state.is_final):
             return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED)
-        reply, _ = await self._store_cancellation(
-            dispatch.CancelledRecord(job_id), expires_at)
+        reply = await self._cancellations.store(
+            job_id, self._compute_time_left(expires_at))
         if reply.outcome is ports.SubmitOutcome.ACCEPTED:
             self._mark_cancelled(
                 job_id,
                 job_entry.groups if job_entry else unread_job.assignment)
         return reply
 
-    async def _cancel_early(self, job_id: str,
-                            expires_at: float) -> ports.SubmitReply:
-        """Cancels a job whose acceptance is not stored, but may be later."""
-        self._early_cancellation_count += 1
-        reply, offset = await self._store_cancellation(
-            dispatch.EarlyCancelledRecord(
-                job_id,
-                f"{self._incarnation}/{self._early_cancellation_count}"),
-            expires_at)
-        if (reply.outcome is ports.SubmitOutcome.ACCEPTED and
-                await self._topic_reader.wait_until_applied(
-                    offset,
-                    self._compute_time_left(expires_at) / 2)):
-            # The acceptance may have been stored just before, so that a leader
-            # has started tasks of the job.
-            job_entry = self._topic_reader.job_table.jobs.get(job_id)
-            if job_entry is not None:
-                self._mark_cancelled(job_id, job_entry.groups)
-        return reply
+    async def _cancel_early(self, job_id: str, expires_at: float,
+                            may_be_accepted: bool) -> ports.SubmitReply | None:
+        """Cancels a job whose acceptance is not stored, but may be later.
 
-    async def _store_cancellation(
-            self,
-            record: dispatch.CancelledRecord | dispatch.EarlyCancelledRecord,
-            expires_at: float) -> tuple[ports.SubmitReply, int]:
-        """Returns the reply to the caller and the offset of the record.
+        The reply promises that the job never runs. Any daemon may hold an
+        acceptance of it whose caller got no reply, so the promise is stored
+        even if no daemon is known to hold one.
 
-        The offset is -1 if the record is not stored, or at an unknown offset.
+        Returns:
+            The reply to the caller; None if the cancellation is stored and no
+            daemon is known to have accepted the job.
         """
-        try:
-            offset = await self._topic_writer.append(
-                [record], self._compute_time_left(expires_at), REFUSAL_TIMEOUT)
-        except ports.StoreError as error:
-            if error.verdict is errors.Verdict.DID_NOT_RUN:
-                return _job_acceptances.build_refusal(
-                    str(error), _job_acceptances.STORE_RETRY_DELAY), -1
-            return ports.SubmitReply(ports.SubmitOutcome.UNKNOWN,
-                                     str(error)), -1
-        return ports.SubmitReply(ports.SubmitOutcome.ACCEPTED), offset
+        reply = await self._cancellations.store_early(
+            job_id, self._compute_time_left(expires_at))
+        if reply.outcome is not ports.SubmitOutcome.ACCEPTED:
+            return reply
+        # The acceptance may have been stored just before, so that a leader has
+        # started tasks of the job.
+        job_entry = self._topic_reader.job_table.jobs.get(job_id)
+        if job_entry is not None:
+            self._mark_cancelled(job_id, job_entry.groups)
+        return reply if may_be_accepted or job_entry is not None else None
 
     def _mark_cancelled(self, job_id: str, groups: Iterable[str]) -> None:
         """Notifies the leaders of a job's groups of its stored cancellation."""
@@ -432,7 +412,10 @@
         job_entry = self._topic_reader.job_table.jobs.get(job_id)
         if job_entry is None:
             if unread_state is None and self._acceptances.find_unread(job_id):
-                unread_state = model.JobState.QUEUED
+                is_cancelled = (
+                    job_id in self._topic_reader.job_table.early_cancellations)
+                unread_state = (model.JobState.CANCELLED
+                                if is_cancelled else model.JobState.QUEUED)
             is_certain = (self._topic_reader.is_loaded and
                           self._topic_reader.is_fresh())
             return ports.JobLookup(unread_state, is_certain or
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -67,6 +67,8 @@
             that is present, by group and kind.
         unled_tasks: Number of long-running tasks in a group without a live
             leader, by group, as far as this daemon has read the topic.
+        early_cancellations: Number of stored cancellations that hold for later
+            acceptances of their jobs, as far as this daemon has read the topic.
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
@@ -123,6 +125,10 @@
             "gentianlead_unled_long_running_tasks",
             "Long-running tasks in groups without a live leader",
             registry=self.registry)
+        self.early_cancellations = aioprometheus.Gauge(
+            "gentianlead_early_cancellations",
+            "Stored cancellations that hold for jobs accepted later",
+            registry=self.registry)
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -255,6 +255,10 @@
                 epoch_read_at=known_leader.epoch_read_at,
                 former=known_leader.former)
 
+    def count_early_cancellations(self) -> int:
+        """Returns the number of stored keys in `early_cancellations`."""
+        return sum(map(len, self.early_cancellations.values()))
+
     def take_changed_jobs(self) -> set[str]:
         """Returns and clears `changed_jobs`."""
         changed_jobs, self.changed_jobs = self.changed_jobs, set()
