Keep cancellations apart from withdrawn acceptances of the same number

The record that takes the place of an expired acceptance removed the key e/ID/WRITER/N, where N counts acceptances. A cancellation of the same job by the same process has this key if its own number is equal, and would have been removed: the job could have run after a 410. Found by reading, which introduced it; not seen in a run.

The key of the withdrawal has a part of its own now. test_withdrawn_acceptance_removes_nothing failed before. The labels that a job needs are no longer listed for jobs that cannot move as a whole.

--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -352,7 +352,7 @@
     step = step_run.step
     step_index = step_run.key[1]
     is_whole = len(job.entry.assignment) == 1 and not job.list_active_runs()
-    needed_labels = _list_needed_labels(job)
+    needed_labels = _list_needed_labels(job) if is_whole else frozenset()
     fallback_group = _admission.FallbackGroup("")
     if is_whole:
         fallback_group = _choose_fallback_group(job, step_index, needed_labels,
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -375,10 +375,10 @@
 def build_withdrawal(record: AcceptedRecord) -> RemovedKey:
     """Returns a record without effect that takes the place of an acceptance.
 
-    It does not remove the key of the acceptance: that would remove the job,
-    which another acceptance may have created.
+    It removes a key that no record has. To remove the key of the acceptance
+    would remove the job, which another acceptance may have created.
     """
-    return RemovedKey(f"e/{record.job.job_id}/{record.acceptance_id}")
+    return RemovedKey(f"e/{record.job.job_id}/{record.acceptance_id}/withdrawn")
 
 
 def _convert_unsupported_value(value: object) -> object:
--- a/src/gentianlead/dispatch/_retention.py
+++ b/src/gentianlead/dispatch/_retention.py
@@ -1,6 +1,6 @@
 """Choice of the records to remove: those of jobs that ended long ago.
 
-Cancellations of jobs that do not exist are removed after the same time.
+Cancellations of jobs that do not exist are removed, too.
 """
 
 import datetime
@@ -15,9 +15,9 @@
 
 EARLY_CANCELLATION_RETENTION = datetime.timedelta(seconds=150)
 """Time for which a cancellation of a job that does not exist is kept. A daemon
-that holds an acceptance of the job stops to store it after 30 s; the rest
-allows for calls that the store executes late and for a daemon that was frozen
-while it sent one."""
+that holds an acceptance of the job gives it up after 30 s. The rest of the time
+allows for a call that the store executes late, and for a daemon that is frozen
+while it sends one."""
 
 MAX_JOBS_PER_APPEND = 40
 """Highest number of jobs whose keys one append removes. A job has about five
--- a/src/gentianlead/dispatch/tests/test_retention.py
+++ b/src/gentianlead/dispatch/tests/test_retention.py
@@ -88,6 +88,17 @@
             dispatch.AcceptedRecord(builders.build_job(other_id), "d#1/1"))
         self.assertIs(self.table.jobs[other_id].state, model.JobState.CANCELLED)
 
+    def test_withdrawn_acceptance_removes_nothing(self):
+        """Guards against a cancellation that is removed with an acceptance.
+
+        Both have the same number, of the same daemon process.
+        """
+        record = dispatch.AcceptedRecord(builders.build_job(JOB_ID), "d#1/1")
+        self.apply_records(dispatch.EarlyCancelledRecord(JOB_ID, "d#1/1"),
+                           dispatch.build_withdrawal(record))
+        self.assertIn(JOB_ID, self.table.jobs)
+        self.assertIn(JOB_ID, self.table.early_cancellations)
+
     def test_removed_key_has_no_value(self):
         """Checks that the removal of a key is encoded as an empty value.
 
