Count peer messages, decoded records and processor time of a daemon

Change: plain integer counts of peer messages by kind, timed checks of streams, records read and decoded by topic, and ranked members.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -9,6 +9,7 @@
 from gentianlead import errors
 from gentianlead import platform
 from gentianlead import ports
+from gentianlead.cluster import _daemon_load
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _job_removal
 from gentianlead.cluster import _job_service
@@ -101,6 +102,9 @@
         self._reported_losses = dispatch.ReportedLosses()
         self._peering = _peering.Peering(self._incarnation, settings.domain,
                                          clock, random_source)
+        self._load_log = _daemon_load.DaemonLoadLog(self._peering,
+                                                    self._topic_reader, clock,
+                                                    log, self._metrics)
         self._report_sender = _report_sender.ReportSender(
             self._peering, log, self._metrics)
         self._job_service = _job_service.SteppedJobService(
@@ -110,11 +114,12 @@
             settings.status_retention, self._topic_reader, self._topic_writer,
             self._job_service.is_coordinator, clock, log)
         self._operator_state = _platform_topics.OperatorState(
-            log, self._apply_operator_state)
+            log, self._metrics, self._apply_operator_state)
         self._registry_freshness = _platform_topics.RegistryFreshness(
             settings.worker_report_interval)
         self._worker_registry = _platform_topics.WorkerRegistry(
-            log, self._apply_worker_entry, self._handle_worker_removal)
+            log, self._metrics, self._apply_worker_entry,
+            self._handle_worker_removal)
         self._peering.handlers[
             _peer_messages.NOTICE_JOB] = self._serve_job_notice
         self._peering.handlers[
@@ -123,9 +128,9 @@
             _peer_messages.NOTICE_REPORT] = self._serve_leader_report
         self._peering.handlers[_peer_messages.NOTICE_RESIGNATION] = (
             self._serve_resignation_notice)
-        self._caller_server = platform.CallerServer(self._job_service, clock,
-                                                    self._observe_request,
-                                                    self._render_metrics)
+        self._caller_server = platform.CallerServer(
+            self._job_service, clock, self._observe_request,
+            self._load_log.render_metrics)
 
     async def run(self) -> None:
         """Runs the daemon until SIGTERM or SIGINT, then shuts it down."""
@@ -147,6 +152,7 @@
         self._spawn(self._announce_membership(peer_address))
         self._spawn(self._run_elections())
         self._spawn(self._job_remover.run())
+        self._spawn(self._load_log.run())
         self._spawn(
             _unled_groups.UnledGroupLog(settings.domains, self._topic_reader,
                                         self._clock, self._log,
@@ -305,6 +311,8 @@
             for group in self._settings.domains:
                 if group in self._leaders or group in self._acquisitions:
                     continue
+                self._metrics.work.members_ranked += 1 + len(
+                    election_view.reachable_nodes)
                 takeover_reason = dispatch.find_reason_to_lead(
                     group, self._topic_reader.job_table.leaders.get(group),
                     election_view)
@@ -464,7 +472,7 @@
             self._metrics, self._publish_leader_report, self._stop_leading,
             lambda: self._job_service.load_reports, self._interference,
             self._registry_freshness.is_current)
-        leader.scheduler.find_job_entry = self._find_job_entry
+        leader.scheduler.find_job_entry = self._topic_reader.job_table.jobs.get
         leader.scheduler.crashes.reported_losses = self._reported_losses
         leader.audit_log.topic_reader = self._topic_reader
         self._leaders[group] = leader
@@ -483,9 +491,6 @@
         self._limit_takeover_waits()
         leader.start()
 
-    def _find_job_entry(self, job_id: str) -> dispatch.JobEntry | None:
-        return self._topic_reader.job_table.jobs.get(job_id)
-
     def _stop_leading(self, group: str, loss_reason: str) -> None:
         leader = self._leaders.pop(group, None)
         if leader is None:
@@ -581,7 +586,7 @@
                             count=ignored_count)
         return True
 
-    # Recording of metrics of callers' requests, and rendering of all metrics.
+    # Recording of metrics of callers' requests.
 
     def _observe_request(self, operation: str, http_status: int,
                          duration_s: float) -> None:
@@ -591,9 +596,3 @@
         })
         self._metrics.request_seconds.observe({"operation": operation},
                                               duration_s)
-
-    def _render_metrics(self) -> bytes:
-        self._metrics.log_lines_dropped.set({}, self._log.dropped_line_count)
-        self._metrics.early_cancellations.set(
-            {}, self._topic_reader.job_table.count_early_cancellations())
-        return self._metrics.render()
--- a/src/gentianlead/cluster/_job_topic.py
+++ b/src/gentianlead/cluster/_job_topic.py
@@ -61,8 +61,7 @@
         last_success_sent_at: Monotonic time in seconds at which the last
             successful append was sent; None before the first. For an append
             that was repeated, this is the first call that may have stored it.
-        last_call_succeeded: Whether the last call to the store succeeded; True
-            before the first.
+        last_call_succeeded: Whether the last call succeeded; True before any.
     """
 
     def __init__(self,
@@ -562,6 +561,7 @@
             self._log.write("topic-expired", position=start_offset)
             self.is_loaded = False
             return False
+        self._metrics.work.count_read(dispatch.JOB_TOPIC, len(batch.records))
         now = self._clock.monotonic()
         for stored_record in batch.records:
             try:
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a daemon: counters, duration histograms and a gauge."""
 
+import collections
 from typing import Sequence
 
 import aioprometheus
@@ -14,12 +15,35 @@
 run again within 6 s; the longest wait is a start permission and a lease."""
 
 
+class WorkCounts:
+    """Plain counts of frequent operations, which are rendered as metrics.
+
+    Attributes:
+        records_read: Number of records read from the store, by topic. A full
+            read counts the newest record of each key.
+        records_decoded: Number of those that were decoded, by topic.
+        members_ranked: Number of members ranked in elections: the members that
+            a daemon reaches, for each group at each election.
+    """
+
+    def __init__(self) -> None:
+        self.records_read: dict[str, int] = collections.defaultdict(int)
+        self.records_decoded: dict[str, int] = collections.defaultdict(int)
+        self.members_ranked = 0
+
+    def count_read(self, topic: str, record_count: int) -> None:
+        """Adds to the number of records read from a topic."""
+        self.records_read[topic] += record_count
+
+
 class ClusterMetrics:
     """Registers and renders the metrics of a daemon for Prometheus.
 
     The names of all metrics start with `gentianlead_`.
 
     Attributes:
+        work: Counts of frequent operations. They and the counts of peer streams
+            become metrics when the metrics are rendered.
         caller_requests: Number of callers' requests, by operation and HTTP
             status.
         request_seconds: Duration of callers' requests in seconds, by operation.
@@ -69,11 +93,23 @@
             leader, by group, as far as this daemon has read the topic.
         early_cancellations: Number of stored cancellations that hold for later
             acceptances of their jobs, as far as this daemon has read the topic.
+        processor_seconds: Processor time of the process in seconds, its start
+            included.
+        peer_messages: Number of messages on peer streams, by direction (`sent`
+            or `received`) and kind (`heartbeat`, `report`, `call`, `reply` or
+            `other`).
+        peer_streams: Number of open peer streams, by side (`dialed` or
+            `accepted`).
+        liveness_checks: Number of timed checks of peer streams.
+        records_read: Number of records read from the store, by topic.
+        records_decoded: Number of records decoded, by topic.
+        members_ranked: Number of members ranked in elections.
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
 
     def __init__(self) -> None:
+        self.work = WorkCounts()
         self.registry = aioprometheus.Registry()
         self.caller_requests = self._add_counter("requests_total",
                                                  "Requests of callers")
@@ -129,6 +165,21 @@
             "gentianlead_early_cancellations",
             "Stored cancellations that hold for jobs accepted later",
             registry=self.registry)
+        self.processor_seconds = self._add_counter(
+            "processor_seconds_total", "Processor time of the process")
+        self.peer_messages = self._add_counter("peer_messages_total",
+                                               "Messages on peer streams")
+        self.peer_streams = aioprometheus.Gauge("gentianlead_peer_streams",
+                                                "Open peer streams",
+                                                registry=self.registry)
+        self.liveness_checks = self._add_counter(
+            "peer_liveness_checks_total", "Timed checks of peer streams")
+        self.records_read = self._add_counter("topic_records_read_total",
+                                              "Records read from the store")
+        self.records_decoded = self._add_counter("topic_records_decoded_total",
+                                                 "Records decoded")
+        self.members_ranked = self._add_counter("election_members_ranked_total",
+                                                "Members ranked in elections")
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -7,6 +7,7 @@
 from gentianlead import errors
 from gentianlead import peers
 from gentianlead import ports
+from gentianlead.cluster import _peer_messages
 
 LINK_SETTINGS = peers.LinkSettings(
     heartbeat_interval=datetime.timedelta(milliseconds=250),
@@ -37,21 +38,25 @@
 
     Attributes:
         handlers: Functions that serve received calls, by subject of the call.
+        traffic: Counts of the messages and checks of all peer streams.
     """
 
     def __init__(self, incarnation: str, domain: str, clock: ports.Clock,
                  random_source: ports.RandomSource):
         hello = peers.Hello(incarnation, domain)
         self.handlers: dict[str, CallHandler] = {}
+        self.traffic = peers.LinkTraffic(_peer_messages.NOTICE_REPORT)
         self._peer_server = peers.PeerServer(hello,
                                              self,
                                              clock,
-                                             settings=LINK_SETTINGS)
+                                             settings=LINK_SETTINGS,
+                                             traffic=self.traffic)
         self._peer_pool = peers.PeerPool(hello,
                                          self,
                                          clock,
                                          random_source,
-                                         settings=LINK_SETTINGS)
+                                         settings=LINK_SETTINGS,
+                                         traffic=self.traffic)
         self._member_addresses: dict[str, str] = {}
 
     async def start(self, host: str, port_range: tuple[int, int]) -> str:
@@ -88,6 +93,11 @@
             self._member_addresses = dict(addresses_by_name)
             self._peer_pool.set_addresses(addresses_by_name.values())
 
+    def count_open_links(self) -> tuple[int, int]:
+        """Returns the numbers of open peer streams, dialed and accepted."""
+        return (self._peer_pool.count_open_links(),
+                len(self._peer_server.links))
+
     def list_reachable_daemons(self) -> frozenset[str]:
         """Returns the names of the daemons that an open peer stream reaches."""
         connected_addresses = self._peer_pool.get_peers()
--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -179,6 +179,7 @@
                             position=self._next_offset)
             self.is_loaded = False
             return False
+        self._metrics.work.count_read(self._topic, len(batch.records))
         self._deliver_records(batch.records)
         self._next_offset += len(batch.records)
         is_at_end = self._next_offset >= batch.end_offset
@@ -223,10 +224,12 @@
     """
 
     def __init__(self, log: _decision_log.DecisionLog,
-                 on_change: Callable[[], None]):
+                 metrics: _metrics.ClusterMetrics, on_change: Callable[[],
+                                                                       None]):
         self.configuration: model.FleetConfiguration | None = None
         self.evacuated_domains: frozenset[str] = frozenset()
         self._log = log
+        self._metrics = metrics
         self._on_change = on_change
 
     def apply_record(self, record: ports.KeyedRecord) -> None:
@@ -269,6 +272,7 @@
             self._on_change()
 
     def _apply_configuration(self, encoded_configuration: bytes) -> None:
+        self._metrics.work.records_decoded[platform.OPERATOR_TOPIC] += 1
         configuration, problems = platform.parse_configuration(
             encoded_configuration)
         for problem in problems:
@@ -296,10 +300,12 @@
     """
 
     def __init__(self, log: _decision_log.DecisionLog,
+                 metrics: _metrics.ClusterMetrics,
                  on_worker_entry: Callable[[ports.WorkerEntry], None],
                  on_worker_removed: Callable[[str], None]):
         self.entries: dict[str, ports.WorkerEntry] = {}
         self._log = log
+        self._metrics = metrics
         self._on_worker_entry = on_worker_entry
         self._on_worker_removed = on_worker_removed
 
@@ -313,6 +319,7 @@
         if not record.value:
             self._remove_worker(record.key, "registry entry removed")
             return
+        self._metrics.work.records_decoded[platform.REGISTRY_TOPIC] += 1
         try:
             entry = platform.parse_worker_entry(record.key, record.value)
         except errors.ProtocolError:
--- a/src/gentianlead/cluster/_topic_load.py
+++ b/src/gentianlead/cluster/_topic_load.py
@@ -210,6 +210,7 @@
 
     def _report_success(self, batch: ports.KeyedBatch) -> None:
         self._metrics.topic_loads.inc({"topic": self._topic, "outcome": "ok"})
+        self._metrics.work.count_read(self._topic, len(batch.records))
         self._log.write(
             "topic-loaded",
             topic=self._topic,
--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -162,9 +162,9 @@
     def setUp(self):
         self.entries: list[ports.WorkerEntry] = []
         self.removed_ids: list[str] = []
-        self.registry = _platform_topics.WorkerRegistry(fakes.build_log(),
-                                                        self.entries.append,
-                                                        self.removed_ids.append)
+        self.registry = _platform_topics.WorkerRegistry(
+            fakes.build_log(), _metrics.ClusterMetrics(), self.entries.append,
+            self.removed_ids.append)
 
     def apply_capacity(self, capacity: object, **fields) -> None:
         """Applies an entry with a capacity."""
--- a/src/gentianlead/cluster/tests/test_unreadable_entries.py
+++ b/src/gentianlead/cluster/tests/test_unreadable_entries.py
@@ -182,7 +182,7 @@
             self.assertLess(len(json.dumps(line)), 400)
         record_count = len(odd_entries) * (REWRITE_COUNT + is_listed_at_start)
         # pylint: disable-next=protected-access
-        metrics_text = self.daemon._render_metrics().decode()
+        metrics_text = self.daemon._load_log.render_metrics().decode()
         self.assertIn(
             "gentianlead_unreadable_records_total{topic="
             f'"{platform.REGISTRY_TOPIC}"}} {record_count}', metrics_text)
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -147,6 +147,7 @@
         handovers: Newest record that a resigning leader of the group left to
             its successor, by group.
         position: Offset of the next record to read.
+        decoded_record_count: Number of records decoded so far.
         changed_jobs: Identifiers of jobs that changed or were removed since the
             last `take_changed_jobs`.
         keys_by_job: Keys under which records of a job are stored, by job
@@ -163,6 +164,7 @@
         self.recorded_workers: dict[str, tuple[ports.WorkerEntry, ...]] = {}
         self.handovers: dict[str, HandoverEntry] = {}
         self.position = 0
+        self.decoded_record_count = 0
         self.changed_jobs: set[str] = set()
         self.keys_by_job: dict[str, set[str]] = {}
         self.early_cancellations: dict[str, set[str]] = {}
@@ -180,6 +182,7 @@
             ProtocolError: The record cannot be decoded and has no effect.
         """
         self.position = max(self.position, stored.offset + 1)
+        self.decoded_record_count += 1
         record = _records.decode_record(stored)
         if record is None:
             self._remove_key(stored.key)
--- a/src/gentianlead/peers/__init__.py
+++ b/src/gentianlead/peers/__init__.py
@@ -22,6 +22,7 @@
 from gentianlead.peers._messages import StatusQuery
 from gentianlead.peers._pool import PeerPool
 from gentianlead.peers._server import PeerServer
+from gentianlead.peers._traffic import LinkTraffic
 
 __all__ = [
     "EventCallback",
@@ -30,6 +31,7 @@
     "GroupCall",
     "Hello",
     "LinkSettings",
+    "LinkTraffic",
     "LoanRequest",
     "LoanGrant",
     "LoanReturn",
--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -14,6 +14,7 @@
 from gentianlead.peers import _outgoing
 from gentianlead.peers import _peer_liveness
 from gentianlead.peers import _pending
+from gentianlead.peers import _traffic
 
 _HELLO_VERSION = 0
 """Protocol version in the frames of a hello and of a refusal of the connection.
@@ -41,7 +42,8 @@
                  clock: ports.Clock,
                  settings: _handler.LinkSettings,
                  on_event: _handler.EventCallback,
-                 on_closed: Callable[["PeerLink"], None] | None = None):
+                 on_closed: Callable[["PeerLink"], None] | None = None,
+                 traffic: _traffic.LinkTraffic | None = None):
         self.peer: _messages.Hello | None = None
         self.address = ""
         self.replacement_needed = asyncio.Event()
@@ -51,6 +53,7 @@
         self._settings = settings
         self._on_event = on_event
         self._on_closed = on_closed
+        self._traffic = traffic or _traffic.LinkTraffic()
         self._transport: asyncio.Transport | None = None
         self._outgoing_buffer: _outgoing.OutgoingBuffer | None = None
         self._frame_reader = _codec.FrameReader()
@@ -200,6 +203,7 @@
                 errors.ErrorCode.OVERLOADED,
                 f"{self._outgoing_buffer.unsent_bytes} bytes wait to be sent "
                 f"to peer {self.address}")
+        self._traffic.count_sent(message)
         frame_position = self._outgoing_buffer.write(frame)
         return correlation_id, self._pending_requests.add(
             correlation_id, message, frame_position)
@@ -220,6 +224,7 @@
                     f"{self._outgoing_buffer.unsent_bytes} bytes "
                     "wait to be sent"))
             return
+        self._traffic.count_sent(message)
         self._outgoing_buffer.write(frame)
 
     async def _send_reply(self, correlation_id: int,
@@ -247,7 +252,9 @@
                 _messages.Refusal(
                     errors.ErrorCode.PEER_FAILED.value,
                     "the reply does not fit into the outgoing buffer", verdict))
-        elif len(frames) == 1:
+            return
+        self._traffic.count_sent(reply, len(frames))
+        if len(frames) == 1:
             self._outgoing_buffer.write(frames[0])
         else:
             await self._outgoing_buffer.write_with_flow_control(frames)
@@ -256,6 +263,7 @@
 
     def _receive_frame(self, frame: _codec.Frame) -> None:
         message = frame.message
+        self._traffic.count_received(message)
         if self.peer is None:
             self._receive_hello(message)
             return
@@ -341,6 +349,7 @@
                           _peer_liveness.CHECKS_PER_HEARTBEAT)
         for check_number in itertools.count(1):
             await self._clock.sleep(check_interval)
+            self._traffic.liveness_checks += 1
             self._liveness_monitor.add_elapsed_time()
             if self._liveness_monitor.failure_reason:
                 self._abort(
--- a/src/gentianlead/peers/_pool.py
+++ b/src/gentianlead/peers/_pool.py
@@ -9,6 +9,7 @@
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
 from gentianlead.peers import _messages
+from gentianlead.peers import _traffic
 
 
 class PeerPool:
@@ -28,13 +29,15 @@
                  clock: ports.Clock,
                  random_source: ports.RandomSource,
                  on_event: _handler.EventCallback = lambda event: None,
-                 settings: _handler.LinkSettings = _handler.LinkSettings()):
+                 settings: _handler.LinkSettings = _handler.LinkSettings(),
+                 traffic: _traffic.LinkTraffic | None = None):
         self._own_hello = own_hello
         self._handler = handler
         self._clock = clock
         self._random_source = random_source
         self._on_event = on_event
         self._settings = settings
+        self._traffic = traffic
         self._dialers: dict[str, _Dialer] = {}
 
     def set_addresses(self, addresses: Iterable[str]) -> None:
@@ -54,8 +57,17 @@
             dialer.start()
 
     def _build_link(self) -> _link.PeerLink:
-        return _link.PeerLink(self._own_hello, self._handler, self._clock,
-                              self._settings, self._on_event)
+        return _link.PeerLink(self._own_hello,
+                              self._handler,
+                              self._clock,
+                              self._settings,
+                              self._on_event,
+                              traffic=self._traffic)
+
+    def count_open_links(self) -> int:
+        """Returns the number of dialed connections that are open."""
+        return sum(
+            dialer.count_open_links() for dialer in self._dialers.values())
 
     def get_peers(self) -> dict[str, _messages.Hello]:
         """Returns the hellos of peers with a usable connection, by address."""
@@ -145,6 +157,10 @@
         for link in list(self._open_links):
             await link.wait_closed()
 
+    def count_open_links(self) -> int:
+        """Returns the number of connections to the address that are open."""
+        return sum(not link.is_closed for link in self._open_links)
+
     async def _keep_connected(self) -> None:
         failed_dials = 0
         while True:
--- a/src/gentianlead/peers/_server.py
+++ b/src/gentianlead/peers/_server.py
@@ -8,6 +8,7 @@
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
 from gentianlead.peers import _messages
+from gentianlead.peers import _traffic
 
 
 class PeerServer:
@@ -25,14 +26,15 @@
                  handler: _handler.PeerHandler,
                  clock: ports.Clock,
                  on_event: _handler.EventCallback = lambda event: None,
-                 settings: _handler.LinkSettings = _handler.LinkSettings()):
+                 settings: _handler.LinkSettings = _handler.LinkSettings(),
+                 traffic: _traffic.LinkTraffic | None = None):
         self._settings = settings
         self._on_event = on_event
         self._links: set[_link.PeerLink] = set()
         self._server: asyncio.Server | None = None
         self._build_link = functools.partial(_link.PeerLink, own_hello, handler,
                                              clock, settings, on_event,
-                                             self._links.discard)
+                                             self._links.discard, traffic)
 
     @property
     def address(self) -> str:
