Log jobs that have nothing running, with what keeps them waiting

The choice of the relaxation becomes a module of its own, so that the log and the planner use the same rules; the causes of interference get names. No change of logic.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -9,6 +9,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _audit_log
 from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _idle_job_log
 from gentianlead.cluster import _job_moves
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
@@ -125,6 +126,8 @@
             self._spawn, self._is_start_allowed, self._plan_requested.set,
             lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
+        self._idle_job_log = _idle_job_log.IdleJobLog(self.scheduler, clock,
+                                                      log, get_load_reports)
         self.audit_log = _audit_log.AuditLog(self.scheduler, clock, log,
                                              metrics, get_load_reports)
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
@@ -377,6 +380,7 @@
         self._takeover_log.write(now)
         for order in orders:
             self._order_sender.send(order)
+        self._idle_job_log.add_run_ends(now)
         _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
         _scheduler_log.report_crash_events(self.scheduler, self._log,
                                            self._metrics)
@@ -402,6 +406,7 @@
         summary = self.scheduler.summarize(now)
         self._log.write("group-load", group=self.group, **summary._asdict())
         self._wait_log.write(now)
+        self._idle_job_log.write(now)
         self.audit_log.write(now)
 
     async def _store_records(self, records: list[dispatch.Record]) -> None:
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -30,6 +30,9 @@
 from gentianlead.dispatch._election import find_reason_to_lead
 from gentianlead.dispatch._election import should_hand_back
 from gentianlead.dispatch._group import GroupScheduler
+from gentianlead.dispatch._idle_jobs import explain_idle_job
+from gentianlead.dispatch._idle_jobs import IdleJob
+from gentianlead.dispatch._idle_jobs import IdleJobMonitor
 from gentianlead.dispatch._interference import InterferenceModel
 from gentianlead.dispatch._interference import InterferenceEstimate
 from gentianlead.dispatch._interference import LatencySample
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -1,7 +1,5 @@
 """Planning of start orders: which waiting tasks start now, on which workers."""
 
-import datetime
-
 from gentianlead import model
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _held_places
@@ -10,27 +8,12 @@
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _probation
 from gentianlead.dispatch import _quarantine
+from gentianlead.dispatch import _relaxation
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _workers
 
-IGNORE_SPARE_CPU_DELAY = datetime.timedelta(seconds=2)
-
-IGNORE_INTERFERENCE_DELAY = datetime.timedelta(seconds=8)
-"""A best-effort job without runs may start one task regardless of spare CPU
-after it has lacked capacity for `IGNORE_SPARE_CPU_DELAY`. After
-`IGNORE_INTERFERENCE_DELAY` it may also start the task beside latency-critical
-tasks with which the task interferes."""
-
-BUSY_IGNORE_INTERFERENCE_DELAY = datetime.timedelta(seconds=30)
-"""Replaces `IGNORE_INTERFERENCE_DELAY` in a busy group: an interfering
-best-effort task is throttled to a standstill there, so it only does harm."""
-
-BUSY_RESERVED_SHARE = 0.6
-"""A group counts as busy if at least this share of the CPU of the workers that
-may receive starts is reserved."""
-
 MAX_UNPLACED_STEPS_PER_PASS = 24
 """A planning pass tries steps by urgency until this number of them have a task
 that found no capacity. Steps of long-running tasks do not count, as any number
@@ -95,12 +78,7 @@
         if not candidates:
             self._mark_all_unplaced(now, now_ms)
             return
-        capacity_cpu_millis = sum(candidate.worker.entry.cpu_millis
-                                  for candidate in candidates.values())
-        free_cpu_millis = sum(
-            candidate.free_cpu_millis for candidate in candidates.values())
-        self._is_busy = (capacity_cpu_millis - free_cpu_millis
-                         >= BUSY_RESERVED_SHARE * capacity_cpu_millis)
+        self._is_busy = _relaxation.is_group_busy(candidates.values())
         self._probation.begin_pass(candidates, now)
         self._least_unplaced_cpu_millis.clear()
         self._reserved_workers.clear()
@@ -303,7 +281,8 @@
         if step.is_gang:
             return self._start_gang(job, step_run, eligible_candidates,
                                     task_counts, candidates, orders, now)
-        relaxation = self._choose_relaxation(job, step_run, now)
+        relaxation = _relaxation.choose_relaxation(job, step_run, self._is_busy,
+                                                   now)
         are_suspects_placed = self._start_suspects(job, step_run,
                                                    eligible_candidates,
                                                    task_counts, candidates,
@@ -445,21 +424,6 @@
             self._probation.keep_next_start()
         return suspicion.is_claim_stored
 
-    def _choose_relaxation(self, job: _runs.JobRun, step_run: _runs.StepRun,
-                           now: float) -> _placement.Relaxation:
-        if job.list_active_runs():
-            return _placement.Relaxation.NORMAL
-        waited_s = job.waited_before_s
-        if step_run.unplaced_since is not None:
-            waited_s += now - step_run.unplaced_since
-        interference_delay = (BUSY_IGNORE_INTERFERENCE_DELAY
-                              if self._is_busy else IGNORE_INTERFERENCE_DELAY)
-        if waited_s >= interference_delay.total_seconds():
-            return _placement.Relaxation.IGNORE_INTERFERENCE
-        if waited_s >= IGNORE_SPARE_CPU_DELAY.total_seconds():
-            return _placement.Relaxation.IGNORE_SPARE_CPU
-        return _placement.Relaxation.NORMAL
-
     def _start_gang(self, job: _runs.JobRun, step_run: _runs.StepRun,
                     eligible_candidates: list[_placement.Candidate],
                     task_counts: dict[str, int],
--- a/src/gentianlead/dispatch/_throttling.py
+++ b/src/gentianlead/dispatch/_throttling.py
@@ -6,6 +6,7 @@
 latency.
 """
 
+import enum
 import math
 from typing import NamedTuple
 
@@ -310,6 +311,51 @@
     return LatencyMargins(margins, overloaded_images, best_effort_counts)
 
 
+class Interference(enum.Enum):
+    """Why no task of a best-effort image may join the tasks of a worker.
+
+    Attributes:
+        OVERLOADED: All best-effort tasks of the worker are paused.
+        IMAGE_THROTTLED: The tasks of the image there are throttled.
+        NEAR_LIMIT: The image was not observed beside a latency-critical one
+            that is too near its limit for a trial.
+        OTHER_TRIAL: The image was not observed, and neither was another one
+            that runs there.
+    """
+
+    OVERLOADED = "overloaded"
+    IMAGE_THROTTLED = "image-throttled"
+    NEAR_LIMIT = "near-limit"
+    OTHER_TRIAL = "other-trial"
+
+
+def find_interference(worker: _workers.WorkerState,
+                      interference: _interference.InterferenceModel, image: str,
+                      margins: LatencyMargins) -> Interference | None:
+    """Returns why no task of an image may join a worker, or None.
+
+    None does not mean that a task of any size may join. The arguments are those
+    of `compute_addable_cpu`.
+    """
+    if not margins.margins:
+        return None
+    if worker.is_overloaded:
+        return Interference.OVERLOADED
+    if worker.throttles.get(image, 100) < 100:
+        return Interference.IMAGE_THROTTLED
+    for latency_critical_image in margins.margins:
+        if interference.is_observed(latency_critical_image, image):
+            continue
+        if latency_critical_image in margins.overloaded_images:
+            return Interference.NEAR_LIMIT
+        # Trials of two images at a time could not be told apart.
+        if not all(
+                interference.is_observed(latency_critical_image, other_image)
+                for other_image in margins.best_effort_counts):
+            return Interference.OTHER_TRIAL
+    return None
+
+
 def compute_addable_cpu(worker: _workers.WorkerState,
                         interference: _interference.InterferenceModel,
                         image: str, margins: LatencyMargins) -> float:
@@ -328,20 +374,10 @@
     """
     if not margins.margins:
         return math.inf
-    if worker.is_overloaded:
-        return -1.0
-    if worker.throttles.get(image, 100) < 100:
+    if find_interference(worker, interference, image, margins) is not None:
         return -1.0
     addable_share = math.inf
     for latency_critical_image, margin in margins.margins.items():
-        is_observed = interference.is_observed(latency_critical_image, image)
-        # Trials of two images at a time could not be told apart.
-        if not is_observed and (
-                latency_critical_image in margins.overloaded_images or not all(
-                    interference.is_observed(latency_critical_image,
-                                             other_image)
-                    for other_image in margins.best_effort_counts)):
-            return -1.0
         coefficient = interference.get_coefficient(latency_critical_image,
                                                    image)
         if coefficient <= 0:
