Connect daemons to leaders and candidates instead of to all others

A daemon now dials the leaders, and for each group the three best-ranked members of its domain and the three best others; all members of such a list while none of its three can be reached. Calls also go over accepted connections, so a leader reaches each daemon without dialing it. Of two daemons that select each other, the one whose name comes first dials. Connections that are not selected any more are kept for 5 s, and until no request is in progress on them.

What each use of peers needs: - notices of jobs and cancellations, relayed submissions, cancellations and state queries, the coordinator: the leaders, which all daemons dial - reports and resignation notices: all daemons, which have dialed the leader - relays beyond the leaders: any two daemons - silence of the leader: a connection to it - hand-back: a connection to a member of the group's domain; it has one of the candidates, or dials all members of the domain - order of the takeover: the members that rank above. A current member without a known connection counts as reachable for this order only. The candidates have connections from all daemons, so they know who is lost. - log of the takeover: none

The members are compared with the selection at each election instead of at each read of the topic. The age of a member record ends at the last read of the end of the topic, as a longer outage of the store would else drop all peers.

Fails before: test_peering.SparseClusterTest (132 connections among 12 daemons of one domain; now at most 48, all get the reports of the leader). The other tests of test_peering and test_peer_selection need the new functions.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -13,6 +13,7 @@
 from gentianlead.cluster import _job_removal
 from gentianlead.cluster import _job_service
 from gentianlead.cluster import _group_leader
+from gentianlead.cluster import _membership
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _platform_topics
 from gentianlead.cluster import _peering
@@ -34,11 +35,6 @@
 """Pause after a failed append of the member record. The append of a record that
 the store rejects for good fails at once."""
 
-MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
-"""Age above which a peer's newest member record is ignored, so that this daemon
-stops connecting to the peer. The age is the time since this daemon read the
-record. The limit is three times `MEMBER_RECORD_INTERVAL` plus one second."""
-
 ACQUIRE_LEADERSHIP_TIMEOUT = datetime.timedelta(seconds=1)
 """Longest wait for the append of the record that claims the leadership of a
 group, and again for this record to be read back from the job topic."""
@@ -101,6 +97,10 @@
         self._reported_losses = dispatch.ReportedLosses()
         self._peering = _peering.Peering(self._incarnation, settings.domain,
                                          clock, random_source)
+        self._membership = _membership.Membership(settings.node,
+                                                  settings.domains,
+                                                  self._topic_reader,
+                                                  self._peering)
         self._report_sender = _report_sender.ReportSender(
             self._peering, log, self._metrics)
         self._job_service = _job_service.SteppedJobService(
@@ -281,19 +281,13 @@
                 continue
             for leader in self._leaders.values():
                 leader.put_job(job_entry)
-        now = self._clock.monotonic()
-        self._peering.set_member_addresses({
-            member_name: member.record.address
-            for member_name, member in job_table.members.items()
-            if member_name != self._settings.node and now -
-            member.seen_at <= MAX_MEMBER_RECORD_AGE.total_seconds()
-        })
 
     # Leader elections, start and end of leaderships.
 
     async def _run_elections(self) -> None:
         while True:
             await self._clock.sleep(ELECTION_INTERVAL)
+            self._membership.update_peers()
             if (not self._topic_reader.is_loaded or
                     self._job_service.is_draining):
                 continue
@@ -373,15 +367,17 @@
             return None
         if self._joined_at is None:
             self._joined_at = now
+        reachability = self._peering.find_reachability()
         return dispatch.ElectionView(
             self._settings.node, self._incarnation, members,
-            self._peering.list_reachable_daemons(),
-            self._topic_reader.readable_since, self._joined_at, now,
+            reachability.reachable_names, self._topic_reader.readable_since,
+            self._joined_at, now,
             frozenset(group for group, workers in
                       self._topic_reader.job_table.recorded_workers.items()
                       if any(
                           worker.worker_id not in self._worker_registry.entries
-                          for worker in workers)))
+                          for worker in workers)),
+            self._membership.find_presumed_members(reachability))
 
     async def _acquire_leadership(self, group: str,
                                   takeover_reason: str) -> None:
--- /dev/null
+++ b/src/gentianlead/cluster/_membership.py
@@ -0,0 +1,63 @@
+"""Connects a daemon to the members of the cluster that it has to know."""
+
+import datetime
+from typing import Iterable
+
+from gentianlead import dispatch
+from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _peering
+
+MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
+"""Age above which a peer's newest member record is ignored, so that this daemon
+stops connecting to the peer. The age is the time from the read of the record to
+the last read of the end of the topic, so no record expires while the store is
+away. The limit is three times the interval of the records plus one second."""
+
+
+class Membership:
+    """Selects the peers of a daemon by the member records of the job topic.
+
+    Example:
+        >>> membership = Membership("entry-1", ["north-1"], reader, peering)
+        >>> membership.update_peers()
+    """
+
+    def __init__(self, node: str, groups: Iterable[str],
+                 topic_reader: _job_topic.JobTopicReader,
+                 peering: _peering.Peering):
+        self._node = node
+        self._groups = tuple(groups)
+        self._topic_reader = topic_reader
+        self._peering = peering
+        self._members: dict[str, dispatch.MemberRecord] = {}
+
+    def update_peers(self) -> None:
+        """Opens and closes connections after changes of members and leaders."""
+        job_table = self._topic_reader.job_table
+        read_at = self._topic_reader.fresh_as_of or 0.0
+        self._members = {
+            name: member.record
+            for name, member in job_table.members.items()
+            if read_at -
+            member.seen_at <= MAX_MEMBER_RECORD_AGE.total_seconds()
+        }
+        selected_names = dispatch.select_peers(
+            self._node, self._groups, {
+                name: record.domain for name, record in self._members.items()
+            }, (entry.record.node for entry in job_table.leaders.values()),
+            self._peering.find_reachability().unreachable_names)
+        self._peering.set_members(
+            {
+                name: record
+                for name, record in self._members.items()
+                if name != self._node
+            }, selected_names)
+
+    def find_presumed_members(
+            self, reachability: _peering.Reachability) -> frozenset[str]:
+        """Returns the members of which this daemon knows no connection state.
+
+        It does not connect to them, or its first attempt has not ended yet.
+        """
+        return (self._members.keys() - {self._node} -
+                reachability.reachable_names - reachability.unreachable_names)
--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -1,7 +1,7 @@
 """Calls between daemons over peer streams."""
 
 import datetime
-from typing import Awaitable, Callable
+from typing import Awaitable, Callable, Mapping, NamedTuple
 
 from gentianlead import dispatch
 from gentianlead import errors
@@ -23,6 +23,43 @@
 """Longest wait for the reply of a peer, unless the caller passes another
 timeout."""
 
+CONNECTION_LINGER = datetime.timedelta(seconds=5)
+"""Time for which a usable connection to a daemon is kept after it was last
+wanted, so that candidates that come and go do not open and close connections.
+For as long a lost connection tells that a daemon is unreachable, before it was
+dialed again."""
+
+
+class Reachability(NamedTuple):
+    """What open connections and dials tell about the other daemons.
+
+    Attributes:
+        reachable_names: Names of the daemons that an open connection reaches.
+        unreachable_names: Names of the selected daemons to which there is no
+            usable connection. A daemon that is dialed for the first time is not
+            among them until this dial has ended.
+    """
+
+    reachable_names: frozenset[str]
+    unreachable_names: frozenset[str]
+
+
+class _DialedDaemon(NamedTuple):
+    """A daemon that is dialed.
+
+    Attributes:
+        address: `host:port` of the daemon.
+        wanted_at: Monotonic time in seconds at which the connection was last
+            wanted.
+        follows_lost_link: Whether the connection replaces one that was usable
+            and is not any more.
+    """
+
+    address: str
+    wanted_at: float
+    follows_lost_link: bool
+
+
 # Serves a call: takes the encoded message and returns the result to encode.
 CallHandler = Callable[[bytes], Awaitable[object]]
 
@@ -30,6 +67,10 @@
 class Peering(peers.PeerHandler):
     """Sends calls to the other daemons and serves the calls that they send.
 
+    It dials some of the other daemons and is dialed by some. Calls go over both
+    kinds of connections. An accepted connection belongs to the member whose
+    newest record names the incarnation in the hello of the connection.
+
     Example:
         >>> peering = Peering("entry-1#ab", "north-1", clock, random_source)
         >>> peering.handlers["state"] = serve_state
@@ -52,7 +93,12 @@
                                          clock,
                                          random_source,
                                          settings=LINK_SETTINGS)
-        self._member_addresses: dict[str, str] = {}
+        self._clock = clock
+        self._node = incarnation.partition("#")[0]
+        self._members: dict[str, dispatch.MemberRecord] = {}
+        self._selected_names: frozenset[str] = frozenset()
+        self._dialed_daemons: dict[str, _DialedDaemon] = {}
+        self._linked_at: dict[str, float] = {}
 
     async def start(self, host: str, port_range: tuple[int, int]) -> str:
         """Listens for peers on the first free port of a range.
@@ -77,24 +123,89 @@
         await self._peer_pool.close()
         await self._peer_server.close()
 
-    def set_member_addresses(self, addresses_by_name: dict[str, str]) -> None:
-        """Sets the daemons to which peer streams are kept open.
+    def set_members(self, members: Mapping[str, dispatch.MemberRecord],
+                    selected_names: frozenset[str]) -> None:
+        """Sets the other daemons, and those to which this daemon connects.
+
+        A selected daemon that has dialed this one is not dialed, if its name
+        comes before the own name: one connection is enough for both.
 
         Args:
-            addresses_by_name: Address (`host:port`) of each other daemon, by
-                its name.
+            members: Newest records of the other daemons, by name.
+            selected_names: Names of the daemons to connect to.
         """
-        if addresses_by_name != self._member_addresses:
-            self._member_addresses = dict(addresses_by_name)
-            self._peer_pool.set_addresses(addresses_by_name.values())
+        now = self._clock.monotonic()
+        self._members = dict(members)
+        self._selected_names = selected_names
+        accepted_incarnations = self._peer_server.get_peer_names()
+        connected_addresses = self._peer_pool.get_peers()
+        self._record_links(
+            now,
+            accepted_incarnations.union(
+                hello.name for hello in connected_addresses.values()))
+        dialed_daemons = {}
+        for name in selected_names:
+            record = self._members[name]
+            if (name > self._node or
+                    record.incarnation not in accepted_incarnations):
+                dialed_daemons[name] = self._build_dialed_daemon(record, now)
+        for name, dialed_daemon in self._dialed_daemons.items():
+            record = self._members.get(name)
+            if (name not in dialed_daemons and
+                    dialed_daemon.address in connected_addresses and
+                (record is None or record.address == dialed_daemon.address) and
+                    self._must_linger(dialed_daemon, now)):
+                dialed_daemons[name] = dialed_daemon
+        self._dialed_daemons = dialed_daemons
+        self._peer_pool.set_addresses(
+            dialed_daemon.address for dialed_daemon in dialed_daemons.values())
+
+    def _record_links(self, now: float,
+                      linked_incarnations: frozenset[str]) -> None:
+        """Keeps in memory when each peer last had a usable connection."""
+        self._linked_at = {
+            incarnation: linked_at
+            for incarnation, linked_at in self._linked_at.items()
+            if now - linked_at <= CONNECTION_LINGER.total_seconds()
+        }
+        self._linked_at.update(dict.fromkeys(linked_incarnations, now))
+
+    def _build_dialed_daemon(self, record: dispatch.MemberRecord,
+                             now: float) -> _DialedDaemon:
+        former = self._dialed_daemons.get(record.node)
+        if former is not None and former.address == record.address:
+            return former._replace(wanted_at=now)
+        return _DialedDaemon(record.address, now, record.incarnation
+                             in self._linked_at)
+
+    def _must_linger(self, dialed_daemon: _DialedDaemon, now: float) -> bool:
+        return (now - dialed_daemon.wanted_at
+                <= CONNECTION_LINGER.total_seconds() or
+                not self._peer_pool.is_idle(dialed_daemon.address))
 
     def list_reachable_daemons(self) -> frozenset[str]:
-        """Returns the names of the daemons that an open peer stream reaches."""
+        """Returns the names of the daemons that an open connection reaches."""
         connected_addresses = self._peer_pool.get_peers()
-        return frozenset(
-            daemon_name
-            for daemon_name, address in self._member_addresses.items()
-            if address in connected_addresses)
+        accepted_incarnations = self._peer_server.get_peer_names()
+        return frozenset([
+            name for name, dialed_daemon in self._dialed_daemons.items()
+            if dialed_daemon.address in connected_addresses
+        ] + [
+            name for name, record in self._members.items()
+            if record.incarnation in accepted_incarnations
+        ])
+
+    def find_reachability(self) -> Reachability:
+        """Returns which daemons are reachable and which are not."""
+        reachable_names = self.list_reachable_daemons()
+        failed_addresses = self._peer_pool.get_failed_addresses()
+        unreachable_names = set()
+        for name in self._selected_names - reachable_names:
+            dialed_daemon = self._dialed_daemons.get(name)
+            if (dialed_daemon is None or dialed_daemon.follows_lost_link or
+                    dialed_daemon.address in failed_addresses):
+                unreachable_names.add(name)
+        return Reachability(reachable_names, frozenset(unreachable_names))
 
     async def call(self,
                    daemon_name: str,
@@ -108,13 +219,19 @@
             RequestError: The daemon is unknown or unreachable, refused the
                 call, or sent no usable reply in time.
         """
-        address = self._member_addresses.get(daemon_name)
-        if address is None:
+        message = peers.GroupCall(subject, dispatch.encode_value(request))
+        dialed_daemon = self._dialed_daemons.get(daemon_name)
+        record = self._members.get(daemon_name)
+        if (dialed_daemon is not None and
+                dialed_daemon.address in self._peer_pool.get_peers()):
+            reply = await self._peer_pool.request(dialed_daemon.address,
+                                                  message, timeout)
+        elif record is not None:
+            reply = await self._peer_server.request(record.incarnation, message,
+                                                    timeout)
+        else:
             raise errors.RequestError(errors.ErrorCode.PEER_FAILED,
                                       f"unknown daemon {daemon_name!r}")
-        reply = await self._peer_pool.request(
-            address, peers.GroupCall(subject, dispatch.encode_value(request)),
-            timeout)
         try:
             return dispatch.decode_value(reply.payload, reply_type)
         except errors.ProtocolError as error:
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -49,6 +49,8 @@
 from gentianlead.dispatch._orders import RefusedStarts
 from gentianlead.dispatch._orders import StartOrder
 from gentianlead.dispatch._orders import StopOrder
+from gentianlead.dispatch._peer_selection import CANDIDATES_PER_LIST
+from gentianlead.dispatch._peer_selection import select_peers
 from gentianlead.dispatch._records import AcceptedRecord
 from gentianlead.dispatch._records import build_key
 from gentianlead.dispatch._records import build_withdrawal
--- a/src/gentianlead/peers/_pool.py
+++ b/src/gentianlead/peers/_pool.py
@@ -65,6 +65,22 @@
             if dialer.link is not None and dialer.link.is_usable
         }
 
+    def get_failed_addresses(self) -> frozenset[str]:
+        """Returns the addresses that were dialed and have no usable connection.
+
+        An address whose first dial has not ended is not among them.
+        """
+        return frozenset(address for address, dialer in self._dialers.items()
+                         if dialer.has_dialed and
+                         (dialer.link is None or not dialer.link.is_usable))
+
+    def is_idle(self, address: str) -> bool:
+        """Returns whether no request to or from an address is in progress."""
+        dialer = self._dialers.get(address)
+        return dialer is None or dialer.link is None or not (
+            dialer.link.pending_request_count or
+            dialer.link.incoming_request_count)
+
     async def request(self, address: str, message: _messages.Request,
                       timeout: datetime.timedelta) -> _messages.Reply:
         """Sends a request to a peer and waits for its reply.
@@ -112,6 +128,7 @@
 
     Attributes:
         link: The newest connection, or None before the first one.
+        has_dialed: Whether the first dial has ended.
     """
 
     def __init__(self, address: str, build_link, clock: ports.Clock,
@@ -119,6 +136,7 @@
                  settings: _handler.LinkSettings,
                  on_event: _handler.EventCallback) -> None:
         self.link: _link.PeerLink | None = None
+        self.has_dialed = False
         self._address = address
         self._build_link = build_link
         self._clock = clock
@@ -152,6 +170,8 @@
             link = await self._dial()
             if link is not None:
                 self._replace_link(link)
+            self.has_dialed = True
+            if link is not None:
                 await link.replacement_needed.wait()
             # A connection that ends soon counts as a failure, so that there is
             # a delay before a peer that refuses every hello is dialed again.
--- a/src/gentianlead/peers/_server.py
+++ b/src/gentianlead/peers/_server.py
@@ -4,6 +4,7 @@
 import datetime
 import functools
 
+from gentianlead import errors
 from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
@@ -28,11 +29,12 @@
                  settings: _handler.LinkSettings = _handler.LinkSettings()):
         self._settings = settings
         self._on_event = on_event
-        self._links: set[_link.PeerLink] = set()
+        # In the order of their acceptance.
+        self._links: dict[_link.PeerLink, None] = {}
         self._server: asyncio.Server | None = None
         self._build_link = functools.partial(_link.PeerLink, own_hello, handler,
                                              clock, settings, on_event,
-                                             self._links.discard)
+                                             self._links.pop)
 
     @property
     def address(self) -> str:
@@ -45,6 +47,33 @@
         """The accepted connections that have not ended."""
         return list(self._links)
 
+    def get_peer_names(self) -> frozenset[str]:
+        """Returns the names of the peers with a usable connection."""
+        return frozenset(
+            link.peer.name for link in self._links if link.is_usable)
+
+    async def request(self, peer_name: str, message: _messages.Request,
+                      timeout: datetime.timedelta) -> _messages.Reply:
+        """Sends a request on the newest usable connection of a peer.
+
+        It fails at once if there is none, and never retries.
+
+        Args:
+            peer_name: Name from the hello of the peer.
+            message: The request.
+            timeout: Longest wait for the reply.
+
+        Raises:
+            RequestError: There is no usable connection, the peer refused the
+                request, or no reply came in time; the verdict says whether the
+                request may have run.
+        """
+        for link in reversed(self._links):
+            if link.is_usable and link.peer.name == peer_name:
+                return await link.request(message, timeout)
+        raise errors.RequestError(errors.ErrorCode.PEER_FAILED,
+                                  f"no usable connection from {peer_name}")
+
     async def start(self, host: str, port: int) -> None:
         """Listens on an address.
 
@@ -58,7 +87,7 @@
         if len(self._links) >= self._settings.max_connections:
             return _RefusedConnection(self._on_event)
         link = self._build_link()
-        self._links.add(link)
+        self._links[link] = None
         return link
 
     async def drain(self, timeout: datetime.timedelta) -> bool:
