--- a/src/gentianlead/cluster/tests/test_wait_bounds.py
+++ b/src/gentianlead/cluster/tests/test_wait_bounds.py
@@ -13,6 +13,7 @@
 from gentianlead.cluster import _group_leader
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _order_sender
+from gentianlead.cluster import _peering
 from gentianlead.cluster import _platform_topics
 from gentianlead.cluster import _status_polls
 from gentianlead.cluster import _takeover_wait
@@ -252,6 +253,17 @@
                         view), "leader resigned")
 
 
+class CandidateLossTest(unittest.TestCase):
+    """Tests the time until further candidates are known."""
+
+    def test_further_candidates_are_known_within_the_silence_limit(self):
+        """Guards against a takeover that waits for dials beyond the sums."""
+        settings = _peering.LINK_SETTINGS
+        self.assertLessEqual(
+            settings.suspect_limit + _daemon.ELECTION_INTERVAL +
+            settings.dial_timeout, _election.SILENCE_LIMIT)
+
+
 class LeavingWorkerTest(WaitSumTestCase):
     """Tests the sums for a worker that leaves as announced."""
 
