--- a/bench/peer_cost.py
+++ b/bench/peer_cost.py
@@ -1,7 +1,9 @@
 """Processor time of peer streams: idle ones, and a report to all peers.
 
 The peers run in another process, one `Peering` each. The time of that process
-is measured, too: it is the receivers' side of the same messages.
+is measured, too: it is the receivers' side of the same messages. Beside other
+work the streams may break, because a process of the benchmark that gets no
+processor for 0.7 s is suspected by the other one.
 
 Example:
     $ python -m bench.peer_cost --output out/peer_cost.json
