Check all peer connections of a pool or listener from one task

A `LinkMonitor` wakes once in 125 ms and checks all connections of a `PeerPool` or `PeerServer`. An exception in the check of one connection is reported to the event loop and ends no other check.

--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import itertools
 from typing import Callable
 
 from gentianlead import errors
@@ -10,6 +9,7 @@
 from gentianlead.peers import _codec
 from gentianlead.peers import _handler
 from gentianlead.peers import _incoming
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 from gentianlead.peers import _outgoing
 from gentianlead.peers import _peer_liveness
@@ -26,7 +26,8 @@
 
     It exchanges hellos and agrees on a protocol version, sends requests and
     matches replies to them, runs the handler for the requests of the peer,
-    sends heartbeats, and closes when the peer is silent or stops reading.
+    sends heartbeats, and closes when the peer is silent or stops reading. A
+    `LinkMonitor` calls its regular checks.
 
     Attributes:
         peer: Hello of the peer, or None before it is received.
@@ -39,6 +40,7 @@
                  own_hello: _messages.Hello,
                  handler: _handler.PeerHandler,
                  clock: ports.Clock,
+                 monitor: _link_monitor.LinkMonitor,
                  settings: _handler.LinkSettings,
                  on_event: _handler.EventCallback,
                  on_closed: Callable[["PeerLink"], None] | None = None):
@@ -48,6 +50,7 @@
         self._own_hello = own_hello
         self._handler = handler
         self._clock = clock
+        self._monitor = monitor
         self._settings = settings
         self._on_event = on_event
         self._on_closed = on_closed
@@ -65,8 +68,8 @@
         self._closing_error: Exception | None = None
         self._handshake_ended = asyncio.Event()
         self._connection_ended = asyncio.Event()
-        self._monitor_task: asyncio.Task | None = None
         self._liveness_monitor: _peer_liveness.LivenessMonitor | None = None
+        self._check_count = 0
         self._receive_methods = {
             _messages.Heartbeat: lambda frame: None,
             _messages.ForwardRequest: self._receive_request,
@@ -332,29 +335,29 @@
                                                      frame.message):
             self._send_control_message(frame.correlation_id, _messages.Cancel())
 
-    async def _monitor_liveness(self) -> None:
-        """Sends heartbeats, and closes the connection when the peer is silent.
+    def _check_liveness(self, now: float) -> None:
+        """Closes the connection if the peer is silent, or sends a heartbeat.
 
         The peer also counts as silent when it has stopped reading.
+
+        Args:
+            now: Monotonic time in seconds.
         """
-        check_interval = (self._settings.heartbeat_interval /
-                          _peer_liveness.CHECKS_PER_HEARTBEAT)
-        for check_number in itertools.count(1):
-            await self._clock.sleep(check_interval)
-            self._liveness_monitor.add_elapsed_time()
-            if self._liveness_monitor.failure_reason:
-                self._abort(
-                    errors.ProtocolError(
-                        f"peer {self.address} "
-                        f"{self._liveness_monitor.failure_reason}"))
-                return
-            if self._liveness_monitor.is_suspect:
-                self.replacement_needed.set()
-            if self._is_closing_after_replies:
-                self.close_after_replies()
-            if (check_number % _peer_liveness.CHECKS_PER_HEARTBEAT == 0 and
-                    self.peer is not None and not self._is_closed):
-                self._send_control_message(0, _messages.Heartbeat())
+        self._liveness_monitor.add_elapsed_time(now)
+        if self._liveness_monitor.failure_reason:
+            self._abort(
+                errors.ProtocolError(
+                    f"peer {self.address} "
+                    f"{self._liveness_monitor.failure_reason}"))
+            return
+        if self._liveness_monitor.is_suspect:
+            self.replacement_needed.set()
+        if self._is_closing_after_replies:
+            self.close_after_replies()
+        self._check_count += 1
+        if (self._check_count % _peer_liveness.CHECKS_PER_HEARTBEAT == 0 and
+                self.peer is not None and not self._is_closed):
+            self._send_control_message(0, _messages.Heartbeat())
 
     # Closing of the connection.
 
@@ -398,10 +401,9 @@
         self._outgoing_buffer = _outgoing.OutgoingBuffer(
             transport, self._settings.max_outgoing_bytes)
         self._liveness_monitor = _peer_liveness.LivenessMonitor(
-            self._clock, self._settings, self._outgoing_buffer)
+            self._clock.monotonic(), self._settings, self._outgoing_buffer)
         self._send_control_message(0, self._own_hello)
-        self._monitor_task = asyncio.get_running_loop().create_task(
-            self._monitor_liveness())
+        self._monitor.add(self._check_liveness)
 
     def data_received(self, data: bytes) -> None:
         if self._is_closed:
@@ -433,6 +435,6 @@
             exc, f"connection to peer {self.address} ended: "
             f"{exc or 'closed by the peer'}")
         self._connection_ended.set()
-        self._monitor_task.cancel()
+        self._monitor.remove(self._check_liveness)
         if self._on_closed is not None:
             self._on_closed(self)
--- a/src/gentianlead/peers/_peer_liveness.py
+++ b/src/gentianlead/peers/_peer_liveness.py
@@ -1,6 +1,5 @@
 """Measures how long a peer has sent nothing or has not read."""
 
-from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _outgoing
 
@@ -21,16 +20,15 @@
     between two checks, doubled.
     """
 
-    def __init__(self, clock: ports.Clock, settings: _handler.LinkSettings,
+    def __init__(self, started_at: float, settings: _handler.LinkSettings,
                  outgoing_buffer: _outgoing.OutgoingBuffer) -> None:
-        self._clock = clock
         self._outgoing_buffer = outgoing_buffer
         self._suspect_limit_seconds = settings.suspect_limit.total_seconds()
         self._silence_limit_seconds = settings.silence_limit.total_seconds()
         self._max_counted_seconds = (
             2 * settings.heartbeat_interval.total_seconds() /
             CHECKS_PER_HEARTBEAT)
-        self._last_check_at = clock.monotonic()
+        self._last_check_at = started_at
         self._last_unsent_position = outgoing_buffer.unsent_position
         self._has_received_data = False
         self._silent_seconds = 0.0
@@ -40,13 +38,15 @@
         """Records that data was received since the last check."""
         self._has_received_data = True
 
-    def add_elapsed_time(self) -> None:
+    def add_elapsed_time(self, now: float) -> None:
         """Adds the time since the last check to the time of silence.
 
         The silence ends when data was received since the last check, and a
         stalled write ends when the operating system has taken bytes.
+
+        Args:
+            now: Monotonic time in seconds.
         """
-        now = self._clock.monotonic()
         elapsed_seconds = min(now - self._last_check_at,
                               self._max_counted_seconds)
         self._last_check_at = now
--- a/src/gentianlead/peers/_pool.py
+++ b/src/gentianlead/peers/_pool.py
@@ -8,6 +8,7 @@
 from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 
 
@@ -35,6 +36,7 @@
         self._random_source = random_source
         self._on_event = on_event
         self._settings = settings
+        self._monitor = _link_monitor.LinkMonitor(clock, settings)
         self._dialers: dict[str, _Dialer] = {}
 
     def set_addresses(self, addresses: Iterable[str]) -> None:
@@ -55,7 +57,7 @@
 
     def _build_link(self) -> _link.PeerLink:
         return _link.PeerLink(self._own_hello, self._handler, self._clock,
-                              self._settings, self._on_event)
+                              self._monitor, self._settings, self._on_event)
 
     def get_peers(self) -> dict[str, _messages.Hello]:
         """Returns the hellos of peers with a usable connection, by address."""
--- a/src/gentianlead/peers/_server.py
+++ b/src/gentianlead/peers/_server.py
@@ -7,6 +7,7 @@
 from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 
 
@@ -30,8 +31,9 @@
         self._on_event = on_event
         self._links: set[_link.PeerLink] = set()
         self._server: asyncio.Server | None = None
+        monitor = _link_monitor.LinkMonitor(clock, settings)
         self._build_link = functools.partial(_link.PeerLink, own_hello, handler,
-                                             clock, settings, on_event,
+                                             clock, monitor, settings, on_event,
                                              self._links.discard)
 
     @property
--- a/src/gentianlead/peers/tests/doubles.py
+++ b/src/gentianlead/peers/tests/doubles.py
@@ -42,6 +42,43 @@
         await asyncio.sleep(duration.total_seconds())
 
 
+class ManualClock(ports.Clock):
+    """Clock that stands still between the calls of `advance`.
+
+    Attributes:
+        sleep_count: Number of calls of `sleep` so far.
+    """
+
+    def __init__(self) -> None:
+        self.sleep_count = 0
+        self._seconds = 0.0
+        self._wakes: list[tuple[float, asyncio.Future]] = []
+
+    def monotonic(self) -> float:
+        return self._seconds
+
+    def now(self) -> datetime.datetime:
+        return datetime.datetime.fromtimestamp(self._seconds,
+                                               datetime.timezone.utc)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        self.sleep_count += 1
+        wake = asyncio.get_running_loop().create_future()
+        self._wakes.append((self._seconds + duration.total_seconds(), wake))
+        await wake
+
+    def advance(self, seconds: float) -> None:
+        """Advances the time and ends the sleeps that are over."""
+        self._seconds += seconds
+        due_wakes = [wake for due, wake in self._wakes if due <= self._seconds]
+        self._wakes = [
+            (due, wake) for due, wake in self._wakes if due > self._seconds
+        ]
+        for wake in due_wakes:
+            if not wake.done():
+                wake.set_result(None)
+
+
 class SeededRandom(ports.RandomSource):
     """Random source that makes the same choices for the same seed."""
 
@@ -133,6 +170,7 @@
     Attributes:
         clock: Clock of the connections.
         events: Events that all listeners and pools of the test reported.
+        loop_errors: Unhandled errors that the event loop reported.
     """
 
     @classmethod
@@ -146,17 +184,17 @@
     async def asyncSetUp(self) -> None:
         self.clock = SystemClock()
         self.events: list[peers.PeerEvent] = []
-        self._loop_errors: list[dict] = []
+        self.loop_errors: list[dict] = []
         loop = asyncio.get_running_loop()
         loop.set_debug(False)
         loop.set_exception_handler(
-            lambda loop, context: self._loop_errors.append(context))
+            lambda loop, context: self.loop_errors.append(context))
         self.addAsyncCleanup(self._check_loop_errors)
 
     async def _check_loop_errors(self) -> None:
         gc.collect()
         await asyncio.sleep(0)
-        self.assertEqual(self._loop_errors, [])
+        self.assertEqual(self.loop_errors, [])
 
     async def start_server(
             self,
@@ -198,12 +236,14 @@
     Attributes:
         reader: Stream of bytes from the daemon under test.
         writer: Stream of bytes to the daemon under test.
+        received: Time and type of the messages that a test has collected.
     """
 
     def __init__(self, reader: asyncio.StreamReader,
                  writer: asyncio.StreamWriter) -> None:
         self.reader = reader
         self.writer = writer
+        self.received: list[tuple[float, type]] = []
 
     def send(self,
              message: _messages.Message,
