Send heartbeats only where nothing else was sent

`HeartbeatSchedule` looks at each check whether the operating system has taken bytes since the last one, and lets a heartbeat be sent after an interval without any. Bytes that it has not taken do not count. A peer receives something at least once in 375 ms (interval and one check; 250 ms before), and at the first check after a pause of this daemon. The limits of silence (0.7 and 1.5 s) and the messages are unchanged, so older daemons are satisfied.

--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -26,8 +26,8 @@
 
     It exchanges hellos and agrees on a protocol version, sends requests and
     matches replies to them, runs the handler for the requests of the peer,
-    sends heartbeats, and closes when the peer is silent or stops reading. A
-    `LinkMonitor` calls its regular checks.
+    sends heartbeats while it sends nothing else, and closes when the peer is
+    silent or stops reading. A `LinkMonitor` calls its regular checks.
 
     Attributes:
         peer: Hello of the peer, or None before it is received.
@@ -69,7 +69,7 @@
         self._handshake_ended = asyncio.Event()
         self._connection_ended = asyncio.Event()
         self._liveness_monitor: _peer_liveness.LivenessMonitor | None = None
-        self._check_count = 0
+        self._heartbeat_schedule: _peer_liveness.HeartbeatSchedule | None = None
         self._receive_methods = {
             _messages.Heartbeat: lambda frame: None,
             _messages.ForwardRequest: self._receive_request,
@@ -354,10 +354,10 @@
             self.replacement_needed.set()
         if self._is_closing_after_replies:
             self.close_after_replies()
-        self._check_count += 1
-        if (self._check_count % _peer_liveness.CHECKS_PER_HEARTBEAT == 0 and
-                self.peer is not None and not self._is_closed):
+        if (self._heartbeat_schedule.is_due(now) and self.peer is not None and
+                not self._is_closed):
             self._send_control_message(0, _messages.Heartbeat())
+            self._heartbeat_schedule.record_heartbeat(now)
 
     # Closing of the connection.
 
@@ -400,8 +400,11 @@
         self.address = f"{peer_address[0]}:{peer_address[1]}"
         self._outgoing_buffer = _outgoing.OutgoingBuffer(
             transport, self._settings.max_outgoing_bytes)
+        now = self._clock.monotonic()
         self._liveness_monitor = _peer_liveness.LivenessMonitor(
-            self._clock.monotonic(), self._settings, self._outgoing_buffer)
+            now, self._settings, self._outgoing_buffer)
+        self._heartbeat_schedule = _peer_liveness.HeartbeatSchedule(
+            now, self._settings, self._outgoing_buffer)
         self._send_control_message(0, self._own_hello)
         self._monitor.add(self._check_liveness)
 
--- a/src/gentianlead/peers/_outgoing.py
+++ b/src/gentianlead/peers/_outgoing.py
@@ -16,12 +16,15 @@
 
     The position of a byte is the number of bytes written to the connection
     before it.
+
+    Attributes:
+        written_bytes: Number of bytes written so far.
     """
 
     def __init__(self, transport: asyncio.Transport, max_bytes: int) -> None:
         self._transport = transport
         self._max_bytes = max_bytes
-        self._written_bytes = 0
+        self.written_bytes = 0
         self._queued_bytes = 0
         self._may_write_long_replies = asyncio.Event()
         self._may_write_long_replies.set()
@@ -42,7 +45,7 @@
         The operating system has taken all bytes before it and may have sent
         them.
         """
-        return self._written_bytes - self._transport.get_write_buffer_size()
+        return self.written_bytes - self._transport.get_write_buffer_size()
 
     def has_space(self, size: int, is_control: bool = False) -> bool:
         """Returns whether the buffer can take `size` more bytes.
@@ -57,8 +60,8 @@
 
     def write(self, frame: bytes) -> int:
         """Writes a frame and returns the position of its first byte."""
-        frame_position = self._written_bytes
-        self._written_bytes += len(frame)
+        frame_position = self.written_bytes
+        self.written_bytes += len(frame)
         self._transport.write(frame)
         return frame_position
 
--- a/src/gentianlead/peers/_peer_liveness.py
+++ b/src/gentianlead/peers/_peer_liveness.py
@@ -1,4 +1,4 @@
-"""Measures how long a peer has sent nothing or has not read."""
+"""Silence of a peer, and heartbeats that keep this side from being silent."""
 
 from gentianlead.peers import _handler
 from gentianlead.peers import _outgoing
@@ -77,3 +77,43 @@
         if self._silent_seconds >= self._silence_limit_seconds:
             return f"was silent for {self._silence_limit_seconds} s"
         return ""
+
+
+class HeartbeatSchedule:
+    """Decides at each check whether a heartbeat has to be sent.
+
+    Any bytes that the operating system takes show the peer that this side runs.
+    A heartbeat is sent only when it has taken none for the heartbeat interval,
+    measured from the check that found the last ones. The peer thus receives
+    something at least once in the interval and the time between two checks.
+    """
+
+    def __init__(self, started_at: float, settings: _handler.LinkSettings,
+                 outgoing_buffer: _outgoing.OutgoingBuffer) -> None:
+        interval_seconds = settings.heartbeat_interval.total_seconds()
+        # Half a check less, so that a timer that fires slightly early does not
+        # delay the heartbeat by a whole check.
+        self._due_seconds = interval_seconds * (1 - 0.5 / CHECKS_PER_HEARTBEAT)
+        self._outgoing_buffer = outgoing_buffer
+        self._sent_position = 0
+        self._sent_at = started_at
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether to send a heartbeat; to be called at each check.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        unsent_position = self._outgoing_buffer.unsent_position
+        if unsent_position > self._sent_position:
+            self._sent_position = unsent_position
+            self._sent_at = now
+        return now - self._sent_at >= self._due_seconds
+
+    def record_heartbeat(self, now: float) -> None:
+        """Records that a heartbeat was written at a check.
+
+        The next check does not take its bytes for other data.
+        """
+        self._sent_position = self._outgoing_buffer.written_bytes
+        self._sent_at = now
