Encode a heartbeat once for a connection, and recognize it by its bytes

Each heartbeat was encoded with msgpack when it was sent, and decoded and converted when it was received, 768 times a second each in a daemon of a fleet of 97 without traffic. Its frame is the same eight bytes at each time.

A connection keeps the frame for the agreed protocol version, and compares received data with it before anything is decoded. Heartbeats that arrive with other data or in parts are decoded as before. The wire form is unchanged.

--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -63,6 +63,7 @@
             handler, settings.max_incoming_requests, self._send_reply,
             self._report_handler_error)
         self._protocol_version = _HELLO_VERSION
+        self._heartbeat_frame = b""
         self._is_closed = False
         self._is_closing_after_replies = False
         self._closing_error: Exception | None = None
@@ -216,6 +217,9 @@
                               message: _messages.Message) -> None:
         frame = _codec.encode_frame(self._protocol_version, correlation_id,
                                     message)
+        self._write_control_frame(frame)
+
+    def _write_control_frame(self, frame: bytes) -> None:
         if not self._outgoing_buffer.has_space(len(frame), is_control=True):
             self._abort(
                 errors.ProtocolError(
@@ -295,6 +299,8 @@
             return
         self.peer = message
         self._protocol_version = max(common_versions)
+        self._heartbeat_frame = _codec.encode_frame(self._protocol_version, 0,
+                                                    _messages.Heartbeat())
         self._handshake_ended.set()
         self._emit_event(_handler.PeerEventKind.CONNECTED, None)
 
@@ -356,7 +362,7 @@
             self.close_after_replies()
         if (self._heartbeat_schedule.is_due(now) and self.peer is not None and
                 not self._is_closed):
-            self._send_control_message(0, _messages.Heartbeat())
+            self._write_control_frame(self._heartbeat_frame)
             self._heartbeat_schedule.record_heartbeat(now)
 
     # Closing of the connection.
@@ -411,6 +417,9 @@
     def data_received(self, data: bytes) -> None:
         if self._is_closed:
             return
+        if data == self._heartbeat_frame and self._frame_reader.is_empty:
+            self._liveness_monitor.record_received_data()
+            return
         try:
             for body in self._frame_reader.feed(data):
                 self._receive_frame(_codec.decode_body(body))
