--- a/src/gentianlead/peers/_link.py
+++ b/src/gentianlead/peers/_link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import datetime
-import itertools
 from typing import Callable
 
 from gentianlead import errors
@@ -10,6 +9,7 @@
 from gentianlead.peers import _codec
 from gentianlead.peers import _handler
 from gentianlead.peers import _incoming
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 from gentianlead.peers import _outgoing
 from gentianlead.peers import _peer_liveness
@@ -27,7 +27,8 @@
 
     It exchanges hellos and agrees on a protocol version, sends requests and
     matches replies to them, runs the handler for the requests of the peer,
-    sends heartbeats, and closes when the peer is silent or stops reading.
+    sends heartbeats while it sends nothing else, and closes when the peer is
+    silent or stops reading. A `LinkMonitor` calls its regular checks.
 
     Attributes:
         peer: Hello of the peer, or None before it is received.
@@ -40,6 +41,7 @@
                  own_hello: _messages.Hello,
                  handler: _handler.PeerHandler,
                  clock: ports.Clock,
+                 monitor: _link_monitor.LinkMonitor,
                  settings: _handler.LinkSettings,
                  on_event: _handler.EventCallback,
                  on_closed: Callable[["PeerLink"], None] | None = None,
@@ -50,6 +52,7 @@
         self._own_hello = own_hello
         self._handler = handler
         self._clock = clock
+        self._monitor = monitor
         self._settings = settings
         self._on_event = on_event
         self._on_closed = on_closed
@@ -63,13 +66,14 @@
             handler, settings.max_incoming_requests, self._send_reply,
             self._report_handler_error)
         self._protocol_version = _HELLO_VERSION
+        self._heartbeat_frame = b""
         self._is_closed = False
         self._is_closing_after_replies = False
         self._closing_error: Exception | None = None
         self._handshake_ended = asyncio.Event()
         self._connection_ended = asyncio.Event()
-        self._monitor_task: asyncio.Task | None = None
         self._liveness_monitor: _peer_liveness.LivenessMonitor | None = None
+        self._heartbeat_schedule: _peer_liveness.HeartbeatSchedule | None = None
         self._receive_methods = {
             _messages.Heartbeat: lambda frame: None,
             _messages.ForwardRequest: self._receive_request,
@@ -217,6 +221,10 @@
                               message: _messages.Message) -> None:
         frame = _codec.encode_frame(self._protocol_version, correlation_id,
                                     message)
+        self._write_control_frame(frame, message)
+
+    def _write_control_frame(self, frame: bytes,
+                             message: _messages.Message) -> None:
         if not self._outgoing_buffer.has_space(len(frame), is_control=True):
             self._abort(
                 errors.ProtocolError(
@@ -300,6 +308,8 @@
             return
         self.peer = message
         self._protocol_version = max(common_versions)
+        self._heartbeat_frame = _codec.encode_frame(self._protocol_version, 0,
+                                                    _messages.Heartbeat())
         self._handshake_ended.set()
         self._emit_event(_handler.PeerEventKind.CONNECTED, None)
 
@@ -340,30 +350,31 @@
                                                      frame.message):
             self._send_control_message(frame.correlation_id, _messages.Cancel())
 
-    async def _monitor_liveness(self) -> None:
-        """Sends heartbeats, and closes the connection when the peer is silent.
+    def _check_liveness(self, now: float) -> None:
+        """Closes the connection if the peer is silent, or sends a heartbeat.
 
         The peer also counts as silent when it has stopped reading.
+
+        Args:
+            now: Monotonic time in seconds.
         """
-        check_interval = (self._settings.heartbeat_interval /
-                          _peer_liveness.CHECKS_PER_HEARTBEAT)
-        for check_number in itertools.count(1):
-            await self._clock.sleep(check_interval)
-            self._traffic.liveness_checks += 1
-            self._liveness_monitor.add_elapsed_time()
-            if self._liveness_monitor.failure_reason:
-                self._abort(
-                    errors.ProtocolError(
-                        f"peer {self.address} "
-                        f"{self._liveness_monitor.failure_reason}"))
-                return
-            if self._liveness_monitor.is_suspect:
-                self.replacement_needed.set()
-            if self._is_closing_after_replies:
-                self.close_after_replies()
-            if (check_number % _peer_liveness.CHECKS_PER_HEARTBEAT == 0 and
-                    self.peer is not None and not self._is_closed):
-                self._send_control_message(0, _messages.Heartbeat())
+        self._traffic.liveness_checks += 1
+        self._liveness_monitor.add_elapsed_time(now)
+        if self._liveness_monitor.failure_reason:
+            self._abort(
+                errors.ProtocolError(
+                    f"peer {self.address} "
+                    f"{self._liveness_monitor.failure_reason}"))
+            return
+        if self._liveness_monitor.is_suspect:
+            self.replacement_needed.set()
+        if self._is_closing_after_replies:
+            self.close_after_replies()
+        if (self._heartbeat_schedule.is_due(now) and self.peer is not None and
+                not self._is_closed):
+            self._write_control_frame(self._heartbeat_frame,
+                                      _messages.Heartbeat())
+            self._heartbeat_schedule.record_heartbeat(now)
 
     # Closing of the connection.
 
@@ -406,15 +417,21 @@
         self.address = f"{peer_address[0]}:{peer_address[1]}"
         self._outgoing_buffer = _outgoing.OutgoingBuffer(
             transport, self._settings.max_outgoing_bytes)
+        now = self._clock.monotonic()
         self._liveness_monitor = _peer_liveness.LivenessMonitor(
-            self._clock, self._settings, self._outgoing_buffer)
+            now, self._settings, self._outgoing_buffer)
+        self._heartbeat_schedule = _peer_liveness.HeartbeatSchedule(
+            now, self._settings, self._outgoing_buffer)
         self._send_control_message(0, self._own_hello)
-        self._monitor_task = asyncio.get_running_loop().create_task(
-            self._monitor_liveness())
+        self._monitor.add(self._check_liveness)
 
     def data_received(self, data: bytes) -> None:
         if self._is_closed:
             return
+        if data == self._heartbeat_frame and self._frame_reader.is_empty:
+            self._traffic.received[_traffic.HEARTBEAT] += 1
+            self._liveness_monitor.record_received_data()
+            return
         try:
             for body in self._frame_reader.feed(data):
                 self._receive_frame(_codec.decode_body(body))
@@ -442,6 +459,6 @@
             exc, f"connection to peer {self.address} ended: "
             f"{exc or 'closed by the peer'}")
         self._connection_ended.set()
-        self._monitor_task.cancel()
+        self._monitor.remove(self._check_liveness)
         if self._on_closed is not None:
             self._on_closed(self)
--- a/src/gentianlead/peers/_pool.py
+++ b/src/gentianlead/peers/_pool.py
@@ -8,6 +8,7 @@
 from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 from gentianlead.peers import _traffic
 
@@ -38,6 +39,7 @@
         self._on_event = on_event
         self._settings = settings
         self._traffic = traffic
+        self._monitor = _link_monitor.LinkMonitor(clock, settings)
         self._dialers: dict[str, _Dialer] = {}
 
     def set_addresses(self, addresses: Iterable[str]) -> None:
@@ -60,6 +62,7 @@
         return _link.PeerLink(self._own_hello,
                               self._handler,
                               self._clock,
+                              self._monitor,
                               self._settings,
                               self._on_event,
                               traffic=self._traffic)
--- a/src/gentianlead/peers/_server.py
+++ b/src/gentianlead/peers/_server.py
@@ -8,6 +8,7 @@
 from gentianlead import ports
 from gentianlead.peers import _handler
 from gentianlead.peers import _link
+from gentianlead.peers import _link_monitor
 from gentianlead.peers import _messages
 from gentianlead.peers import _traffic
 
@@ -34,8 +35,9 @@
         # In the order of their acceptance.
         self._links: dict[_link.PeerLink, None] = {}
         self._server: asyncio.Server | None = None
+        monitor = _link_monitor.LinkMonitor(clock, settings)
         self._build_link = functools.partial(_link.PeerLink, own_hello, handler,
-                                             clock, settings, on_event,
+                                             clock, monitor, settings, on_event,
                                              self._links.pop, traffic)
 
     @property
