Decode a registry entry only if more than its counters changed

Each of 97 daemons decoded the entries of all 270 workers each time that they reported, although only sequence and clock differ from report to report.

Cause: WorkerRegistry decoded each record that it read.

Change: an entry that equals the worker's former one but for these counters is passed on as it was decoded before. Removed, unreadable and returning workers are decoded as before, so log lines, counts of unreadable records, the missing workers of a group and takeovers stay.

--- a/src/gentianlead/cluster/_platform_topics.py
+++ b/src/gentianlead/cluster/_platform_topics.py
@@ -293,7 +293,9 @@
     """Holds the workers that the registry lists.
 
     It passes each registry entry that it reads, and the identifier of each
-    removed worker, to callbacks.
+    removed worker, to callbacks. An entry that repeats the worker's former one
+    but for its counters is not decoded again: all daemons read all entries, and
+    each worker reports every second or two.
 
     Attributes:
         entries: Newest registry entry of each listed worker, by its identifier.
@@ -304,6 +306,8 @@
                  on_worker_entry: Callable[[ports.WorkerEntry], None],
                  on_worker_removed: Callable[[str], None]):
         self.entries: dict[str, ports.WorkerEntry] = {}
+        # Content from which each of `entries` was decoded; its counters are 0.
+        self._decoded_contents: dict[str, bytes] = {}
         self._log = log
         self._metrics = metrics
         self._on_worker_entry = on_worker_entry
@@ -319,6 +323,10 @@
         if not record.value:
             self._remove_worker(record.key, "registry entry removed")
             return
+        content = platform.clear_report_counters(record.value)
+        if self._decoded_contents.get(record.key) == content:
+            self._on_worker_entry(self.entries[record.key])
+            return
         self._metrics.work.records_decoded[platform.REGISTRY_TOPIC] += 1
         try:
             entry = platform.parse_worker_entry(record.key, record.value)
@@ -327,6 +335,7 @@
             raise
         former_entry = self.entries.get(record.key)
         self.entries[record.key] = entry
+        self._decoded_contents[record.key] = content
         if (former_entry is None or
                 former_entry.is_draining != entry.is_draining or
                 former_entry.born_ms != entry.born_ms):
@@ -345,6 +354,7 @@
                                 "missing from a full read of the registry")
 
     def _remove_worker(self, worker_id: str, removal_reason: str) -> None:
+        self._decoded_contents.pop(worker_id, None)
         if self.entries.pop(worker_id, None) is not None:
             self._log.write("worker-unlisted",
                             worker=worker_id,
--- a/src/gentianlead/cluster/tests/test_registry.py
+++ b/src/gentianlead/cluster/tests/test_registry.py
@@ -1,6 +1,7 @@
 """Tests of how a daemon reads the worker registry."""
 
 import asyncio
+import contextlib
 import datetime
 import json
 import unittest
@@ -162,9 +163,11 @@
     def setUp(self):
         self.entries: list[ports.WorkerEntry] = []
         self.removed_ids: list[str] = []
-        self.registry = _platform_topics.WorkerRegistry(
-            fakes.build_log(), _metrics.ClusterMetrics(), self.entries.append,
-            self.removed_ids.append)
+        self.metrics = _metrics.ClusterMetrics()
+        self.registry = _platform_topics.WorkerRegistry(fakes.build_log(),
+                                                        self.metrics,
+                                                        self.entries.append,
+                                                        self.removed_ids.append)
 
     def apply_capacity(self, capacity: object, **fields) -> None:
         """Applies an entry with a capacity."""
@@ -207,6 +210,65 @@
                     (entry.cpu_millis, entry.memory_mib, entry.accelerators),
                     expected)
 
+    def test_repeated_entry_is_passed_on_but_not_decoded(self):
+        """Checks the calls and the decoded entries over the life of a worker.
+
+        Each step has the changed fields, whether the entry is decoded, and the
+        domain that is passed on; None removes the worker. Guards against a
+        processor time that grows with the workers, and against an entry from a
+        worker's former life.
+        """
+        for sequence, (fields, is_decoded, domain) in enumerate((
+            ({}, True, "north-1"),
+            ({}, False, "north-1"),
+            ({
+                "state": "draining",
+                "remaining_ms": 900
+            }, True, "north-1"),
+            ({
+                "state": "draining",
+                "remaining_ms": 800
+            }, True, "north-1"),
+            (None, False, None),
+            ({
+                "state": "draining",
+                "remaining_ms": 800
+            }, True, "north-1"),
+            ({
+                "zone": "north-2",
+                "service": "other"
+            }, True, "north-2"),
+            ({
+                "zone": "north-2",
+                "service": "other"
+            }, False, "north-2"),
+            ({
+                "zone": 7
+            }, True, None),
+            ({
+                "zone": "north-2",
+                "service": "other"
+            }, True, "north-2"),
+        )):
+            with self.subTest(sequence=sequence):
+                self.entries.clear()
+                known_count = self.count_decoded()
+                if fields is None:
+                    self.registry.apply_record(ports.KeyedRecord("w1", b""))
+                else:
+                    with contextlib.suppress(errors.ProtocolError):
+                        self.apply_capacity({"cpu": 8000},
+                                            sequence=sequence,
+                                            **fields)
+                self.assertEqual(self.count_decoded() - known_count, is_decoded)
+                self.assertEqual([entry.domain for entry in self.entries],
+                                 [domain] if domain else [])
+                self.assertEqual("w1" in self.registry.entries, bool(domain))
+
+    def count_decoded(self) -> int:
+        """Returns the number of entries decoded so far."""
+        return self.metrics.work.records_decoded[platform.REGISTRY_TOPIC]
+
     def test_unreadable_capacity_removes_the_worker(self):
         """Checks that a worker is not used while its capacity is unreadable.
 
--- a/src/gentianlead/platform/__init__.py
+++ b/src/gentianlead/platform/__init__.py
@@ -16,6 +16,7 @@
 from gentianlead.platform._jobs import parse_submission
 from gentianlead.platform._jobs import parse_task_name
 from gentianlead.platform._permits import PlatformPermitService
+from gentianlead.platform._registry import clear_report_counters
 from gentianlead.platform._registry import parse_worker_entry
 from gentianlead.platform._registry import REGISTRY_TOPIC
 from gentianlead.platform._settings import DaemonSettings
--- a/src/gentianlead/platform/_registry.py
+++ b/src/gentianlead/platform/_registry.py
@@ -1,5 +1,7 @@
 """Decodes the entries of the worker registry."""
 
+import re
+
 from gentianlead import errors
 from gentianlead import ports
 from gentianlead.platform import _fields
@@ -8,9 +10,28 @@
 REGISTRY_TOPIC = "keyed.servers"
 """Topic of the worker registry; a record's key is the worker's identifier."""
 
+_REPORT_COUNTERS = tuple(
+    (re.compile(name + rb": ?(?:0|[1-9][0-9]{0,17})(?=[,}])"), name + b":0")
+    for name in (b'"sequence"', b'"clock_ms"'))
+"""Pattern and replacement of fields that change with each report of a worker
+and that `parse_worker_entry` ignores. The replacement leaves a document that is
+malformed if and only if the entry is: only whole numbers as in JSON match, and
+nothing in a JSON string does, as the quotation marks in it are escaped."""
+
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
+def clear_report_counters(encoded_entry: bytes) -> bytes:
+    """Returns an entry in which the counters of a worker's reports are 0.
+
+    If the results for two entries are equal, `parse_worker_entry` decodes both
+    entries alike, or refuses both.
+    """
+    for pattern, replacement in _REPORT_COUNTERS:
+        encoded_entry = pattern.sub(replacement, encoded_entry)
+    return encoded_entry
+
+
 def parse_worker_entry(worker_id: str,
                        encoded_entry: bytes) -> ports.WorkerEntry:
     """Decodes a worker's entry in the registry.
--- a/src/gentianlead/platform/tests/test_formats.py
+++ b/src/gentianlead/platform/tests/test_formats.py
@@ -260,6 +260,45 @@
             with self.subTest(data), self.assertRaises(errors.ProtocolError):
                 platform.parse_worker_entry("w1", data)
 
+    def test_entries_that_differ_in_counters(self):
+        """Checks which changes of an entry change it without its counters.
+
+        Guards against a changed entry, or one that has become malformed, that
+        is taken for a repetition of the former one.
+        """
+        for old, new, is_repetition in (
+            (b'"sequence": 3', b'"sequence": 4', True),
+            (b'"sequence": 3', b'"sequence":0', True),
+            (b'"sequence": 3', b'"sequence": 999999999999999999', True),
+            (b'"clock_ms": 7', b'"clock_ms": 8', True),
+            (b'"sequence": 3', b"", False),
+            (b'"sequence": 3', b'"sequence": 03', False),
+            (b'"sequence": 3', b'"sequence": 3.5', False),
+            (b'"sequence": 3', b'"sequence": "3"', False),
+            (b'"sequence": 3', b'"sequence": ' + b"9" * 5000, False),
+            (b'"sequence": 3', b'"sequence": 3]', False),
+            (b'"ready"', b'"draining"', False),
+            (b'"cpu": 16000', b'"cpu": 15999', False),
+            (b'"born": 1764849600000', b'"born": 1764849600001', False),
+            (b'"north-1"', b'"north-2"', False),
+            (b'"svc"', b'"svd"', False),
+            (rb'\"sequence\":1,', rb'\"sequence\":2,', False),
+        ):
+            entry = json.dumps({
+                **WORKER_ENTRY, "clock_ms": 7,
+                "labels": ['"sequence":1,']
+            }).encode()
+            self.assertIn(old, entry)
+            changed_entry = entry.replace(old, new)
+            with self.subTest(new[:40]):
+                contents = set(
+                    map(platform.clear_report_counters, (entry, changed_entry)))
+                self.assertEqual(len(contents) == 1, is_repetition)
+                if is_repetition:
+                    self.assertEqual(
+                        platform.parse_worker_entry("w1", entry),
+                        platform.parse_worker_entry("w1", changed_entry))
+
     def test_addresses(self):
         """Guards against an address to which no connection can be made."""
         for address, is_accepted in (("10.0.0.1:1",
