Count rankings of members instead of members that are not ranked any more

The count of ranked members was taken at each election, but members are ranked only for a takeover and once for each change of the membership.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -305,8 +305,6 @@
             for group in self._settings.domains:
                 if group in self._leaders or group in self._acquisitions:
                     continue
-                self._metrics.work.members_ranked += 1 + len(
-                    election_view.reachable_nodes)
                 takeover_reason = dispatch.find_reason_to_lead(
                     group, self._topic_reader.job_table.leaders.get(group),
                     election_view)
--- a/src/gentianlead/cluster/_daemon_load.py
+++ b/src/gentianlead/cluster/_daemon_load.py
@@ -22,7 +22,7 @@
         processor_s: Processor time of the process in seconds, its start
             included.
         liveness_checks: Number of timed checks of peer streams.
-        members_ranked: Number of members ranked in elections.
+        rankings: Number of times that members were ranked for a group.
         sent: Number of peer messages sent, by kind.
         received: Number of peer messages received, by kind.
         records_read: Number of records read, by topic.
@@ -31,7 +31,7 @@
 
     processor_s: float
     liveness_checks: int
-    members_ranked: int
+    rankings: int
     sent: dict[str, int]
     received: dict[str, int]
     records_read: dict[str, int]
@@ -75,8 +75,8 @@
         job_table = self._topic_reader.job_table
         return LoadTotals(
             self._read_processor_time(), traffic.liveness_checks,
-            work.members_ranked, dict(traffic.sent), dict(traffic.received),
-            dict(work.records_read), {
+            dispatch.count_rankings(), dict(traffic.sent),
+            dict(traffic.received), dict(work.records_read), {
                 **work.records_decoded, dispatch.JOB_TOPIC:
                     job_table.decoded_record_count
             })
@@ -110,7 +110,7 @@
             {}, self._topic_reader.job_table.count_early_cancellations())
         metrics.processor_seconds.set({}, totals.processor_s)
         metrics.liveness_checks.set({}, totals.liveness_checks)
-        metrics.members_ranked.set({}, totals.members_ranked)
+        metrics.rankings.set({}, totals.rankings)
         for direction, counts in (("sent", totals.sent), ("received",
                                                           totals.received)):
             for kind, count in counts.items():
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -22,14 +22,11 @@
         records_read: Number of records read from the store, by topic. A full
             read counts the newest record of each key.
         records_decoded: Number of those that were decoded, by topic.
-        members_ranked: Number of members ranked in elections: the members that
-            a daemon reaches, for each group at each election.
     """
 
     def __init__(self) -> None:
         self.records_read: dict[str, int] = collections.defaultdict(int)
         self.records_decoded: dict[str, int] = collections.defaultdict(int)
-        self.members_ranked = 0
 
     def count_read(self, topic: str, record_count: int) -> None:
         """Adds to the number of records read from a topic."""
@@ -103,7 +100,7 @@
         liveness_checks: Number of timed checks of peer streams.
         records_read: Number of records read from the store, by topic.
         records_decoded: Number of records decoded, by topic.
-        members_ranked: Number of members ranked in elections.
+        rankings: Number of times that members were ranked for a group.
         log_lines_dropped: Number of log lines dropped since the start because
             of the rate limit or a full pipe.
     """
@@ -178,8 +175,8 @@
                                               "Records read from the store")
         self.records_decoded = self._add_counter("topic_records_decoded_total",
                                                  "Records decoded")
-        self.members_ranked = self._add_counter("election_members_ranked_total",
-                                                "Members ranked in elections")
+        self.rankings = self._add_counter(
+            "election_rankings_total", "Rankings of all members for a group")
         self.log_lines_dropped = aioprometheus.Gauge(
             "gentianlead_log_lines_dropped",
             "Log lines that were not written",
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -42,6 +42,7 @@
 from gentianlead.dispatch._load import ImageCapacity
 from gentianlead.dispatch._loss_reports import LossReport
 from gentianlead.dispatch._loss_reports import ReportedLosses
+from gentianlead.dispatch._member_ranks import count_rankings
 from gentianlead.dispatch._moves import JOB_MOVE_DELAY
 from gentianlead.dispatch._moves import PlannedMove
 from gentianlead.dispatch._orders import AppliedRunEnd
--- a/src/gentianlead/dispatch/_member_ranks.py
+++ b/src/gentianlead/dispatch/_member_ranks.py
@@ -41,6 +41,11 @@
             (name for name, domain in names_and_domains if domain != group)))
 
 
+def count_rankings() -> int:
+    """Returns how often this process has ranked the members for a group."""
+    return rank_members.cache_info().misses
+
+
 def _sort_by_hash(group: str, names: Iterable[str]) -> tuple[str, ...]:
     return tuple(
         sorted(names,
