Select peers only after changes of members, leaders or connections

At each election, every 100 ms, a daemon of 97 built the members and compared the rankings of five groups: 0.15 ms each time (0.13 ms in a candidate that all others have dialed), beside other work.

The members are now read again after a read of the topic, and the selection is computed if the domains of the members, the leaders or the unreachable daemons have changed. Calls do not build the table of all connected peers any more.

235 tests of cluster and peers, and of the selection, pass beside other work.

--- a/src/gentianlead/cluster/_membership.py
+++ b/src/gentianlead/cluster/_membership.py
@@ -29,29 +29,48 @@
         self._groups = tuple(groups)
         self._topic_reader = topic_reader
         self._peering = peering
+        self._read_version: tuple[int, float | None] | None = None
         self._members: dict[str, dispatch.MemberRecord] = {}
+        self._domains_by_name: dict[str, str] = {}
+        self._selection_inputs: tuple | None = None
+        self._selected_names: frozenset[str] = frozenset()
 
     def update_peers(self) -> None:
         """Opens and closes connections after changes of members and leaders."""
+        self._read_members()
+        leader_names = frozenset(
+            entry.record.node
+            for entry in self._topic_reader.job_table.leaders.values())
+        unreachable_names = self._peering.find_reachability().unreachable_names
+        selection_inputs = (self._domains_by_name, leader_names,
+                            unreachable_names)
+        if selection_inputs != self._selection_inputs:
+            self._selection_inputs = selection_inputs
+            self._selected_names = dispatch.select_peers(
+                self._node, self._groups, self._domains_by_name, leader_names,
+                unreachable_names)
+        self._peering.set_members(self._members, self._selected_names)
+
+    def _read_members(self) -> None:
+        """Finds the current members, if the topic was read since."""
         job_table = self._topic_reader.job_table
-        read_at = self._topic_reader.fresh_as_of or 0.0
-        self._members = {
+        read_at = self._topic_reader.fresh_as_of
+        if (job_table.position, read_at) == self._read_version:
+            return
+        self._read_version = (job_table.position, read_at)
+        current_records = {
             name: member.record
             for name, member in job_table.members.items()
-            if read_at -
+            if (read_at or 0.0) -
             member.seen_at <= MAX_MEMBER_RECORD_AGE.total_seconds()
         }
-        selected_names = dispatch.select_peers(
-            self._node, self._groups, {
-                name: record.domain for name, record in self._members.items()
-            }, (entry.record.node for entry in job_table.leaders.values()),
-            self._peering.find_reachability().unreachable_names)
-        self._peering.set_members(
-            {
-                name: record
-                for name, record in self._members.items()
-                if name != self._node
-            }, selected_names)
+        domains_by_name = {
+            name: record.domain for name, record in current_records.items()
+        }
+        if domains_by_name != self._domains_by_name:
+            self._domains_by_name = domains_by_name
+        current_records.pop(self._node, None)
+        self._members = current_records
 
     def find_presumed_members(
             self, reachability: _peering.Reachability) -> frozenset[str]:
@@ -59,5 +78,5 @@
 
         It does not connect to them, or its first attempt has not ended yet.
         """
-        return (self._members.keys() - {self._node} -
-                reachability.reachable_names - reachability.unreachable_names)
+        return (self._members.keys() - reachability.reachable_names -
+                reachability.unreachable_names)
--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -95,7 +95,7 @@
                                          settings=LINK_SETTINGS)
         self._clock = clock
         self._node = incarnation.partition("#")[0]
-        self._members: dict[str, dispatch.MemberRecord] = {}
+        self._members: Mapping[str, dispatch.MemberRecord] = {}
         self._selected_names: frozenset[str] = frozenset()
         self._dialed_daemons: dict[str, _DialedDaemon] = {}
         self._linked_at: dict[str, float] = {}
@@ -135,7 +135,7 @@
             selected_names: Names of the daemons to connect to.
         """
         now = self._clock.monotonic()
-        self._members = dict(members)
+        self._members = members
         self._selected_names = selected_names
         accepted_incarnations = self._peer_server.get_peer_names()
         connected_addresses = self._peer_pool.get_peers()
@@ -223,7 +223,7 @@
         dialed_daemon = self._dialed_daemons.get(daemon_name)
         record = self._members.get(daemon_name)
         if (dialed_daemon is not None and
-                dialed_daemon.address in self._peer_pool.get_peers()):
+                self._peer_pool.is_connected(dialed_daemon.address)):
             reply = await self._peer_pool.request(dialed_daemon.address,
                                                   message, timeout)
         elif record is not None:
--- a/src/gentianlead/peers/_pool.py
+++ b/src/gentianlead/peers/_pool.py
@@ -74,6 +74,12 @@
                          if dialer.has_dialed and
                          (dialer.link is None or not dialer.link.is_usable))
 
+    def is_connected(self, address: str) -> bool:
+        """Returns whether there is a usable connection to an address."""
+        dialer = self._dialers.get(address)
+        return (dialer is not None and dialer.link is not None and
+                dialer.link.is_usable)
+
     def is_idle(self, address: str) -> bool:
         """Returns whether no request to or from an address is in progress."""
         dialer = self._dialers.get(address)
--- a/src/gentianlead/peers/_server.py
+++ b/src/gentianlead/peers/_server.py
@@ -69,7 +69,8 @@
                 request may have run.
         """
         for link in reversed(self._links):
-            if link.is_usable and link.peer.name == peer_name:
+            if (link.peer is not None and link.peer.name == peer_name and
+                    link.is_usable):
                 return await link.request(message, timeout)
         raise errors.RequestError(errors.ErrorCode.PEER_FAILED,
                                   f"no usable connection from {peer_name}")
