Let the check before a claim see the members that have just joined

Cause: the read before the claim brought the records of the other members, but they became peers only at the next election; until then they counted neither as reachable nor as not known.

The check now updates the peers first.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -352,6 +352,8 @@
         await self._clock.sleep(CLAIM_CHECK_DELAY)
         if self._job_service.is_draining:
             return False
+        # A daemon that has just joined finds its peers in this read.
+        self._membership.update_peers()
         election_view = self._build_election_view()
         return election_view is not None and bool(
             dispatch.find_reason_to_lead(
--- a/src/gentianlead/cluster/tests/test_peering.py
+++ b/src/gentianlead/cluster/tests/test_peering.py
@@ -111,3 +111,22 @@
             len(daemon._peering._peer_server.links) for daemon in cluster
         ]
         self.assertLessEqual(sum(link_counts), 12 * 4)
+
+    async def test_members_that_join_before_a_claim_come_first(self):
+        """Guards against a first daemon that claims the groups of all domains.
+
+        The member of the group's domain has not replied to its dial.
+        """
+        server = await asyncio.start_server(lambda reader, writer: None,
+                                            "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        store = fakes.FakeStore()
+        daemon = daemons.start_daemon(self, "entry-x", store, domain="south-1")
+        # pylint: disable=protected-access
+        await leading.wait_until(lambda: daemon._acquisitions)
+        member = dispatch.MemberRecord("entry-1", "entry-1#1", address,
+                                       daemons.GROUP, 1)
+        store.write(dispatch.JOB_TOPIC, dispatch.encode_record(member))
+        await asyncio.sleep(0.3)
+        self.assertFalse(leading.list_records(store, dispatch.LeaderRecord))
