Encode a leader's report once for all peers

`Peering.call` takes a `SharedRequest`, which encodes its value once. `ReportSender` gives one to all peers, and one merged report to all peers that wait with the same older one. Each peer still has one report in flight, and the messages on the wire are the same.

The test double of `Peering` now decodes what it is given, so that the existing tests also check the encoded form. A new test checks that peers get the same encoded bytes, also of a merged report.

--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -1,6 +1,7 @@
 """Calls between daemons over peer streams."""
 
 import datetime
+import functools
 from typing import Awaitable, Callable
 
 from gentianlead import dispatch
@@ -27,6 +28,22 @@
 CallHandler = Callable[[bytes], Awaitable[object]]
 
 
+class SharedRequest:
+    """A request that is encoded once, to however many daemons it is sent.
+
+    Attributes:
+        value: The request, which must not change.
+    """
+
+    def __init__(self, value: object):
+        self.value = value
+
+    @functools.cached_property
+    def payload(self) -> bytes:
+        """The encoded request."""
+        return dispatch.encode_value(self.value)
+
+
 class Peering(peers.PeerHandler):
     """Sends calls to the other daemons and serves the calls that they send.
 
@@ -104,6 +121,13 @@
                    timeout: datetime.timedelta = CALL_TIMEOUT) -> object:
         """Calls another daemon and decodes its reply.
 
+        Args:
+            daemon_name: Name of the daemon.
+            subject: Subject of the call.
+            request: Message of the subject, or a `SharedRequest` of it.
+            reply_type: Type of the reply.
+            timeout: Longest wait for the reply.
+
         Raises:
             RequestError: The daemon is unknown or unreachable, refused the
                 call, or sent no usable reply in time.
@@ -112,9 +136,10 @@
         if address is None:
             raise errors.RequestError(errors.ErrorCode.PEER_FAILED,
                                       f"unknown daemon {daemon_name!r}")
+        if not isinstance(request, SharedRequest):
+            request = SharedRequest(request)
         reply = await self._peer_pool.request(
-            address, peers.GroupCall(subject, dispatch.encode_value(request)),
-            timeout)
+            address, peers.GroupCall(subject, request.payload), timeout)
         try:
             return dispatch.decode_value(reply.payload, reply_type)
         except errors.ProtocolError as error:
--- a/src/gentianlead/cluster/_report_sender.py
+++ b/src/gentianlead/cluster/_report_sender.py
@@ -19,7 +19,8 @@
 
     Reports that are published while a peer has not replied to the previous one
     are merged and sent after its reply. A link that is too slow for all reports
-    thus gets fewer of them, instead of a growing queue.
+    thus gets fewer of them, instead of a growing queue. A report, also a merged
+    one, is encoded once for all peers that get it.
     """
 
     def __init__(self, peering: _peering.Peering,
@@ -28,8 +29,7 @@
         self._peering = peering
         self._log = log
         self._metrics = metrics
-        self._unsent_reports: dict[str, dict[str,
-                                             _peer_messages.LeaderReport]] = {}
+        self._unsent_reports: dict[str, dict[str, _peering.SharedRequest]] = {}
         self._send_tasks: dict[str, asyncio.Task] = {}
         self._failure_counts: dict[str, int] = {}
 
@@ -38,14 +38,20 @@
         peer_names = self._peering.list_reachable_daemons()
         for peer_name in set(self._unsent_reports) - peer_names:
             del self._unsent_reports[peer_name]
+        # Peers that wait with the same older report share the merged one.
+        requests_by_older: dict[_peering.SharedRequest | None,
+                                _peering.SharedRequest] = {
+                                    None: _peering.SharedRequest(report)
+                                }
         for peer_name in peer_names:
             unsent_by_group = self._unsent_reports.setdefault(peer_name, {})
-            older_report = unsent_by_group.get(report.group)
-            if older_report is not None:
+            older_request = unsent_by_group.get(report.group)
+            if older_request is not None:
                 self._metrics.leader_reports.inc({"outcome": "merged"})
-            unsent_by_group[report.group] = (report if older_report is None else
-                                             merge_reports(
-                                                 older_report, report))
+            if older_request not in requests_by_older:
+                requests_by_older[older_request] = _peering.SharedRequest(
+                    merge_reports(older_request.value, report))
+            unsent_by_group[report.group] = requests_by_older[older_request]
             if peer_name not in self._send_tasks:
                 self._send_tasks[peer_name] = asyncio.get_running_loop(
                 ).create_task(self._send_all(peer_name))
@@ -64,10 +70,10 @@
             del self._send_tasks[peer_name]
 
     async def _send(self, peer_name: str,
-                    report: _peer_messages.LeaderReport) -> None:
+                    request: _peering.SharedRequest) -> None:
         try:
             await self._peering.call(peer_name, _peer_messages.NOTICE_REPORT,
-                                     report, bool, REPORT_TIMEOUT)
+                                     request, bool, REPORT_TIMEOUT)
         except errors.RequestError as error:
             self._metrics.leader_reports.inc({"outcome": "failed"})
             failure_count = self._failure_counts.get(peer_name, 0) + 1
--- a/src/gentianlead/cluster/tests/test_reports.py
+++ b/src/gentianlead/cluster/tests/test_reports.py
@@ -12,6 +12,7 @@
 from gentianlead import ports
 from gentianlead.cluster import _daemon
 from gentianlead.cluster import _peer_messages
+from gentianlead.cluster import _peering
 from gentianlead.cluster.tests import fakes
 from gentianlead.platform.tests import test_formats
 
@@ -23,24 +24,29 @@
         handlers: Call handlers that the daemon registers; unused.
         calls: Peer, message and reply of each call so far. The test completes
             the reply.
+        payloads: Encoded messages of the calls.
         reachable_names: Names of the reachable peers.
     """
 
     def __init__(self) -> None:
         self.handlers: dict = {}
         self.calls: list[tuple[str, object, asyncio.Future]] = []
+        self.payloads: list[bytes] = []
         self.reachable_names = frozenset({"entry-2", "entry-3"})
 
     def list_reachable_daemons(self) -> frozenset[str]:
         """Returns the names of the reachable peers."""
         return self.reachable_names
 
-    async def call(self, daemon_name: str, subject: str, request: object, *_:
-                   object) -> object:
+    async def call(self, daemon_name: str, subject: str,
+                   request: _peering.SharedRequest, *_: object) -> object:
         """Records a call and returns its reply once the test has set it."""
         del subject
         reply = asyncio.get_running_loop().create_future()
-        self.calls.append((daemon_name, request, reply))
+        report = dispatch.decode_value(request.payload,
+                                       _peer_messages.LeaderReport)
+        self.calls.append((daemon_name, report, reply))
+        self.payloads.append(request.payload)
         return await reply
 
     def list_calls(self, daemon_name: str) -> list[tuple]:
@@ -107,6 +113,22 @@
                                                                  ("b1", 99.0)})
         self.assertEqual(len(self.peering.list_calls("entry-3")), 1)
 
+    async def test_report_is_encoded_once_for_all_peers(self):
+        """Guards against work of a leader for each peer of a large fleet.
+
+        The second payload is that of a merged report.
+        """
+        for number in range(4):
+            self.publish(self.build_report(number))
+            await self.wait_for_calls()
+        for _, _, reply in self.peering.calls[:2]:
+            reply.set_result(True)
+        await self.wait_for_calls()
+        first, same_first, second, same_second = self.peering.payloads
+        self.assertIs(first, same_first)
+        self.assertIs(second, same_second)
+        self.assertEqual(self.peering.calls[2][1].load.short_backlog_ms, 3)
+
     async def test_reports_of_two_groups_are_kept_apart(self):
         """Guards against the load of one group in the report of another."""
         for number, group in enumerate(("north-1", "north-1", "north-2")):
