--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -1,6 +1,7 @@
 """Calls between daemons over peer streams."""
 
 import datetime
+import functools
 from typing import Awaitable, Callable, Mapping, NamedTuple
 
 from gentianlead import dispatch
@@ -65,6 +66,22 @@
 CallHandler = Callable[[bytes], Awaitable[object]]
 
 
+class SharedRequest:
+    """A request that is encoded once, to however many daemons it is sent.
+
+    Attributes:
+        value: The request, which must not change.
+    """
+
+    def __init__(self, value: object):
+        self.value = value
+
+    @functools.cached_property
+    def payload(self) -> bytes:
+        """The encoded request."""
+        return dispatch.encode_value(self.value)
+
+
 class Peering(peers.PeerHandler):
     """Sends calls to the other daemons and serves the calls that they send.
 
@@ -225,11 +242,20 @@
                    timeout: datetime.timedelta = CALL_TIMEOUT) -> object:
         """Calls another daemon and decodes its reply.
 
+        Args:
+            daemon_name: Name of the daemon.
+            subject: Subject of the call.
+            request: Message of the subject, or a `SharedRequest` of it.
+            reply_type: Type of the reply.
+            timeout: Longest wait for the reply.
+
         Raises:
             RequestError: The daemon is unknown or unreachable, refused the
                 call, or sent no usable reply in time.
         """
-        message = peers.GroupCall(subject, dispatch.encode_value(request))
+        if not isinstance(request, SharedRequest):
+            request = SharedRequest(request)
+        message = peers.GroupCall(subject, request.payload)
         dialed_daemon = self._dialed_daemons.get(daemon_name)
         record = self._members.get(daemon_name)
         if (dialed_daemon is not None and
