Copy the entry of a job once for a progress record

Each daemon applies the progress records of all jobs; a record with a new run copied the entry of its job twice. Profile: applying records is what grows with traffic in a daemon that leads nothing.

--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -390,13 +390,13 @@
 
 def _apply_progress(entry: JobEntry,
                     record: _records.ProgressRecord) -> JobEntry:
-    if record.last_run_number > entry.last_run_number:
-        entry = entry._replace(last_run_number=record.last_run_number,
-                               waited_ms=0,
-                               moves_without_start=0)
-    return entry._replace(progress_by_group={
-        **entry.progress_by_group, record.group: record
-    })
+    progress_by_group = {**entry.progress_by_group, record.group: record}
+    if record.last_run_number <= entry.last_run_number:
+        return entry._replace(progress_by_group=progress_by_group)
+    return entry._replace(last_run_number=record.last_run_number,
+                          progress_by_group=progress_by_group,
+                          waited_ms=0,
+                          moves_without_start=0)
 
 
 def _apply_move(entry: JobEntry, offset: int,
