--- a/src/gentianlead/dispatch/_idle_jobs.py
+++ b/src/gentianlead/dispatch/_idle_jobs.py
@@ -42,7 +42,7 @@
     Attributes:
         job_id: Identifier of the job.
         idle_s: Time in seconds since the last run of the job ended here, or
-            since it was first found without runs.
+            since it was first found without runs if no task was due before.
         steps: Keys of the steps with due tasks that wait in this group.
         run_ends: Newest ends of runs of the job, oldest first.
     """
@@ -62,6 +62,7 @@
 
     def __init__(self) -> None:
         self._idle_since: dict[str, float] = {}
+        self._observed_at = 0.0
         self._run_ends: dict[str, collections.deque[RunEnd]] = {}
 
     def add_run_ends(self, ended_runs: Iterable[_orders.AppliedRunEnd],
@@ -101,11 +102,13 @@
                 continue
             run_ends = tuple(self._run_ends.get(job_id, ()))
             since = self._idle_since.get(job_id, now)
-            if job_id not in self._idle_since and run_ends:
+            if (job_id not in self._idle_since and run_ends and
+                    run_ends[-1].ended_at > self._observed_at):
                 since = run_ends[-1].ended_at
             idle_since[job_id] = since
             idle_jobs.append(IdleJob(job_id, now - since, steps, run_ends))
         self._idle_since = idle_since
+        self._observed_at = now
         idle_jobs.sort(key=lambda idle_job: -idle_job.idle_s)
         return idle_jobs
 
