Start interfering tasks of a waiting job on workers that are not busy

In a group that is not busy the wait was 8 s, also longer than the 3 s of the rule.

Whether a worker is busy is now asked of the worker. After 2.4 s a job without runs may start a task on one that is not busy; on busy ones after 8 s and 30 s as before. A task that interferes is throttled as before.

--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -60,23 +60,31 @@
 the worker's CPU that is free, spare or reserved by latency-critical tasks,
 depending on the kind of task, enters the score with a weight of 1."""
 
+BUSY_RESERVED_SHARE = 0.6
+"""A worker counts as busy if at least this share of its CPU is reserved, and a
+group if it is reserved of all CPU that may receive starts."""
+
 
 class Relaxation(enum.Enum):
     """Which placement rules are ignored for a best-effort task.
 
     While a job without runs waits for capacity, first the rule on spare CPU is
-    ignored, and after a longer wait the one on interference, too.
+    ignored, then the one on interference, too: at first on workers that are not
+    busy, and after a longer wait on all.
 
     Attributes:
         NORMAL: None is ignored.
         IGNORE_SPARE_CPU: The worker may lack spare CPU.
-        IGNORE_INTERFERENCE: The worker may lack spare CPU, and the best-effort
-            task may interfere with latency-critical tasks there. If it does,
-            the best-effort task is throttled.
+        IGNORE_INTERFERENCE_UNLESS_BUSY: The worker may lack spare CPU. If it is
+            not busy, the best-effort task may also interfere with
+            latency-critical tasks there. If it does, the best-effort task is
+            throttled.
+        IGNORE_INTERFERENCE: Likewise on all workers.
     """
 
     NORMAL = "normal"
     IGNORE_SPARE_CPU = "starving"
+    IGNORE_INTERFERENCE_UNLESS_BUSY = "desperate-unless-busy"
     IGNORE_INTERFERENCE = "desperate"
 
 
@@ -119,6 +127,12 @@
     latency_critical_images: frozenset[str]
     colocation_cache: dict[tuple[str, int], float]
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether much of the worker's CPU is reserved."""
+        return is_mostly_reserved(self.worker.entry.cpu_millis,
+                                  self.free_cpu_millis)
+
     def predict_speed(self, step: model.Step,
                       interference: _interference.InterferenceModel) -> float:
         """Returns at which share of its full speed a best-effort task can run.
@@ -135,6 +149,13 @@
         return speed
 
 
+def is_mostly_reserved(capacity_cpu_millis: int, free_cpu_millis: int) -> bool:
+    """Returns whether at least `BUSY_RESERVED_SHARE` of some CPU is reserved.
+    """
+    return (capacity_cpu_millis - free_cpu_millis
+            >= BUSY_RESERVED_SHARE * capacity_cpu_millis)
+
+
 def build_candidate(worker: _workers.WorkerState,
                     load: _workers.WorkerLoad | None = None) -> Candidate:
     """Computes the capacity that is left on a worker.
@@ -234,11 +255,16 @@
     if step.max_tasks_per_worker and task_counts.get(
             candidate.worker.worker_id, 0) >= step.max_tasks_per_worker:
         return PlacementObstacle.TASK_LIMIT
-    if (step.is_best_effort and
-            relaxation is not Relaxation.IGNORE_INTERFERENCE and
-            not candidate.predict_speed(step, interference)):
-        return PlacementObstacle.INTERFERENCE
-    return None
+    if not step.is_best_effort or _ignores_interference(candidate, relaxation):
+        return None
+    return (None if candidate.predict_speed(step, interference) else
+            PlacementObstacle.INTERFERENCE)
+
+
+def _ignores_interference(candidate: Candidate, relaxation: Relaxation) -> bool:
+    if relaxation is Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY:
+        return not candidate.is_busy
+    return relaxation is Relaxation.IGNORE_INTERFERENCE
 
 
 def compute_spare_room(candidate: Candidate) -> int:
--- a/src/gentianlead/dispatch/_relaxation.py
+++ b/src/gentianlead/dispatch/_relaxation.py
@@ -7,20 +7,19 @@
 from gentianlead.dispatch import _runs
 
 IGNORE_SPARE_CPU_DELAY = datetime.timedelta(seconds=2)
-
-IGNORE_INTERFERENCE_DELAY = datetime.timedelta(seconds=8)
 """A best-effort job without runs may start one task regardless of spare CPU
-after it has lacked capacity for `IGNORE_SPARE_CPU_DELAY`. After
-`IGNORE_INTERFERENCE_DELAY` it may also start the task beside latency-critical
-tasks with which the task interferes."""
+after it has lacked capacity for this time."""
 
-BUSY_IGNORE_INTERFERENCE_DELAY = datetime.timedelta(seconds=30)
-"""Replaces `IGNORE_INTERFERENCE_DELAY` in a busy group: an interfering
-best-effort task is throttled to a standstill there, so it only does harm."""
+IGNORE_INTERFERENCE_DELAY = datetime.timedelta(milliseconds=2400)
+"""After this time it may also start the task beside latency-critical tasks with
+which the task interferes, on a worker that is not busy. By the users' rules, a
+job must not have nothing running for 3 s beside enough free capacity."""
 
-BUSY_RESERVED_SHARE = 0.6
-"""A group counts as busy if at least this share of the CPU of the workers that
-may receive starts is reserved."""
+ANY_WORKER_DELAY = datetime.timedelta(seconds=8)
+BUSY_ANY_WORKER_DELAY = datetime.timedelta(seconds=30)
+"""After this time it may start the task on any worker, in a group that is not
+busy and in a busy one: on a busy worker an interfering best-effort task is
+throttled to a standstill, so it only does harm."""
 
 
 def is_group_busy(candidates: Iterable[_placement.Candidate]) -> bool:
@@ -33,8 +32,7 @@
     for candidate in candidates:
         capacity_cpu_millis += candidate.worker.entry.cpu_millis
         free_cpu_millis += candidate.free_cpu_millis
-    return (capacity_cpu_millis - free_cpu_millis
-            >= BUSY_RESERVED_SHARE * capacity_cpu_millis)
+    return _placement.is_mostly_reserved(capacity_cpu_millis, free_cpu_millis)
 
 
 def choose_relaxation(job: _runs.JobRun, step_run: _runs.StepRun, is_busy: bool,
@@ -52,10 +50,12 @@
     waited_s = job.waited_before_s
     if step_run.unplaced_since is not None:
         waited_s += now - step_run.unplaced_since
-    interference_delay = (BUSY_IGNORE_INTERFERENCE_DELAY
-                          if is_busy else IGNORE_INTERFERENCE_DELAY)
-    if waited_s >= interference_delay.total_seconds():
-        return _placement.Relaxation.IGNORE_INTERFERENCE
-    if waited_s >= IGNORE_SPARE_CPU_DELAY.total_seconds():
-        return _placement.Relaxation.IGNORE_SPARE_CPU
+    any_worker_delay = BUSY_ANY_WORKER_DELAY if is_busy else ANY_WORKER_DELAY
+    for delay, relaxation in (
+        (any_worker_delay, _placement.Relaxation.IGNORE_INTERFERENCE),
+        (IGNORE_INTERFERENCE_DELAY,
+         _placement.Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY),
+        (IGNORE_SPARE_CPU_DELAY, _placement.Relaxation.IGNORE_SPARE_CPU)):
+        if waited_s >= delay.total_seconds():
+            return relaxation
     return _placement.Relaxation.NORMAL
--- a/src/gentianlead/dispatch/tests/colocated_load.py
+++ b/src/gentianlead/dispatch/tests/colocated_load.py
@@ -73,16 +73,23 @@
         heavy_core_s: Work that the images with this coefficient have done.
     """
 
-    def __init__(self, load: ServiceLoad, coefficients: dict[str, float],
-                 worker_count: int, services_per_worker: int):
+    def __init__(self,
+                 load: ServiceLoad,
+                 coefficients: dict[str, float],
+                 worker_count: int,
+                 services_per_worker: int,
+                 group: str = "north-1",
+                 service_share: float = 1.0):
+        """Starts the services, which reserve a share of each worker's CPU."""
         self._load = load
+        self._service_cpu_millis = int(service_share * WORKER_CPU_MILLIS /
+                                       services_per_worker)
         self._coefficients = coefficients
         self._services: dict[str, list] = {}
         self._runs: dict[str, list[_BestEffortRun]] = {}
         self._end_numbers: collections.Counter[str] = collections.Counter()
         self._ended: dict[str, list[ports.EndedRun]] = {}
         self._tails: dict[tuple[str, int], collections.deque[float]] = {}
-        self._steps: dict[str, model.Step] = {}
         self._tick = 0
         self._job_count = 0
         self.over_limit_s = 0.0
@@ -91,15 +98,21 @@
         self.possible_core_s = 0.0
         self.heavy_core_s = 0.0
         self.driver = builders.GroupDriver(*(builders.build_worker(
-            f"w{number}", cpu_millis=WORKER_CPU_MILLIS, memory_mib=100_000)
-                                             for number in range(worker_count)))
-        service_step = builders.build_step(services_per_worker * worker_count,
-                                           is_long_running=True,
-                                           image="service",
-                                           cpu_millis=WORKER_CPU_MILLIS //
-                                           services_per_worker,
-                                           tail_latency_limit_ms=LIMIT_MS)
-        self.driver.put_job("00000000000000aa", service_step)
+            f"{group}-w{number}",
+            domain=group,
+            cpu_millis=WORKER_CPU_MILLIS,
+            memory_mib=100_000) for number in range(worker_count)),
+                                           group=group)
+        service_step = builders.build_step(
+            services_per_worker * worker_count,
+            is_long_running=True,
+            image="service",
+            cpu_millis=self._service_cpu_millis,
+            max_tasks_per_worker=(services_per_worker),
+            tail_latency_limit_ms=LIMIT_MS)
+        self.driver.put_job("00000000000000aa",
+                            service_step,
+                            assignment=(group,))
         for order in self.driver.start_all():
             self._services.setdefault(order.worker_id, []).append(order)
 
@@ -113,9 +126,12 @@
                                    image=image,
                                    cpu_millis=1600,
                                    estimate_ms=ESTIMATE_MS)
-        self._steps[job_id] = step
         self.driver.put_job(job_id, step)
 
+    def find_step(self, task: model.TaskKey) -> model.Step:
+        """Returns the step of a task of the group."""
+        return self.driver.scheduler.jobs[task.job_id].get_step(task).step
+
     def count_waiting(self, image: str) -> int:
         """Returns how many tasks of an image wait."""
         return sum(
@@ -142,9 +158,7 @@
             for order in self._services[worker_id]
         ]
         spare_cpu_millis = max(
-            0.0,
-            WORKER_CPU_MILLIS *
-            (1 - sum(loads) / len(self._services[worker_id])))
+            0.0, WORKER_CPU_MILLIS - self._service_cpu_millis * sum(loads))
         wanted_cpu_millis = sum(
             run.step.cpu_millis * run.percent / 100 for run in runs)
         share = min(1.0, spare_cpu_millis / max(1.0, wanted_cpu_millis))
@@ -217,7 +231,7 @@
         for order in self.driver.plan():
             if isinstance(order, dispatch.StartOrder):
                 self._runs[order.worker_id].append(
-                    _BestEffortRun(order, self._steps[order.task.job_id]))
+                    _BestEffortRun(order, self.find_step(order.task)))
                 self.driver.apply_start_outcome(order,
                                                 ports.StartOutcome.STARTED)
                 continue
