Move a waiting job from a busy group to one that is not busy

A job whose best-effort tasks interfere in all groups stayed in a busy group for up to 30 s beside a group with most of its CPU free: no report shows room for its image, and no group counts as less loaded for it. Once it has waited as long as a task may ignore interference on a worker that is not busy, the job moves to the group with the least reserved share, if no worker of its own group that has the capacity is other than busy.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -113,6 +113,13 @@
     reclaimable_rooms: tuple[_rooms.WorkerRoom, ...] = ()
     probation_rooms: tuple[_rooms.WorkerRoom, ...] = ()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether much of the CPU of the usable workers is reserved."""
+        return _placement.is_mostly_reserved(
+            self.capacity_cpu_millis,
+            self.capacity_cpu_millis - self.reserved_cpu_millis)
+
 
 class GroupSummary(NamedTuple):
     """Summary of a group for the log; its field names are names of log fields.
--- /dev/null
+++ b/src/gentianlead/dispatch/_move_choices.py
@@ -0,0 +1,146 @@
+"""Choice of another group for a job whose best-effort tasks wait."""
+
+import enum
+from typing import NamedTuple
+
+from gentianlead.dispatch import _admission
+from gentianlead.dispatch import _group_state
+from gentianlead.dispatch import _load
+from gentianlead.dispatch import _placement
+from gentianlead.dispatch import _relaxation
+from gentianlead.dispatch import _runs
+
+
+class MoveReason(enum.Enum):
+    """Why tasks leave their group.
+
+    Attributes:
+        GROUP_UNUSABLE: The group has no usable workers, is evacuated, or lacks
+            a label that the job needs.
+        FREE_ROOM: Best-effort tasks wait, and some could start in another group
+            at once.
+        LESS_LOADED: A job waits, and another group is less loaded.
+        NOT_BUSY: Best-effort tasks interfere wherever they could start, and
+            only in another group a worker is not busy.
+        NO_CAPACITY: Tasks do not fit on any worker of the group.
+    """
+
+    GROUP_UNUSABLE = "group-unusable"
+    FREE_ROOM = "free-room"
+    LESS_LOADED = "less-loaded"
+    NOT_BUSY = "not-busy"
+    NO_CAPACITY = "no-capacity"
+
+
+class MoveChoice(NamedTuple):
+    """Group to which a job should move, and what decided.
+
+    Attributes:
+        group: The group; empty if the job stays.
+        reason: Why the job moves.
+        own_score: Score of the job's own group by `_compute_move_score` if the
+            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`, the
+            reserved share of its CPU if it is `NOT_BUSY`, else 0.
+        new_score: Score of the chosen group, likewise.
+    """
+
+    group: str
+    reason: MoveReason = MoveReason.LESS_LOADED
+    own_score: float = 0.0
+    new_score: float = 0.0
+
+
+STAY = MoveChoice("")
+
+
+def _find_waiting_best_effort_step(job: _runs.JobRun) -> _runs.StepRun | None:
+    return next(
+        (step_run for step_run in job.steps.values()
+         if step_run.step.is_best_effort and step_run.waiting_indexes and
+         step_run.unplaced_since is not None), None)
+
+
+def _list_fresh_reports(job: _runs.JobRun,
+                        reports: dict[str, _admission.GroupReport],
+                        now: float) -> dict[str, _admission.GroupReport]:
+    """Returns recent reports of other groups that can take a whole job.
+
+    These are usable and have all labels that the job requires.
+    """
+    needed_labels = {
+        step.required_label for step in job.job.steps if step.required_label
+    }
+    return {
+        group: report
+        for group, report in reports.items()
+        if group != job.group and report.load.is_usable and
+        needed_labels <= set(report.load.labels) and now -
+        report.reported_at <= _admission.MAX_REPORT_AGE.total_seconds()
+    }
+
+
+def choose_group_with_room(job: _runs.JobRun, own_load: _load.GroupLoad,
+                           reports: dict[str, _admission.GroupReport],
+                           now: float) -> MoveChoice:
+    """Chooses a group in which a task of a waiting best-effort step fits.
+
+    A group is a candidate if it is usable, has a recent load report and all
+    labels that the job requires, and has room for a task of the step. The one
+    with the most room is chosen. The job stays if its own group has room for
+    the task, as something else then keeps the step from starting.
+    """
+    step_run = _find_waiting_best_effort_step(job)
+    if step_run is None:
+        return STAY
+    step = step_run.step
+    own_room_cpu_millis = _load.get_image_room(own_load, step.image)
+    rooms = {
+        group: _load.get_image_room(report.load, step.image)
+        for group, report in _list_fresh_reports(job, reports, now).items()
+    }
+    group = max(rooms, key=rooms.__getitem__, default="")
+    if (not group or rooms[group] < step.cpu_millis or
+            own_room_cpu_millis >= step.cpu_millis):
+        return STAY
+    return MoveChoice(group, MoveReason.FREE_ROOM, own_room_cpu_millis / 1000,
+                      rooms[group] / 1000)
+
+
+def choose_group_that_is_not_busy(state: _group_state.GroupState,
+                                  job: _runs.JobRun, own_load: _load.GroupLoad,
+                                  reports: dict[str, _admission.GroupReport],
+                                  now: float) -> MoveChoice:
+    """Chooses a group for a job that only a `Relaxation` lets start.
+
+    Its best-effort tasks interfere with latency-critical ones in all groups. It
+    moves if every worker of its own group that has the capacity is busy, to the
+    group with the least reserved share that is not busy and has CPU, memory and
+    labels for a task.
+    """
+    step_run = _find_waiting_best_effort_step(job)
+    if (step_run is None or not own_load.is_usable or job.compute_waited_s(now)
+            < _relaxation.IGNORE_INTERFERENCE_DELAY.total_seconds()):
+        return STAY
+    shares = {
+        group: report.load.reserved_cpu_millis / report.load.capacity_cpu_millis
+        for group, report in _list_fresh_reports(job, reports, now).items()
+        if not report.load.is_busy and
+        _load.count_free_rooms(report.load, step_run.step, job.service)
+    }
+    if not shares or _can_start_here(state, job, step_run, now):
+        return STAY
+    group = min(shares, key=shares.__getitem__)
+    return MoveChoice(
+        group, MoveReason.NOT_BUSY,
+        own_load.reserved_cpu_millis / max(1, own_load.capacity_cpu_millis),
+        shares[group])
+
+
+def _can_start_here(state: _group_state.GroupState, job: _runs.JobRun,
+                    step_run: _runs.StepRun, now: float) -> bool:
+    relaxation = _placement.Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY
+    return any(
+        worker.entry.service == job.service and worker.can_receive_starts(now)
+        and _placement.find_obstacle(_placement.build_candidate(
+            worker), step_run.step, {}, state.interference, relaxation) is None
+        for worker in state.workers.values())
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -1,13 +1,13 @@
 """Moves of waiting jobs: which job leaves its group, and for which group."""
 
 import datetime
-import enum
 from typing import AbstractSet, Callable, NamedTuple
 
 from gentianlead import model
 from gentianlead.dispatch import _admission
 from gentianlead.dispatch import _group_state
 from gentianlead.dispatch import _load
+from gentianlead.dispatch import _move_choices
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _task_runs
@@ -47,45 +47,6 @@
 the next load report of that group."""
 
 
-class MoveReason(enum.Enum):
-    """Why tasks leave their group.
-
-    Attributes:
-        GROUP_UNUSABLE: The group has no usable workers, is evacuated, or lacks
-            a label that the job needs.
-        FREE_ROOM: Best-effort tasks wait, and some could start in another group
-            at once.
-        LESS_LOADED: A job waits, and another group is less loaded.
-        NO_CAPACITY: Tasks do not fit on any worker of the group.
-    """
-
-    GROUP_UNUSABLE = "group-unusable"
-    FREE_ROOM = "free-room"
-    LESS_LOADED = "less-loaded"
-    NO_CAPACITY = "no-capacity"
-
-
-class MoveChoice(NamedTuple):
-    """Group to which a job should move, and what decided.
-
-    Attributes:
-        group: The group; empty if the job stays.
-        reason: Why the job moves.
-        own_score: Score of the job's own group by `_compute_move_score` if the
-            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`,
-            else 0.
-        new_score: Score of the chosen group, likewise.
-    """
-
-    group: str
-    reason: MoveReason = MoveReason.LESS_LOADED
-    own_score: float = 0.0
-    new_score: float = 0.0
-
-
-_STAY = MoveChoice("")
-
-
 class PlannedMove(NamedTuple):
     """Move of tasks to another group that has begun but is not stored.
 
@@ -98,7 +59,7 @@
 
     job: _runs.JobRun
     record: _records.MovedRecord
-    choice: MoveChoice
+    choice: _move_choices.MoveChoice
     report_age_s: float
 
 
@@ -173,6 +134,9 @@
             if own_load is None:
                 own_load = get_own_load()
             choice = _choose_new_group(job, own_load, reports, now)
+            if not choice.group:
+                choice = _move_choices.choose_group_that_is_not_busy(
+                    self._state, job, own_load, reports, now)
             if choice.group:
                 demand = _load.compute_job_demand(job)
                 move = _begin_move(job, (), choice, reports, now)
@@ -310,7 +274,8 @@
     reports[move.group] = report._replace(load=load)
 
 
-def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...], choice: MoveChoice,
+def _begin_move(job: _runs.JobRun, indexes: tuple[int, ...],
+                choice: _move_choices.MoveChoice,
                 reports: dict[str, _admission.GroupReport],
                 now: float) -> PlannedMove:
     report = reports.get(choice.group)
@@ -376,7 +341,9 @@
         tuple(
             job.job.compute_task_number(step_index, index)
             for index in indexes),
-        MoveChoice(fallback_group.group, MoveReason.NO_CAPACITY), reports, now)
+        _move_choices.MoveChoice(fallback_group.group,
+                                 _move_choices.MoveReason.NO_CAPACITY), reports,
+        now)
 
 
 def _list_idle_indexes(job: _runs.JobRun, step_run: _runs.StepRun) -> list[int]:
@@ -423,7 +390,7 @@
 
 def _choose_new_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                       reports: dict[str, _admission.GroupReport],
-                      now: float) -> MoveChoice:
+                      now: float) -> _move_choices.MoveChoice:
     """Chooses the group to which a whole job should move.
 
     If the job's own group is unusable or lacks a label that the job needs, any
@@ -440,65 +407,31 @@
     """
     if own_load.is_usable and _list_needed_labels(job) <= set(own_load.labels):
         if job.job.is_long_running:
-            return _STAY
+            return _move_choices.STAY
         delay = compute_move_delay(job.moves_without_start)
         room_delay = max(JOB_MOVE_DELAY, ROOM_MOVE_DELAY_FACTOR * delay)
         if job.has_unplaced_tasks(now, room_delay.total_seconds()):
-            choice = _choose_group_with_room(job, own_load, reports, now)
+            choice = _move_choices.choose_group_with_room(
+                job, own_load, reports, now)
             if choice.group:
                 return choice
         if job.has_unplaced_tasks(now, delay.total_seconds()):
             return _choose_less_loaded_group(job, own_load, reports, now)
-        return _STAY
+        return _move_choices.STAY
     other_reports = {
         group: report for group, report in reports.items() if group != job.group
     }
     admission = _admission.decide_admission(job.job, other_reports, job.group,
                                             now, job.service, False)
     group = admission.assignment[0] if admission.assignment else ""
-    return (MoveChoice(group, MoveReason.GROUP_UNUSABLE)
-            if group != job.group else _STAY)
-
-
-def _choose_group_with_room(job: _runs.JobRun, own_load: _load.GroupLoad,
-                            reports: dict[str, _admission.GroupReport],
-                            now: float) -> MoveChoice:
-    """Chooses a group in which a task of a waiting best-effort step fits.
-
-    A group is a candidate if it is usable, has a recent load report and all
-    labels that the job requires, and has room for a task of the step. The one
-    with the most room is chosen. The job stays if its own group has room for
-    the task, as something else then keeps the step from starting.
-    """
-    step = next(
-        (step_run.step
-         for step_run in job.steps.values()
-         if step_run.step.is_best_effort and step_run.waiting_indexes and
-         step_run.unplaced_since is not None), None)
-    if step is None:
-        return _STAY
-    needed_labels = {
-        step.required_label for step in job.job.steps if step.required_label
-    }
-    own_room_cpu_millis = _load.get_image_room(own_load, step.image)
-    rooms = {
-        group: _load.get_image_room(report.load, step.image)
-        for group, report in reports.items()
-        if group != job.group and report.load.is_usable and
-        needed_labels <= set(report.load.labels) and now -
-        report.reported_at <= _admission.MAX_REPORT_AGE.total_seconds()
-    }
-    group = max(rooms, key=rooms.__getitem__, default="")
-    if (not group or rooms[group] < step.cpu_millis or
-            own_room_cpu_millis >= step.cpu_millis):
-        return _STAY
-    return MoveChoice(group, MoveReason.FREE_ROOM, own_room_cpu_millis / 1000,
-                      rooms[group] / 1000)
+    return (_move_choices.MoveChoice(group,
+                                     _move_choices.MoveReason.GROUP_UNUSABLE)
+            if group != job.group else _move_choices.STAY)
 
 
 def _choose_less_loaded_group(job: _runs.JobRun, own_load: _load.GroupLoad,
                               reports: dict[str, _admission.GroupReport],
-                              now: float) -> MoveChoice:
+                              now: float) -> _move_choices.MoveChoice:
     """Chooses a less loaded group for a waiting job, if there is one.
 
     The only candidate is the group that `decide_admission` chooses among the
@@ -513,10 +446,10 @@
     admission = _admission.decide_admission(job.job, other_reports, job.group,
                                             now, job.service, False)
     if len(set(admission.assignment)) != 1:
-        return _STAY
+        return _move_choices.STAY
     group = admission.assignment[0]
     if group not in other_reports:
-        return _STAY
+        return _move_choices.STAY
     load = _load.add_demand_to_load(other_reports[group].load,
                                     _load.compute_job_demand(job))
     own_score = _compute_move_score(job.job, own_load)
@@ -524,14 +457,15 @@
     if any(step.is_best_effort and step.cpu_millis >
            _admission.compute_best_effort_capacity(job.job, load)
            for step in job.job.steps):
-        return _STAY
+        return _move_choices.STAY
     if new_score * LESS_LOADED_FACTOR >= own_score:
-        return _STAY
+        return _move_choices.STAY
     if not any(step.is_best_effort for step in job.job.steps):
         largest_task_cpu_millis = max(step.cpu_millis for step in job.job.steps)
         if load.largest_free_cpu_millis < largest_task_cpu_millis:
-            return _STAY
-    return MoveChoice(group, MoveReason.LESS_LOADED, own_score, new_score)
+            return _move_choices.STAY
+    return _move_choices.MoveChoice(group, _move_choices.MoveReason.LESS_LOADED,
+                                    own_score, new_score)
 
 
 def _compute_move_score(job: model.SteppedJob, load: _load.GroupLoad) -> float:
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -17,7 +17,7 @@
 """Time for which the users allow that nothing of a job runs beside enough free
 capacity."""
 
-SEEDS = (0, 5, 12)
+SEEDS = (0, 5, 9, 21)
 
 
 class BusyGroupTest(unittest.TestCase):
@@ -66,6 +66,40 @@
         self.driver.put_job(JOB_ID, STEP)
         self.assertEqual(self.pass_time(20.0), [])
 
+    def test_job_moves_to_a_group_that_is_not_busy(self):
+        """Guards against a wait in a busy group beside one that is mostly free.
+
+        The tasks interfere in the other group, too, so that no report shows
+        room for them.
+        """
+        other = builders.GroupDriver(builders.build_worker("far"),
+                                     group="north-2")
+        other.put_job("00000000000000aa", SERVICE_STEP, assignment=("north-2",))
+        other.start_all()
+        other.interference.merge(
+            [dispatch.InterferenceEstimate("watch", "bundle", 80.0, 9.0)])
+        load = other.scheduler.compute_load(other.now)
+        self.driver.put_job(JOB_ID, STEP)
+        for cpu_millis, destinations in ((9000, []), (6000, ["north-2"])):
+            with self.subTest(cpu_millis=cpu_millis):
+                self.driver.scheduler.put_worker(
+                    builders.build_worker("other", cpu_millis=cpu_millis))
+                self.assertEqual(self.pass_time(2.3), [])
+                self.driver.now += 0.2
+                scheduler = self.driver.scheduler
+                own_load = scheduler.compute_load(self.driver.now)
+                reports = {
+                    group: dispatch.GroupReport(group_load, self.driver.now)
+                    for group, group_load in (("north-1", own_load), ("north-2",
+                                                                      load))
+                }
+                moves = scheduler.plan_moves(lambda load=own_load: load,
+                                             reports,
+                                             self.driver.now)
+                self.assertEqual(
+                    [move.record.destination_group for move in moves],
+                    destinations)
+
 
 class IdleFleetTest(unittest.TestCase):
     """Tests days of the model of groups with drawn images and services.
