Let a gang of best-effort tasks ignore interference after a wait

A gang of best-effort tasks was placed by the normal rules for good, as _start_gang did not pass the relaxation on: with an image that interferes on all workers it never started, with any amount of CPU free. It now waits as long as any other best-effort task.

test_gang_starts_on_the_worker_that_is_not_busy failed before. Tests of groups, capacity, crashes, interference and moves: passed.

--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -449,6 +449,8 @@
             if (now < suspicion.retry_at or
                     not self._probation.may_start_gang(now)):
                 return True
+        relaxation = _relaxation.choose_relaxation(job, step_run, self._is_busy,
+                                                   now)
         chosen_workers: list[_workers.WorkerState] = []
         refusing_workers = frozenset(
             worker_id for refusals in step_run.refusals.values()
@@ -466,6 +468,7 @@
                 task_counts,
                 rack_labels,
                 self._state.interference,
+                relaxation,
                 refusing_workers=refusing_workers)
             if candidate is None:
                 return False
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -59,6 +59,15 @@
             for order in self.pass_time(MAX_IDLE.total_seconds() - 2.0)
         ], ["other"])
 
+    def test_gang_starts_on_the_worker_that_is_not_busy(self):
+        """Guards against a gang that waits for good beside free capacity."""
+        self.driver.put_job(JOB_ID, STEP._replace(count=2, is_gang=True))
+        self.assertEqual(self.pass_time(2.0), [])
+        self.assertEqual([
+            order.worker_id
+            for order in self.pass_time(MAX_IDLE.total_seconds() - 2.0)
+        ], ["other", "other"])
+
     def test_task_waits_if_all_workers_are_busy(self):
         """Guards against tasks that are throttled to a standstill."""
         self.driver.scheduler.put_worker(
