--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -36,6 +36,11 @@
 groups may have moved tasks into the same room. As each such move adds a group
 that the job has left, the delay before other moves bounds their rate."""
 
+MOVE_DURATION = datetime.timedelta(milliseconds=300)
+"""Time of a move, which is one append and the read of the destination. Nothing
+of the job starts meanwhile, so it counts as a wait for capacity; the
+destination cannot measure it, as daemons do not share a clock."""
+
 MOVE_REPORT_DELAY = datetime.timedelta(milliseconds=150)
 """A load report that arrives at least this long after a move has begun includes
 the moved job: the time covers the append, the read by the destination's leader
@@ -280,9 +285,10 @@
                 now: float) -> PlannedMove:
     report = reports.get(choice.group)
     report_age_s = now - report.reported_at if report is not None else 0.0
+    waited_s = job.compute_waited_s(now) + MOVE_DURATION.total_seconds()
     record = _records.MovedRecord(job.job.job_id, job.group, indexes,
                                   choice.group, job.begin_move(),
-                                  int(1000 * job.compute_waited_s(now)),
+                                  int(1000 * waited_s),
                                   job.moves_without_start + 1)
     return PlannedMove(job, record, choice, report_age_s)
 
--- a/src/gentianlead/dispatch/tests/idle_fleets.py
+++ b/src/gentianlead/dispatch/tests/idle_fleets.py
@@ -18,6 +18,9 @@
 
 IMAGES = ("harmless", "mild", "heavy", "heaviest")
 REPORT_TICKS = 3
+MOVE_TICKS = 3
+"""Ticks from the begin of a move until all leaders have read it."""
+
 MAX_TASK_CPU_MILLIS = 3500
 FAILED_SHARE = 0.05
 TROUBLE_RATE = 0.01
@@ -81,6 +84,8 @@
         self._idle_since: dict[str, float] = {}
         self._is_busy_time = True
         self._tick = 0
+        # Records of moves, each with the tick from which on leaders read them.
+        self._unread_moves: list[tuple[int, tuple[dispatch.Record, ...]]] = []
         load = colocated_load.ServiceLoad(self.rng.uniform(0.3, 0.6),
                                           self.rng.uniform(0.0, 0.5),
                                           self.rng.choice((5.0, 10.0)))
@@ -164,9 +169,12 @@
             moves = scheduler.plan_moves(lambda load=load: load,
                                          self._reports,
                                          self.now)
-            for move in moves:
-                self._add(move.job.build_progress(name, scheduler.epoch),
-                          move.record)
+            self._unread_moves.extend(
+                (self._tick + MOVE_TICKS,
+                 (move.job.build_progress(name, scheduler.epoch), move.record))
+                for move in moves)
+        while self._unread_moves and self._unread_moves[0][0] <= self._tick:
+            self._add(*self._unread_moves.pop(0)[1])
         self._observe()
 
     def _observe(self) -> None:
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -17,7 +17,7 @@
 """Time for which the users allow that nothing of a job runs beside enough free
 capacity."""
 
-SEEDS = (0, 5, 9, 21)
+SEEDS = (0, 5, 9, 21, 35, 94)
 
 
 class BusyGroupTest(unittest.TestCase):
