Move a waiting job to a worker that is not busy, not to such a group

Load reports list the free capacity of the workers that are not busy, and the job moves to the one with the most free CPU. So that a job does not go on at once from a group whose worker was taken meanwhile, it first lacks capacity there for the delay of a move.

--- a/src/gentianlead/dispatch/_move_choices.py
+++ b/src/gentianlead/dispatch/_move_choices.py
@@ -8,6 +8,7 @@
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _relaxation
+from gentianlead.dispatch import _rooms
 from gentianlead.dispatch import _runs
 
 
@@ -20,15 +21,15 @@
         FREE_ROOM: Best-effort tasks wait, and some could start in another group
             at once.
         LESS_LOADED: A job waits, and another group is less loaded.
-        NOT_BUSY: Best-effort tasks interfere wherever they could start, and
-            only in another group a worker is not busy.
+        QUIET_WORKER: Best-effort tasks interfere wherever they could start, and
+            only in another group a worker with the capacity is not busy.
         NO_CAPACITY: Tasks do not fit on any worker of the group.
     """
 
     GROUP_UNUSABLE = "group-unusable"
     FREE_ROOM = "free-room"
     LESS_LOADED = "less-loaded"
-    NOT_BUSY = "not-busy"
+    QUIET_WORKER = "quiet-worker"
     NO_CAPACITY = "no-capacity"
 
 
@@ -39,9 +40,10 @@
         group: The group; empty if the job stays.
         reason: Why the job moves.
         own_score: Score of the job's own group by `_compute_move_score` if the
-            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`, the
-            reserved share of its CPU if it is `NOT_BUSY`, else 0.
-        new_score: Score of the chosen group, likewise.
+            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`,
+            else 0.
+        new_score: Score of the chosen group, likewise; the most free CPU of a
+            worker that is not busy, in cores, if the reason is `QUIET_WORKER`.
     """
 
     group: str
@@ -106,34 +108,32 @@
                       rooms[group] / 1000)
 
 
-def choose_group_that_is_not_busy(state: _group_state.GroupState,
-                                  job: _runs.JobRun, own_load: _load.GroupLoad,
-                                  reports: dict[str, _admission.GroupReport],
-                                  now: float) -> MoveChoice:
+def choose_group_with_quiet_worker(state: _group_state.GroupState,
+                                   job: _runs.JobRun, own_load: _load.GroupLoad,
+                                   reports: dict[str, _admission.GroupReport],
+                                   now: float) -> MoveChoice:
     """Chooses a group for a job that only a `Relaxation` lets start.
 
     Its best-effort tasks interfere with latency-critical ones in all groups. It
     moves if every worker of its own group that has the capacity is busy, to the
-    group with the least reserved share that is not busy and has CPU, memory and
-    labels for a task.
+    group whose worker has the most free CPU of those that are not busy and have
+    the capacity for a task.
     """
     step_run = _find_waiting_best_effort_step(job)
     if (step_run is None or not own_load.is_usable or job.compute_waited_s(now)
             < _relaxation.IGNORE_INTERFERENCE_DELAY.total_seconds()):
         return STAY
-    shares = {
-        group: report.load.reserved_cpu_millis / report.load.capacity_cpu_millis
+    rooms = {
+        group:
+            _rooms.find_largest_room(report.load.quiet_rooms, step_run.step,
+                                     job.service)
         for group, report in _list_fresh_reports(job, reports, now).items()
-        if not report.load.is_busy and
-        _load.count_free_rooms(report.load, step_run.step, job.service)
     }
-    if not shares or _can_start_here(state, job, step_run, now):
+    group = max(rooms, key=rooms.__getitem__, default="")
+    if (not group or rooms[group] < 0 or
+            _can_start_here(state, job, step_run, now)):
         return STAY
-    group = min(shares, key=shares.__getitem__)
-    return MoveChoice(
-        group, MoveReason.NOT_BUSY,
-        own_load.reserved_cpu_millis / max(1, own_load.capacity_cpu_millis),
-        shares[group])
+    return MoveChoice(group, MoveReason.QUIET_WORKER, 0.0, rooms[group] / 1000)
 
 
 def _can_start_here(state: _group_state.GroupState, job: _runs.JobRun,
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -139,8 +139,9 @@
             if own_load is None:
                 own_load = get_own_load()
             choice = _choose_new_group(job, own_load, reports, now)
-            if not choice.group:
-                choice = _move_choices.choose_group_that_is_not_busy(
+            if not choice.group and job.has_unplaced_tasks(
+                    now, JOB_MOVE_DELAY.total_seconds()):
+                choice = _move_choices.choose_group_with_quiet_worker(
                     self._state, job, own_load, reports, now)
             if choice.group:
                 demand = _load.compute_job_demand(job)
