Move a waiting job to a worker that is not busy, not to such a group

Load reports list the free capacity of the workers that are not busy, and the job moves to the one with the most free CPU; to a group that its tasks have left only after the delay of a move. A job that may start on such a worker of its own group does not move any more. It may after 2.2 s instead of 2.4 s, as up to two moves can come before the start.

test_job_moves_to_a_worker_that_is_not_busy failed before.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -94,6 +94,8 @@
         probation_rooms: Free capacity of the usable workers on probation, which
             receive one start at a time and may fail it, likewise; also of those
             in quarantine that a long-running task may test.
+        quiet_rooms: Free capacity of the workers in `free_rooms` that are not
+            busy, likewise.
     """
 
     is_usable: bool
@@ -112,13 +114,7 @@
     free_rooms: tuple[_rooms.WorkerRoom, ...] = ()
     reclaimable_rooms: tuple[_rooms.WorkerRoom, ...] = ()
     probation_rooms: tuple[_rooms.WorkerRoom, ...] = ()
-
-    @property
-    def is_busy(self) -> bool:
-        """Whether much of the CPU of the usable workers is reserved."""
-        return _placement.is_mostly_reserved(
-            self.capacity_cpu_millis,
-            self.capacity_cpu_millis - self.reserved_cpu_millis)
+    quiet_rooms: tuple[_rooms.WorkerRoom, ...] = ()
 
 
 class GroupSummary(NamedTuple):
@@ -401,6 +397,7 @@
     free_rooms: _rooms.RoomsByKind = {}
     reclaimable_rooms: _rooms.RoomsByKind = {}
     probation_rooms: _rooms.RoomsByKind = {}
+    quiet_rooms: _rooms.RoomsByKind = {}
     for worker in workers:
         if worker.may_be_tested(now):
             _rooms.add_free_room(probation_rooms,
@@ -448,6 +445,8 @@
                 _rooms.add_free_room(
                     probation_rooms if worker.is_on_probation else free_rooms,
                     candidate)
+                if not candidate.is_busy and not worker.is_on_probation:
+                    _rooms.add_free_room(quiet_rooms, candidate)
             kind = (worker.entry.service, worker.entry.labels)
             reclaimable_rooms.setdefault(kind, []).append(
                 (candidate.reclaimable_cpu_millis,
@@ -477,7 +476,7 @@
         largest_reclaimable_cpu_millis,
         tuple(ImageRoom(*item) for item in sorted(image_rooms.items())),
         _rooms.list_rooms(free_rooms), _rooms.list_rooms(reclaimable_rooms),
-        _rooms.list_rooms(probation_rooms))
+        _rooms.list_rooms(probation_rooms), _rooms.list_rooms(quiet_rooms))
 
 
 def list_step_groups(job: model.SteppedJob, step_index: int,
--- a/src/gentianlead/dispatch/_move_choices.py
+++ b/src/gentianlead/dispatch/_move_choices.py
@@ -8,6 +8,7 @@
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _placement
 from gentianlead.dispatch import _relaxation
+from gentianlead.dispatch import _rooms
 from gentianlead.dispatch import _runs
 
 
@@ -20,15 +21,15 @@
         FREE_ROOM: Best-effort tasks wait, and some could start in another group
             at once.
         LESS_LOADED: A job waits, and another group is less loaded.
-        NOT_BUSY: Best-effort tasks interfere wherever they could start, and
-            only in another group a worker is not busy.
+        QUIET_WORKER: Best-effort tasks interfere wherever they could start, and
+            only in another group a worker with the capacity is not busy.
         NO_CAPACITY: Tasks do not fit on any worker of the group.
     """
 
     GROUP_UNUSABLE = "group-unusable"
     FREE_ROOM = "free-room"
     LESS_LOADED = "less-loaded"
-    NOT_BUSY = "not-busy"
+    QUIET_WORKER = "quiet-worker"
     NO_CAPACITY = "no-capacity"
 
 
@@ -39,9 +40,10 @@
         group: The group; empty if the job stays.
         reason: Why the job moves.
         own_score: Score of the job's own group by `_compute_move_score` if the
-            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`, the
-            reserved share of its CPU if it is `NOT_BUSY`, else 0.
-        new_score: Score of the chosen group, likewise.
+            reason is `LESS_LOADED`, its room in cores if it is `FREE_ROOM`,
+            else 0.
+        new_score: Score of the chosen group, likewise; the most free CPU of a
+            worker that is not busy, in cores, if the reason is `QUIET_WORKER`.
     """
 
     group: str
@@ -106,41 +108,66 @@
                       rooms[group] / 1000)
 
 
-def choose_group_that_is_not_busy(state: _group_state.GroupState,
-                                  job: _runs.JobRun, own_load: _load.GroupLoad,
-                                  reports: dict[str, _admission.GroupReport],
-                                  now: float) -> MoveChoice:
+def may_ignore_interference(job: _runs.JobRun, now: float) -> bool:
+    """Returns whether a waiting job may start beside any latency-critical task.
+
+    That holds on workers that are not busy, see `Relaxation`.
+    """
+    return (_find_waiting_best_effort_step(job) is not None and
+            job.compute_waited_s(now)
+            >= _relaxation.IGNORE_INTERFERENCE_DELAY.total_seconds())
+
+
+def list_quiet_candidates(state: _group_state.GroupState,
+                          now: float) -> list[_placement.Candidate]:
+    """Returns the workers of a group that may receive starts and are not busy.
+    """
+    candidates = (_placement.build_candidate(worker)
+                  for worker in state.workers.values()
+                  if worker.can_receive_starts(now))
+    return [candidate for candidate in candidates if not candidate.is_busy]
+
+
+def has_quiet_worker(state: _group_state.GroupState, job: _runs.JobRun,
+                     candidates: list[_placement.Candidate]) -> bool:
+    """Returns whether a worker that is not busy has capacity for a waiting job.
+
+    Args:
+        state: State of the group.
+        job: A job with a waiting best-effort step.
+        candidates: Result of `list_quiet_candidates`.
+    """
+    step = _find_waiting_best_effort_step(job).step
+    relaxation = _placement.Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY
+    return any(candidate.worker.entry.service == job.service and
+               _placement.find_obstacle(candidate, step, {}, state.interference,
+                                        relaxation) is None
+               for candidate in candidates)
+
+
+def choose_group_with_quiet_worker(job: _runs.JobRun,
+                                   reports: dict[str, _admission.GroupReport],
+                                   may_return: bool, now: float) -> MoveChoice:
     """Chooses a group for a job that only a `Relaxation` lets start.
 
     Its best-effort tasks interfere with latency-critical ones in all groups. It
-    moves if every worker of its own group that has the capacity is busy, to the
-    group with the least reserved share that is not busy and has CPU, memory and
-    labels for a task.
+    moves to the group whose worker has the most free CPU of those that are not
+    busy and have the capacity for a task.
+
+    Args:
+        job: A job with a waiting best-effort step.
+        reports: Newest load reports by group.
+        may_return: Whether it may be a group that tasks of the job have left.
+        now: Present monotonic time in seconds.
     """
-    step_run = _find_waiting_best_effort_step(job)
-    if (step_run is None or not own_load.is_usable or job.compute_waited_s(now)
-            < _relaxation.IGNORE_INTERFERENCE_DELAY.total_seconds()):
-        return STAY
-    shares = {
-        group: report.load.reserved_cpu_millis / report.load.capacity_cpu_millis
+    step = _find_waiting_best_effort_step(job).step
+    rooms = {
+        group:
+            _rooms.find_largest_room(report.load.quiet_rooms, step, job.service)
         for group, report in _list_fresh_reports(job, reports, now).items()
-        if not report.load.is_busy and
-        _load.count_free_rooms(report.load, step_run.step, job.service)
+        if may_return or group not in job.entry.last_move_numbers
     }
-    if not shares or _can_start_here(state, job, step_run, now):
+    group = max(rooms, key=rooms.__getitem__, default="")
+    if not group or rooms[group] < 0:
         return STAY
-    group = min(shares, key=shares.__getitem__)
-    return MoveChoice(
-        group, MoveReason.NOT_BUSY,
-        own_load.reserved_cpu_millis / max(1, own_load.capacity_cpu_millis),
-        shares[group])
-
-
-def _can_start_here(state: _group_state.GroupState, job: _runs.JobRun,
-                    step_run: _runs.StepRun, now: float) -> bool:
-    relaxation = _placement.Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY
-    return any(
-        worker.entry.service == job.service and worker.can_receive_starts(now)
-        and _placement.find_obstacle(_placement.build_candidate(
-            worker), step_run.step, {}, state.interference, relaxation) is None
-        for worker in state.workers.values())
+    return MoveChoice(group, MoveReason.QUIET_WORKER, 0.0, rooms[group] / 1000)
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -135,13 +135,26 @@
         reports = self._include_recent_moves(reports, now)
         moves = []
         own_load = None
+        quiet_candidates = None
         for job in self._state.list_movable_jobs():
             if own_load is None:
                 own_load = get_own_load()
+            may_ignore_interference = (own_load.is_usable and
+                                       _move_choices.may_ignore_interference(
+                                           job, now))
+            if may_ignore_interference:
+                if quiet_candidates is None:
+                    quiet_candidates = _move_choices.list_quiet_candidates(
+                        self._state, now)
+                if _move_choices.has_quiet_worker(self._state, job,
+                                                  quiet_candidates):
+                    continue  # A task of the job starts here at once.
             choice = _choose_new_group(job, own_load, reports, now)
-            if not choice.group:
-                choice = _move_choices.choose_group_that_is_not_busy(
-                    self._state, job, own_load, reports, now)
+            if may_ignore_interference and not choice.group:
+                choice = _move_choices.choose_group_with_quiet_worker(
+                    job, reports,
+                    job.has_unplaced_tasks(now, JOB_MOVE_DELAY.total_seconds()),
+                    now)
             if choice.group:
                 demand = _load.compute_job_demand(job)
                 move = _begin_move(job, (), choice, reports, now)
--- a/src/gentianlead/dispatch/_relaxation.py
+++ b/src/gentianlead/dispatch/_relaxation.py
@@ -10,10 +10,11 @@
 """A best-effort job without runs may start one task regardless of spare CPU
 after it has lacked capacity for this time."""
 
-IGNORE_INTERFERENCE_DELAY = datetime.timedelta(milliseconds=2400)
+IGNORE_INTERFERENCE_DELAY = datetime.timedelta(milliseconds=2200)
 """After this time it may also start the task beside latency-critical tasks with
 which the task interferes, on a worker that is not busy. By the users' rules, a
-job must not have nothing running for 3 s beside enough free capacity."""
+job must not have nothing running for 3 s beside enough free capacity. A move to
+such a worker takes another 0.3 s, and one after it 0.4 s more."""
 
 ANY_WORKER_DELAY = datetime.timedelta(seconds=8)
 BUSY_ANY_WORKER_DELAY = datetime.timedelta(seconds=30)
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -75,15 +75,20 @@
         self.driver.put_job(JOB_ID, STEP)
         self.assertEqual(self.pass_time(20.0), [])
 
-    def test_job_moves_to_a_group_that_is_not_busy(self):
-        """Guards against a wait in a busy group beside one that is mostly free.
+    def test_job_moves_to_a_worker_that_is_not_busy(self):
+        """Guards against a wait beside a worker of another group that is free.
 
         The tasks interfere in the other group, too, so that no report shows
-        room for them.
+        room for them. The other group is busy on the mean.
         """
         other = builders.GroupDriver(builders.build_worker("far"),
+                                     *(builders.build_worker(worker_id,
+                                                             cpu_millis=4000)
+                                       for worker_id in ("full-1", "full-2")),
                                      group="north-2")
-        other.put_job("00000000000000aa", SERVICE_STEP, assignment=("north-2",))
+        other.put_job("00000000000000aa",
+                      SERVICE_STEP._replace(count=3, max_tasks_per_worker=1),
+                      assignment=("north-2",))
         other.start_all()
         other.interference.merge(
             [dispatch.InterferenceEstimate("watch", "bundle", 80.0, 9.0)])
