Let a job move again if it does not start on a worker that is not busy

Found by reading: a reservation of that worker for a long-running task, or a gang that needs more than one, keeps it from starting, and then the job stayed for as long as that lasts. It now stays for the delay of a move.

The last case of test_job_moves_to_a_worker_that_is_not_busy failed before. dispatch: 384 tests passed.

--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -9,6 +9,7 @@
 from gentianlead.dispatch import _load
 from gentianlead.dispatch import _move_choices
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _relaxation
 from gentianlead.dispatch import _runs
 from gentianlead.dispatch import _task_runs
 
@@ -26,6 +27,12 @@
 """Multiplies the delay, down to `JOB_MOVE_DELAY`, before a move to a group that
 has room for a task of the job. Most of these moves are followed by a start."""
 
+MAX_START_WAIT_S = (_relaxation.IGNORE_INTERFERENCE_DELAY +
+                    JOB_MOVE_DELAY).total_seconds()
+"""Wait of a job in seconds up to which it stays in a group with a worker that
+is not busy. After it, something else keeps the job from starting there, such as
+a reservation."""
+
 LESS_LOADED_FACTOR = 1.5
 """A waiting job moves to another group only if the load there, multiplied by
 this factor, is still below the load of the job's own group."""
@@ -146,8 +153,9 @@
                 if quiet_candidates is None:
                     quiet_candidates = _move_choices.list_quiet_candidates(
                         self._state, now)
-                if _move_choices.has_quiet_worker(self._state, job,
-                                                  quiet_candidates):
+                if (job.compute_waited_s(now) < MAX_START_WAIT_S and
+                        _move_choices.has_quiet_worker(self._state, job,
+                                                       quiet_candidates)):
                     continue  # A task of the job starts here at once.
             choice = _choose_new_group(job, own_load, reports, now)
             if may_ignore_interference and not choice.group:
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -79,7 +79,8 @@
         """Guards against a wait beside a worker of another group that is free.
 
         The tasks interfere in the other group, too, so that no report shows
-        room for them. The other group is busy on the mean.
+        room for them. The other group is busy on the mean. In the last case,
+        something else keeps the job from starting in its own group.
         """
         other = builders.GroupDriver(builders.build_worker("far"),
                                      *(builders.build_worker(worker_id,
@@ -93,13 +94,16 @@
         other.interference.merge(
             [dispatch.InterferenceEstimate("watch", "bundle", 80.0, 9.0)])
         load = other.scheduler.compute_load(other.now)
-        self.driver.put_job(JOB_ID, STEP)
-        for cpu_millis, destinations in ((9000, []), (6000, ["north-2"])):
-            with self.subTest(cpu_millis=cpu_millis):
+        for cpu_millis, unplanned_s, destinations in ((9000, 0.3, []),
+                                                      (6000, 0.3, ["north-2"]),
+                                                      (9000, 0.7, ["north-2"])):
+            with self.subTest(cpu_millis=cpu_millis, unplanned_s=unplanned_s):
+                self.setUp()
                 self.driver.scheduler.put_worker(
                     builders.build_worker("other", cpu_millis=cpu_millis))
-                self.assertEqual(self.pass_time(2.3), [])
-                self.driver.now += 0.2
+                self.driver.put_job(JOB_ID, STEP)
+                self.assertEqual(self.pass_time(2.1), [])
+                self.driver.now += unplanned_s
                 scheduler = self.driver.scheduler
                 own_load = scheduler.compute_load(self.driver.now)
                 reports = {
