Take the room of a moved best-effort job out of the report of its new group

The move now takes the room of the task that starts at once. In test_jobs_move_only_into_the_memory_that_is_free, three of six jobs move; six moved before. The CPU of a best-effort task is not counted, as elsewhere.

--- a/src/gentianlead/dispatch/_load.py
+++ b/src/gentianlead/dispatch/_load.py
@@ -298,7 +298,11 @@
     free_rooms = load.free_rooms
     probation_rooms = load.probation_rooms
     reclaimable_rooms = load.reclaimable_rooms
+    quiet_rooms = load.quiet_rooms
     for _ in range(task_count):
+        quiet_number = _rooms.find_room(quiet_rooms, step, service)
+        if quiet_number is not None:
+            quiet_rooms = _rooms.take_room(quiet_rooms, quiet_number, step)
         number = _rooms.find_room(free_rooms, step, service)
         if number is not None:
             free_rooms = _rooms.take_room(free_rooms, number, step)
@@ -316,7 +320,8 @@
             break
     return load._replace(free_rooms=free_rooms,
                          probation_rooms=probation_rooms,
-                         reclaimable_rooms=reclaimable_rooms)
+                         reclaimable_rooms=reclaimable_rooms,
+                         quiet_rooms=quiet_rooms)
 
 
 def compute_job_demand(job: _runs.JobRun) -> JobDemand:
--- a/src/gentianlead/dispatch/_move_choices.py
+++ b/src/gentianlead/dispatch/_move_choices.py
@@ -55,7 +55,8 @@
 STAY = MoveChoice("")
 
 
-def _find_waiting_best_effort_step(job: _runs.JobRun) -> _runs.StepRun | None:
+def find_waiting_best_effort_step(job: _runs.JobRun) -> _runs.StepRun | None:
+    """Returns the first best-effort step with a task that lacks capacity."""
     return next(
         (step_run for step_run in job.steps.values()
          if step_run.step.is_best_effort and step_run.waiting_indexes and
@@ -91,7 +92,7 @@
     with the most room is chosen. The job stays if its own group has room for
     the task, as something else then keeps the step from starting.
     """
-    step_run = _find_waiting_best_effort_step(job)
+    step_run = find_waiting_best_effort_step(job)
     if step_run is None:
         return STAY
     step = step_run.step
@@ -113,7 +114,7 @@
 
     That holds on workers that are not busy, see `Relaxation`.
     """
-    return (_find_waiting_best_effort_step(job) is not None and
+    return (find_waiting_best_effort_step(job) is not None and
             job.compute_waited_s(now)
             >= _relaxation.IGNORE_INTERFERENCE_DELAY.total_seconds())
 
@@ -137,7 +138,7 @@
         job: A job with a waiting best-effort step.
         candidates: Result of `list_quiet_candidates`.
     """
-    step = _find_waiting_best_effort_step(job).step
+    step = find_waiting_best_effort_step(job).step
     relaxation = _placement.Relaxation.IGNORE_INTERFERENCE_UNLESS_BUSY
     return any(candidate.worker.entry.service == job.service and
                _placement.find_obstacle(candidate, step, {}, state.interference,
@@ -160,7 +161,7 @@
         may_return: Whether it may be a group that tasks of the job have left.
         now: Present monotonic time in seconds.
     """
-    step = _find_waiting_best_effort_step(job).step
+    step = find_waiting_best_effort_step(job).step
     rooms = {
         group:
             _rooms.find_largest_room(report.load.quiet_rooms, step, job.service)
--- a/src/gentianlead/dispatch/_moves.py
+++ b/src/gentianlead/dispatch/_moves.py
@@ -156,7 +156,7 @@
                 if (job.compute_waited_s(now) < MAX_START_WAIT_S and
                         _move_choices.has_quiet_worker(self._state, job,
                                                        quiet_candidates)):
-                    continue  # A task of the job starts here at once.
+                    continue  # A worker of this group may take a task now.
             choice = _choose_new_group(job, own_load, reports, now)
             if may_ignore_interference and not choice.group:
                 choice = _move_choices.choose_group_with_quiet_worker(
@@ -170,7 +170,8 @@
                 self._add_recent_move(
                     reports,
                     _RecentMove(choice.group, demand, now, job,
-                                move.record.move_number))
+                                move.record.move_number,
+                                _list_taken_rooms(job, choice)))
                 own_load = _load.subtract_demand_from_load(own_load, demand)
         for job, step_run in self._state.list_unplaced_steps(now):
             if job.pending_move_number is not None:
@@ -289,6 +290,15 @@
         _add_move_to_report(reports, move)
 
 
+def _list_taken_rooms(job: _runs.JobRun,
+                      choice: _move_choices.MoveChoice) -> _TakenRooms | None:
+    """Returns the room of the task that a whole job starts at once."""
+    if choice.reason is not _move_choices.MoveReason.QUIET_WORKER:
+        return None
+    step = _move_choices.find_waiting_best_effort_step(job).step
+    return _TakenRooms(step, job.service, 1)
+
+
 def _add_move_to_report(reports: dict[str, _admission.GroupReport],
                         move: _RecentMove) -> None:
     report = reports.get(move.group)
--- a/src/gentianlead/dispatch/tests/test_relaxation.py
+++ b/src/gentianlead/dispatch/tests/test_relaxation.py
@@ -75,13 +75,8 @@
         self.driver.put_job(JOB_ID, STEP)
         self.assertEqual(self.pass_time(20.0), [])
 
-    def test_job_moves_to_a_worker_that_is_not_busy(self):
-        """Guards against a wait beside a worker of another group that is free.
-
-        The tasks interfere in the other group, too, so that no report shows
-        room for them. The other group is busy on the mean. In the last case,
-        something else keeps the job from starting in its own group.
-        """
+    def build_other_load(self) -> dispatch.GroupLoad:
+        """Returns the load of a group with one worker that is not busy."""
         other = builders.GroupDriver(builders.build_worker("far"),
                                      *(builders.build_worker(worker_id,
                                                              cpu_millis=4000)
@@ -93,7 +88,27 @@
         other.start_all()
         other.interference.merge(
             [dispatch.InterferenceEstimate("watch", "bundle", 80.0, 9.0)])
-        load = other.scheduler.compute_load(other.now)
+        return other.scheduler.compute_load(other.now)
+
+    def plan_moves(self, other_load: dispatch.GroupLoad):
+        """Plans the moves beside one other group with the given load."""
+        scheduler = self.driver.scheduler
+        own_load = scheduler.compute_load(self.driver.now)
+        reports = {
+            group: dispatch.GroupReport(group_load, self.driver.now)
+            for group, group_load in (("north-1", own_load), ("north-2",
+                                                              other_load))
+        }
+        return scheduler.plan_moves(lambda: own_load, reports, self.driver.now)
+
+    def test_job_moves_to_a_worker_that_is_not_busy(self):
+        """Guards against a wait beside a worker of another group that is free.
+
+        The tasks interfere in the other group, too, so that no report shows
+        room for them. The other group is busy on the mean. In the last case,
+        something else keeps the job from starting in its own group.
+        """
+        load = self.build_other_load()
         for cpu_millis, unplanned_s, destinations in ((9000, 0.3, []),
                                                       (6000, 0.3, ["north-2"]),
                                                       (9000, 0.7, ["north-2"])):
@@ -104,20 +119,24 @@
                 self.driver.put_job(JOB_ID, STEP)
                 self.assertEqual(self.pass_time(2.1), [])
                 self.driver.now += unplanned_s
-                scheduler = self.driver.scheduler
-                own_load = scheduler.compute_load(self.driver.now)
-                reports = {
-                    group: dispatch.GroupReport(group_load, self.driver.now)
-                    for group, group_load in (("north-1", own_load), ("north-2",
-                                                                      load))
-                }
-                moves = scheduler.plan_moves(lambda load=own_load: load,
-                                             reports,
-                                             self.driver.now)
+                moves = self.plan_moves(load)
                 self.assertEqual(
                     [move.record.destination_group for move in moves],
                     destinations)
 
+    def test_jobs_move_only_into_the_memory_that_is_free(self):
+        """Guards against jobs that all move to one worker in one pass."""
+        load = self.build_other_load()
+        self.driver.scheduler.put_worker(
+            builders.build_worker("other", cpu_millis=6000))
+        memory_mib = max(room.memory_mib for room in load.quiet_rooms) // 3
+        for number in range(6):
+            self.driver.put_job(f"{number:016x}",
+                                STEP._replace(memory_mib=memory_mib))
+        self.pass_time(2.1)
+        self.driver.now += 0.3
+        self.assertEqual(len(self.plan_moves(load)), 3)
+
 
 class IdleFleetTest(unittest.TestCase):
     """Tests days of the model of groups with drawn images and services.
