Show four ways in which a task that was done starts again; list them

A leader withholds the acknowledgement of a done run that it gave up, but knows of it only in its own state of one worker: a later leader, a leader that had not seen the worker, a worker that was dropped and listed again, and a task that moved away lose it.

--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _lapsed_runs
 from gentianlead.dispatch.tests import builders
@@ -74,3 +75,121 @@
                                  expected_number)
                 self.assertEqual(self.worker.lapsed_runs.withholds_ends,
                                  not expected_number)
+
+
+class ForgottenRunTest(unittest.TestCase):
+    """The leader that is to acknowledge an end did not give the run up."""
+
+    def setUp(self):
+        self.driver = builders.GroupDriver(builders.build_worker())
+        self.driver.put_job(JOB_ID)
+        (self.order,) = self.driver.start_all()
+        self.driver.now += 1.0
+        self.driver.apply_status(
+            running=(builders.build_active_run(self.order),))
+
+    def count_acknowledged_ends(self, driver: builders.GroupDriver) -> int:
+        """Returns up to which end a leader acknowledges that of the run."""
+        driver.apply_status(
+            ended=(builders.build_ended_run(self.order, 1),
+                   builders.build_ended_run(self.order._replace(
+                       run=1000), 2, ports.EndCause.STOPPED)))
+        worker = driver.scheduler.workers["w1"]
+        worker.last_stored_end_number = worker.last_applied_end_number
+        return worker.acknowledged_end_number
+
+    def build_successor(self) -> builders.GroupDriver:
+        """Builds a later leader that has not seen the worker of the run."""
+        successor = builders.GroupDriver(now=self.driver.now,
+                                         epoch=builders.EPOCH + 1,
+                                         leadership_offset=500)
+        successor.put_job(JOB_ID)
+        successor.scheduler.put_recorded_worker(builders.build_worker(),
+                                                successor.now)
+        successor.scheduler.put_worker(builders.build_worker())
+        return successor
+
+    def test_worker_that_was_dropped(self):
+        """Guards against an acknowledged end of a task that started again.
+
+        The worker left the registry while its lease expired, and came back.
+        """
+        scheduler = self.driver.scheduler
+        self.driver.add_worker(builders.build_worker("w2"))
+        scheduler.mark_unreachable("w1", self.driver.now)
+        scheduler.mark_worker_removed("w1", self.driver.now)
+        self.driver.now += 2 * builders.LEASE.total_seconds()
+        self.driver.apply_status("w2")
+        self.assertEqual(len(self.driver.start_all()), 1)
+        self.assertEqual(scheduler.drop_removed_workers(self.driver.now),
+                         ["w1"])
+        scheduler.put_worker(builders.build_worker())
+        self.assertEqual(self.count_acknowledged_ends(self.driver), 0)
+
+    def test_successor_that_had_not_seen_the_worker(self):
+        """Guards against an acknowledged end of a task that started again.
+
+        The takeover wait was over before the worker replied.
+        """
+        successor = self.build_successor()
+        successor.add_worker(builders.build_worker("w2"))
+        successor.now += builders.TAKEOVER_WAIT.total_seconds()
+        # The run may have crashed its worker, so the next one is stored ahead.
+        for _ in range(2):
+            successor.now += 1.0
+            successor.apply_status("w2")
+            started = successor.start_all()
+            successor.flush()
+        self.assertEqual([order.task for order in started], [self.order.task])
+        self.assertEqual(self.count_acknowledged_ends(successor), 0)
+
+    def test_successor_of_the_leader_that_gave_the_run_up(self):
+        """Guards against an acknowledged end of a task that started again.
+
+        The task is done by its later run, so that nothing of it runs any more.
+        """
+        scheduler = self.driver.scheduler
+        self.driver.add_worker(builders.build_worker("w2"))
+        scheduler.mark_unreachable("w1", self.driver.now)
+        self.driver.now += 2 * builders.LEASE.total_seconds()
+        self.driver.apply_status("w2")
+        (order,) = self.driver.start_all()
+        self.driver.apply_status("w2", ended=(builders.build_ended_run(order),))
+        (record,) = self.driver.flush()
+        self.assertIs(record.state, model.JobState.COMPLETED)
+        successor = self.build_successor()
+        entry = builders.build_job_entry(builders.build_job(JOB_ID))._replace(
+            progress_by_group={record.group: record})
+        successor.scheduler.forget_job(JOB_ID)
+        successor.scheduler.find_job_entry = {JOB_ID: entry}.get
+        self.assertEqual(self.count_acknowledged_ends(successor), 0)
+
+    def test_successor_that_started_nothing(self):
+        """Guards against ends that are never acknowledged after a takeover."""
+        successor = self.build_successor()
+        self.assertEqual(self.count_acknowledged_ends(successor), 2)
+
+    def test_task_that_moved_away(self):
+        """Guards against an acknowledged end of a task of another group.
+
+        Its former group gave the run up before the move, under another leader.
+        """
+        successor = self.build_successor()
+        for has_progress, expected_number in ((False, 0), (True, 2)):
+            with self.subTest(has_progress=has_progress):
+                entry = builders.build_job_entry(
+                    builders.build_job(JOB_ID))._replace(
+                        assignment=("north-2",),
+                        assignment_offsets={"north-2": 600})
+                if has_progress:
+                    self.driver.apply_status(
+                        ended=(builders.build_ended_run(self.order),))
+                    (record,) = self.driver.flush()
+                    entry = entry._replace(
+                        progress_by_group={record.group: record})
+                    successor = self.build_successor()
+                successor.scheduler.find_job_entry = {JOB_ID: entry}.get
+                successor.scheduler.put_job(entry)
+                self.assertNotIn(JOB_ID, successor.scheduler.jobs)
+                self.assertEqual(self.count_acknowledged_ends(successor),
+                                 expected_number)
