Name unknown members, quiet workers and waits by plain terms

Findings of the review: presumed nodes become unknown nodes, and the log value desperate-unless-busy, which is new, ignore-interference-unless-busy. Each of two waits gets its own reason. No change of behaviour.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -385,7 +385,7 @@
                       if any(
                           worker.worker_id not in self._worker_registry.entries
                           for worker in workers)),
-            self._membership.find_presumed_members(reachability))
+            self._membership.find_unknown_members(reachability))
 
     async def _acquire_leadership(self, group: str,
                                   takeover_reason: str) -> None:
--- a/src/gentianlead/cluster/_membership.py
+++ b/src/gentianlead/cluster/_membership.py
@@ -72,7 +72,7 @@
         current_records.pop(self._node, None)
         self._members = current_records
 
-    def find_presumed_members(
+    def find_unknown_members(
             self, reachability: _peering.Reachability) -> frozenset[str]:
         """Returns the members of which this daemon knows no connection state.
 
--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -28,8 +28,8 @@
 CONNECTION_LINGER = datetime.timedelta(seconds=5)
 """Time for which a usable connection to a daemon is kept after it was last
 wanted, so that candidates that come and go do not open and close connections.
-For as long a lost connection tells that a daemon is unreachable, before it was
-dialed again."""
+A connection that was lost within this time marks its daemon as unreachable until
+a dial succeeds."""
 
 
 class Reachability(NamedTuple):
@@ -53,13 +53,13 @@
         address: `host:port` of the daemon.
         wanted_at: Monotonic time in seconds at which the connection was last
             wanted.
-        follows_lost_link: Whether the connection replaces one that was usable
+        replaces_lost_link: Whether the connection replaces one that was usable
             and is not any more.
     """
 
     address: str
     wanted_at: float
-    follows_lost_link: bool
+    replaces_lost_link: bool
 
 
 # Serves a call: takes the encoded message and returns the result to encode.
@@ -229,7 +229,7 @@
         unreachable_names = set()
         for name in self._selected_names - reachable_names:
             dialed_daemon = self._dialed_daemons.get(name)
-            if (dialed_daemon is None or dialed_daemon.follows_lost_link or
+            if (dialed_daemon is None or dialed_daemon.replaces_lost_link or
                     dialed_daemon.address in failed_addresses):
                 unreachable_names.add(name)
         return Reachability(reachable_names, frozenset(unreachable_names))
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -94,9 +94,9 @@
         now: Present monotonic time in seconds.
         groups_with_missing_workers: Groups with a stored worker that the
             registry does not list.
-        presumed_nodes: Names of current members whose peer connection this
-            daemon does not know. They count as reachable for the order in which
-            members take over, and for nothing else.
+        unknown_nodes: Names of current members whose peer connection this
+            daemon does not know. They count for the order in which members
+            take over, and for nothing else.
     """
 
     node: str
@@ -107,7 +107,7 @@
     joined_at: float
     now: float
     groups_with_missing_workers: frozenset[str] = frozenset()
-    presumed_nodes: frozenset[str] = frozenset()
+    unknown_nodes: frozenset[str] = frozenset()
 
 
 def choose_epoch(known_epoch: int, node: str) -> int:
@@ -155,7 +155,7 @@
         frozenset((name, member.record.domain)
                   for name, member in view.members.items()
                   if name == view.node or name in view.reachable_nodes or
-                  name in view.presumed_nodes))
+                  name in view.unknown_nodes))
     ranked_names = ranked_members.of_domain + ranked_members.others
     if view.node not in ranked_names:
         return None
--- a/src/gentianlead/dispatch/_placement.py
+++ b/src/gentianlead/dispatch/_placement.py
@@ -84,7 +84,7 @@
 
     NORMAL = "normal"
     IGNORE_SPARE_CPU = "starving"
-    IGNORE_INTERFERENCE_UNLESS_BUSY = "desperate-unless-busy"
+    IGNORE_INTERFERENCE_UNLESS_BUSY = "ignore-interference-unless-busy"
     IGNORE_INTERFERENCE = "desperate"
 
 
--- a/src/gentianlead/dispatch/_relaxation.py
+++ b/src/gentianlead/dispatch/_relaxation.py
@@ -11,16 +11,17 @@
 after it has lacked capacity for this time."""
 
 IGNORE_INTERFERENCE_DELAY = datetime.timedelta(milliseconds=2200)
-"""After this time it may also start the task beside latency-critical tasks with
+"""Wait after which such a job may also start the task beside latency-critical tasks with
 which the task interferes, on a worker that is not busy. By the users' rules, a
 job must not have nothing running for 3 s beside enough free capacity. A move to
-such a worker takes another 0.3 s, and one after it 0.4 s more."""
+such a worker takes another 0.3 s, and a second move 0.4 s more."""
 
 ANY_WORKER_DELAY = datetime.timedelta(seconds=8)
+"""Wait after which such a job may start the task on any worker of its group."""
+
 BUSY_ANY_WORKER_DELAY = datetime.timedelta(seconds=30)
-"""After this time it may start the task on any worker, in a group that is not
-busy and in a busy one: on a busy worker an interfering best-effort task is
-throttled to a standstill, so it only does harm."""
+"""Replaces `ANY_WORKER_DELAY` in a busy group: on a busy worker an interfering
+best-effort task is throttled to a standstill, so it only does harm."""
 
 
 def is_group_busy(candidates: Iterable[_placement.Candidate]) -> bool:
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -129,8 +129,7 @@
                 view = build_election_view(names[-1],
                                            members=members,
                                            reachable_nodes=frozenset(names[:1]),
-                                           presumed_nodes=frozenset(
-                                               names[1:-1]))
+                                           unknown_nodes=frozenset(names[1:-1]))
                 leader = build_leader("lost", 100.0 - silence_s)
                 self.assertEqual(
                     bool(dispatch.find_reason_to_lead(GROUP, leader, view)),
--- a/src/gentianlead/dispatch/tests/test_peer_selection.py
+++ b/src/gentianlead/dispatch/tests/test_peer_selection.py
@@ -146,7 +146,7 @@
             joined_at=100.0,
             reachable_nodes=frozenset(
                 peer for peer in states if states[peer] and peer != name),
-            presumed_nodes=frozenset(
+            unknown_nodes=frozenset(
                 peer for peer in states if states[peer] is None))
         return bool(
             dispatch.find_reason_to_lead("z1",
