--- a/src/gentianlead/cluster/_peering.py
+++ b/src/gentianlead/cluster/_peering.py
@@ -28,8 +28,8 @@
 CONNECTION_LINGER = datetime.timedelta(seconds=5)
 """Time for which a usable connection to a daemon is kept after it was last
 wanted, so that candidates that come and go do not open and close connections.
-A connection that was lost within this time marks its daemon as unreachable until
-a dial succeeds."""
+A connection that was lost within this time marks its daemon as unreachable
+until a dial succeeds."""
 
 
 class Reachability(NamedTuple):
--- a/src/gentianlead/dispatch/_relaxation.py
+++ b/src/gentianlead/dispatch/_relaxation.py
@@ -11,10 +11,10 @@
 after it has lacked capacity for this time."""
 
 IGNORE_INTERFERENCE_DELAY = datetime.timedelta(milliseconds=2200)
-"""Wait after which such a job may also start the task beside latency-critical tasks with
-which the task interferes, on a worker that is not busy. By the users' rules, a
-job must not have nothing running for 3 s beside enough free capacity. A move to
-such a worker takes another 0.3 s, and a second move 0.4 s more."""
+"""Wait after which such a job may also start the task beside latency-critical
+tasks with which it interferes, on a worker that is not busy. By the users'
+rules, a job must not have nothing running for 3 s beside enough free capacity.
+A move to such a worker takes another 0.3 s, and a second move 0.4 s more."""
 
 ANY_WORKER_DELAY = datetime.timedelta(seconds=8)
 """Wait after which such a job may start the task on any worker of its group."""
