--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -50,6 +50,9 @@
         order_retries: Number of stop orders and throttle orders that were sent
             again after a failure, by order (`stop` or `throttle`).
         run_ends: Number of runs that ended, by cause.
+        late_ends: Number of ends of done runs that the leader of a group did
+            not track, by outcome: `acknowledged`, or `withheld` as the task may
+            have started again since.
         crash_events: Number of decisions on tasks that may crash their workers,
             by event: a crash was counted against a task, a probation began or
             ended, or a task was given up.
@@ -119,6 +122,8 @@
         self.order_retries = self._add_counter(
             "order_retries_total", "Orders sent again after a failure")
         self.run_ends = self._add_counter("run_ends_total", "Ends of runs")
+        self.late_ends = self._add_counter(
+            "late_ends_total", "Ends of runs that the leader did not track")
         self.crash_events = self._add_counter(
             "crash_events_total", "Decisions on tasks that crash workers")
         self.store_calls = self._add_counter("store_calls_total",
--- a/src/gentianlead/cluster/_scheduler_log.py
+++ b/src/gentianlead/cluster/_scheduler_log.py
@@ -8,7 +8,10 @@
 def report_run_ends(scheduler: dispatch.GroupScheduler,
                     log: _decision_log.DecisionLog,
                     metrics: _metrics.ClusterMetrics) -> None:
-    """Logs and counts the ends of runs since the last call."""
+    """Logs and counts the ends of runs since the last call.
+
+    Ends of done runs that the leader did not track have lines of their own.
+    """
     ended_runs = scheduler.ended_runs
     scheduler.ended_runs = []
     for ended_run in ended_runs:
@@ -20,6 +23,21 @@
                   worker=ended_run.worker_id,
                   cause=ended_run.cause,
                   seconds=round(ended_run.seconds, 3))
+    late_ends, scheduler.late_ends = scheduler.late_ends, []
+    for late_end in late_ends:
+        metrics.late_ends.inc(
+            {"outcome": "withheld" if late_end.is_withheld else "acknowledged"})
+        log.write("late-end",
+                  group=scheduler.group,
+                  epoch=scheduler.epoch,
+                  job=late_end.task.job_id,
+                  task=tuple(late_end.task[1:]),
+                  run=late_end.run,
+                  worker=late_end.worker_id,
+                  number=late_end.number,
+                  state=late_end.task_state.value,
+                  last_run=late_end.last_run,
+                  withheld=late_end.is_withheld)
 
 
 def report_crash_events(scheduler: dispatch.GroupScheduler,
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -18,6 +18,7 @@
 from gentianlead import ports
 from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
+from gentianlead.dispatch import _lapsed_runs
 from gentianlead.dispatch import _lease_calls
 from gentianlead.dispatch import _move_delays
 from gentianlead.dispatch import _orders
@@ -49,6 +50,8 @@
             registry stay until `drop_removed_workers`.
         ended_runs: Ends of runs that were applied since the caller last emptied
             this list, without refused starts.
+        late_ends: Ends of done runs that this leader did not track, since the
+            caller last emptied this list.
         refused_starts: Starts of long-running tasks that were refused since the
             task last started.
         is_evacuated: Whether operators took the group out of service.
@@ -73,6 +76,7 @@
         self.jobs: dict[str, _runs.JobRun] = {}
         self.workers: dict[str, _workers.WorkerState] = {}
         self.ended_runs: list[_orders.AppliedRunEnd] = []
+        self.late_ends: list[_lapsed_runs.LateEnd] = []
         self.refused_starts: dict[model.TaskKey, _orders.RefusedStarts] = {}
         self.is_evacuated = False
         self.is_reconciled = False
@@ -263,6 +267,10 @@
         worker.lapsed_runs.apply_end(ended_run,
                                      job.last_run_number if job else None)
         if run is None:
+            if ended_run.cause is ports.EndCause.DONE:
+                self.late_ends.append(
+                    _lapsed_runs.describe_late_end(worker.worker_id, ended_run,
+                                                   job, worker.lapsed_runs))
             if job is not None and ended_run.cause is ports.EndCause.DONE:
                 job.mark_task_done(ended_run.task)
             elif job is not None and ended_run.cause is ports.EndCause.FAILED:
--- a/src/gentianlead/dispatch/_lapsed_runs.py
+++ b/src/gentianlead/dispatch/_lapsed_runs.py
@@ -6,14 +6,59 @@
 would confirm a result that another run has replaced.
 """
 
+import enum
+from typing import NamedTuple
+
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _runs
 
 MAX_WITHHELD_ENDS = 300
 """Number of listed ends up to which acknowledgements are withheld. A report
 lists 500 ends at most, and the leader must see all later ones."""
 
 
+class TaskState(enum.Enum):
+    """What a leader knows of a task; the value is the text in its log.
+
+    Attributes:
+        WAITING: The task waits for a start in this group.
+        ACTIVE: The leader tracks a run of it.
+        DONE: The task is done.
+        ELSEWHERE: The task belongs to another group.
+        UNKNOWN: The leader does not have the job.
+    """
+
+    WAITING = "waiting"
+    ACTIVE = "active"
+    DONE = "done"
+    ELSEWHERE = "elsewhere"
+    UNKNOWN = "unknown"
+
+
+class LateEnd(NamedTuple):
+    """End of a done run that the leader did not track, for the log.
+
+    Attributes:
+        worker_id: Worker of the run.
+        task: The task.
+        run: Number of the run.
+        number: Number of the end at the worker.
+        task_state: What the leader knew of the task.
+        last_run: Highest run number of the job that the leader knew; 0 if it
+            does not have the job.
+        is_withheld: Whether the end is not acknowledged.
+    """
+
+    worker_id: str
+    task: model.TaskKey
+    run: int
+    number: int
+    task_state: TaskState
+    last_run: int
+    is_withheld: bool
+
+
 class LapsedRuns:
     """Decides which run ends of one worker are not acknowledged."""
 
@@ -65,3 +110,35 @@
         if self._withheld_number is None:
             return number
         return min(number, self._withheld_number - 1)
+
+
+def describe_late_end(worker_id: str, ended_run: ports.EndedRun,
+                      job: _runs.JobRun | None,
+                      lapsed_runs: LapsedRuns) -> LateEnd:
+    """Describes an end that was just applied to the runs of its worker.
+
+    Args:
+        worker_id: Worker of the run.
+        ended_run: The end.
+        job: The job, to which the end has not been applied; None if the leader
+            does not have it.
+        lapsed_runs: Runs of the worker, to which the end has been applied.
+    """
+    return LateEnd(worker_id, ended_run.task, ended_run.run, ended_run.number,
+                   _find_task_state(ended_run.task, job),
+                   job.last_run_number if job is not None else 0,
+                   lapsed_runs.withholds_ends)
+
+
+def _find_task_state(task: model.TaskKey,
+                     job: _runs.JobRun | None) -> TaskState:
+    step_run = job.get_step(task) if job is not None else None
+    if step_run is None:
+        return TaskState.UNKNOWN
+    if task.index in step_run.done_indexes:
+        return TaskState.DONE
+    if task.index in step_run.active_runs:
+        return TaskState.ACTIVE
+    if task.index in step_run.waiting_indexes:
+        return TaskState.WAITING
+    return TaskState.ELSEWHERE
