Store which runs were given up before their tasks start again

Callers saw tasks run again after they were done (TWICE). A leader gives up the runs of a worker that it cannot reach, once their lease has expired, and starts their tasks again. If the worker had done a run before that, its end must not be acknowledged later. Only the memory of the leader that gave the run up, in its state of that worker, said so: a successor, the former group of a moved task, a leader that had not seen the worker, and a worker that left the registry and came back all led to an acknowledgement. Class: what a decision that lasts depends on was kept by a process that does not.

Now the task starts again only once a record says below which number its runs may have been given up. Every leader of every group reads it, for jobs that have ended, too. A leader whose takeover wait is over before it has seen all workers stores the same for all tasks that may have run there. Ends of a task that has left the group without being done there are withheld as well. The record has a key of its own, so that daemons of the former version go on without it; with the field in the progress record they could not have read the progress.

Ruled out: asking the worker for a proof. It does not notice an expiry of its lease while it runs nothing, and acknowledges are cumulative.

The tests' driver stores the new record within a plan, as the leader does before it starts such a task.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -205,7 +205,7 @@
         try:
             async with asyncio.timeout(RESIGNATION_TIMEOUT.total_seconds()):
                 await self._end_flushes()
-                progress_records = self.scheduler.take_dirty_progress()
+                progress_records = self.scheduler.take_unstored_records()
                 await self._topic_writer.append_each(progress_records)
         except (TimeoutError, ports.StoreError) as error:
             self._log.write("handover-not-stored",
@@ -439,8 +439,8 @@
             worker_id: (worker.born_ms, worker.last_applied_end_number)
             for worker_id, worker in self.scheduler.workers.items()
         }
-        progress_records = self.scheduler.take_dirty_progress()
-        records: list[dispatch.Record] = list(progress_records)
+        progress_records = self.scheduler.take_unstored_records()
+        records = list(progress_records)
         workers_record = self.scheduler.build_workers_record()
         if workers_record is not None:
             records.append(workers_record)
@@ -471,17 +471,16 @@
         self._flush_done = asyncio.Event()
         self._report_states(progress_records)
 
-    def _report_states(self, records: list[dispatch.ProgressRecord]) -> None:
+    def _report_states(self, records: list[dispatch.Record]) -> None:
         has_ended_job = False
         for record in records:
+            if not isinstance(record, dispatch.ProgressRecord):
+                continue
             self._unsent_job_states.append(
                 _peer_messages.JobStateNotice(record.job_id, record.state))
             if record.state.is_final:
                 has_ended_job = True
-                self._log.write("job-ended",
-                                job=record.job_id,
-                                group=self.group,
-                                state=record.state.value)
+                _scheduler_log.report_job_end(record, self._log)
                 self.scheduler.forget_job(record.job_id)
         if has_ended_job:
             self._send_report(self._clock.monotonic())
@@ -526,7 +525,7 @@
             if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
-            if worker.lapsed_runs.withholds_ends:
+            if not worker.withheld_ends.is_empty:
                 await self._clock.sleep(_status_polls.WITHHELD_POLL_INTERVAL)
             if worker.last_applied_end_number > worker.last_stored_end_number:
                 self._flush_requested.set()
--- a/src/gentianlead/cluster/_job_moves.py
+++ b/src/gentianlead/cluster/_job_moves.py
@@ -41,8 +41,11 @@
     async def _store_move(self, move: dispatch.PlannedMove) -> None:
         group = self._scheduler.group
         record = move.record
-        await self._store_records(
-            [move.job.build_progress(group, self._scheduler.epoch), record])
+        epoch = self._scheduler.epoch
+        await self._store_records([
+            *dispatch.build_run_limits(move.job, group, epoch),
+            move.job.build_progress(group, epoch), record
+        ])
         self._log.write("tasks-moved",
                         job=record.job_id,
                         group=group,
--- a/src/gentianlead/cluster/_scheduler_log.py
+++ b/src/gentianlead/cluster/_scheduler_log.py
@@ -25,8 +25,9 @@
                   seconds=round(ended_run.seconds, 3))
     late_ends, scheduler.late_ends = scheduler.late_ends, []
     for late_end in late_ends:
-        metrics.late_ends.inc(
-            {"outcome": "withheld" if late_end.is_withheld else "acknowledged"})
+        metrics.late_ends.inc({
+            "outcome": "withheld" if late_end.is_superseded else "acknowledged"
+        })
         log.write("late-end",
                   group=scheduler.group,
                   epoch=scheduler.epoch,
@@ -37,7 +38,16 @@
                   number=late_end.number,
                   state=late_end.task_state.value,
                   last_run=late_end.last_run,
-                  withheld=late_end.is_withheld)
+                  superseded=late_end.is_superseded)
+
+
+def report_job_end(record: dispatch.ProgressRecord,
+                   log: _decision_log.DecisionLog) -> None:
+    """Logs the final state of a job that a group has stored."""
+    log.write("job-ended",
+              job=record.job_id,
+              group=record.group,
+              state=record.state.value)
 
 
 def report_crash_events(scheduler: dispatch.GroupScheduler,
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -45,6 +45,8 @@
 from gentianlead.dispatch._member_ranks import count_rankings
 from gentianlead.dispatch._moves import JOB_MOVE_DELAY
 from gentianlead.dispatch._moves import PlannedMove
+from gentianlead.dispatch._objectives import compute_critical_path_ms
+from gentianlead.dispatch._objectives import compute_deadline_ms
 from gentianlead.dispatch._orders import AppliedRunEnd
 from gentianlead.dispatch._orders import GroupTimings
 from gentianlead.dispatch._orders import Order
@@ -74,15 +76,15 @@
 from gentianlead.dispatch._records import ProgressRecord
 from gentianlead.dispatch._records import Record
 from gentianlead.dispatch._records import RemovedKey
+from gentianlead.dispatch._records import RunLimitsRecord
 from gentianlead.dispatch._records import TaskProgress
 from gentianlead.dispatch._records import JOB_TOPIC
 from gentianlead.dispatch._records import WorkersRecord
 from gentianlead.dispatch._retention import EARLY_CANCELLATION_RETENTION
 from gentianlead.dispatch._retention import RETENTION_MARGIN
 from gentianlead.dispatch._retention import RetentionPlanner
-from gentianlead.dispatch._runs import compute_critical_path_ms
-from gentianlead.dispatch._runs import compute_deadline_ms
 from gentianlead.dispatch._runs import JobRun
+from gentianlead.dispatch._superseded_runs import build_run_limits
 from gentianlead.dispatch._task_runs import Run
 from gentianlead.dispatch._task_runs import RunPhase
 from gentianlead.dispatch._table import build_job_entry
--- a/src/gentianlead/dispatch/_admission.py
+++ b/src/gentianlead/dispatch/_admission.py
@@ -7,7 +7,7 @@
 
 from gentianlead import model
 from gentianlead.dispatch import _load
-from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _objectives
 
 MAX_REPORT_AGE = datetime.timedelta(seconds=2)
 """Age above which a group's load report is ignored: several report intervals.
@@ -362,7 +362,7 @@
     """
     if job.is_long_running or job.has_start_time:
         return 0
-    critical_path_ms = _runs.compute_critical_path_ms(job)
+    critical_path_ms = _objectives.compute_critical_path_ms(job)
     objective_ms = (job.queue.objective_factor * critical_path_ms +
                     job.queue.objective_slack_ms)
     return int(get_backlog_ms(job, load) - MAX_BACKLOG_FACTOR * objective_ms)
--- a/src/gentianlead/dispatch/_crashes.py
+++ b/src/gentianlead/dispatch/_crashes.py
@@ -502,15 +502,16 @@
 
 
 def mark_claims_stored(jobs: dict[str, _runs.JobRun],
-                       records: Iterable[_records.ProgressRecord]) -> bool:
-    """Marks the claimed starts in records that the caller has stored.
+                       records: Iterable[_records.Record]) -> bool:
+    """Marks the claimed starts in progress records that the caller has stored.
 
     Returns:
         Whether there are any, so that starts can be planned.
     """
     has_claim = False
     for record in records:
-        job = jobs.get(record.job_id)
+        job = (jobs.get(record.job_id)
+               if isinstance(record, _records.ProgressRecord) else None)
         if job is None:
             continue
         for task_progress in record.unfinished_tasks:
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -16,6 +16,7 @@
 from gentianlead.dispatch import _moves
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _superseded_runs
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _throttling
 from gentianlead.dispatch import _starting
@@ -148,14 +149,15 @@
                                               run.number, throttle_percent,
                                               run.throttle_retry.failure_count))
 
-    def mark_progress_stored(
-            self, records: Iterable[_records.ProgressRecord]) -> bool:
-        """Marks records of `take_dirty_progress` as stored.
+    def mark_progress_stored(self, records: Iterable[_records.Record]) -> bool:
+        """Marks records of progress and of run limits as stored.
 
         Returns:
             Whether starts waited for this.
         """
-        return _crashes.mark_claims_stored(self.jobs, records)
+        has_claim = _crashes.mark_claims_stored(self.jobs, records)
+        return _superseded_runs.mark_run_limits_stored(self.jobs,
+                                                       records) or has_claim
 
     def summarize(self, now: float) -> _load.GroupSummary:
         """Returns a summary of the group for the log."""
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -18,14 +18,13 @@
 from gentianlead import ports
 from gentianlead.dispatch import _crashes
 from gentianlead.dispatch import _interference
-from gentianlead.dispatch import _lapsed_runs
 from gentianlead.dispatch import _lease_calls
 from gentianlead.dispatch import _move_delays
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _task_runs
 from gentianlead.dispatch import _throttling
-from gentianlead.dispatch import _records
 from gentianlead.dispatch import _runs
+from gentianlead.dispatch import _superseded_runs
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _workers
@@ -76,7 +75,7 @@
         self.jobs: dict[str, _runs.JobRun] = {}
         self.workers: dict[str, _workers.WorkerState] = {}
         self.ended_runs: list[_orders.AppliedRunEnd] = []
-        self.late_ends: list[_lapsed_runs.LateEnd] = []
+        self.late_ends: list[_superseded_runs.LateEnd] = []
         self.refused_starts: dict[model.TaskKey, _orders.RefusedStarts] = {}
         self.is_evacuated = False
         self.is_reconciled = False
@@ -92,6 +91,8 @@
         # Start time of the instance of each recorded worker that has not shown
         # its runs to this leader, by identifier; 0 if it is not known.
         self._unseen_workers: dict[str, int] = {}
+        # Whether a recorded worker was given up before it has shown its runs.
+        self._has_unseen_runs = False
         # Whether the start times of all these instances were recorded.
         self._are_instances_known = True
         self._capacity_enforcing_services: frozenset[str] = frozenset()
@@ -159,6 +160,7 @@
             ) and (not worker.is_reachable or worker.is_lease_expired(now))
         ]
         for worker_id in removed_ids:
+            self._has_unseen_runs |= worker_id in self._unseen_workers
             self._mark_seen(self.workers[worker_id], False)
             del self.workers[worker_id]
         return removed_ids
@@ -264,13 +266,16 @@
                    ended_run: ports.EndedRun, now: float) -> None:
         run = worker.runs.pop((ended_run.task, ended_run.run), None)
         job = self.jobs.get(ended_run.task.job_id)
-        worker.lapsed_runs.apply_end(ended_run,
-                                     job.last_run_number if job else None)
+        is_superseded = run is None and _superseded_runs.is_superseded(
+            ended_run, self.group, job,
+            job.entry if job else self.find_job_entry(ended_run.task.job_id))
+        worker.withheld_ends.apply_end(ended_run, is_superseded)
         if run is None:
             if ended_run.cause is ports.EndCause.DONE:
                 self.late_ends.append(
-                    _lapsed_runs.describe_late_end(worker.worker_id, ended_run,
-                                                   job, worker.lapsed_runs))
+                    _superseded_runs.describe_late_end(worker.worker_id,
+                                                       ended_run, job,
+                                                       is_superseded))
             if job is not None and ended_run.cause is ports.EndCause.DONE:
                 job.mark_task_done(ended_run.task)
             elif job is not None and ended_run.cause is ports.EndCause.FAILED:
@@ -359,6 +364,7 @@
         step_run.mark_confirmed(run)
         step_run.waiting_indexes.discard(task.index)
         step_run.active_runs[task.index] = run
+        step_run.run_limits.mark_started(task.index, run_number)
         worker.runs[(task, run_number)] = run
         job.last_run_number = max(job.last_run_number, run_number)
         job.mark_started()
@@ -380,6 +386,7 @@
             if run_key not in reported_runs and run.has_vanished(
                     sent_at, longest_lease_s):
                 if run.phase is _task_runs.RunPhase.UNKNOWN:
+                    self._give_up_run(run)
                     worker.pause(_workers.LONG_REFUSAL_BACKOFF, now)
                 self.end_run(worker, run, None, now)
 
@@ -493,11 +500,14 @@
             if (worker.runs and not worker.is_reachable and
                     worker.is_lease_expired(now)):
                 for run in worker.runs.values():
-                    job = self.jobs.get(run.task.job_id)
-                    worker.lapsed_runs.add(run.task, run.number,
-                                           job.last_run_number if job else 0)
+                    self._give_up_run(run)
                 self._end_lost_runs(worker, False, now)
 
+    def _give_up_run(self, run: _task_runs.Run) -> None:
+        job = self.jobs.get(run.task.job_id)
+        if job is not None:
+            _superseded_runs.give_up_run(job, run)
+
     def mark_jobs_reconciled(self, now: float) -> None:
         """Marks all jobs as reconciled once every run that may exist is known.
 
@@ -505,13 +515,17 @@
         runs has replied to this leader, or when the takeover wait is over.
         Until then, nothing is marked.
         """
-        if now < self._takeover_ends_at and self.list_silent_workers():
-            return
+        if self.list_silent_workers():
+            if now < self._takeover_ends_at:
+                return
+            self._has_unseen_runs = True
         self.is_reconciled = True
         for worker_id in list(self._unseen_workers):
             if worker_id in self.workers:
                 self._mark_seen(self.workers[worker_id], False)
         for job in self.jobs.values():
+            if self._has_unseen_runs and not job.is_reconciled:
+                _superseded_runs.give_up_unseen_runs(job, self.epoch)
             self._mark_reconciled(job)
 
     def _mark_reconciled(self, job: _runs.JobRun) -> None:
@@ -546,20 +560,6 @@
         """
         self._takeover_ends_at = min(self._takeover_ends_at, ends_at)
 
-    def take_dirty_progress(self) -> list[_records.ProgressRecord]:
-        """Returns records of all progress that changed since the last call.
-
-        There is one record for each job whose progress changed. The caller has
-        to store the records.
-        """
-        progress_records = []
-        for job in self.jobs.values():
-            if job.is_dirty:
-                job.is_dirty = False
-                progress_records.append(
-                    job.build_progress(self.group, self.epoch))
-        return progress_records
-
     def list_movable_jobs(self) -> list[_runs.JobRun]:
         """Returns the jobs that may move to another group as a whole.
 
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -150,6 +150,13 @@
     done_tasks: tuple[DoneTasks, ...] = ()
     unfinished_tasks: tuple[TaskProgress, ...] = ()
 
+    def has_done(self, task: model.TaskKey) -> bool:
+        """Returns whether the record shows a task as done."""
+        return any((done_tasks.occurrence, done_tasks.step) == (
+            task.occurrence,
+            task.step) and has_mask_index(done_tasks.done_mask, task.index)
+                   for done_tasks in self.done_tasks)
+
     def drop_checkpoints(self) -> "ProgressRecord":
         """Returns the record with only the tasks whose failures count."""
         return self._replace(unfinished_tasks=tuple(
@@ -158,6 +165,52 @@
             if task.failures or task.crashed_runs or task.proven_run))
 
 
+class StepRunLimits(NamedTuple):
+    """Tells which runs of some tasks of a step may have been given up.
+
+    Attributes:
+        occurrence: Number of the repetition of the job, from 0.
+        step: Index of the step.
+        limit: Runs with lower numbers may have ended as done although no leader
+            knew it, and their task may have started again since.
+        task_mask: Hexadecimal number in which bit i stands for the task with
+            index i.
+    """
+
+    occurrence: int
+    step: int
+    limit: int
+    task_mask: str
+
+
+class RunLimitsRecord(NamedTuple):
+    """Lists the runs of a job that may have been given up.
+
+    It is stored before these tasks start again. The end of such a run is not
+    acknowledged by any leader, as a later run has replaced its result. Daemons
+    of former versions cannot read this record and go on without it, which they
+    could not if `ProgressRecord` had the limits.
+
+    Attributes:
+        job_id: Identifier of the job.
+        group: Group whose leader wrote the record.
+        epoch: Epoch of that leader.
+        limits: All limits that the leader knows.
+    """
+
+    job_id: str
+    group: str
+    epoch: int
+    limits: tuple[StepRunLimits, ...]
+
+    def has_run(self, task: model.TaskKey, run: int) -> bool:
+        """Returns whether a run of a task may have been given up."""
+        return any(
+            (limits.occurrence, limits.step) == (task.occurrence, task.step) and
+            run < limits.limit and has_mask_index(limits.task_mask, task.index)
+            for limits in self.limits)
+
+
 class MovedRecord(NamedTuple):
     """States that a leader handed tasks over to another group.
 
@@ -333,7 +386,7 @@
 
 Record = (AcceptedRecord | CancelledRecord | EarlyCancelledRecord |
           ProgressRecord | MovedRecord | LeaderRecord | MemberRecord |
-          WorkersRecord | HandoverRecord | RemovedKey)
+          WorkersRecord | HandoverRecord | RunLimitsRecord | RemovedKey)
 
 _RECORD_TYPES: dict[str, type] = {
     "j": AcceptedRecord,
@@ -345,9 +398,21 @@
     "n": MemberRecord,
     "w": WorkersRecord,
     "h": HandoverRecord,
+    "l": RunLimitsRecord,
 }
 
 
+def list_mask_indexes(mask: str) -> list[int]:
+    """Returns the indexes whose bits are set in a hexadecimal number."""
+    bits = int(mask, 16)
+    return [index for index in range(bits.bit_length()) if bits >> index & 1]
+
+
+def has_mask_index(mask: str, index: int) -> bool:
+    """Returns whether the bit of an index is set in a hexadecimal number."""
+    return bool(int(mask, 16) >> index & 1)
+
+
 def build_key(record: Record) -> str:
     """Returns the key under which a record is stored."""
     if isinstance(record, RemovedKey):
@@ -366,6 +431,8 @@
         return f"c/{record.job_id}"
     if isinstance(record, EarlyCancelledRecord):
         return f"e/{record.job_id}/{record.cancellation_id}"
+    if isinstance(record, RunLimitsRecord):
+        return f"l/{record.job_id}/{record.group}"
     if isinstance(record, ProgressRecord):
         return f"p/{record.job_id}/{record.group}"
     # Each move applies on top of the earlier ones, so each has its own key.
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -2,9 +2,11 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _objectives
 from gentianlead.dispatch import _permits
 from gentianlead.dispatch import _records
 from gentianlead.dispatch import _refusals
+from gentianlead.dispatch import _run_limits
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
 from gentianlead.dispatch import _task_runs
@@ -43,13 +45,14 @@
             index of the task; only for tasks that wait or start.
         moved_indexes: Indexes of tasks that another group moved here and that
             had no start confirmed here since.
+        run_limits: Which runs of the tasks may have ended unnoticed.
     """
 
     __slots__ = ("key", "step", "waiting_indexes", "active_runs",
                  "done_indexes", "failure_counts", "failed_runs", "checkpoints",
                  "last_failed_workers", "unplaced_since", "reserved_worker",
                  "permits", "suspicions", "arrived_indexes", "refusals",
-                 "moved_indexes")
+                 "moved_indexes", "run_limits")
 
     def __init__(self, key: tuple[int, int], step: model.Step):
         self.key = key
@@ -68,6 +71,7 @@
         self.arrived_indexes: set[int] = set()
         self.refusals: dict[int, _refusals.Refusals] = {}
         self.moved_indexes: set[int] = set()
+        self.run_limits = _run_limits.RunLimits()
 
     @property
     def is_done(self) -> bool:
@@ -164,7 +168,7 @@
         self.moves_without_start = entry.moves_without_start
         self.is_dirty = False
         self.service = entry.job.queue.service
-        self.deadline_ms = compute_deadline_ms(entry.job)
+        self.deadline_ms = _objectives.compute_deadline_ms(entry.job)
         for occurrence in range(entry.job.occurrences):
             for index, step in enumerate(entry.job.steps):
                 key = (occurrence, index)
@@ -173,6 +177,7 @@
             self._restore_progress(progress, True)
             for task_progress in progress.unfinished_tasks:
                 self._restore_suspicion(task_progress)
+        self._restore_run_limits(entry)
         self.update_entry(entry)
         if entry.assignment_offsets.get(group, -1) > entry.offset:
             self._mark_all_moved()
@@ -212,6 +217,8 @@
                                     not self.entry.has_task(self.group, *task)):
                     self._restore_suspicion(task_progress)
         self._mark_arrivals(entry)
+        if entry.run_limits_by_group is not self.entry.run_limits_by_group:
+            self._restore_run_limits(entry)
         self.entry = entry._replace(is_cancelled=is_cancelled)
         # The move number shows whether the topic contains the move. The tasks
         # that are still assigned here do not: another group may have returned
@@ -271,9 +278,9 @@
             step_run = self.steps.get((done_tasks.occurrence, done_tasks.step))
             if step_run is None:
                 continue
-            done_mask = int(done_tasks.done_mask, 16)
             indexes = {
-                i for i in range(step_run.step.count) if done_mask >> i & 1
+                i for i in _records.list_mask_indexes(done_tasks.done_mask)
+                if i < step_run.step.count
             }
             step_run.done_indexes |= indexes
             step_run.waiting_indexes -= indexes
@@ -290,6 +297,13 @@
                 step_run.checkpoints[
                     task_progress.index] = task_progress.checkpoint
 
+    def _restore_run_limits(self, entry: _table.JobEntry) -> None:
+        for record in entry.run_limits_by_group.values():
+            for step_limits in record.limits:
+                key = (step_limits.occurrence, step_limits.step)
+                if key in self.steps:
+                    self.steps[key].run_limits.restore(step_limits)
+
     def _restore_suspicion(self, progress: _records.TaskProgress) -> None:
         step_run = self.steps.get((progress.occurrence, progress.step))
         if step_run is not None and (progress.crashed_runs or
@@ -324,6 +338,7 @@
         for step_run in self.steps.values():
             for suspicion in step_run.suspicions.values():
                 suspicion.drop_claim()
+            step_run.run_limits.forget_given_up_runs()
         self.last_run_number += 1
         self.pending_move_number = self.last_run_number
         return self.last_run_number
@@ -372,11 +387,14 @@
 
         While this leader does not know all runs of former leaders, these are
         the tasks that moved to the group since. Former leaders may have claimed
-        the next run of a suspect, so it is left out.
+        the next run of a suspect, so it is left out. Tasks whose run limits are
+        not stored yet are left out, too.
         """
+        unstored_indexes = step_run.run_limits.unstored_indexes
+        indexes = step_run.waiting_indexes - unstored_indexes
         if self.is_reconciled:
-            return sorted(step_run.waiting_indexes)
-        return sorted(step_run.waiting_indexes &
+            return sorted(indexes)
+        return sorted(indexes &
                       step_run.arrived_indexes - step_run.suspicions.keys())
 
     def list_active_runs(self) -> list[_task_runs.Run]:
@@ -573,21 +591,3 @@
         if not self.state.is_final and state is not self.state:
             self.state = state
             self.is_dirty = True
-
-
-def compute_critical_path_ms(job: model.SteppedJob) -> int:
-    """Estimates the duration of a job's longest chain of dependent steps."""
-    step_ends_ms: list[int] = []
-    for step in job.steps:
-        start_ms = max(
-            (step_ends_ms[i] for i in step.depends_on if i < len(step_ends_ms)),
-            default=0)
-        step_ends_ms.append(start_ms + step.estimate_ms)
-    return max(step_ends_ms, default=0)
-
-
-def compute_deadline_ms(job: model.SteppedJob) -> int:
-    """Returns when the first occurrence should be done, in ms since 1970."""
-    return (max(job.accepted_at_ms, job.first_run_ms) +
-            int(job.queue.objective_factor * compute_critical_path_ms(job)) +
-            job.queue.objective_slack_ms)
--- a/src/gentianlead/dispatch/_starting.py
+++ b/src/gentianlead/dispatch/_starting.py
@@ -543,6 +543,7 @@
         self._state.crashes.mark_started(run)
         step_run.waiting_indexes.discard(index)
         step_run.active_runs[index] = run
+        step_run.run_limits.mark_started(index, run_number)
         worker.runs[(task, run_number)] = run
         orders.append(
             _orders.StartOrder(
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -6,6 +6,7 @@
 from gentianlead.dispatch import _order_replies
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _records
+from gentianlead.dispatch import _superseded_runs
 from gentianlead.dispatch import _workers
 
 
@@ -19,6 +20,33 @@
                          interference)
         self._recorded_workers: set[str] = set()
 
+    def take_dirty_progress(self) -> list[_records.ProgressRecord]:
+        """Returns records of all progress that changed since the last call.
+
+        There is one record for each job whose progress changed. The caller has
+        to store the records.
+        """
+        progress_records = []
+        for job in self.jobs.values():
+            if job.is_dirty:
+                job.is_dirty = False
+                progress_records.append(
+                    job.build_progress(self.group, self.epoch))
+        return progress_records
+
+    def take_unstored_records(self) -> list[_records.Record]:
+        """Returns all run limits and progress that the caller has to store.
+
+        The run limits come first: the progress and the workers may no longer
+        show that a run was given up.
+        """
+        run_limits = [
+            record for job in self.jobs.values()
+            for record in _superseded_runs.build_run_limits(
+                job, self.group, self.epoch)
+        ]
+        return [*run_limits, *self.take_dirty_progress()]
+
     def get_departed_offset(self, job_id: str) -> int | None:
         """Returns the offset up to which `put_job` ignores assignments."""
         return self._departed_job_offsets.get(job_id)
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -29,6 +29,7 @@
         waited_ms: `MovedRecord.waited_ms` of the last move of the whole job; 0
             once a progress record shows a later run.
         moves_without_start: `MovedRecord.moves_without_start`, likewise.
+        run_limits_by_group: Newest record of run limits of each group.
     """
 
     job: model.SteppedJob
@@ -42,6 +43,8 @@
     last_move_numbers: Mapping[str, int] = types.MappingProxyType({})
     waited_ms: int = 0
     moves_without_start: int = 0
+    run_limits_by_group: Mapping[
+        str, _records.RunLimitsRecord] = types.MappingProxyType({})
 
     @property
     def state(self) -> model.JobState:
@@ -366,7 +369,8 @@
     def _apply_to_job(self, offset: int, record: _records.Record,
                       now: float) -> None:
         entry = self.jobs.get(record.job_id)
-        if isinstance(record, _records.ProgressRecord):
+        if isinstance(record,
+                      (_records.ProgressRecord, _records.RunLimitsRecord)):
             self.mark_leader_alive(record.group, record.epoch, now)
         elif isinstance(record, _records.MovedRecord):
             # Only the present leader of a group can store its moves.
@@ -384,6 +388,10 @@
             entry = _apply_move(entry, offset, record)
         elif isinstance(record, _records.ProgressRecord):
             entry = _apply_progress(entry, record)
+        elif isinstance(record, _records.RunLimitsRecord):
+            entry = entry._replace(run_limits_by_group={
+                **entry.run_limits_by_group, record.group: record
+            })
         self.jobs[record.job_id] = entry
         self.changed_jobs.add(record.job_id)
 
--- a/src/gentianlead/dispatch/_workers.py
+++ b/src/gentianlead/dispatch/_workers.py
@@ -6,10 +6,10 @@
 
 from gentianlead import ports
 from gentianlead.dispatch import _interference
-from gentianlead.dispatch import _lapsed_runs
 from gentianlead.dispatch import _lease_calls
 from gentianlead.dispatch import _orders
 from gentianlead.dispatch import _task_runs
+from gentianlead.dispatch import _withheld_ends
 
 MAX_STATUS_AGE = datetime.timedelta(milliseconds=2600)
 """No run is started on a worker whose last status report arrived longer ago. A
@@ -144,7 +144,7 @@
         unknown_runs: Reported runs that the leader does not track, by task and
             run number.
         lease_calls: Calls that extend the lease.
-        lapsed_runs: Runs of this instance that were ended by their lease.
+        withheld_ends: Run ends of this instance that are not acknowledged.
         unlisted_runs: Keys of `runs` that the last status report did not list.
         last_applied_end_number: Highest number among the run ends that this
             leader has applied; the worker numbers the run ends that it reports.
@@ -195,7 +195,7 @@
         self.born_ms = 0
         self.runs: dict[tuple, _task_runs.Run] = {}
         self.unknown_runs: dict[tuple, _task_runs.UnknownRun] = {}
-        self.lapsed_runs = _lapsed_runs.LapsedRuns()
+        self.withheld_ends = _withheld_ends.WithheldEnds()
         self.unlisted_runs: tuple[tuple, ...] = ()
         self.last_applied_end_number = 0
         self.last_stored_end_number = 0
@@ -239,7 +239,7 @@
         """
         if not self.is_reachable:
             return 0
-        return self.lapsed_runs.limit_acknowledgement(
+        return self.withheld_ends.limit_acknowledgement(
             self.last_stored_end_number)
 
     @property
@@ -428,7 +428,7 @@
         self._handed_over_lease_ends_at = 0.0
         self.born_ms = status.born_ms
         self.unknown_runs.clear()
-        self.lapsed_runs = _lapsed_runs.LapsedRuns()
+        self.withheld_ends = _withheld_ends.WithheldEnds()
         self.capacity_refusals = 0
         self.refusals = 0
         self.last_applied_end_number = 0
--- a/src/gentianlead/dispatch/tests/builders.py
+++ b/src/gentianlead/dispatch/tests/builders.py
@@ -91,6 +91,7 @@
         scheduler: The scheduler under test.
         interference: Interference model of the scheduler.
         now: Simulated monotonic time in seconds.
+        run_limits: Newest stored record of run limits, by job identifier.
     """
 
     def __init__(self,
@@ -102,6 +103,7 @@
         timings = dispatch.GroupTimings(LEASE, MAX_LEASE, TAKEOVER_WAIT,
                                         STOP_LIMIT)
         self.now = now
+        self.run_limits: dict[str, dispatch.RunLimitsRecord] = {}
         self.interference = dispatch.InterferenceModel()
         self.scheduler = dispatch.GroupScheduler(group, epoch, timings, now,
                                                  leadership_offset,
@@ -144,8 +146,24 @@
                                     self.now - sent_ago_s, self.now)
 
     def plan(self, may_start: bool = True) -> list[dispatch.Order]:
-        """Makes a plan and returns all its orders."""
-        return self.scheduler.plan(self.now, NOW_MS, may_start)
+        """Makes a plan and returns all its orders.
+
+        Run limits are stored at once, and then a second plan is made.
+        """
+        orders = self.scheduler.plan(self.now, NOW_MS, may_start)
+        if self.store_run_limits():
+            orders += self.scheduler.plan(self.now, NOW_MS, may_start)
+        return orders
+
+    def store_run_limits(self) -> bool:
+        """Marks all run limits as stored; returns whether there were any."""
+        records = [
+            record for job in self.scheduler.jobs.values()
+            for record in dispatch.build_run_limits(job, self.scheduler.group,
+                                                    self.scheduler.epoch)
+        ]
+        self.run_limits.update((record.job_id, record) for record in records)
+        return self.scheduler.mark_progress_stored(records)
 
     def plan_starts(self) -> list[dispatch.StartOrder]:
         """Makes a plan and returns its start orders."""
@@ -174,6 +192,7 @@
 
     def flush(self) -> list[dispatch.ProgressRecord]:
         """Returns the changed progress, which counts as stored at once."""
+        self.store_run_limits()
         records = self.scheduler.take_dirty_progress()
         self.scheduler.mark_progress_stored(records)
         return records
--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -145,8 +145,10 @@
         record = dispatch.MovedRecord(job.job.job_id, self.group, (),
                                       destination, job.begin_move(), 0,
                                       job.moves_without_start + 1)
-        self._queue.append((job.build_progress(self.group,
-                                               self.epoch), lambda: None))
+        for earlier_record in (*dispatch.build_run_limits(
+                job, self.group, self.epoch),
+                               job.build_progress(self.group, self.epoch)):
+            self._queue.append((earlier_record, lambda: None))
         self._queue.append((record, lambda: None))
 
     def _append(self) -> None:
@@ -173,12 +175,13 @@
             worker_id: (worker.born_ms, worker.last_applied_end_number)
             for worker_id, worker in self.scheduler.workers.items()
         }
-        progress_records = self.scheduler.take_dirty_progress()
-        records: list[dispatch.Record] = list(progress_records)
+        progress_records = self.scheduler.take_unstored_records()
+        records = list(progress_records)
         ended_job_ids = [
             record.job_id
             for record in progress_records
-            if record.state.is_final
+            if isinstance(record, dispatch.ProgressRecord) and
+            record.state.is_final
         ]
         workers_record = self.scheduler.build_workers_record()
         if workers_record is not None:
@@ -320,6 +323,7 @@
             group, epoch, [dispatch.LeaderRecord(group, epoch, "d", "d#1", 1)])
         self.read()
         leader = self._build_leader(group, epoch, offset)
+        leader.scheduler.find_job_entry = self.table.jobs.get
         self.leaders[group] = leader
         for entry in self.table.jobs.values():
             leader.scheduler.put_job(entry)
--- a/src/gentianlead/dispatch/tests/resigning_leaders.py
+++ b/src/gentianlead/dispatch/tests/resigning_leaders.py
@@ -86,7 +86,7 @@
 
     def _store_last_progress(self) -> None:
         self._queue.extend((record, lambda: None)
-                           for record in self.scheduler.take_dirty_progress())
+                           for record in self.scheduler.take_unstored_records())
         self._finish(self._site.now + RESIGNATION_TIMEOUT_S)
 
     def _finish(self, give_up_at: float) -> None:
--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -4,7 +4,7 @@
 
 from gentianlead import model
 from gentianlead import ports
-from gentianlead.dispatch import _lapsed_runs
+from gentianlead.dispatch import _withheld_ends
 from gentianlead.dispatch.tests import builders
 
 JOB_ID = "00000000000000aa"
@@ -61,7 +61,7 @@
         done = ports.EndCause.DONE
         stopped = ports.EndCause.STOPPED
         lapsed = ports.EndCause.LEASE_EXPIRED
-        many = (stopped,) * _lapsed_runs.MAX_WITHHELD_ENDS
+        many = (stopped,) * _withheld_ends.MAX_WITHHELD_ENDS
         for name, has_other_worker, causes, expected_number in (
             ("started again", True, (done, stopped),
              0), ("not started again", False, (done, stopped), 2),
@@ -73,8 +73,8 @@
                 self.lose_worker(has_other_worker)
                 self.assertEqual(self.count_acknowledged_ends(*causes),
                                  expected_number)
-                self.assertEqual(self.worker.lapsed_runs.withholds_ends,
-                                 not expected_number)
+                self.assertEqual(self.worker.withheld_ends.is_empty,
+                                 bool(expected_number))
 
 
 class ForgottenRunTest(unittest.TestCase):
@@ -159,7 +159,8 @@
         self.assertIs(record.state, model.JobState.COMPLETED)
         successor = self.build_successor()
         entry = builders.build_job_entry(builders.build_job(JOB_ID))._replace(
-            progress_by_group={record.group: record})
+            progress_by_group={record.group: record},
+            run_limits_by_group={record.group: self.driver.run_limits[JOB_ID]})
         successor.scheduler.forget_job(JOB_ID)
         successor.scheduler.find_job_entry = {JOB_ID: entry}.get
         self.assertEqual(self.count_acknowledged_ends(successor), 0)
