Number moves above runs that a leader knows only by their ends

A task could start once more than its queue allows, after as many failed runs. Failures are counted by run number, and two groups gave the same number to runs of one task: a leader that had learned of a former leader's run only from its end, or had not seen its worker at all, did not raise the highest run number of the job. Its move had a low number, and the leader of the new group allocated from its own epoch, which may be the same as that of the first run.

Run limits compare such numbers as well, so they rely on it.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -281,6 +281,7 @@
             elif job is not None and ended_run.cause is ports.EndCause.FAILED:
                 job.count_failure(ended_run.task, ended_run.run)
             if job is not None:
+                job.last_run_number = max(job.last_run_number, ended_run.run)
                 self.crashes.apply_unknown_end(job, ended_run)
             return
         duration_s = now - run.start_sent_at
--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -85,8 +85,8 @@
         return
     first_number = epoch * _orders.RUN_NUMBERS_PER_EPOCH
     if job.last_run_number >= first_number:
-        job.last_run_number += _orders.RUN_NUMBERS_PER_EPOCH
-        first_number = job.last_run_number
+        first_number = job.last_run_number + _orders.RUN_NUMBERS_PER_EPOCH
+    job.last_run_number = first_number
     for step_run in job.steps.values():
         if step_run.step.is_long_running:
             continue
--- a/src/gentianlead/dispatch/tests/test_fleets.py
+++ b/src/gentianlead/dispatch/tests/test_fleets.py
@@ -12,6 +12,11 @@
 """On these days, ends were acknowledged by leaders that did not know that the
 run had been given up and its task started again."""
 
+REPEATED_NUMBER_SEEDS = (917,)
+"""On this day, two groups gave the same number to runs of one task. Their
+failures counted as one, and the task started once more than its queue allows.
+"""
+
 MAX_REPORTED_ENDS = 500
 """Number of ends that the workers of the platform report at a time. A leader
 withholds the acknowledgement of more ends than the model reports by default."""
@@ -39,6 +44,15 @@
         for seed in SUPERSEDED_RUN_SEEDS:
             self.check_day(seed, fleets.SiteModel(seed, MAX_REPORTED_ENDS))
 
+    def test_groups_do_not_repeat_run_numbers(self):
+        """Guards against failed runs that are not counted.
+
+        A leader that had learned of a run only by its end moved the job, and
+        the new group gave the number of that run to another one.
+        """
+        for seed in REPEATED_NUMBER_SEEDS:
+            self.check_day(seed, fleets.SiteModel(seed, MAX_REPORTED_ENDS))
+
     def check_day(self, seed: int, site: fleets.SiteModel) -> None:
         """Runs a day with troubles, and a calm time after it."""
         with self.subTest(seed=seed):
--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -170,6 +170,26 @@
         successor = self.build_successor()
         self.assertEqual(self.count_acknowledged_ends(successor), 2)
 
+    def test_move_number_is_above_unknown_runs(self):
+        """Guards against a group that repeats run numbers of another one.
+
+        The leader that moves the job did not start the run.
+        """
+        for name, cause in (("failed", ports.EndCause.FAILED),
+                            ("stopped", ports.EndCause.STOPPED)):
+            with self.subTest(name):
+                successor = self.build_successor()
+                successor.apply_status(
+                    ended=(builders.build_ended_run(self.order, cause=cause),))
+                job = successor.scheduler.jobs[JOB_ID]
+                self.assertGreater(job.begin_move(), self.order.run)
+        with self.subTest("not seen"):
+            successor = self.build_successor()
+            successor.now += builders.TAKEOVER_WAIT.total_seconds()
+            successor.plan()
+            job = successor.scheduler.jobs[JOB_ID]
+            self.assertGreater(job.begin_move(), self.order.run)
+
     def test_task_that_moved_away(self):
         """Guards against an acknowledged end of a task of another group.
 
