Withhold the ends of failed runs that forbid a later start

A task could start once more than its queue allows: after as many failed runs whose ends are acknowledged, it must not start. The leader of a task's former group acknowledged a failed run while the new group, which had not read of it yet, started the task again. The cause is that of the tasks that ran after they were done, with the other end that counts.

Such an end is now withheld if the task has left the group, or if it is the last failure that the queue allows; other failures need no limit, as the leader counts them before the next start.

--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -150,13 +150,24 @@
     done_tasks: tuple[DoneTasks, ...] = ()
     unfinished_tasks: tuple[TaskProgress, ...] = ()
 
-    def has_done(self, task: model.TaskKey) -> bool:
-        """Returns whether the record shows a task as done."""
+    def has_end(self, ended_run: ports.EndedRun) -> bool:
+        """Returns whether the record shows a run as failed, or a task as done.
+        """
+        task = ended_run.task
+        if ended_run.cause is ports.EndCause.FAILED:
+            return ended_run.run in self.list_failed_runs(task)
         return any((done_tasks.occurrence, done_tasks.step) == (
             task.occurrence,
             task.step) and has_mask_index(done_tasks.done_mask, task.index)
                    for done_tasks in self.done_tasks)
 
+    def list_failed_runs(self, task: model.TaskKey) -> tuple[int, ...]:
+        """Returns the numbers of the failed runs of a task that is not done."""
+        for progress in self.unfinished_tasks:
+            if (progress.occurrence, progress.step, progress.index) == task[1:]:
+                return progress.failed_runs
+        return ()
+
     def drop_checkpoints(self) -> "ProgressRecord":
         """Returns the record with only the tasks whose failures count."""
         return self._replace(unfinished_tasks=tuple(
--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -131,7 +131,11 @@
 def is_superseded(ended_run: ports.EndedRun, group: str,
                   job: _runs.JobRun | None,
                   entry: _table.JobEntry | None) -> bool:
-    """Returns whether a task may have started again after a run was done.
+    """Returns whether the end of a run would forbid a later start.
+
+    That is so if the task may have started again since, and the run is done, or
+    has failed as often as the queue allows. Another group that has the task
+    may not know of a failure for a while, so there each one counts.
 
     Args:
         ended_run: End of a run that the leader does not track.
@@ -139,22 +143,41 @@
         job: The job; None if the leader does not have it.
         entry: The job according to the topic; None if there is none.
     """
-    if ended_run.cause is not ports.EndCause.DONE or entry is None:
+    if entry is None or ended_run.cause not in (ports.EndCause.DONE,
+                                                ports.EndCause.FAILED):
+        return False
+    task = ended_run.task
+    is_elsewhere = not entry.has_task(group, task.step, task.index)
+    if (ended_run.cause is ports.EndCause.FAILED and not is_elsewhere and
+            _count_failures(ended_run, job,
+                            entry) < entry.job.queue.max_attempts):
         return False
-    task, run = ended_run.task, ended_run.run
     step_run = job.get_step(task) if job is not None else None
     if step_run is not None:
-        if step_run.run_limits.is_superseded(task.index, run):
+        if step_run.run_limits.is_superseded(task.index, ended_run.run):
             return True
     elif any(
-            record.has_run(task, run)
+            record.has_run(task, ended_run.run)
             for record in entry.run_limits_by_group.values()):
         return True
     # A task moves to another group only once no run of it can go on here. One
-    # that was done before is in the progress of this group.
+    # that ended before is in the progress of this group.
     progress = entry.progress_by_group.get(group)
-    return (not entry.has_task(group, task.step, task.index) and
-            not (progress is not None and progress.has_done(task)))
+    return is_elsewhere and not (progress is not None and
+                                 progress.has_end(ended_run))
+
+
+def _count_failures(ended_run: ports.EndedRun, job: _runs.JobRun | None,
+                    entry: _table.JobEntry) -> int:
+    """Returns how many runs of a task have failed, with one more."""
+    task = ended_run.task
+    failed_runs = {ended_run.run}
+    step_run = job.get_step(task) if job is not None else None
+    if step_run is not None:
+        failed_runs.update(step_run.failed_runs.get(task.index, ()))
+    for progress in entry.progress_by_group.values():
+        failed_runs.update(progress.list_failed_runs(task))
+    return len(failed_runs)
 
 
 def describe_late_end(worker_id: str, ended_run: ports.EndedRun,
--- a/src/gentianlead/dispatch/tests/test_fleets.py
+++ b/src/gentianlead/dispatch/tests/test_fleets.py
@@ -12,6 +12,10 @@
 """On these days, ends were acknowledged by leaders that did not know that the
 run had been given up and its task started again."""
 
+SUPERSEDED_FAILURE_SEEDS = (747,)
+"""On this day, the former group of a task acknowledged a failed run of which
+the new group learned only after it had started the task once too often."""
+
 REPEATED_NUMBER_SEEDS = (917,)
 """On this day, two groups gave the same number to runs of one task. Their
 failures counted as one, and the task started once more than its queue allows.
@@ -44,6 +48,14 @@
         for seed in SUPERSEDED_RUN_SEEDS:
             self.check_day(seed, fleets.SiteModel(seed, MAX_REPORTED_ENDS))
 
+    def test_superseded_failures_are_not_acknowledged(self):
+        """Guards against more starts of a task than its queue allows.
+
+        A failed run counts for the queue once its end is acknowledged.
+        """
+        for seed in SUPERSEDED_FAILURE_SEEDS:
+            self.check_day(seed, fleets.SiteModel(seed, MAX_REPORTED_ENDS))
+
     def test_groups_do_not_repeat_run_numbers(self):
         """Guards against failed runs that are not counted.
 
