--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -165,6 +165,26 @@
         successor.scheduler.find_job_entry = {JOB_ID: entry}.get
         self.assertEqual(self.count_acknowledged_ends(successor), 0)
 
+    def test_late_ends_are_described(self):
+        """Guards against ends of unknown runs that no log line shows."""
+        for name, group, expected_state, is_superseded in (("here", "north-1",
+                                                            "waiting", False),
+                                                           ("moved", "north-2",
+                                                            "elsewhere", True)):
+            with self.subTest(name):
+                successor = self.build_successor()
+                successor.scheduler.forget_job(JOB_ID)
+                successor.scheduler.put_job(
+                    builders.build_job_entry(
+                        builders.build_job(
+                            JOB_ID, builders.build_step(2)))._replace(
+                                assignment=(group, "north-1"),
+                                assignment_offsets={"north-1": 900}))
+                self.count_acknowledged_ends(successor)
+                (late_end,) = successor.scheduler.late_ends
+                self.assertEqual(late_end.task_state.value, expected_state)
+                self.assertEqual(late_end.is_superseded, is_superseded)
+
     def test_successor_that_started_nothing(self):
         """Guards against ends that are never acknowledged after a takeover."""
         successor = self.build_successor()
