Keep the run limits of a job until the topic shows them

Its view of the topic was older than the record of the limits, so when the lost worker came back and listed the run as done, nothing told that the run was superseded.

The leader now keeps the limits of a job that it forgets until the topic as it has read it shows them.

--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -101,6 +101,7 @@
         self.crashes = _crashes.CrashTracker(group, self.jobs)
         self.find_job_entry: Callable[[str],
                                       _table.JobEntry | None] = lambda _: None
+        self._forgotten_limits = _superseded_runs.ForgottenRunLimits()
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
         self._handed_over_runs_end_at = 0.0
@@ -268,7 +269,8 @@
         job = self.jobs.get(ended_run.task.job_id)
         is_superseded = run is None and _superseded_runs.is_superseded(
             ended_run, self.group, job,
-            job.entry if job else self.find_job_entry(ended_run.task.job_id))
+            job.entry if job else self._forgotten_limits.complete(
+                self.find_job_entry(ended_run.task.job_id)))
         worker.withheld_ends.apply_end(ended_run, is_superseded)
         if run is None:
             if ended_run.cause is ports.EndCause.DONE:
@@ -483,6 +485,8 @@
             self._departed_job_offsets[job_id] = max(
                 self._departed_job_offsets.get(job_id, -1),
                 job.entry.assignment_offsets.get(self.group, job.entry.offset))
+            self._forgotten_limits.add(job, self.group, self.epoch,
+                                       self.find_job_entry)
             del self.jobs[job_id]
 
     def find_queue(self, job: _runs.JobRun) -> model.Queue:
@@ -556,11 +560,6 @@
         """
         return now >= max(self._takeover_ends_at, self._handed_over_runs_end_at)
 
-    def limit_takeover_wait(self, ends_at: float) -> None:
-        """Ends the takeover wait at a monotonic time, or earlier if it is due.
-        """
-        self._takeover_ends_at = min(self._takeover_ends_at, ends_at)
-
     def list_movable_jobs(self) -> list[_runs.JobRun]:
         """Returns the jobs that may move to another group as a whole.
 
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -173,6 +173,11 @@
                                                 -1) > record.known_until_offset:
                 self._mark_reconciled(job)
 
+    def limit_takeover_wait(self, ends_at: float) -> None:
+        """Ends the takeover wait at a monotonic time, or earlier if it is due.
+        """
+        self._takeover_ends_at = min(self._takeover_ends_at, ends_at)
+
     def _add_handed_over_worker(self, handed_over: _records.HandedOverWorker,
                                 now: float) -> _workers.WorkerState:
         worker_id = handed_over.entry.worker_id
--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from typing import Iterable, NamedTuple
+from typing import Callable, Iterable, NamedTuple
 
 from gentianlead import model
 from gentianlead import ports
@@ -101,12 +101,55 @@
     if not any(step_run.run_limits.unstored_indexes
                for step_run in job.steps.values()):
         return []
-    return [
-        _records.RunLimitsRecord(
-            job.job.job_id, group, epoch,
-            tuple(step_limits for key, step_run in job.steps.items()
-                  for step_limits in step_run.run_limits.build(*key)))
-    ]
+    return [_build_record(job, group, epoch)]
+
+
+def _build_record(job: _runs.JobRun, group: str,
+                  epoch: int) -> _records.RunLimitsRecord:
+    return _records.RunLimitsRecord(
+        job.job.job_id, group, epoch,
+        tuple(step_limits for key, step_run in job.steps.items()
+              for step_limits in step_run.run_limits.build(*key)))
+
+
+class ForgottenRunLimits:
+    """Keeps the run limits of jobs that a leader has forgotten.
+
+    A job is forgotten once its end is stored, but the topic is read later than
+    it is written, so that the state of the job there may lack the limits.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[str, _records.RunLimitsRecord] = {}
+
+    def add(self, job: _runs.JobRun, group: str, epoch: int,
+            find_job_entry: Callable[[str], _table.JobEntry | None]) -> None:
+        """Keeps the limits of a job, and drops those that the topic shows.
+
+        Args:
+            job: The job.
+            group: Group of the leader.
+            epoch: Epoch of the leader.
+            find_job_entry: Returns the state of a job in the topic, or None.
+        """
+        record = _build_record(job, group, epoch)
+        if record.limits:
+            self._records[job.job.job_id] = record
+        self._records = {
+            job_id: kept_record
+            for job_id, kept_record in self._records.items()
+            if (entry := find_job_entry(job_id)) is not None and
+            entry.run_limits_by_group.get(kept_record.group) != kept_record
+        }
+
+    def complete(self, entry: _table.JobEntry | None) -> _table.JobEntry | None:
+        """Returns the state of a job in the topic with its kept limits."""
+        record = self._records.get(entry.job.job_id) if entry else None
+        if record is None:
+            return entry
+        return entry._replace(run_limits_by_group={
+            **entry.run_limits_by_group, record.group: record
+        })
 
 
 def mark_run_limits_stored(jobs: dict[str, _runs.JobRun],
--- a/src/gentianlead/dispatch/tests/test_fleets.py
+++ b/src/gentianlead/dispatch/tests/test_fleets.py
@@ -8,9 +8,10 @@
 """Seed 233 broke a rule while a leader went on beside its successor; 151 and
 220 while a job could come back within one read of the topic."""
 
-SUPERSEDED_RUN_SEEDS = (99, 108, 147, 161, 170, 368, 463)
+SUPERSEDED_RUN_SEEDS = (99, 108, 147, 161, 170, 368, 463, 3113)
 """On these days, ends were acknowledged by leaders that did not know that the
-run had been given up and its task started again."""
+run had been given up and its task started again; on day 3113, by one that had
+forgotten it."""
 
 SUPERSEDED_FAILURE_SEEDS = (747,)
 """On this day, the former group of a task acknowledged a failed run of which
--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -76,6 +76,24 @@
                 self.assertEqual(self.worker.withheld_ends.is_empty,
                                  bool(expected_number))
 
+    def test_limits_outlast_the_job(self):
+        """Guards against an acknowledged end of a task that started again.
+
+        The leader has forgotten the job, and the topic as it has read it does
+        not show yet that the run was given up.
+        """
+        scheduler = self.driver.scheduler
+        scheduler.find_job_entry = {JOB_ID: scheduler.jobs[JOB_ID].entry}.get
+        self.lose_worker(has_other_worker=True)
+        (run,) = scheduler.workers["w2"].runs.values()
+        self.driver.apply_status("w2",
+                                 ended=(builders.build_ended_run(
+                                     self.order._replace(run=run.number)),))
+        self.driver.flush()
+        scheduler.forget_job(JOB_ID)
+        self.assertNotIn(JOB_ID, scheduler.jobs)
+        self.assertEqual(self.count_acknowledged_ends(ports.EndCause.DONE), 0)
+
 
 class ForgottenRunTest(unittest.TestCase):
     """The leader that is to acknowledge an end did not give the run up."""
