Withhold superseded failures of tasks that are done

A task could start once more than its queue allows. Progress lists the failed runs of unfinished tasks only, so the failures of a task that is done counted as none, and the last of them was acknowledged after the start that it forbids. A superseded failure is now acknowledged only if the leader has the task and knows that more are allowed.

test_limits_outlast_the_job with a failed run failed before.

--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -177,8 +177,9 @@
     """Returns whether the end of a run would forbid a later start.
 
     That is so if the task may have started again since, and the run is done, or
-    has failed as often as the queue allows. Another group that has the task
-    may not know of a failure for a while, so there each one counts.
+    has failed and may be the last one that the queue allows: the failures of a
+    task that is done are not known any more, and another group that has the
+    task may not know of this one for a while.
 
     Args:
         ended_run: End of a run that the leader does not track.
@@ -191,11 +192,12 @@
         return False
     task = ended_run.task
     is_elsewhere = not entry.has_task(group, task.step, task.index)
+    step_run = job.get_step(task) if job is not None else None
     if (ended_run.cause is ports.EndCause.FAILED and not is_elsewhere and
-            _count_failures(ended_run, job,
-                            entry) < entry.job.queue.max_attempts):
+            step_run is not None and task.index not in step_run.done_indexes and
+            len({ended_run.run, *step_run.failed_runs.get(task.index, ())
+                }) < entry.job.queue.max_attempts):
         return False
-    step_run = job.get_step(task) if job is not None else None
     if step_run is not None:
         if step_run.run_limits.is_superseded(task.index, ended_run.run):
             return True
@@ -210,19 +212,6 @@
                                  progress.has_end(ended_run))
 
 
-def _count_failures(ended_run: ports.EndedRun, job: _runs.JobRun | None,
-                    entry: _table.JobEntry) -> int:
-    """Returns how many runs of a task have failed, with one more."""
-    task = ended_run.task
-    failed_runs = {ended_run.run}
-    step_run = job.get_step(task) if job is not None else None
-    if step_run is not None:
-        failed_runs.update(step_run.failed_runs.get(task.index, ()))
-    for progress in entry.progress_by_group.values():
-        failed_runs.update(progress.list_failed_runs(task))
-    return len(failed_runs)
-
-
 def describe_late_end(worker_id: str, ended_run: ports.EndedRun,
                       job: _runs.JobRun | None, has_restarted: bool) -> LateEnd:
     """Describes the end of a run that the leader does not track.
--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -82,17 +82,23 @@
         The leader has forgotten the job, and the topic as it has read it does
         not show yet that the run was given up.
         """
-        scheduler = self.driver.scheduler
-        scheduler.find_job_entry = {JOB_ID: scheduler.jobs[JOB_ID].entry}.get
-        self.lose_worker(has_other_worker=True)
-        (run,) = scheduler.workers["w2"].runs.values()
-        self.driver.apply_status("w2",
-                                 ended=(builders.build_ended_run(
-                                     self.order._replace(run=run.number)),))
-        self.driver.flush()
-        scheduler.forget_job(JOB_ID)
-        self.assertNotIn(JOB_ID, scheduler.jobs)
-        self.assertEqual(self.count_acknowledged_ends(ports.EndCause.DONE), 0)
+        for cause in (ports.EndCause.DONE, ports.EndCause.FAILED):
+            with self.subTest(cause):
+                self.setUp()
+                scheduler = self.driver.scheduler
+                scheduler.find_job_entry = {
+                    JOB_ID: scheduler.jobs[JOB_ID].entry
+                }.get
+                self.lose_worker(has_other_worker=True)
+                (run,) = scheduler.workers["w2"].runs.values()
+                self.driver.apply_status(
+                    "w2",
+                    ended=(builders.build_ended_run(
+                        self.order._replace(run=run.number)),))
+                self.driver.flush()
+                scheduler.forget_job(JOB_ID)
+                self.assertNotIn(JOB_ID, scheduler.jobs)
+                self.assertEqual(self.count_acknowledged_ends(cause), 0)
 
 
 class ForgottenRunTest(unittest.TestCase):
