Number runs above stored run limits

A leader that is lost between its record of run limits and that of its progress leaves limits above the highest run number that the topic shows. The next leader could give such a number to a new run, which would count as given up before it starts: its result would never be acknowledged, and two runs would share a number.

test_runs_have_numbers_above_their_limit failed before.

--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -77,6 +77,7 @@
 from gentianlead.dispatch._records import Record
 from gentianlead.dispatch._records import RemovedKey
 from gentianlead.dispatch._records import RunLimitsRecord
+from gentianlead.dispatch._records import StepRunLimits
 from gentianlead.dispatch._records import TaskProgress
 from gentianlead.dispatch._records import JOB_TOPIC
 from gentianlead.dispatch._records import WorkersRecord
--- a/src/gentianlead/dispatch/_runs.py
+++ b/src/gentianlead/dispatch/_runs.py
@@ -300,6 +300,9 @@
     def _restore_run_limits(self, entry: _table.JobEntry) -> None:
         for record in entry.run_limits_by_group.values():
             for step_limits in record.limits:
+                # The progress with the run itself may not be stored.
+                self.last_run_number = max(self.last_run_number,
+                                           step_limits.limit - 1)
                 key = (step_limits.occurrence, step_limits.step)
                 if key in self.steps:
                     self.steps[key].run_limits.restore(step_limits)
--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_lapsed_runs.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from gentianlead import dispatch
 from gentianlead import model
 from gentianlead import ports
 from gentianlead.dispatch import _withheld_ends
@@ -189,6 +190,23 @@
         successor.scheduler.find_job_entry = {JOB_ID: entry}.get
         self.assertEqual(self.count_acknowledged_ends(successor), 0)
 
+    def test_runs_have_numbers_above_their_limit(self):
+        """Guards against a run that counts as given up before it starts.
+
+        The leader that stored the limit was lost before it stored its progress.
+        """
+        limit = self.order.run + 100
+        entry = builders.build_job_entry(builders.build_job(JOB_ID))._replace(
+            run_limits_by_group={
+                "north-2":
+                    dispatch.RunLimitsRecord(JOB_ID, "north-2", 1000, (
+                        dispatch.StepRunLimits(0, 0, limit, "1"),))
+            })
+        driver = builders.GroupDriver(builders.build_worker())
+        driver.scheduler.put_job(entry)
+        (order,) = driver.start_all()
+        self.assertGreaterEqual(order.run, limit)
+
     def test_late_ends_are_described(self):
         """Guards against ends of unknown runs that no log line shows."""
         for name, group, expected_state, is_superseded in (("here", "north-1",
