--- a/src/gentianlead/dispatch/tests/test_lapsed_runs.py
+++ b/src/gentianlead/dispatch/tests/test_superseded_runs.py
@@ -1,4 +1,4 @@
-"""Tests of ends that a worker lists after the leader gave its runs up."""
+"""Tests of ends that workers list after a leader gave their runs up."""
 
 import unittest
 
