--- a/src/gentianlead/dispatch/tests/test_superseded_runs.py
+++ b/src/gentianlead/dispatch/tests/test_superseded_runs.py
@@ -77,6 +77,26 @@
                 self.assertEqual(self.worker.withheld_ends.is_empty,
                                  bool(expected_number))
 
+    def test_task_waits_until_its_limit_is_stored(self):
+        """Guards against a start of which a successor would not know.
+
+        The record of the limit comes before the progress.
+        """
+        self.lose_worker(has_other_worker=False)
+        scheduler = self.driver.scheduler
+        self.driver.now += 1.0
+        self.driver.add_worker(builders.build_worker("w2"))
+        step_run = scheduler.jobs[JOB_ID].steps[0, 0]
+        step_run.run_limits.give_up(0, self.order.run + 1)
+        self.assertEqual(
+            scheduler.plan(self.driver.now, builders.NOW_MS, may_start=True),
+            [])
+        records = scheduler.take_unstored_records()
+        self.assertIsInstance(records[0], dispatch.RunLimitsRecord)
+        self.assertTrue(records[0].has_run(self.order.task, self.order.run))
+        self.assertTrue(scheduler.mark_progress_stored(records))
+        self.assertEqual(len(self.driver.start_all()), 1)
+
     def test_limits_outlast_the_job(self):
         """Guards against an acknowledged end of a task that started again.
 
@@ -113,10 +133,13 @@
         self.driver.apply_status(
             running=(builders.build_active_run(self.order),))
 
-    def count_acknowledged_ends(self, driver: builders.GroupDriver) -> int:
+    def count_acknowledged_ends(
+            self,
+            driver: builders.GroupDriver,
+            cause: ports.EndCause = ports.EndCause.DONE) -> int:
         """Returns up to which end a leader acknowledges that of the run."""
         driver.apply_status(
-            ended=(builders.build_ended_run(self.order, 1),
+            ended=(builders.build_ended_run(self.order, 1, cause),
                    builders.build_ended_run(self.order._replace(
                        run=1000), 2, ports.EndCause.STOPPED)))
         worker = driver.scheduler.workers["w1"]
@@ -257,9 +280,11 @@
 
         Its former group gave the run up before the move, under another leader.
         """
-        successor = self.build_successor()
-        for has_progress, expected_number in ((False, 0), (True, 2)):
-            with self.subTest(has_progress=has_progress):
+        done, failed = ports.EndCause.DONE, ports.EndCause.FAILED
+        for cause, has_progress, expected_number in ((done, False,
+                                                      0), (failed, False, 0),
+                                                     (done, True, 2)):
+            with self.subTest(cause=cause, has_progress=has_progress):
                 entry = builders.build_job_entry(
                     builders.build_job(JOB_ID))._replace(
                         assignment=("north-2",),
@@ -270,9 +295,9 @@
                     (record,) = self.driver.flush()
                     entry = entry._replace(
                         progress_by_group={record.group: record})
-                    successor = self.build_successor()
+                successor = self.build_successor()
                 successor.scheduler.find_job_entry = {JOB_ID: entry}.get
                 successor.scheduler.put_job(entry)
                 self.assertNotIn(JOB_ID, successor.scheduler.jobs)
-                self.assertEqual(self.count_acknowledged_ends(successor),
+                self.assertEqual(self.count_acknowledged_ends(successor, cause),
                                  expected_number)
