Withhold ends that are listed while their task moves

A task could start once more than its queue allows. The leader of n1 had given a run up and begun to move the job; the record of the move waited for the store. Meanwhile the worker listed the run as failed. The leader counted it, but the progress that the move carries was older, and the job was dropped with the move before newer progress was stored. The end was acknowledged all the same, so no group knew of the failure.

A job that moves now counts as one of another group for such ends.

--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -191,7 +191,9 @@
                                                 ports.EndCause.FAILED):
         return False
     task = ended_run.task
-    is_elsewhere = not entry.has_task(group, task.step, task.index)
+    # The progress that a move carries along is older than the end.
+    is_moving = job is not None and job.pending_move_number is not None
+    is_elsewhere = is_moving or not entry.has_task(group, task.step, task.index)
     step_run = job.get_step(task) if job is not None else None
     if (ended_run.cause is ports.EndCause.FAILED and not is_elsewhere and
             step_run is not None and task.index not in step_run.done_indexes and
--- a/src/gentianlead/dispatch/tests/test_fleets.py
+++ b/src/gentianlead/dispatch/tests/test_fleets.py
@@ -13,9 +13,10 @@
 run had been given up and its task started again; on day 3113, by one that had
 forgotten it."""
 
-SUPERSEDED_FAILURE_SEEDS = (747,)
-"""On this day, the former group of a task acknowledged a failed run of which
-the new group learned only after it had started the task once too often."""
+SUPERSEDED_FAILURE_SEEDS = (747, 10541)
+"""On these days, the former group of a task acknowledged a failed run of which
+the new group learned only after it had started the task once too often; on day
+10541 while the task moved."""
 
 REPEATED_NUMBER_SEEDS = (917,)
 """On this day, two groups gave the same number to runs of one task. Their
--- a/src/gentianlead/dispatch/tests/test_superseded_runs.py
+++ b/src/gentianlead/dispatch/tests/test_superseded_runs.py
@@ -97,6 +97,18 @@
         self.assertTrue(scheduler.mark_progress_stored(records))
         self.assertEqual(len(self.driver.start_all()), 1)
 
+    def test_ends_during_a_move(self):
+        """Guards against an acknowledged failure that no group counts.
+
+        The move carries older progress, and this group drops the job with it.
+        """
+        for cause in (ports.EndCause.DONE, ports.EndCause.FAILED):
+            with self.subTest(cause):
+                self.setUp()
+                self.lose_worker(has_other_worker=False)
+                self.driver.scheduler.jobs[JOB_ID].begin_move()
+                self.assertEqual(self.count_acknowledged_ends(cause), 0)
+
     def test_limits_outlast_the_job(self):
         """Guards against an acknowledged end of a task that started again.
 
