Publish the processor and link of each daemon's VM

Callers of large deployments saw tasks that ran twice and long-running tasks that were lost. Part of it: groups are led by daemons on VMs of 0.516 cores and 20 Mbit/s beside VMs of 2.15 cores and 200 Mbit/s, as nothing tells the members what the others have.

A daemon reads its share of a core, the number of cores and its link from the settings, and stores them as `v/NODE` in one append with its first member record. A missing or malformed amount is 0 and does not stop the daemon. The table gives each member one capacity in cores, by the scarcer of processor and link; 40 Mbit/s count as a core, as the busiest of 101 daemons needs 23 Mbit/s and 0.57 cores (docs/CAPACITY.md). It counts only for the process that stored it.

A record of its own and not two fields of the member record: msgspec refuses an array that is longer than the type ("Expected `array` of length 1 to 2, got 3"), so daemons of a former version would miss all members of the new one. They report `v/NODE` as unreadable and go on.

The announcement moves from the daemon to the module of the membership.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -27,15 +27,6 @@
 ELECTION_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which this daemon checks which groups it should start to lead."""
 
-MEMBER_RECORD_INTERVAL = datetime.timedelta(seconds=5)
-"""Pause after a successful append of this daemon's member record to the job
-topic, and timeout of each such append. A daemon that starts finds the addresses
-of its peers in their newest member records."""
-
-MEMBER_RECORD_RETRY_DELAY = datetime.timedelta(milliseconds=500)
-"""Pause after a failed append of the member record. The append of a record that
-the store rejects for good fails at once."""
-
 ACQUIRE_LEADERSHIP_TIMEOUT = datetime.timedelta(seconds=1)
 """Longest wait for the append of the record that claims the leadership of a
 group, and again for this record to be read back from the job topic."""
@@ -86,7 +77,6 @@
         self._acquisitions: dict[str, asyncio.Task] = {}
         self._leadership_lost_at: dict[str, float] = {}
         self._joined_at: float | None = None
-        self._heartbeat_number = 0
         self._background_tasks: set[asyncio.Task] = set()
         self._stop_requested = asyncio.Event()
         self._topic_reader = _job_topic.JobTopicReader(store, clock, log,
@@ -95,6 +85,8 @@
         self._topic_writer = _job_topic.JobTopicWriter(
             store, ports.Producer(f"n/{self._incarnation}", 1), clock, log,
             self._metrics)
+        self._member_announcer = _membership.MemberAnnouncer(
+            settings, self._incarnation, self._topic_writer, clock, log)
         self._reported_losses = dispatch.ReportedLosses()
         self._peering = _peering.Peering(self._incarnation, settings.domain,
                                          clock, random_source)
@@ -144,12 +136,14 @@
         self._log.write("daemon-started",
                         incarnation=self._incarnation,
                         domain=settings.domain,
-                        peer_address=peer_address)
+                        peer_address=peer_address,
+                        processor_cores=settings.processor_cores,
+                        link_mbit_s=settings.link_mbit_s)
         self._topic_reader.start()
         self._topic_writer.start()
         self._spawn(self._follow_topic(platform.OPERATOR_TOPIC))
         self._spawn(self._follow_topic(platform.REGISTRY_TOPIC))
-        self._spawn(self._announce_membership(peer_address))
+        self._spawn(self._member_announcer.run(peer_address))
         self._spawn(self._run_elections())
         self._spawn(self._job_remover.run())
         self._spawn(self._load_log.run())
@@ -218,9 +212,8 @@
             self._log.write("internal-error",
                             error=_decision_log.format_error(task.exception()))
 
-    # Reading of the operators' topic and the worker registry, appends of this
-    # daemon's member record, and handling of changes that were read from the
-    # topics.
+    # Reading of the operators' topic and the worker registry, and handling of
+    # changes that were read from the topics.
 
     async def _follow_topic(self, topic: str) -> None:
         is_operator_topic = topic == platform.OPERATOR_TOPIC
@@ -236,23 +229,6 @@
             if is_operator_topic else self._registry_freshness.mark_read)
         await platform_reader.run()
 
-    async def _announce_membership(self, peer_address: str) -> None:
-        while True:
-            self._heartbeat_number += 1
-            member_record = dispatch.MemberRecord(self._settings.node,
-                                                  self._incarnation,
-                                                  peer_address,
-                                                  self._settings.domain,
-                                                  self._heartbeat_number)
-            try:
-                await self._topic_writer.append([member_record],
-                                                MEMBER_RECORD_INTERVAL)
-            except ports.StoreError as error:
-                self._log.write("member-record-not-stored", error=str(error))
-                await self._clock.sleep(MEMBER_RECORD_RETRY_DELAY)
-                continue
-            await self._clock.sleep(MEMBER_RECORD_INTERVAL)
-
     def _apply_operator_state(self) -> None:
         configuration = self._operator_state.configuration
         self._job_service.configuration = configuration
--- a/src/gentianlead/cluster/_membership.py
+++ b/src/gentianlead/cluster/_membership.py
@@ -4,9 +4,21 @@
 from typing import Iterable
 
 from gentianlead import dispatch
+from gentianlead import platform
+from gentianlead import ports
+from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _peering
 
+MEMBER_RECORD_INTERVAL = datetime.timedelta(seconds=5)
+"""Pause after a successful append of this daemon's member record to the job
+topic, and timeout of each such append. A daemon that starts finds the addresses
+of its peers in their newest member records."""
+
+MEMBER_RECORD_RETRY_DELAY = datetime.timedelta(milliseconds=500)
+"""Pause after a failed append of the member record. The append of a record that
+the store rejects for good fails at once."""
+
 MAX_MEMBER_RECORD_AGE = datetime.timedelta(seconds=16)
 """Age above which a peer's newest member record is ignored, so that this daemon
 stops connecting to the peer. The age is the time from the read of the record to
@@ -14,6 +26,52 @@
 away. The limit is three times the interval of the records plus one second."""
 
 
+class MemberAnnouncer:
+    """Stores the member record of a daemon again and again.
+
+    What the daemon's VM has is stored once, with the first of them.
+
+    Example:
+        >>> announcer = MemberAnnouncer(settings, incarnation, topic_writer,
+        ...                             clock, log)
+        >>> await announcer.run(peer_address)
+    """
+
+    def __init__(self, settings: platform.DaemonSettings, incarnation: str,
+                 topic_writer: _job_topic.JobTopicWriter, clock: ports.Clock,
+                 log: _decision_log.DecisionLog):
+        self._settings = settings
+        self._incarnation = incarnation
+        self._topic_writer = topic_writer
+        self._clock = clock
+        self._log = log
+
+    async def run(self, peer_address: str) -> None:
+        """Announces the daemon until the task is cancelled."""
+        settings = self._settings
+        unstored_records = [
+            dispatch.CapacityRecord(settings.node, self._incarnation,
+                                    settings.processor_cores,
+                                    settings.link_mbit_s)
+        ]
+        heartbeat_number = 0
+        while True:
+            heartbeat_number += 1
+            member_record = dispatch.MemberRecord(settings.node,
+                                                  self._incarnation,
+                                                  peer_address, settings.domain,
+                                                  heartbeat_number)
+            try:
+                await self._topic_writer.append(
+                    [*unstored_records, member_record], MEMBER_RECORD_INTERVAL)
+            except ports.StoreError as error:
+                self._log.write("member-record-not-stored", error=str(error))
+                await self._clock.sleep(MEMBER_RECORD_RETRY_DELAY)
+                continue
+            unstored_records = []
+            await self._clock.sleep(MEMBER_RECORD_INTERVAL)
+
+
 class Membership:
     """Selects the peers of a daemon by the member records of the job topic.
 
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -61,6 +61,7 @@
 from gentianlead.dispatch._records import build_key
 from gentianlead.dispatch._records import build_withdrawal
 from gentianlead.dispatch._records import CancelledRecord
+from gentianlead.dispatch._records import CapacityRecord
 from gentianlead.dispatch._records import CrashedRun
 from gentianlead.dispatch._records import decode_record
 from gentianlead.dispatch._records import decode_value
--- a/src/gentianlead/dispatch/_member_ranks.py
+++ b/src/gentianlead/dispatch/_member_ranks.py
@@ -2,11 +2,16 @@
 
 import functools
 import hashlib
+import math
 from typing import Iterable, NamedTuple
 
 _CACHED_RANKINGS = 64
 """Rankings that are kept: of each group for some successive memberships."""
 
+LINK_MBIT_S_PER_CORE = 40.0
+"""Bandwidth in Mbit/s that counts as much as one core: a leader among 101
+daemons needs 23 Mbit/s for its reports and 0.57 cores."""
+
 
 class RankedMembers(NamedTuple):
     """Names of members, the most suitable leader of a group first.
@@ -41,6 +46,23 @@
             (name for name, domain in names_and_domains if domain != group)))
 
 
+def compute_capacity(processor_cores: float, link_mbit_s: float) -> float:
+    """Returns the capacity of a VM to lead, by the scarcer of two resources.
+
+    Args:
+        processor_cores: Processor of the VM in cores.
+        link_mbit_s: Bandwidth of the VM's network link in Mbit/s.
+
+    Returns:
+        The capacity in cores; 0 if one of the amounts is not a number above 0.
+    """
+    if not all(
+            math.isfinite(amount) and amount > 0
+            for amount in (processor_cores, link_mbit_s)):
+        return 0.0
+    return min(processor_cores, link_mbit_s / LINK_MBIT_S_PER_CORE)
+
+
 def count_rankings() -> int:
     """Returns how often this process has ranked the members for a group."""
     # Pylint takes the method of the cache for the decorated function.
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -310,6 +310,26 @@
     heartbeat_number: int
 
 
+class CapacityRecord(NamedTuple):
+    """States what the VM of a running daemon has.
+
+    Daemons of former versions cannot read this record and go on without it,
+    which they could not if `MemberRecord` had the fields.
+
+    Attributes:
+        node: Name of the daemon.
+        incarnation: Identity of the daemon's process.
+        processor_cores: Processor of the VM in cores; 0 if it is not known.
+        link_mbit_s: Bandwidth of the VM's network link in Mbit/s; 0 if it is
+            not known.
+    """
+
+    node: str
+    incarnation: str
+    processor_cores: float
+    link_mbit_s: float
+
+
 class WorkersRecord(NamedTuple):
     """Lists the workers of a group on which runs may exist.
 
@@ -397,7 +417,8 @@
 
 Record = (AcceptedRecord | CancelledRecord | EarlyCancelledRecord |
           ProgressRecord | MovedRecord | LeaderRecord | MemberRecord |
-          WorkersRecord | HandoverRecord | RunLimitsRecord | RemovedKey)
+          CapacityRecord | WorkersRecord | HandoverRecord | RunLimitsRecord |
+          RemovedKey)
 
 _RECORD_TYPES: dict[str, type] = {
     "j": AcceptedRecord,
@@ -407,6 +428,7 @@
     "m": MovedRecord,
     "g": LeaderRecord,
     "n": MemberRecord,
+    "v": CapacityRecord,
     "w": WorkersRecord,
     "h": HandoverRecord,
     "l": RunLimitsRecord,
@@ -434,6 +456,8 @@
         return f"g/{record.group}"
     if isinstance(record, MemberRecord):
         return f"n/{record.node}"
+    if isinstance(record, CapacityRecord):
+        return f"v/{record.node}"
     if isinstance(record, WorkersRecord):
         return f"w/{record.group}"
     if isinstance(record, HandoverRecord):
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -6,6 +6,7 @@
 
 from gentianlead import model
 from gentianlead import ports
+from gentianlead.dispatch import _member_ranks
 from gentianlead.dispatch import _records
 
 
@@ -126,10 +127,13 @@
     Attributes:
         record: Newest member record of the daemon.
         seen_at: Monotonic time in seconds at which this record was read.
+        capacity: Capacity of the daemon's VM by
+            `_member_ranks.compute_capacity`; 0 if it is not known.
     """
 
     record: _records.MemberRecord
     seen_at: float
+    capacity: float = 0.0
 
 
 class JobTable:
@@ -171,6 +175,8 @@
         self.changed_jobs: set[str] = set()
         self.keys_by_job: dict[str, set[str]] = {}
         self.early_cancellations: dict[str, set[str]] = {}
+        # Newest capacity record of each daemon, by name.
+        self._capacities: dict[str, _records.CapacityRecord] = {}
         # Records that were read before the acceptance of their job, with their
         # offsets, by job identifier. They exist because pages of newest records
         # are not in offset order.
@@ -193,6 +199,10 @@
             self._apply_leader(stored.offset, record, now)
         elif isinstance(record, _records.MemberRecord):
             self.members[record.node] = MemberEntry(record, now)
+            self._update_capacity(record.node)
+        elif isinstance(record, _records.CapacityRecord):
+            self._capacities[record.node] = record
+            self._update_capacity(record.node)
         elif isinstance(record, _records.WorkersRecord):
             self.recorded_workers[record.group] = record.workers
             self.mark_leader_alive(record.group, record.epoch, now)
@@ -229,6 +239,7 @@
         self.jobs.clear()
         self.leaders.clear()
         self.members.clear()
+        self._capacities.clear()
         self.recorded_workers.clear()
         self.handovers.clear()
         self._early_records.clear()
@@ -309,6 +320,10 @@
         if key_prefix == "n":
             self.members.pop(key_suffix, None)
             return
+        if key_prefix == "v":
+            self._capacities.pop(key_suffix, None)
+            self._update_capacity(key_suffix)
+            return
         keys = self.keys_by_job.get(job_id)
         if keys is not None:
             keys.discard(key)
@@ -325,6 +340,22 @@
         else:
             self._early_records.pop(job_id, None)
 
+    def _update_capacity(self, node: str) -> None:
+        """Sets the capacity of a member from the record of its own process.
+
+        A daemon of a former version stores no such record when it restarts.
+        """
+        member = self.members.get(node)
+        if member is None:
+            return
+        record = self._capacities.get(node)
+        capacity = 0.0
+        if (record is not None and
+                record.incarnation == member.record.incarnation):
+            capacity = _member_ranks.compute_capacity(record.processor_cores,
+                                                      record.link_mbit_s)
+        self.members[node] = member._replace(capacity=capacity)
+
     def _apply_leader(self, offset: int, record: _records.LeaderRecord,
                       now: float) -> None:
         known_leader = self.leaders.get(record.group)
--- a/src/gentianlead/dispatch/tests/test_odd_records.py
+++ b/src/gentianlead/dispatch/tests/test_odd_records.py
@@ -29,6 +29,7 @@
     dispatch.MovedRecord(JOB_ID, "north-1", (0,), "north-2", 7),
     dispatch.LeaderRecord("north-1", 64, "a", "a#1", 1),
     dispatch.MemberRecord("a", "a#1", "10.0.0.1:80", "north-1", 3),
+    dispatch.CapacityRecord("a", "a#1", 0.5, 20.0),
     dispatch.WorkersRecord("north-1", 64, (builders.build_worker(),)),
     dispatch.CancelledRecord(JOB_ID),
 )
--- a/src/gentianlead/platform/_settings.py
+++ b/src/gentianlead/platform/_settings.py
@@ -1,6 +1,7 @@
 """Reads the settings file of a daemon, which has the platform's format."""
 
 import datetime
+import math
 import tomllib
 from typing import Any, NamedTuple
 
@@ -51,6 +52,10 @@
             signal and the kill signal.
         worker_report_interval: Interval at which workers report to the
             registry.
+        processor_cores: Processor of the VM, in cores of the platform's
+            reference speed; 0 if it is not known.
+        link_mbit_s: Bandwidth of the VM's network link in Mbit/s; 0 if it is
+            not known.
     """
 
     node: str
@@ -71,6 +76,8 @@
     stop_grace: datetime.timedelta
     worker_report_interval: datetime.timedelta = datetime.timedelta(
         milliseconds=_DEFAULT_REPORT_INTERVAL_MS)
+    processor_cores: float = 0.0
+    link_mbit_s: float = 0.0
 
 
 def _read_bounds(document: dict[str, Any]) -> dict[str, float]:
@@ -88,6 +95,31 @@
     return values
 
 
+def _read_capacity(document: dict[str, Any]) -> tuple[float, float]:
+    """Returns the processor in cores and the link in Mbit/s of the VM.
+
+    A value is 0 if a field that it depends on is missing or malformed.
+    """
+    limits = document.get("limits")
+    if not isinstance(limits, dict):
+        return 0.0, 0.0
+    return (_read_amount(
+        _read_amount(limits.get("cpu_share")) *
+        _read_amount(limits.get("cores"))),
+            _read_amount(limits.get("link_mbps")))
+
+
+def _read_amount(value: object) -> float:
+    """Returns a number above 0, or 0 for all other values."""
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        return 0.0
+    try:
+        amount = float(value)
+    except OverflowError:
+        return 0.0
+    return amount if amount > 0 and math.isfinite(amount) else 0.0
+
+
 def parse_settings(text: str) -> DaemonSettings:
     """Decodes the text of a settings file.
 
@@ -97,6 +129,7 @@
     try:
         document = tomllib.loads(text)
         bounds = _read_bounds(document)
+        processor_cores, link_mbit_s = _read_capacity(document)
         listen = document["listen_addrs"]
         vm_service = document.get("cloud_api") or {}
         first_port, last_port = document["port_range"]
@@ -124,7 +157,9 @@
             status_retention=datetime.timedelta(seconds=bounds["status_s"]),
             stop_grace=datetime.timedelta(seconds=bounds["grace_s"]),
             worker_report_interval=datetime.timedelta(milliseconds=float(
-                document.get("heartbeat_ms", _DEFAULT_REPORT_INTERVAL_MS))))
+                document.get("heartbeat_ms", _DEFAULT_REPORT_INTERVAL_MS))),
+            processor_cores=processor_cores,
+            link_mbit_s=link_mbit_s)
     except KeyError as error:
         raise errors.SettingsError(
             f"setting {error.args[0]!r} is missing") from error
