Rank members with more capacity first

On large deployments a leader on a small VM replied late, lost workers that were up, and gave up their runs. Leaders were ranked by a hash of names alone, so a small VM may rank first although its domain has large ones.

Members of the group's own domain still rank above the others. Within each of the two lists those of a higher class rank first, where a class is a power of two of the capacity; a hash of names ranks within a class, and members of unknown capacity rank last. If all are alike, or none is known, the order is that of former versions. Elections and the selection of peers use the same classes.

While both versions run, a daemon of the former version ranks by the hash alone, so two members may claim a group at the same time. That costs the loser a claim and adds no wait.

With the rule switched off, the tests fail: small members claim a group first after a resignation, in a model of 97 members with three large ones in each domain e31 (small) claims the group after the loss of e1, and a daemon connects to others than the first candidates. They pass with it.

--- a/src/gentianlead/cluster/_membership.py
+++ b/src/gentianlead/cluster/_membership.py
@@ -90,6 +90,7 @@
         self._read_version: tuple[int, float | None] | None = None
         self._members: dict[str, dispatch.MemberRecord] = {}
         self._domains_by_name: dict[str, str] = {}
+        self._capacities: dict[str, float] = {}
         self._selection_inputs: tuple | None = None
         self._selected_names: frozenset[str] = frozenset()
 
@@ -101,12 +102,11 @@
             for entry in self._topic_reader.job_table.leaders.values())
         unreachable_names = self._peering.find_reachability().unreachable_names
         selection_inputs = (self._domains_by_name, leader_names,
-                            unreachable_names)
+                            unreachable_names, self._capacities)
         if selection_inputs != self._selection_inputs:
             self._selection_inputs = selection_inputs
             self._selected_names = dispatch.select_peers(
-                self._node, self._groups, self._domains_by_name, leader_names,
-                unreachable_names)
+                self._node, self._groups, *selection_inputs)
         self._peering.set_members(self._members, self._selected_names)
 
     def _read_members(self) -> None:
@@ -116,19 +116,27 @@
         if (job_table.position, read_at) == self._read_version:
             return
         self._read_version = (job_table.position, read_at)
-        current_records = {
-            name: member.record
+        current_members = {
+            name: member
             for name, member in job_table.members.items()
             if (read_at or 0.0) -
             member.seen_at <= MAX_MEMBER_RECORD_AGE.total_seconds()
         }
         domains_by_name = {
-            name: record.domain for name, record in current_records.items()
+            name: member.record.domain
+            for name, member in current_members.items()
+        }
+        capacities = {
+            name: member.capacity for name, member in current_members.items()
         }
         if domains_by_name != self._domains_by_name:
             self._domains_by_name = domains_by_name
-        current_records.pop(self._node, None)
-        self._members = current_records
+        if capacities != self._capacities:
+            self._capacities = capacities
+        current_members.pop(self._node, None)
+        self._members = {
+            name: member.record for name, member in current_members.items()
+        }
 
     def find_unknown_members(
             self, reachability: _peering.Reachability) -> frozenset[str]:
--- a/src/gentianlead/cluster/tests/test_member_records.py
+++ b/src/gentianlead/cluster/tests/test_member_records.py
@@ -12,6 +12,7 @@
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _membership
 from gentianlead.cluster import _metrics
+from gentianlead.cluster import _peering
 from gentianlead.cluster.tests import daemons
 from gentianlead.cluster.tests import fakes
 from gentianlead.cluster.tests import leading
@@ -51,6 +52,30 @@
         self.assertEqual(store.records[dispatch.JOB_TOPIC][0].key, "v/entry-1")
 
 
+class MembershipTest(unittest.TestCase):
+    """Tests the peers that a daemon selects by the records of members."""
+
+    def test_candidates_are_those_of_elections(self):
+        """Guards against a daemon that does not know the first candidates."""
+        job_table = dispatch.JobTable()
+        for number in range(20):
+            name = f"entry-{number}"
+            for record in (dispatch.CapacityRecord(name, f"{name}#1",
+                                                   2.0 if number > 16 else 0.5,
+                                                   200.0),
+                           dispatch.MemberRecord(name, f"{name}#1", "", "north",
+                                                 1)):
+                job_table.apply(dispatch.encode_record(record), 1.0)
+        reader = mock.Mock(job_table=job_table, fresh_as_of=1.0)
+        peering = mock.create_autospec(_peering.Peering, instance=True)
+        peering.find_reachability.return_value = _peering.Reachability(
+            frozenset(), frozenset())
+        _membership.Membership("entry-0", ("north",), reader,
+                               peering).update_peers()
+        (_, selected_names), _ = peering.set_members.call_args
+        self.assertEqual(selected_names, {"entry-17", "entry-18", "entry-19"})
+
+
 class MemberRecordTest(unittest.IsolatedAsyncioTestCase):
     """Tests the member records of a daemon whose store rejects all records."""
 
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -150,12 +150,19 @@
 
     None if this daemon must not take over for this reason.
     """
+    candidates = {
+        name: member
+        for name, member in view.members.items()
+        if name == view.node or name in view.reachable_nodes or
+        name in view.unknown_nodes
+    }
     ranked_members = _member_ranks.rank_members(
         group,
         frozenset((name, member.record.domain)
-                  for name, member in view.members.items()
-                  if name == view.node or name in view.reachable_nodes or
-                  name in view.unknown_nodes))
+                  for name, member in candidates.items()),
+        _member_ranks.classify_members({
+            name: member.capacity for name, member in candidates.items()
+        }))
     ranked_names = ranked_members.of_domain + ranked_members.others
     if view.node not in ranked_names:
         return None
--- a/src/gentianlead/dispatch/_member_ranks.py
+++ b/src/gentianlead/dispatch/_member_ranks.py
@@ -3,7 +3,7 @@
 import functools
 import hashlib
 import math
-from typing import Iterable, NamedTuple
+from typing import Iterable, Mapping, NamedTuple
 
 _CACHED_RANKINGS = 64
 """Rankings that are kept: of each group for some successive memberships."""
@@ -29,23 +29,47 @@
 
 @functools.lru_cache(maxsize=_CACHED_RANKINGS)
 def rank_members(
-        group: str, names_and_domains: frozenset[tuple[str,
-                                                       str]]) -> RankedMembers:
-    """Ranks members by a hash of the names of group and member.
+    group: str,
+    names_and_domains: frozenset[tuple[str, str]],
+    names_and_classes: frozenset[tuple[str, int]] = frozenset()
+) -> RankedMembers:
+    """Ranks members by capacity class, then by a hash of names.
+
+    Within a list, members of a higher class rank first, and those without a
+    class last. The hash of the names of group and member orders the members of
+    one class, so that members that are alike lead different groups.
 
     Args:
         group: Name of the group, which is the name of its failure domain.
         names_and_domains: Pairs of a member's name and failure domain.
+        names_and_classes: Pairs of a member's name and class, by
+            `classify_members`.
     """
+    classes = dict(names_and_classes)
     return RankedMembers(
-        _sort_by_hash(
-            group,
+        _sort_names(
+            group, classes,
             (name for name, domain in names_and_domains if domain == group)),
-        _sort_by_hash(
-            group,
+        _sort_names(
+            group, classes,
             (name for name, domain in names_and_domains if domain != group)))
 
 
+def classify_members(
+        capacities: Mapping[str, float]) -> frozenset[tuple[str, int]]:
+    """Returns pairs of a member's name and capacity class.
+
+    A class is a power of two of the capacity, so that small differences rarely
+    matter for the rank. Members of unknown capacity have none.
+
+    Args:
+        capacities: Results of `compute_capacity`, by name of the member.
+    """
+    return frozenset((name, math.floor(math.log2(capacity)))
+                     for name, capacity in capacities.items()
+                     if capacity)
+
+
 def compute_capacity(processor_cores: float, link_mbit_s: float) -> float:
     """Returns the capacity of a VM to lead, by the scarcer of two resources.
 
@@ -69,8 +93,10 @@
     return rank_members.cache_info().misses  # pylint: disable=no-value-for-parameter
 
 
-def _sort_by_hash(group: str, names: Iterable[str]) -> tuple[str, ...]:
+def _sort_names(group: str, classes: Mapping[str, int],
+                names: Iterable[str]) -> tuple[str, ...]:
     return tuple(
         sorted(names,
-               key=lambda name: hashlib.blake2b(f"{group}/{name}".encode(),
-                                                digest_size=8).digest()))
+               key=lambda name: (-classes.get(name, -math.inf),
+                                 hashlib.blake2b(f"{group}/{name}".encode(),
+                                                 digest_size=8).digest())))
--- a/src/gentianlead/dispatch/_peer_selection.py
+++ b/src/gentianlead/dispatch/_peer_selection.py
@@ -1,5 +1,6 @@
 """Selection of the members to which a daemon opens peer connections."""
 
+import types
 from typing import Collection, Iterable, Mapping
 
 from gentianlead.dispatch import _member_ranks
@@ -10,10 +11,14 @@
 all others have to know whether they are alive."""
 
 
-def select_peers(node: str, groups: Iterable[str],
-                 domains_by_name: Mapping[str,
-                                          str], leader_names: Iterable[str],
-                 unreachable_names: Collection[str]) -> frozenset[str]:
+def select_peers(
+    node: str,
+    groups: Iterable[str],
+    domains_by_name: Mapping[str, str],
+    leader_names: Iterable[str],
+    unreachable_names: Collection[str],
+    capacities: Mapping[str, float] = types.MappingProxyType({})
+) -> frozenset[str]:
     """Returns the names of the members to which a daemon connects.
 
     These are the leaders, and the best candidates for the leadership of each
@@ -31,11 +36,14 @@
         leader_names: Names of the daemons that lead a group.
         unreachable_names: Names of the members to which the daemon has tried to
             connect without success.
+        capacities: Capacities of the current members, by name, as elections
+            rank by them. They are 0 for those that are not known.
     """
     members = frozenset(domains_by_name.items())
+    classes = _member_ranks.classify_members(capacities)
     selected_names = set(leader_names) & domains_by_name.keys()
     for group in groups:
-        for ranked_names in _member_ranks.rank_members(group, members):
+        for ranked_names in _member_ranks.rank_members(group, members, classes):
             candidates = [
                 name for name in ranked_names[:CANDIDATES_PER_LIST + 1]
                 if name != node
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -11,11 +11,12 @@
 
 def build_member(node: str,
                  domain: str = GROUP,
-                 incarnation: str = "") -> dispatch.MemberEntry:
+                 incarnation: str = "",
+                 capacity: float = 0.0) -> dispatch.MemberEntry:
     """Builds the entry of a member, by default in the group's own domain."""
     record = dispatch.MemberRecord(node, incarnation or f"{node}#1",
                                    "10.0.0.1:7000", domain, 1)
-    return dispatch.MemberEntry(record, 0.0)
+    return dispatch.MemberEntry(record, 0.0, capacity)
 
 
 def build_election_view(node: str = "a",
@@ -48,6 +49,71 @@
     return dispatch.LeaderEntry(record, 5, last_record_read_at)
 
 
+class RankTest(unittest.TestCase):
+    """Tests of the order in which members are suited to lead a group."""
+
+    def test_ranks_by_capacity(self):
+        """Guards against a small VM that leads a group beside a large one.
+
+        Members that are alike keep the order of former versions.
+        """
+        alike = ("acdb", "ghfe")
+        cases = (
+            ("not known", {}, alike),
+            ("alike", dict.fromkeys("abcdefgh", 0.5), alike),
+            ("small differences", {
+                name: 1 + number / 10 for number, name in enumerate("abcdefgh")
+            }, alike),
+            ("large, small, not known", {
+                "b": 2.15,
+                "c": 0.516,
+                "e": 2.15,
+                "f": 2.15,
+                "g": 0.1
+            }, ("bcad", "fegh")),
+            ("largest in another domain", {
+                "e": 64.0
+            }, ("acdb", "eghf")),
+        )
+        for name, capacities, (own_names, other_names) in cases:
+            with self.subTest(name):
+                self.assertEqual(
+                    _member_ranks.rank_members(
+                        GROUP,
+                        frozenset((member, GROUP if member < "e" else "n2")
+                                  for member in "abcdefgh"),
+                        _member_ranks.classify_members(capacities)),
+                    (tuple(own_names), tuple(other_names)))
+
+    def test_larger_member_takes_over_first(self):
+        """Guards against a small VM that gets the group from a resigned leader.
+
+        By the hash of names alone, small members rank above large ones.
+        """
+        members = {
+            f"m{number}":
+                build_member(f"m{number}",
+                             capacity=2.15 if number > 16 else 0.5)
+            for number in range(20)
+        }
+        leader = build_leader(node="", last_record_read_at=100.0)
+        delays = {
+            name:
+                next(tenth / 10
+                     for tenth in range(200)
+                     if dispatch.find_reason_to_lead(
+                         GROUP, leader,
+                         build_election_view(name,
+                                             100.0 + tenth / 10,
+                                             members=members,
+                                             reachable_nodes=members.keys() -
+                                             {name}))) for name in members
+        }
+        self.assertEqual(set(sorted(delays, key=delays.__getitem__)[:3]),
+                         {"m17", "m18", "m19"})
+        self.assertEqual(sorted(delays.values())[:2], [0.0, 0.4])
+
+
 class ElectionTest(unittest.TestCase):
     """Tests of when a daemon takes over, and of the epoch that it chooses."""
 
--- a/src/gentianlead/dispatch/tests/test_peer_selection.py
+++ b/src/gentianlead/dispatch/tests/test_peer_selection.py
@@ -1,6 +1,8 @@
 """Tests of the members to which daemons connect, and of elections with them."""
 
+import types
 import unittest
+from typing import Mapping
 
 from gentianlead import dispatch
 from gentianlead.dispatch import _member_ranks
@@ -19,6 +21,8 @@
 
 
 DOMAINS = build_domains(97)
+CAPACITIES = {f"e{n}": 2.15 if n < 15 else 0.5 for n in range(97)}
+"""Three large members in each domain."""
 OWN, OTHERS = _member_ranks.rank_members("z1", frozenset(DOMAINS.items()))
 
 
@@ -64,8 +68,13 @@
     lost before they were dialed.
     """
 
-    def __init__(self, is_mesh: bool, is_restart: bool, leader_name: str,
-                 silence_s: float):
+    def __init__(self,
+                 is_mesh: bool,
+                 is_restart: bool,
+                 leader_name: str,
+                 silence_s: float,
+                 capacities: Mapping[str, float] = types.MappingProxyType({})):
+        self._capacities = capacities
         self._is_mesh = is_mesh
         self._is_restart = is_restart
         self._silence_s = silence_s
@@ -109,7 +118,7 @@
                 name, GROUPS, DOMAINS, (self._leader_name,), {
                     peer for peer in known
                     if self._is_reachable(name, peer) is False
-                })
+                }, self._capacities)
             self._selected_at[name] = {
                 peer: known.get(peer, self._now) for peer in selected
             }
@@ -140,7 +149,10 @@
             members={
                 member:
                     test_election.build_member(member,
-                                               domain)._replace(seen_at=100.0)
+                                               domain,
+                                               capacity=self._capacities.get(
+                                                   member,
+                                                   0.0))._replace(seen_at=100.0)
                 for member, domain in DOMAINS.items()
             },
             joined_at=100.0,
@@ -185,3 +197,17 @@
                     self.assertEqual(claims[0][1], mesh_claim[1])
                     self.assertLessEqual(claims[0][0],
                                          mesh_claim[0] + extra_s + 0.01)
+
+    def test_larger_member_takes_over_from_a_lost_one(self):
+        """Guards against small VMs that do not know the large ones.
+
+        Also guards against several claims at once.
+        """
+        for is_restart, lost_names in ((False, {"e1"}), (False, {"e1", "e6"}),
+                                       (True, ())):
+            with self.subTest((is_restart, lost_names)):
+                claims = FleetModel(False, is_restart, "e1", 0.7,
+                                    CAPACITIES).find_claims(
+                                        frozenset(lost_names))
+                self.assertEqual(len(claims), 1, claims)
+                self.assertIn(claims[0][1], {"e1", "e6", "e11"} - {*lost_names})
