Hand a group to a member with twice the leader's capacity

A small VM that took a group while no larger one was up kept it: only a leader of another domain resigned for a better one.

A leader of the group's own domain now resigns in order, with a hand-over record, for a reachable member of that domain that has joined, stores its records and has at least twice the leader's capacity; not before 11 s as the leader, and not within 1.5 s of an outage of the store. Nobody deposes a leader for this reason. The successor is the first of the ranks, so its class is higher, and a sequence of hand-overs ends. `lead-handed-back` tells the reason.

Without the rule the tests fail (no hand-over to the larger daemon within the time limit of the test; the case "twice the capacity"). With a ratio of 1, or without classes in the ranks, the test of sequences fails, as groups come back to former leaders. They pass now.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -293,13 +293,18 @@
         for group, leader in list(self._leaders.items()):
             leader_entry = self._topic_reader.job_table.leaders.get(group)
             if (leader_entry is None or
-                    leader_entry.record.epoch != leader.epoch or
-                    not dispatch.should_hand_back(group, leader_entry,
-                                                  election_view)):
+                    leader_entry.record.epoch != leader.epoch):
+                continue
+            reason = dispatch.find_reason_to_hand_back(group, leader_entry,
+                                                       election_view)
+            if not reason:
                 continue
             del self._leaders[group]
             self._metrics.leadership_changes.inc({"change": "handed-back"})
-            self._log.write("lead-handed-back", group=group, epoch=leader.epoch)
+            self._log.write("lead-handed-back",
+                            group=group,
+                            epoch=leader.epoch,
+                            reason=reason)
             # Counts as an acquisition, so that this daemon does not claim the
             # group before its own resignation is stored.
             self._acquisitions[group] = self._spawn(self._hand_back(leader))
--- a/src/gentianlead/cluster/tests/daemons.py
+++ b/src/gentianlead/cluster/tests/daemons.py
@@ -18,7 +18,8 @@
                  node: str,
                  store: ports.KeyedStore,
                  worker_client: ports.LeasedWorkerClient | None = None,
-                 domain: str = GROUP) -> _daemon.ClusterDaemon:
+                 domain: str = GROUP,
+                 processor_cores: float = 0.0) -> _daemon.ClusterDaemon:
     """Starts a daemon, by default in the domain of the only group.
 
     It runs until the test ends.
@@ -42,7 +43,9 @@
         stop_limit=datetime.timedelta(seconds=1),
         status_retention=datetime.timedelta(seconds=120),
         stop_grace=datetime.timedelta(seconds=6),
-        worker_report_interval=datetime.timedelta(seconds=1.5))
+        worker_report_interval=datetime.timedelta(seconds=1.5),
+        processor_cores=processor_cores,
+        link_mbit_s=200.0)
     daemon = _daemon.ClusterDaemon(
         settings, store, worker_client or
         mock.create_autospec(ports.LeasedWorkerClient),
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -27,8 +27,8 @@
 from gentianlead.dispatch._election import choose_epoch
 from gentianlead.dispatch._election import ElectionView
 from gentianlead.dispatch._election import find_process_end
+from gentianlead.dispatch._election import find_reason_to_hand_back
 from gentianlead.dispatch._election import find_reason_to_lead
-from gentianlead.dispatch._election import should_hand_back
 from gentianlead.dispatch._group import GroupScheduler
 from gentianlead.dispatch._idle_jobs import explain_idle_job
 from gentianlead.dispatch._idle_jobs import IdleJob
--- a/src/gentianlead/dispatch/_election.py
+++ b/src/gentianlead/dispatch/_election.py
@@ -52,9 +52,14 @@
 group from a leader in another domain."""
 
 MIN_FAILBACK_TERM = datetime.timedelta(seconds=11)
-"""Time for which the leader in another domain must have led the group before it
-hands the group back. It bounds how often a group changes its leader while
-members of its domain come and go."""
+"""Time for which a leader must have led the group before it hands the group to
+a better one. It bounds how often a group changes its leader while members of
+its domain come and go."""
+
+MIN_HAND_OVER_RATIO = 2.0
+"""Least ratio of the capacities of a member and of the leader at which the
+leader hands the group over. Such a member is of a higher class, and so is any
+that ranks above it: no sequence of hand-overs returns to a former leader."""
 
 HAND_BACK_LIMIT = datetime.timedelta(seconds=4)
 """Time that the leader in another domain then has for handing the group back,
@@ -75,6 +80,7 @@
 whose leader record is then read from the topic wins."""
 
 _FAILBACK_REASON = "leader is in another domain"
+_CAPACITY_REASON = "another member has more capacity"
 _OWN_RESTART_REASON = "own process restarted"
 
 
@@ -181,12 +187,13 @@
     return delay
 
 
-def should_hand_back(group: str, leader: _table.LeaderEntry,
-                     view: ElectionView) -> bool:
-    """Returns whether this daemon should resign for a member of the own domain.
+def find_reason_to_hand_back(group: str, leader: _table.LeaderEntry,
+                             view: ElectionView) -> str:
+    """Returns why this daemon should resign for another, or an empty string.
 
-    That is a member of the group's own failure domain. The daemon leads the
-    group and is not of that domain.
+    The daemon leads the group. The other daemon is of the group's own failure
+    domain. If this daemon is, too, the other must have clearly more
+    capacity; a daemon that does not know its own capacity keeps the group.
 
     Args:
         group: Name of the group, which is the name of its failure domain.
@@ -194,16 +201,24 @@
         view: State of the cluster as this daemon sees it.
     """
     if (view.store_available_since is None or
-            view.members[view.node].record.domain == group or
             view.now - view.store_available_since
             < STORE_RECOVERY_WAIT.total_seconds() or
             view.now - leader.epoch_read_at
             < MIN_FAILBACK_TERM.total_seconds()):
-        return False
-    return any(
-        member.record.domain == group and name in view.reachable_nodes and
+        return ""
+    successors = [
+        member for name, member in view.members.items()
+        if member.record.domain == group and name in view.reachable_nodes and
         _can_take_over_at_once(member, view.now)
-        for name, member in view.members.items())
+    ]
+    own_member = view.members[view.node]
+    if own_member.record.domain != group:
+        return _FAILBACK_REASON if successors else ""
+    if own_member.capacity and any(
+            member.capacity >= MIN_HAND_OVER_RATIO * own_member.capacity
+            for member in successors):
+        return _CAPACITY_REASON
+    return ""
 
 
 def _can_take_over_at_once(member: _table.MemberEntry, now: float) -> bool:
--- a/src/gentianlead/dispatch/tests/test_election.py
+++ b/src/gentianlead/dispatch/tests/test_election.py
@@ -1,5 +1,6 @@
 """Tests of the rules by which daemons take over the leadership of a group."""
 
+import itertools
 import unittest
 
 from gentianlead import dispatch
@@ -49,6 +50,24 @@
     return dispatch.LeaderEntry(record, 5, last_record_read_at)
 
 
+def find_claim_delays(
+        members: dict[str, dispatch.MemberEntry]) -> dict[str, float]:
+    """Returns the delay in seconds of each member after a resignation."""
+    leader = build_leader(node="", last_record_read_at=100.0)
+    return {
+        name:
+            next(tenth / 10
+                 for tenth in range(200)
+                 if dispatch.find_reason_to_lead(
+                     GROUP, leader,
+                     build_election_view(name,
+                                         100.0 + tenth / 10,
+                                         members=members,
+                                         reachable_nodes=members.keys() -
+                                         {name}))) for name in members
+    }
+
+
 class RankTest(unittest.TestCase):
     """Tests of the order in which members are suited to lead a group."""
 
@@ -96,19 +115,7 @@
                              capacity=2.15 if number > 16 else 0.5)
             for number in range(20)
         }
-        leader = build_leader(node="", last_record_read_at=100.0)
-        delays = {
-            name:
-                next(tenth / 10
-                     for tenth in range(200)
-                     if dispatch.find_reason_to_lead(
-                         GROUP, leader,
-                         build_election_view(name,
-                                             100.0 + tenth / 10,
-                                             members=members,
-                                             reachable_nodes=members.keys() -
-                                             {name}))) for name in members
-        }
+        delays = find_claim_delays(members)
         self.assertEqual(set(sorted(delays, key=delays.__getitem__)[:3]),
                          {"m17", "m18", "m19"})
         self.assertEqual(sorted(delays.values())[:2], [0.0, 0.4])
@@ -275,10 +282,89 @@
                 }
                 leader = build_leader(node="c")._replace(
                     epoch_read_at=fields.pop("epoch_read_at", 0.0))
-                self.assertIs(
-                    dispatch.should_hand_back(
+                self.assertEqual(
+                    dispatch.find_reason_to_hand_back(
                         GROUP, leader, build_election_view("c", **fields)),
-                    is_due)
+                    "leader is in another domain" if is_due else "")
+
+    def test_leader_hands_the_group_to_a_larger_member(self):
+        """Guards against a group that stays with a leader on a small VM.
+
+        Also guards against hand-overs that gain little or go on and on.
+        """
+        small = build_member("a", capacity=0.5)._replace(seen_at=96.0)
+        large = build_member("b", capacity=1.0)._replace(seen_at=96.0)
+        large_record = large.record
+        cases = (
+            ("twice the capacity", large, {}, True),
+            ("little more, of a higher class", large._replace(capacity=0.99),
+             {}, False),
+            ("alike", large._replace(capacity=0.5), {}, False),
+            ("capacity is not known", large._replace(capacity=0.0), {}, False),
+            ("stores no records", large._replace(seen_at=92.0), {}, False),
+            ("has just joined", large._replace(seen_at=99.0), {}, False),
+            ("member of another domain",
+             large._replace(record=large_record._replace(domain="n2")), {},
+             False),
+            ("not reachable", large, {
+                "reachable_nodes": frozenset()
+            }, False),
+            ("store has just recovered", large, {
+                "store_available_since": 99.0
+            }, False),
+            ("store is away", large, {
+                "store_available_since": None
+            }, False),
+            ("leader is new", large, {
+                "epoch_read_at": 90.0
+            }, False),
+            ("leader's own capacity is not known", large, {
+                "own_capacity": 0.0
+            }, False),
+        )
+        for name, member, fields, is_due in cases:
+            with self.subTest(name):
+                fields = dict(fields)
+                leader = build_leader(node="a")._replace(
+                    epoch_read_at=fields.pop("epoch_read_at", 0.0))
+                own = small._replace(capacity=fields.pop("own_capacity", 0.5))
+                view = build_election_view(**{
+                    "members": {
+                        "a": own,
+                        "b": member
+                    },
+                    **fields
+                })
+                self.assertEqual(
+                    dispatch.find_reason_to_hand_back(GROUP, leader, view),
+                    "another member has more capacity" if is_due else "")
+
+    def test_hand_overs_come_to_an_end(self):
+        """Guards against members that hand a group to each other in turn."""
+        capacities = (0.24, 0.26, 0.5, 0.516, 0.97, 1.03, 2.0, 2.15, 0.0)
+        for prefix, first_number in itertools.product("pqrst", range(9)):
+            members = {
+                f"{prefix}{number}":
+                    build_member(f"{prefix}{number}",
+                                 capacity=capacity)._replace(seen_at=96.0)
+                for number, capacity in enumerate(capacities)
+            }
+            node = f"{prefix}{first_number}"
+            former_nodes = set()
+            with self.subTest(node):
+                while dispatch.find_reason_to_hand_back(
+                        GROUP, build_leader(node),
+                        build_election_view(node,
+                                            members=members,
+                                            reachable_nodes=members.keys() -
+                                            {node})):
+                    former_nodes.add(node)
+                    delays = find_claim_delays(members)
+                    node = min(delays, key=delays.__getitem__)
+                    self.assertNotIn(node, former_nodes)
+                self.assertEqual(bool(former_nodes), first_number < 6)
+                if former_nodes:
+                    self.assertGreaterEqual(members[node].capacity, 2.0)
 
     def test_leadership_is_not_taken_back_while_a_worker_is_missing(self):
         """Guards against a voluntary takeover that delays all starts.
