--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -16,7 +16,7 @@
 from gentianlead.cluster import _job_topic
 from gentianlead.cluster import _order_sender
 from gentianlead.cluster import _scheduler_log
-from gentianlead.cluster import _status_polls
+from gentianlead.cluster import _status_poller
 from gentianlead.cluster import _takeover_log
 from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster import _wait_log
@@ -62,10 +62,6 @@
 Without a resignation the group gets a new leader only when the old one has been
 silent for long enough, and that one waits for former runs."""
 
-ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
-"""Longest wait for reported run ends to be stored, so that the next status
-request acknowledges them. After a timeout it acknowledges only stored ones."""
-
 STALE_TOKEN_REASON = "a worker has a higher fencing token"
 
 
@@ -133,13 +129,14 @@
         self._takeover_log = _takeover_log.TakeoverLog(self.scheduler,
                                                        clock.monotonic(), log,
                                                        metrics)
-        self._unreachable_worker_ids: set[str] = set()
         self._background_tasks: set[asyncio.Task] = set()
-        self._unreachable_poll_slots = asyncio.Semaphore(
-            _status_polls.MAX_UNREACHABLE_POLLS)
-        self._status_pollers: dict[str, asyncio.Task] = {}
         self._flush_requested = asyncio.Event()
         self._flush_done = asyncio.Event()
+        self._status_poller = _status_poller.StatusPoller(
+            self.scheduler, worker_client, clock, log, metrics, interference,
+            self._is_start_allowed, self._plan_requested.set,
+            self._flush_requested.set, self._wait_for_flush,
+            lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._flush_loop: asyncio.Task | None = None
         self._unsent_job_states: list[_peer_messages.JobStateNotice] = []
         self._cached_load: dispatch.GroupLoad | None = None
@@ -162,9 +159,10 @@
         self._is_stopped = True
         self._wait_log.close()
         self.audit_log.close()
-        tasks = [*self._background_tasks, *self._status_pollers.values()]
+        tasks = list(self._background_tasks)
         for task in tasks:
             task.cancel()
+        await self._status_poller.stop()
         if tasks:
             await asyncio.wait(tasks)
         await self._topic_writer.stop()
@@ -237,11 +235,7 @@
         """
         self._is_resigning = True
         await self._order_sender.end(ORDER_END_TIMEOUT)
-        pollers = list(self._status_pollers.values())
-        for poller in pollers:
-            poller.cancel()
-        if pollers:
-            await asyncio.wait(pollers)
+        await self._status_poller.stop()
 
     def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -260,6 +254,7 @@
     def _abandon_leadership(self, loss_reason: str) -> None:
         if not self._is_stopped:
             self._is_stopped = True
+            self._status_poller.is_stopped = True
             self._on_leadership_lost(self.group, loss_reason)
 
     # Updates that the daemon read from topics, and the load of the group.
@@ -295,11 +290,7 @@
         self._start_status_poller(entry.worker_id)
 
     def _start_status_poller(self, worker_id: str) -> None:
-        poller = self._status_pollers.get(worker_id)
-        if not self._is_resigning and (poller is None or poller.done()):
-            self._status_pollers[worker_id] = (
-                asyncio.get_running_loop().create_task(
-                    self._poll_status_forever(worker_id)))
+        if not self._is_resigning and self._status_poller.start(worker_id):
             self._flush_requested.set()
         self._plan_requested.set()
 
@@ -372,9 +363,7 @@
             self._cached_load = None
         for worker_id in self.scheduler.drop_removed_workers(now):
             self._log.write("worker-gone", group=self.group, worker=worker_id)
-            poller = self._status_pollers.pop(worker_id, None)
-            if poller is not None:
-                poller.cancel()
+            self._status_poller.cancel(worker_id)
         self.scheduler.is_registry_current = self._is_registry_current(now)
         orders = self.scheduler.plan(now, now_ms, self._is_start_allowed())
         self._takeover_log.write(now)
@@ -433,6 +422,9 @@
                 return  # A heartbeat would replace the resignation.
             await self._flush_progress()
 
+    async def _wait_for_flush(self) -> None:
+        await self._flush_done.wait()
+
     async def _flush_progress(self) -> None:
         """Saves progress and workers, or a heartbeat; marks run ends stored."""
         last_end_numbers = {
@@ -484,116 +476,3 @@
                 self.scheduler.forget_job(record.job_id)
         if has_ended_job:
             self._send_report(self._clock.monotonic())
-
-    # Polls of the workers for their status, with renewal of their leases.
-
-    async def _poll_status_forever(self, worker_id: str) -> None:
-        """Polls a worker for its status and renews its lease."""
-        while not self._is_stopped:
-            worker = self.scheduler.workers.get(worker_id)
-            if worker is None:
-                return
-            try:
-                if worker.is_reachable:
-                    has_replied = await self._request_status(worker)
-                else:
-                    async with self._unreachable_poll_slots:
-                        has_replied = await self._request_status(worker)
-            except ports.StaleFencingTokenError as error:
-                self._log.write("fenced",
-                                group=self.group,
-                                epoch=self.epoch,
-                                error=str(error))
-                self._abandon_leadership(STALE_TOKEN_REASON)
-                return
-            except ports.WorkerReplacedError as error:
-                self._log.write("worker-gone",
-                                group=self.group,
-                                worker=worker_id,
-                                runs=len(worker.runs),
-                                error=str(error))
-                self.scheduler.remove_replaced_worker(worker_id,
-                                                      self._clock.monotonic())
-                self._flush_requested.set()
-                self._plan_requested.set()
-                return
-            except Exception as error:  # pylint: disable=broad-exception-caught
-                # Without polls, the lease of the worker would run out.
-                self._apply_no_reply(worker, _decision_log.format_error(error),
-                                     self._clock.monotonic())
-                has_replied = False
-            if not has_replied:
-                await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
-                continue
-            if not worker.withheld_ends.is_empty:
-                await self._clock.sleep(_status_polls.WITHHELD_POLL_INTERVAL)
-            if worker.last_applied_end_number > worker.last_stored_end_number:
-                self._flush_requested.set()
-                try:
-                    async with asyncio.timeout(
-                            ACKNOWLEDGE_TIMEOUT.total_seconds()):
-                        await self._flush_done.wait()
-                except TimeoutError:
-                    pass
-
-    async def _request_status(self, worker: dispatch.WorkerState) -> bool:
-        """Polls a worker once; returns whether it gave a usable reply."""
-        sent_at = self._clock.monotonic()
-        lease_call = None
-        # A worker may renew its lease although its reply is lost. The lease of
-        # an unreachable worker is therefore not renewed until it replies.
-        if worker.born_ms and worker.is_reachable and self._is_start_allowed():
-            lease_call = worker.begin_lease_call(sent_at)
-        status_wait = _status_polls.choose_wait(worker)
-        reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
-        clock_ms = None
-        try:
-            status = await self._worker_client.poll_status(
-                worker.entry, self.epoch, worker.acknowledged_end_number,
-                lease_call.lease_end_ms if lease_call else None, status_wait,
-                reply_timeout)
-            clock_ms = status.clock_ms
-        except errors.WorkerError as error:
-            now = self._clock.monotonic()
-            # A worker that gives no reply may have been lost at any time
-            # during the call; a broken connection shows a loss at once.
-            is_silent = now - sent_at >= reply_timeout.total_seconds()
-            self._apply_no_reply(worker, str(error),
-                                 sent_at if is_silent else now)
-            return False
-        finally:
-            if lease_call:
-                worker.end_lease_call(lease_call, clock_ms,
-                                      self._clock.monotonic())
-        self._metrics.status_requests.inc({"outcome": "ok"})
-        self._unreachable_worker_ids.discard(worker.worker_id)
-        if not worker.is_reachable:
-            self._log.write("worker-reached",
-                            group=self.group,
-                            worker=worker.worker_id,
-                            born_ms=status.born_ms,
-                            running=len(status.running),
-                            ended=len(status.ended))
-        old_throttles = dict(worker.throttles)
-        self.scheduler.apply_status(worker.worker_id, status, sent_at,
-                                    self._clock.monotonic())
-        if worker.throttles != old_throttles:
-            _scheduler_log.report_throttles(worker, self.group,
-                                            self._interference, self._log)
-        self._plan_requested.set()
-        return True
-
-    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str,
-                        lost_since: float) -> None:
-        self._metrics.status_requests.inc({"outcome": "failed"})
-        worker_id = worker.worker_id
-        if worker.is_reachable or worker_id not in self._unreachable_worker_ids:
-            self._unreachable_worker_ids.add(worker_id)
-            self._log.write("worker-lost",
-                            group=self.group,
-                            worker=worker.worker_id,
-                            runs=len(worker.runs),
-                            error=error)
-        self.scheduler.mark_unreachable(worker.worker_id,
-                                        self._clock.monotonic(), lost_since)
-        self._plan_requested.set()
--- /dev/null
+++ b/src/gentianlead/cluster/_status_poller.py
@@ -0,0 +1,205 @@
+"""Polls of the workers of a group for their status, which renew their leases.
+"""
+
+import asyncio
+import datetime
+from typing import Callable, Coroutine
+
+from gentianlead import dispatch
+from gentianlead import errors
+from gentianlead import ports
+from gentianlead.cluster import _decision_log
+from gentianlead.cluster import _metrics
+from gentianlead.cluster import _scheduler_log
+from gentianlead.cluster import _status_polls
+
+ACKNOWLEDGE_TIMEOUT = datetime.timedelta(milliseconds=250)
+"""Longest wait for reported run ends to be stored, so that the next status
+request acknowledges them. After a timeout it acknowledges only stored ones."""
+
+
+class StatusPoller:
+    """Polls the workers of a group, each in a task of its own.
+
+    Attributes:
+        is_stopped: Whether each task ends after its present poll.
+    """
+
+    def __init__(self, scheduler: dispatch.GroupScheduler,
+                 worker_client: ports.LeasedWorkerClient, clock: ports.Clock,
+                 log: _decision_log.DecisionLog,
+                 metrics: _metrics.ClusterMetrics,
+                 interference: dispatch.InterferenceModel,
+                 is_renewal_allowed: Callable[[], bool],
+                 request_plan: Callable[[],
+                                        None], request_flush: Callable[[],
+                                                                       None],
+                 wait_for_flush: Callable[[], Coroutine],
+                 on_fenced: Callable[[], None]):
+        """Creates a poller without workers.
+
+        Args:
+            scheduler: Scheduler of the group.
+            worker_client: Client for the polls.
+            clock: Clock of the daemon.
+            log: Decision log.
+            metrics: Metrics of the daemon.
+            interference: Model whose estimates are logged with throttles.
+            is_renewal_allowed: Returns whether leases may be renewed.
+            request_plan: Called after a change that planning depends on.
+            request_flush: Called after a change that has to be stored.
+            wait_for_flush: Waits until the next flush has ended.
+            on_fenced: Called when a worker has refused the fencing token.
+        """
+        self.is_stopped = False
+        self._scheduler = scheduler
+        self._worker_client = worker_client
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._interference = interference
+        self._is_renewal_allowed = is_renewal_allowed
+        self._request_plan = request_plan
+        self._request_flush = request_flush
+        self._wait_for_flush = wait_for_flush
+        self._on_fenced = on_fenced
+        self._unreachable_worker_ids: set[str] = set()
+        self._unreachable_poll_slots = asyncio.Semaphore(
+            _status_polls.MAX_UNREACHABLE_POLLS)
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    def start(self, worker_id: str) -> bool:
+        """Starts to poll a worker; returns whether it was not polled yet."""
+        task = self._tasks.get(worker_id)
+        if task is not None and not task.done():
+            return False
+        self._tasks[worker_id] = asyncio.get_running_loop().create_task(
+            self._poll_forever(worker_id))
+        return True
+
+    def cancel(self, worker_id: str) -> None:
+        """Ends the polls of a worker, also the present one."""
+        task = self._tasks.pop(worker_id, None)
+        if task is not None:
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Cancels all polls and waits until they have ended."""
+        tasks = list(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def _poll_forever(self, worker_id: str) -> None:
+        """Polls a worker for its status and renews its lease."""
+        while not self.is_stopped:
+            worker = self._scheduler.workers.get(worker_id)
+            if worker is None:
+                return
+            try:
+                if worker.is_reachable:
+                    has_replied = await self._request_status(worker)
+                else:
+                    async with self._unreachable_poll_slots:
+                        has_replied = await self._request_status(worker)
+            except ports.StaleFencingTokenError as error:
+                self._log.write("fenced",
+                                group=self._scheduler.group,
+                                epoch=self._scheduler.epoch,
+                                error=str(error))
+                self._on_fenced()
+                return
+            except ports.WorkerReplacedError as error:
+                self._log.write("worker-gone",
+                                group=self._scheduler.group,
+                                worker=worker_id,
+                                runs=len(worker.runs),
+                                error=str(error))
+                self._scheduler.remove_replaced_worker(worker_id,
+                                                       self._clock.monotonic())
+                self._request_flush()
+                self._request_plan()
+                return
+            except Exception as error:  # pylint: disable=broad-exception-caught
+                # Without polls, the lease of the worker would run out.
+                self._apply_no_reply(worker, _decision_log.format_error(error),
+                                     self._clock.monotonic())
+                has_replied = False
+            if not has_replied:
+                await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
+                continue
+            if not worker.withheld_ends.is_empty:
+                await self._clock.sleep(_status_polls.WITHHELD_POLL_INTERVAL)
+            if worker.last_applied_end_number > worker.last_stored_end_number:
+                self._request_flush()
+                try:
+                    async with asyncio.timeout(
+                            ACKNOWLEDGE_TIMEOUT.total_seconds()):
+                        await self._wait_for_flush()
+                except TimeoutError:
+                    pass
+
+    async def _request_status(self, worker: dispatch.WorkerState) -> bool:
+        """Polls a worker once; returns whether it gave a usable reply."""
+        sent_at = self._clock.monotonic()
+        lease_call = None
+        # A worker may renew its lease although its reply is lost. The lease of
+        # an unreachable worker is therefore not renewed until it replies.
+        if (worker.born_ms and worker.is_reachable and
+                self._is_renewal_allowed()):
+            lease_call = worker.begin_lease_call(sent_at)
+        status_wait = _status_polls.choose_wait(worker)
+        reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
+        clock_ms = None
+        try:
+            status = await self._worker_client.poll_status(
+                worker.entry, self._scheduler.epoch,
+                worker.acknowledged_end_number,
+                lease_call.lease_end_ms if lease_call else None, status_wait,
+                reply_timeout)
+            clock_ms = status.clock_ms
+        except errors.WorkerError as error:
+            now = self._clock.monotonic()
+            # A worker that gives no reply may have been lost at any time
+            # during the call; a broken connection shows a loss at once.
+            is_silent = now - sent_at >= reply_timeout.total_seconds()
+            self._apply_no_reply(worker, str(error),
+                                 sent_at if is_silent else now)
+            return False
+        finally:
+            if lease_call:
+                worker.end_lease_call(lease_call, clock_ms,
+                                      self._clock.monotonic())
+        self._metrics.status_requests.inc({"outcome": "ok"})
+        self._unreachable_worker_ids.discard(worker.worker_id)
+        if not worker.is_reachable:
+            self._log.write("worker-reached",
+                            group=self._scheduler.group,
+                            worker=worker.worker_id,
+                            born_ms=status.born_ms,
+                            running=len(status.running),
+                            ended=len(status.ended))
+        old_throttles = dict(worker.throttles)
+        self._scheduler.apply_status(worker.worker_id, status, sent_at,
+                                     self._clock.monotonic())
+        if worker.throttles != old_throttles:
+            _scheduler_log.report_throttles(worker, self._scheduler.group,
+                                            self._interference, self._log)
+        self._request_plan()
+        return True
+
+    def _apply_no_reply(self, worker: dispatch.WorkerState, error: str,
+                        lost_since: float) -> None:
+        self._metrics.status_requests.inc({"outcome": "failed"})
+        worker_id = worker.worker_id
+        if worker.is_reachable or worker_id not in self._unreachable_worker_ids:
+            self._unreachable_worker_ids.add(worker_id)
+            self._log.write("worker-lost",
+                            group=self._scheduler.group,
+                            worker=worker.worker_id,
+                            runs=len(worker.runs),
+                            error=error)
+        self._scheduler.mark_unreachable(worker.worker_id,
+                                         self._clock.monotonic(), lost_since)
+        self._request_plan()
