Prolong calls to workers by the delay of the event loop

Leaders lost workers that were up, many in one tenth of a second: status calls and orders ended after 0.70 to 0.87 s without a byte of the reply, and the runs there were given up and started again. One worker had no reply for 9 s while others replied to the same leader in 0.3 to 0.43 s.

Cause: a call was cancelled at its timeout even if its reply had arrived and the loop had not read it yet, or its task had not run. Measured with uvloop, a call takes 8 turns of the loop over a new connection, and 2 or 3 over an open one. With turns of 0.1 s or more, all calls over new connections time out, each timeout causes the next new connection, and the worker stays lost.

At the timeout, a call to a worker gets the time by which the loop was late during the call, until no more delay comes up, and 5 ms at least once so that the sockets are polled. CALL_END_LIMIT bounds it, as before. Calls to the store and the advisory service are unchanged.

Leases: they count from before the call is sent, and a clock that is read late is still a lower bound. The age of a status report counts from the end of the normal timeout at the latest, so that MAX_STATUS_AGE allows no start that it did not allow before.

The new tests fail without the change: a reply after 0.05 s is not read when the loop is blocked for 0.5 s, nor over a new connection with turns of 0.12 s (call cancelled while it connected).

--- a/src/gentianlead/cluster/_main.py
+++ b/src/gentianlead/cluster/_main.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from gentianlead import adapters
+from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import platform
 from gentianlead.cluster import _decision_log
@@ -42,7 +43,8 @@
     async def run_daemon() -> None:
         store = platform.PlatformStore(settings.store_address,
                                        settings.store_limits)
-        worker_client = platform.PlatformWorkerClient()
+        worker_client = platform.PlatformWorkerClient(loop_delay,
+                                                      dispatch.CALL_END_LIMIT)
         permit_service = platform.PlatformPermitService(
             settings.advisory_address)
         daemon = _daemon.ClusterDaemon(settings, store, worker_client,
--- a/src/gentianlead/cluster/_status_poller.py
+++ b/src/gentianlead/cluster/_status_poller.py
@@ -185,6 +185,10 @@
         old_throttles = dict(worker.throttles)
         self._scheduler.apply_status(worker.worker_id, status, sent_at,
                                      self._clock.monotonic())
+        if worker.last_status_at is not None:
+            # A reply that is read late tells nothing of a later time.
+            worker.last_status_at = min(worker.last_status_at,
+                                        sent_at + reply_timeout.total_seconds())
         if worker.throttles != old_throttles:
             _scheduler_log.report_throttles(worker, self._scheduler.group,
                                             self._interference, self._log)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -37,6 +37,7 @@
 from gentianlead.dispatch._interference import InterferenceEstimate
 from gentianlead.dispatch._interference import LatencySample
 from gentianlead.dispatch._interference import LoadTracker
+from gentianlead.dispatch._lease_calls import CALL_END_LIMIT
 from gentianlead.dispatch._load import add_job_to_load
 from gentianlead.dispatch._load import GroupLoad
 from gentianlead.dispatch._load import ImageCapacity
--- a/src/gentianlead/platform/__init__.py
+++ b/src/gentianlead/platform/__init__.py
@@ -25,4 +25,5 @@
 from gentianlead.platform._settings import SETTINGS_PATH_VARIABLE
 from gentianlead.platform._store import PlatformStore
 from gentianlead.platform._store import StoreLimits
+from gentianlead.platform._timeouts import DelayTolerantTimeout
 from gentianlead.platform._workers import PlatformWorkerClient
--- a/src/gentianlead/platform/_http.py
+++ b/src/gentianlead/platform/_http.py
@@ -1,6 +1,7 @@
 """HTTP client for the servers of the platform."""
 
 import asyncio
+import contextlib
 import datetime
 from typing import Mapping, NamedTuple
 
@@ -8,6 +9,8 @@
 import yarl
 
 from gentianlead import errors
+from gentianlead import ports
+from gentianlead.platform import _timeouts
 
 MAX_TRANSFER_TIME = datetime.timedelta(seconds=15)
 """Longest transfer of the body of a reply that is bound by its progress. A page
@@ -52,8 +55,23 @@
         address: `host:port` of the server.
     """
 
-    def __init__(self, address: str, max_connections: int):
+    def __init__(self,
+                 address: str,
+                 max_connections: int,
+                 loop_delay: ports.LoopDelay | None = None,
+                 end_limit: datetime.timedelta = datetime.timedelta(0)):
+        """Creates an endpoint without connections.
+
+        Args:
+            address: `host:port` of the server.
+            max_connections: Largest number of connections of a session.
+            loop_delay: Delay of the event loop, by which calls without a
+                `progress_timeout` are prolonged; None to prolong none.
+            end_limit: Longest time of such a call with its prolongation.
+        """
         self.address = address
+        self._loop_delay = loop_delay
+        self._end_limit = end_limit
         self._max_connections = max_connections
         self._session: aiohttp.ClientSession | None = None
         # Number of calls in progress, by session.
@@ -74,7 +92,8 @@
         Args:
             method: HTTP method.
             path: Path of the request.
-            timeout: Longest wait for the complete reply. With
+            timeout: Longest wait for the complete reply, to which the delay of
+                the event loop during the call may be added. With
                 `progress_timeout`, longest wait for the head of the reply.
             body: Body of the request.
             query: Parameters in the query of the request.
@@ -100,7 +119,8 @@
         session = self._enter_session()
         reply_body = bytearray()
         try:
-            async with asyncio.timeout(timeout.total_seconds()) as time_limit:
+            async with self._limit_time(timeout,
+                                        progress_timeout) as time_limit:
                 async with session.request(method,
                                            url,
                                            data=body,
@@ -129,6 +149,15 @@
         finally:
             self._leave_session(session)
 
+    def _limit_time(
+        self, timeout: datetime.timedelta,
+        progress_timeout: datetime.timedelta | None
+    ) -> contextlib.AbstractAsyncContextManager[asyncio.Timeout | None]:
+        if self._loop_delay is None or progress_timeout is not None:
+            return asyncio.timeout(timeout.total_seconds())
+        return _timeouts.DelayTolerantTimeout(timeout, self._end_limit,
+                                              self._loop_delay)
+
     def _enter_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
@@ -165,7 +194,7 @@
 
 
 async def _receive_body(reply: aiohttp.ClientResponse, reply_body: bytearray,
-                        time_limit: asyncio.Timeout,
+                        time_limit: asyncio.Timeout | None,
                         progress_timeout: datetime.timedelta | None) -> None:
     """Appends the body of a reply to `reply_body`.
 
--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -39,7 +39,17 @@
     Each worker address has its own pool of connections.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, loop_delay: ports.LoopDelay,
+                 end_limit: datetime.timedelta):
+        """Creates a client without connections.
+
+        Args:
+            loop_delay: Delay of the event loop. It is added to the timeouts of
+                calls, as a reply that is read late may have come in time.
+            end_limit: Longest time of a call with this addition.
+        """
+        self._loop_delay = loop_delay
+        self._end_limit = end_limit
         self._endpoints: dict[str, _http.HttpEndpoint] = {}
 
     async def start(self, entry: ports.WorkerEntry,
@@ -125,7 +135,8 @@
                     timeout: datetime.timedelta) -> _http.HttpReply:
         endpoint = self._endpoints.get(entry.address)
         if endpoint is None:
-            endpoint = _http.HttpEndpoint(entry.address, MAX_CONNECTIONS)
+            endpoint = _http.HttpEndpoint(entry.address, MAX_CONNECTIONS,
+                                          self._loop_delay, self._end_limit)
             self._endpoints[entry.address] = endpoint
         return await endpoint.call(
             "POST",
--- a/src/gentianlead/platform/tests/test_http.py
+++ b/src/gentianlead/platform/tests/test_http.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import datetime
+import socket
+import threading
 import time
 import unittest
 from unittest import mock
 
 from aiohttp import web
 
+from gentianlead import adapters
 from gentianlead import errors
 from gentianlead.platform import _http
 
@@ -167,3 +170,105 @@
                                      "/1/0",
                                      TIMEOUT,
                                      headers={"Name": "a\r\nb"})
+
+
+class ThreadedServer:
+    """HTTP server in a thread of its own, so that a late loop does not stop it.
+
+    It replies to each request after `reply_delay_s`, in seconds.
+
+    Attributes:
+        address: `host:port` of the server.
+    """
+
+    def __init__(self, reply_delay_s: float) -> None:
+        self._reply_delay_s = reply_delay_s
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def stop(self) -> None:
+        """Accepts no more connections."""
+        self._socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve,
+                             args=(connection,),
+                             daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            try:
+                while connection.recv(65536):
+                    time.sleep(self._reply_delay_s)
+                    connection.sendall(
+                        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+            except OSError:
+                return
+
+
+class LateLoopTest(unittest.IsolatedAsyncioTestCase):
+    """Tests calls while the event loop runs late."""
+
+    async def asyncSetUp(self) -> None:
+        self.meter = adapters.LoopDelayMeter(adapters.SystemClock())
+        meter_task = asyncio.create_task(self.meter.run())
+        self.addCleanup(meter_task.cancel)
+
+    def start_endpoint(self, reply_delay_s: float,
+                       end_limit: datetime.timedelta) -> _http.HttpEndpoint:
+        """Returns an endpoint of a new server; both are stopped at the end."""
+        server = ThreadedServer(reply_delay_s)
+        self.addCleanup(server.stop)
+        endpoint = _http.HttpEndpoint(server.address, 4, self.meter, end_limit)
+        self.addAsyncCleanup(endpoint.close)
+        return endpoint
+
+    async def delay_loop(self, block_s: float) -> None:
+        """Blocks the loop again and again, so that each turn takes as long."""
+        while True:
+            time.sleep(block_s)
+            await asyncio.sleep(0)
+
+    async def test_reply_that_is_read_late_counts(self):
+        """Guards against workers that are lost by the lateness of their leader.
+
+        They reply after 0.05 s, and calls have 0.3 s. The loop is blocked for
+        longer than that, or in each of the turns that a new connection takes.
+        """
+        for block_s in (0.5, 0.12):
+            with self.subTest(block_s):
+                endpoint = self.start_endpoint(0.05, LONG_TIMEOUT)
+                delay_task = asyncio.create_task(self.delay_loop(block_s))
+                self.addCleanup(delay_task.cancel)
+                reply = await endpoint.call("GET", "/", TIMEOUT)
+                self.assertEqual(reply.status, 200)
+                delay_task.cancel()
+
+    async def test_call_to_a_silent_server_ends(self):
+        """Guards against calls without an end, or with a later one than before.
+
+        The server replies after 30 s. On a loop that is on time, the call ends
+        at its timeout; on a late one, about one turn after the end limit.
+        """
+        end_limit = datetime.timedelta(seconds=1)
+        # Block of each turn, shortest and longest time of the call, in s.
+        for block_s, shortest_s, longest_s in ((0.0, 0.3, 0.9), (0.2, 0.9,
+                                                                 2.5)):
+            with self.subTest(block_s):
+                endpoint = self.start_endpoint(30, end_limit)
+                delay_task = asyncio.create_task(
+                    self.delay_loop(block_s) if block_s else asyncio.sleep(0))
+                self.addCleanup(delay_task.cancel)
+                started_at = time.monotonic()
+                with self.assertRaises(_http.HttpCallError):
+                    await endpoint.call("GET", "/", TIMEOUT)
+                self.assertGreaterEqual(time.monotonic() - started_at,
+                                        shortest_s)
+                self.assertLess(time.monotonic() - started_at, longest_s)
+                delay_task.cancel()
