Add the loop's delay to the limit after which an order is unanswered

The call of an order is prolonged by the delay of the event loop, but the sender still gave it up after 2 s, also if the reply had arrived during a block of the loop: the run then counted as unknown and its worker as unreachable. The sender's limit is prolonged in the same way, up to CALL_END_LIMIT. The new test fails without it.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -120,7 +120,8 @@
         self._plan_requested = asyncio.Event()
         self._order_sender = _order_sender.OrderSender(
             self.scheduler, worker_client, permit_service, clock, log, metrics,
-            self._spawn, self._is_start_allowed, self._plan_requested.set,
+            loop_delay, self._spawn, self._is_start_allowed,
+            self._plan_requested.set,
             lambda: self._abandon_leadership(STALE_TOKEN_REASON))
         self._wait_log = _wait_log.WaitLog(self.scheduler, clock, log, metrics)
         self._idle_job_log = _idle_job_log.IdleJobLog(self.scheduler, clock,
--- a/src/gentianlead/cluster/_order_sender.py
+++ b/src/gentianlead/cluster/_order_sender.py
@@ -6,6 +6,7 @@
 
 from gentianlead import dispatch
 from gentianlead import errors
+from gentianlead import platform
 from gentianlead import ports
 from gentianlead.cluster import _decision_log
 from gentianlead.cluster import _metrics
@@ -18,7 +19,7 @@
 ORDER_END_LIMIT = datetime.timedelta(seconds=2)
 """Time after which an order counts as unanswered although its call has not
 ended. A call ends by `ORDER_TIMEOUT`; while it does not, no other order for the
-run is sent."""
+run is sent. The delay of the event loop is added to both."""
 
 PERMIT_TIMEOUT = datetime.timedelta(seconds=4)
 """Longest wait for a reply about permits. The advisory service needs time for
@@ -34,7 +35,7 @@
                  worker_client: ports.LeasedWorkerClient,
                  permit_service: ports.PermitService, clock: ports.Clock,
                  log: _decision_log.DecisionLog,
-                 metrics: _metrics.ClusterMetrics,
+                 metrics: _metrics.ClusterMetrics, loop_delay: ports.LoopDelay,
                  spawn: Callable[[Coroutine], asyncio.Task],
                  is_start_allowed: Callable[[], bool],
                  on_applied: Callable[[], None], on_fenced: Callable[[], None]):
@@ -47,6 +48,7 @@
             clock: Clock of the daemon.
             log: Decision log.
             metrics: Metrics of the daemon.
+            loop_delay: Delay of the event loop.
             spawn: Starts a background task of the leader.
             is_start_allowed: Returns whether the start permission is valid.
             on_applied: Called after a reply was applied.
@@ -58,6 +60,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._loop_delay = loop_delay
         self._spawn = spawn
         self._is_start_allowed = is_start_allowed
         self._on_applied = on_applied
@@ -90,6 +93,11 @@
         if orders:
             await asyncio.wait(orders)
 
+    def _limit_time(self) -> platform.DelayTolerantTimeout:
+        return platform.DelayTolerantTimeout(ORDER_END_LIMIT,
+                                             dispatch.CALL_END_LIMIT,
+                                             self._loop_delay)
+
     async def _send(self, order: dispatch.Order) -> None:
         if isinstance(order, dispatch.StartOrder):
             await self._send_start(order)
@@ -126,7 +134,7 @@
                                               self._scheduler.epoch,
                                               order.checkpoint, order.permit)
         try:
-            async with asyncio.timeout(ORDER_END_LIMIT.total_seconds()):
+            async with self._limit_time():
                 reply = await self._worker_client.start(worker.entry,
                                                         leased_order,
                                                         ORDER_TIMEOUT)
@@ -204,7 +212,7 @@
             return False
         self._order_log.count_sending(order)
         try:
-            async with asyncio.timeout(ORDER_END_LIMIT.total_seconds()):
+            async with self._limit_time():
                 await send(worker.entry)
             return True
         except ports.StaleFencingTokenError:
--- a/src/gentianlead/cluster/tests/test_order_log.py
+++ b/src/gentianlead/cluster/tests/test_order_log.py
@@ -51,12 +51,13 @@
     async def asyncSetUp(self):
         self.log = fakes.RecordingLog()
         self.metrics = _metrics.ClusterMetrics()
+        clock = adapters.SystemClock()
         driver = builders.GroupDriver(WORKER)
         self.sender = _order_sender.OrderSender(
             driver.scheduler, RefusingWorkerClient(),
-            mock.create_autospec(ports.PermitService), adapters.SystemClock(),
-            self.log, self.metrics, asyncio.create_task, lambda: True,
-            lambda: None, lambda: None)
+            mock.create_autospec(ports.PermitService), clock, self.log,
+            self.metrics, adapters.LoopDelayMeter(clock), asyncio.create_task,
+            lambda: True, lambda: None, lambda: None)
 
     async def test_failures_of_a_stop_are_logged_at_each_doubling(self):
         """Guards against a worker that is cut off and fills the log."""
--- a/src/gentianlead/cluster/tests/test_order_sender.py
+++ b/src/gentianlead/cluster/tests/test_order_sender.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import time
 import unittest
 from unittest import mock
 
@@ -31,7 +32,7 @@
         self.sender = _order_sender.OrderSender(
             self.driver.scheduler, self.workers,
             mock.create_autospec(ports.PermitService), clock, self.log,
-            _metrics.ClusterMetrics(),
+            _metrics.ClusterMetrics(), adapters.LoopDelayMeter(clock),
             asyncio.get_running_loop().create_task,
             lambda: self.is_start_allowed, lambda: None, lambda: None)
 
@@ -71,6 +72,30 @@
         (run,) = self.driver.scheduler.jobs[JOB_ID].list_active_runs()
         self.assertIs(run.phase, dispatch.RunPhase.UNKNOWN)
 
+    async def test_reply_that_is_read_late_counts(self):
+        """Guards against a task that starts again as its leader was late.
+
+        The reply has arrived when the loop, blocked until after the limit,
+        reads it.
+        """
+        start = self.workers.start
+
+        async def start_late(*args: object) -> ports.StartReply:
+            reply = await start(*args)
+            time.sleep(0.2)
+            for _ in range(3):  # Turns of the loop that reading takes.
+                await asyncio.sleep(0)
+            return reply
+
+        (order,) = self.driver.plan_starts()
+        with mock.patch.object(
+                _order_sender, "ORDER_END_LIMIT",
+                datetime.timedelta(milliseconds=50)), mock.patch.object(
+                    self.workers, "start", start_late):
+            await self.send(order)
+        (line,) = self.log.list_fields("run-ordered")
+        self.assertEqual(line["outcome"], ports.StartOutcome.STARTED.value)
+
 
 class EndlessCallTest(unittest.IsolatedAsyncioTestCase):
     """Tests orders whose calls do not end by their timeout."""
@@ -97,6 +122,7 @@
                         driver.scheduler, workers,
                         mock.create_autospec(ports.PermitService), clock,
                         fakes.RecordingLog(), _metrics.ClusterMetrics(),
+                        adapters.LoopDelayMeter(clock),
                         asyncio.get_running_loop().create_task, lambda: True,
                         lambda: None, lambda: None)
                     (order,) = driver.plan_starts()
