Repeat status calls that fail while the event loop is late

A leader that runs late marked a worker as unreachable after one status call without a reply. It renews no lease of such a worker, so runs are given up that go on.

A call without a reply during which the loop was late by 100 ms or more, to a worker that was reachable when it was sent, decides nothing: it is repeated at once, without waiting for a change at the worker, and the lease is renewed with it. After two such calls the next one decides. With a loop on time, and for broken connections, a loss is noticed as before. The test fails without the change (worker-lost after one late call).

--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -72,9 +72,10 @@
         leader_reports: Number of reports to peers by outcome: `ok` or `failed`
             for those that were sent, `merged` for those that were combined with
             a later one because the peer had not replied yet.
-        status_requests: Number of status requests to workers, by outcome (`ok`
-            or `failed`). A request that a worker refuses for a stale fencing
-            token, or whose worker was replaced, is not counted.
+        status_requests: Number of status requests to workers, by outcome (`ok`,
+            `failed`, or `late` for one without a reply that is repeated, as the
+            event loop was late). A request that a worker refuses for a stale
+            fencing token, or whose worker was replaced, is not counted.
         leadership_changes: Number of times that this daemon took or lost the
             leadership of a group, by change (`taken`, `lost`, or `handed-back`
             to a member of the group's own domain). Resignations at the stop of
--- a/src/gentianlead/cluster/_status_poller.py
+++ b/src/gentianlead/cluster/_status_poller.py
@@ -3,7 +3,7 @@
 
 import asyncio
 import datetime
-from typing import Callable, Coroutine
+from typing import Callable, Coroutine, NamedTuple
 
 from gentianlead import dispatch
 from gentianlead import errors
@@ -18,6 +18,19 @@
 request acknowledges them. After a timeout it acknowledges only stored ones."""
 
 
+class LateCalls(NamedTuple):
+    """Calls without a reply from a worker while the event loop was late.
+
+    Attributes:
+        count: Number of calls in a row.
+        first_sent_at: Monotonic time in seconds at which the first one of them
+            was sent.
+    """
+
+    count: int
+    first_sent_at: float
+
+
 class StatusPoller:
     """Polls the workers of a group, each in a task of its own.
 
@@ -64,6 +77,7 @@
         self._wait_for_flush = wait_for_flush
         self._on_fenced = on_fenced
         self._unreachable_worker_ids: set[str] = set()
+        self._late_calls: dict[str, LateCalls] = {}
         self._unreachable_poll_slots = asyncio.Semaphore(
             _status_polls.MAX_UNREACHABLE_POLLS)
         self._tasks: dict[str, asyncio.Task] = {}
@@ -79,6 +93,7 @@
 
     def cancel(self, worker_id: str) -> None:
         """Ends the polls of a worker, also the present one."""
+        self._late_calls.pop(worker_id, None)
         task = self._tasks.pop(worker_id, None)
         if task is not None:
             task.cancel()
@@ -123,9 +138,12 @@
                 return
             except Exception as error:  # pylint: disable=broad-exception-caught
                 # Without polls, the lease of the worker would run out.
+                self._late_calls.pop(worker_id, None)
                 self._apply_no_reply(worker, _decision_log.format_error(error),
                                      self._clock.monotonic(), None)
                 has_replied = False
+            if worker_id in self._late_calls:
+                continue
             if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
@@ -143,6 +161,7 @@
     async def _request_status(self, worker: dispatch.WorkerState) -> bool:
         """Polls a worker once; returns whether it gave a usable reply."""
         sent_at = self._clock.monotonic()
+        was_reachable = worker.is_reachable
         delay_before_s = self._loop_delay.read_total_s()
         lease_call = None
         # A worker may renew its lease although its reply is lost. The lease of
@@ -150,7 +169,9 @@
         if (worker.born_ms and worker.is_reachable and
                 self._is_renewal_allowed()):
             lease_call = worker.begin_lease_call(sent_at)
-        status_wait = _status_polls.choose_wait(worker)
+        status_wait = (datetime.timedelta(0)
+                       if worker.worker_id in self._late_calls else
+                       _status_polls.choose_wait(worker))
         reply_timeout = status_wait + _status_polls.STATUS_REPLY_ALLOWANCE
         clock_ms = None
         try:
@@ -165,15 +186,23 @@
             # A worker that gives no reply may have been lost at any time
             # during the call; a broken connection shows a loss at once.
             is_silent = now - sent_at >= reply_timeout.total_seconds()
-            self._apply_no_reply(
-                worker, str(error), sent_at if is_silent else now,
-                self._loop_delay.read_total_s() - delay_before_s)
+            loop_delay_s = self._loop_delay.read_total_s() - delay_before_s
+            if is_silent and self._must_repeat(worker, was_reachable, sent_at,
+                                               loop_delay_s):
+                return False
+            late_calls = self._late_calls.pop(worker.worker_id, None)
+            if late_calls is not None:
+                now = late_calls.first_sent_at
+            elif is_silent:
+                now = sent_at
+            self._apply_no_reply(worker, str(error), now, loop_delay_s)
             return False
         finally:
             if lease_call:
                 worker.end_lease_call(lease_call, clock_ms,
                                       self._clock.monotonic())
         self._metrics.status_requests.inc({"outcome": "ok"})
+        self._late_calls.pop(worker.worker_id, None)
         self._unreachable_worker_ids.discard(worker.worker_id)
         if not worker.is_reachable:
             self._log.write("worker-reached",
@@ -195,6 +224,27 @@
         self._request_plan()
         return True
 
+    def _must_repeat(self, worker: dispatch.WorkerState, was_reachable: bool,
+                     sent_at: float, loop_delay_s: float) -> bool:
+        """Returns whether a call without a reply tells nothing of the worker.
+
+        That is so if the event loop was late, at most for `MAX_LATE_CALLS`, and
+        if the worker was reachable when the call was sent.
+        """
+        known = self._late_calls.get(worker.worker_id, LateCalls(0, sent_at))
+        if (not was_reachable or known.count >= _status_polls.MAX_LATE_CALLS or
+                loop_delay_s < _status_polls.LATE_CALL_DELAY.total_seconds()):
+            return False
+        self._late_calls[worker.worker_id] = known._replace(count=known.count +
+                                                            1)
+        self._metrics.status_requests.inc({"outcome": "late"})
+        self._log.write("status-call-late",
+                        group=self._scheduler.group,
+                        worker=worker.worker_id,
+                        calls=known.count + 1,
+                        loop_delay_ms=round(loop_delay_s * 1000, 1))
+        return True
+
     def _apply_no_reply(self, worker: dispatch.WorkerState, error: str,
                         lost_since: float, loop_delay_s: float | None) -> None:
         self._metrics.status_requests.inc({"outcome": "failed"})
--- a/src/gentianlead/cluster/_status_polls.py
+++ b/src/gentianlead/cluster/_status_polls.py
@@ -21,6 +21,15 @@
 """Pause before the next poll of a worker that lists ends which the leader does
 not acknowledge: it may reply to each poll at once."""
 
+LATE_CALL_DELAY = datetime.timedelta(milliseconds=100)
+"""Delay of the event loop in a status call without a reply from which on it may
+explain the lack of the reply. The timers of a loop that is not late are up to
+50 ms late in all during such a call."""
+
+MAX_LATE_CALLS = 2
+"""Number of status calls in a row without a reply after which a worker is not
+lost yet, if the event loop was late during each of them."""
+
 MAX_UNREACHABLE_POLLS = 32
 """Number of unreachable workers that a leader polls at the same time. They
 reply at once, with all runs and unacknowledged ends. On a link of 5 Mbit/s, 32
--- a/src/gentianlead/cluster/tests/test_status_polls.py
+++ b/src/gentianlead/cluster/tests/test_status_polls.py
@@ -3,6 +3,7 @@
 import asyncio
 import datetime
 import time
+from typing import Sequence
 import unittest
 from unittest import mock
 
@@ -17,6 +18,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _status_polls
 from gentianlead.cluster.tests import fakes
+from gentianlead.cluster.tests import leading
 from gentianlead.dispatch.tests import builders
 
 BYTES_PER_S = 625_000
@@ -24,6 +26,8 @@
 
 WORKER_COUNT = 250
 
+ONE_MS = datetime.timedelta(milliseconds=1)
+
 
 class SlowLinkWorkerClient(ports.LeasedWorkerClient):
     """Workers whose replies share one slow link, in the order of the requests.
@@ -73,6 +77,36 @@
         raise NotImplementedError()
 
 
+class LateWorkerClient(leading.FakeWorkers, ports.LoopDelay):
+    """Workers that do not reply to some calls, and a loop that is late then.
+
+    The first call gets a reply, and each call after those without a reply.
+
+    Attributes:
+        delays_left_s: Delay of the loop in seconds during each of the next
+            calls that get no reply; None for a call that gets one.
+    """
+
+    def __init__(self, delays_s: Sequence[float]) -> None:
+        super().__init__()
+        self.delays_left_s = [None, *delays_s]
+        self._total_delay_s = 0.0
+
+    def read_total_s(self) -> float:
+        return self._total_delay_s
+
+    async def poll_status(self, entry: ports.WorkerEntry, fence_token: int,
+                          acknowledged_number: int, expires_at_ms: int | None,
+                          wait: datetime.timedelta,
+                          timeout: datetime.timedelta) -> ports.WorkerStatus:
+        delay_s = self.delays_left_s.pop(0) if self.delays_left_s else None
+        await asyncio.sleep(timeout.total_seconds())
+        if delay_s is None:
+            return ports.WorkerStatus(1, 1, (), ())
+        self._total_delay_s += delay_s
+        raise errors.WorkerError("no reply", errors.Verdict.MAY_HAVE_RUN)
+
+
 class StatusWaitTest(unittest.TestCase):
     """Tests how long a worker may hold back its reply to a poll."""
 
@@ -148,6 +182,35 @@
         (line,) = log.list_fields("worker-lost")
         self.assertGreaterEqual(line["loop_delay_ms"], 200)
 
+    async def test_worker_is_lost_by_a_call_on_time_or_several_late_ones(self):
+        """Guards against leaders that lose workers by their own lateness.
+
+        Each call adds a delay to that of the loop. The calls after the first
+        reply get none, up to a number of them.
+        """
+        one_late_call = _status_polls.LATE_CALL_DELAY.total_seconds()
+        # Delays of the calls without a reply in s, and whether the worker is
+        # lost then.
+        cases = (((0.0,), True), ((one_late_call,),
+                                  False), ((one_late_call,) * 2, False),
+                 ((one_late_call,) * 3, True), ((one_late_call, 0.0), True))
+        for delays_s, is_lost in cases:
+            with self.subTest(delays_s), mock.patch.multiple(
+                    _status_polls,
+                    STATUS_WAIT_IDLE=ONE_MS,
+                    STATUS_REPLY_ALLOWANCE=ONE_MS):
+                log = fakes.RecordingLog()
+                workers = LateWorkerClient(delays_s)
+                leader = self.start_leader(workers, 1, log, workers)
+                async with asyncio.timeout(5):
+                    while workers.delays_left_s:
+                        await asyncio.sleep(0.005)
+                await asyncio.sleep(0.02)
+                await leader.stop()
+                self.assertEqual(len(log.list_fields("worker-lost")), is_lost)
+                self.assertEqual(len(log.list_fields("status-call-late")),
+                                 sum(map(bool, delays_s[:2])))
+
     async def test_reply_that_is_read_late_is_not_a_recent_one(self):
         """Guards against starts on a worker that was replaced meanwhile.
 
@@ -171,11 +234,18 @@
                              called_at[0] + 0.7)
 
     def start_leader(
-            self, worker_client: ports.LeasedWorkerClient, worker_count: int,
-            log: _decision_log.DecisionLog) -> _group_leader.GroupLeader:
+            self,
+            worker_client: ports.LeasedWorkerClient,
+            worker_count: int,
+            log: _decision_log.DecisionLog,
+            loop_delay: ports.LoopDelay | None = None
+    ) -> _group_leader.GroupLeader:
         """Starts a leader of new workers, until the test ends."""
         clock = adapters.SystemClock()
-        loop_delay = adapters.LoopDelayMeter(clock)
+        if loop_delay is None:
+            loop_delay = adapters.LoopDelayMeter(clock)
+            meter_task = asyncio.create_task(loop_delay.run())
+            self.addCleanup(meter_task.cancel)
         metrics = _metrics.ClusterMetrics()
         writer = _job_topic.JobTopicWriter(fakes.FakeStore(),
                                            ports.Producer("g/north-1", 64),
@@ -189,8 +259,6 @@
             lambda report: None, lambda group, reason: None, lambda: {},
             dispatch.InterferenceModel(), loop_delay)
         leader.start()
-        meter_task = asyncio.create_task(loop_delay.run())
-        self.addCleanup(meter_task.cancel)
         self.addAsyncCleanup(leader.stop)
         for index in range(worker_count):
             leader.put_worker(
