Let the pause between planning passes grow with their duration

A leader under load planned in every turn of its loop: the pause of 4 ms after a pass is not longer than the pass. Measured with a scheduler of 54 workers, 330 runs and 60 or 200 jobs, beside other load: 5.3 and 7.6 ms for a pass after the end of a run, so planning took more than half of the time of a whole core, and on half a core more still. Polls that renew leases, orders and replies shared the rest.

The pause is now at least twice the duration of the pass, and at most the 60 ms after which a pass runs anyway.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -30,7 +30,13 @@
 """Longest wait for an event; after it a planning pass runs without one."""
 
 MIN_PLAN_INTERVAL = datetime.timedelta(milliseconds=4)
-"""Pause after each planning pass, so that the next one handles many events."""
+"""Shortest pause after each planning pass, so that the next one handles many
+events."""
+
+PLAN_PAUSE_RATIO = 2.0
+"""Ratio of the pause after a planning pass to the duration of the pass. It
+leaves two thirds of the time of the event loop to polls that renew leases, to
+replies and to reports. The pause is at most `MAX_PLAN_INTERVAL`."""
 
 FLUSH_DELAY = datetime.timedelta(milliseconds=20)
 """Delay between a change of progress and its append, so that an append holds
@@ -353,8 +359,13 @@
             except TimeoutError:
                 pass
             self._plan_requested.clear()
+            started_at = self._clock.monotonic()
             self._run_planning_pass()
-            await self._clock.sleep(MIN_PLAN_INTERVAL)
+            duration = datetime.timedelta(seconds=self._clock.monotonic() -
+                                          started_at)
+            await self._clock.sleep(
+                min(MAX_PLAN_INTERVAL,
+                    max(MIN_PLAN_INTERVAL, PLAN_PAUSE_RATIO * duration)))
 
     def _run_planning_pass(self) -> None:
         if self._is_resigning:
