Report less often while the event loop is late

A leader sends each report to every daemon: at most every 0.3 s, and at once when a job has ended. On a fleet of 97 daemons, that is about 300 messages a second and as many replies, also while its loop is too late to renew leases.

Twice the delay of the loop since the last report is added to both, up to 0.9 s in all; daemons use a report for 2 s. Reports of a leader whose loop is on time, and those of one that resigns, are sent as before. What is not reported at once goes with the next report.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -49,7 +49,17 @@
 started nothing."""
 
 REPORT_INTERVAL = datetime.timedelta(milliseconds=300)
-"""Time between two reports to all daemons; a job's end causes one at once."""
+"""Shortest time between two reports to all daemons. A job's end causes one at
+once, unless the event loop is late."""
+
+REPORT_DELAY_RATIO = 2.0
+"""Ratio of the time that is added to `REPORT_INTERVAL` to the delay of the
+event loop since the last report. A report goes to each daemon, and takes time
+from polls that renew leases."""
+
+MAX_REPORT_INTERVAL = datetime.timedelta(milliseconds=900)
+"""Time between two reports of a leader whose event loop is late. Daemons use a
+report for 2 s."""
 
 MAX_LOAD_AGE = datetime.timedelta(milliseconds=50)
 """Age up to which the computed load of a group is reused instead of computed
@@ -118,6 +128,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
+        self._loop_delay = loop_delay
         self._on_report = on_report
         self._on_leadership_lost = on_leadership_lost
         self._job_mover = _job_moves.JobMover(self.scheduler, clock, log,
@@ -150,6 +161,7 @@
         self._cached_load: dispatch.GroupLoad | None = None
         self._load_computed_at = 0.0
         self._last_report_at = 0.0
+        self._delay_at_report_s = 0.0
         self._load_logged_at = 0.0
         self._heartbeat_number = 0
         self._is_sole_stored = False
@@ -388,11 +400,19 @@
                                            self._metrics)
         if any(job.is_dirty for job in self.scheduler.jobs.values()):
             self._flush_requested.set()
-        if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
+        if self._is_report_due(now, REPORT_INTERVAL):
             self._send_report(now)
 
+    def _is_report_due(self, now: float, interval: datetime.timedelta) -> bool:
+        """Returns whether an interval and the added time have passed."""
+        delay_s = self._loop_delay.read_total_s() - self._delay_at_report_s
+        interval_s = interval.total_seconds() + REPORT_DELAY_RATIO * delay_s
+        return now - self._last_report_at >= min(
+            interval_s, MAX_REPORT_INTERVAL.total_seconds())
+
     def _send_report(self, now: float) -> None:
         self._last_report_at = now
+        self._delay_at_report_s = self._loop_delay.read_total_s()
         self._log_load(now)
         job_states, self._unsent_job_states = self._unsent_job_states, []
         self._on_report(
@@ -487,5 +507,7 @@
                 has_ended_job = True
                 _scheduler_log.report_job_end(record, self._log)
                 self.scheduler.forget_job(record.job_id)
-        if has_ended_job:
-            self._send_report(self._clock.monotonic())
+        now = self._clock.monotonic()
+        if has_ended_job and (self._is_resigning or
+                              self._is_report_due(now, datetime.timedelta(0))):
+            self._send_report(now)
