--- a/src/gentianlead/cluster/_main.py
+++ b/src/gentianlead/cluster/_main.py
@@ -7,6 +7,7 @@
 import uvloop
 
 from gentianlead import adapters
+from gentianlead import dispatch
 from gentianlead import errors
 from gentianlead import platform
 from gentianlead.cluster import _decision_log
@@ -35,18 +36,20 @@
         print(f"gentianlead: {error}", file=sys.stderr)
         return SETTINGS_ERROR_EXIT_STATUS
     clock = adapters.SystemClock()
+    loop_delay = adapters.LoopDelayMeter(clock)
     log = _decision_log.DecisionLog(settings.node, clock)
     metrics_address = os.environ.get(METRICS_ADDRESS_VARIABLE, "")
 
     async def run_daemon() -> None:
         store = platform.PlatformStore(settings.store_address,
                                        settings.store_limits)
-        worker_client = platform.PlatformWorkerClient()
+        worker_client = platform.PlatformWorkerClient(loop_delay,
+                                                      dispatch.CALL_END_LIMIT)
         permit_service = platform.PlatformPermitService(
             settings.advisory_address)
         daemon = _daemon.ClusterDaemon(settings, store, worker_client,
                                        permit_service, clock,
-                                       adapters.SystemRandom(), log,
+                                       adapters.SystemRandom(), log, loop_delay,
                                        metrics_address)
         try:
             await daemon.run()
--- a/src/gentianlead/cluster/_metrics.py
+++ b/src/gentianlead/cluster/_metrics.py
@@ -72,9 +72,10 @@
         leader_reports: Number of reports to peers by outcome: `ok` or `failed`
             for those that were sent, `merged` for those that were combined with
             a later one because the peer had not replied yet.
-        status_requests: Number of status requests to workers, by outcome (`ok`
-            or `failed`). A request that a worker refuses for a stale fencing
-            token, or whose worker was replaced, is not counted.
+        status_requests: Number of status requests to workers, by outcome (`ok`,
+            `failed`, or `late` for one without a reply that is repeated, as the
+            event loop was late). A request that a worker refuses for a stale
+            fencing token, or whose worker was replaced, is not counted.
         leadership_changes: Number of times that this daemon took or lost the
             leadership of a group, by change (`taken`, `lost`, or `handed-back`
             to a member of the group's own domain). Resignations at the stop of
@@ -93,11 +94,15 @@
             leader, by group, as far as this daemon has read the topic.
         early_cancellations: Number of stored cancellations that hold for later
             acceptances of their jobs, as far as this daemon has read the topic.
+        loop_delay_seconds: Sum of the delays of the event loop in seconds, by
+            which a periodic timer fired late.
         processor_seconds: Processor time of the process in seconds, its start
             included.
         peer_messages: Number of messages on peer streams, by direction (`sent`
             or `received`) and kind (`heartbeat`, `report`, `call`, `reply` or
             `other`).
+        peer_bytes: Number of bytes on peer streams, by direction (`sent` or
+            `received`).
         peer_streams: Number of open peer streams, by side (`dialed` or
             `accepted`).
         liveness_checks: Number of timed checks of peer streams.
@@ -167,10 +172,14 @@
             "gentianlead_early_cancellations",
             "Stored cancellations that hold for jobs accepted later",
             registry=self.registry)
+        self.loop_delay_seconds = self._add_counter("loop_delay_seconds_total",
+                                                    "Delays of the event loop")
         self.processor_seconds = self._add_counter(
             "processor_seconds_total", "Processor time of the process")
         self.peer_messages = self._add_counter("peer_messages_total",
                                                "Messages on peer streams")
+        self.peer_bytes = self._add_counter("peer_bytes_total",
+                                            "Bytes on peer streams")
         self.peer_streams = aioprometheus.Gauge("gentianlead_peer_streams",
                                                 "Open peer streams",
                                                 registry=self.registry)
--- a/src/gentianlead/cluster/tests/daemons.py
+++ b/src/gentianlead/cluster/tests/daemons.py
@@ -46,11 +46,13 @@
         worker_report_interval=datetime.timedelta(seconds=1.5),
         processor_cores=processor_cores,
         link_mbit_s=200.0)
+    clock = adapters.SystemClock()
     daemon = _daemon.ClusterDaemon(
         settings, store, worker_client or
         mock.create_autospec(ports.LeasedWorkerClient),
-        mock.create_autospec(ports.PermitService), adapters.SystemClock(),
-        adapters.SystemRandom(), fakes.RecordingLog())
+        mock.create_autospec(ports.PermitService), clock,
+        adapters.SystemRandom(), fakes.RecordingLog(),
+        adapters.LoopDelayMeter(clock))
     run_task = asyncio.create_task(daemon.run())
     test.addCleanup(run_task.cancel)
     return daemon
