Limit the share of the link that a leader's reports take

Callers saw tasks run twice: leaders lost workers that were up, gave their runs up and started the tasks again. On the large site a leader sends reports of 3.6 KB to 96 daemons 4 to 5 times a second, 14 Mbit/s, and all of one report at once. On a link of 10 Mbit/s, calls to workers wait behind them: orders take 303 to 337 ms (half within) instead of 7 ms, and status calls time out. The loop of these leaders is late by 105 ms at most, so lateness of the loop alone does not explain it.

Reports now take turns and get a quarter of the link that the settings name, and a peer that waits for its turn gets the merged report. The test failed before: 770,000 bytes within 0.1 s where 46,541 are allowed.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -21,6 +21,7 @@
 from gentianlead.cluster import _peering
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _report_pacer
 from gentianlead.cluster import _report_sender
 from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster import _unled_groups
@@ -103,7 +104,8 @@
                                                   self._topic_reader,
                                                   self._peering)
         self._report_sender = _report_sender.ReportSender(
-            self._peering, log, self._metrics)
+            self._peering, _report_pacer.ReportPacer(settings.link_mbit_s,
+                                                     clock), log, self._metrics)
         self._job_service = _job_service.SteppedJobService(
             settings.domain, self._incarnation, self._topic_reader,
             self._topic_writer, self._peering, clock, log, self._send_to_leader)
--- a/src/gentianlead/cluster/_report_sender.py
+++ b/src/gentianlead/cluster/_report_sender.py
@@ -8,6 +8,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _peering
+from gentianlead.cluster import _report_pacer
 
 REPORT_TIMEOUT = datetime.timedelta(seconds=5)
 """Longest wait for the reply to a report. The connection to a peer that is
@@ -17,16 +18,18 @@
 class ReportSender:
     """Sends reports to all reachable peers, to each peer one at a time.
 
-    Reports that are published while a peer has not replied to the previous one
-    are merged and sent after its reply. A link that is too slow for all reports
-    thus gets fewer of them, instead of a growing queue. A report, also a merged
-    one, is encoded once for all peers that get it.
+    Reports that are published while a peer has not replied to the previous one,
+    or waits for its turn, are merged and sent after that. A link that is too
+    slow for all reports thus gets fewer of them, instead of a growing queue. A
+    report, also a merged one, is encoded once for all peers that get it.
     """
 
     def __init__(self, peering: _peering.Peering,
+                 pacer: _report_pacer.ReportPacer,
                  log: _decision_log.DecisionLog,
                  metrics: _metrics.ClusterMetrics):
         self._peering = peering
+        self._pacer = pacer
         self._log = log
         self._metrics = metrics
         self._unsent_reports: dict[str, dict[str, _peering.SharedRequest]] = {}
@@ -63,9 +66,16 @@
 
     async def _send_all(self, peer_name: str) -> None:
         try:
-            while unsent_by_group := self._unsent_reports.get(peer_name):
-                group = next(iter(unsent_by_group))
-                await self._send(peer_name, unsent_by_group.pop(group))
+            while self._unsent_reports.get(peer_name):
+                async with self._pacer.turn:
+                    await self._pacer.wait()
+                    # The peer may have become unreachable meanwhile.
+                    unsent_by_group = self._unsent_reports.get(peer_name)
+                    if not unsent_by_group:
+                        break
+                    request = unsent_by_group.pop(next(iter(unsent_by_group)))
+                    self._pacer.add_bytes(len(request.payload))
+                await self._send(peer_name, request)
         finally:
             del self._send_tasks[peer_name]
 
--- a/src/gentianlead/cluster/tests/test_reports.py
+++ b/src/gentianlead/cluster/tests/test_reports.py
@@ -11,8 +11,11 @@
 from gentianlead import platform
 from gentianlead import ports
 from gentianlead.cluster import _daemon
+from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _peering
+from gentianlead.cluster import _report_pacer
+from gentianlead.cluster import _report_sender
 from gentianlead.cluster.tests import fakes
 from gentianlead.platform.tests import test_formats
 
@@ -213,3 +216,46 @@
             reply.set_result(True)
         await self.wait_for_calls()
         self.assertEqual(len(self.peering.calls), 2)
+
+
+class PacedReportTest(unittest.IsolatedAsyncioTestCase):
+    """Tests the share of the link that reports to many peers take."""
+
+    async def test_reports_leave_a_slow_link_to_calls(self):
+        """Guards against reports that fill the link, so that calls time out.
+
+        All peers get the newest load all the same.
+        """
+        labels = tuple(f"label-{number}" for number in range(200))
+        peering = SlowPeering()
+        peering.reachable_names = frozenset(map(str, range(40)))
+        clock = adapters.SystemClock()
+        sender = _report_sender.ReportSender(
+            peering, _report_pacer.ReportPacer(8.0, clock), fakes.build_log(),
+            _metrics.ClusterMetrics())
+        started_at = clock.monotonic()
+
+        async def reply_to_all() -> None:
+            await asyncio.sleep(0.01)
+            for _, _, reply in peering.calls:
+                if not reply.done():
+                    reply.set_result(True)
+
+        for number in range(10):
+            load = dispatch.GroupLoad(True, 1, 0, number, 0)
+            sender.publish(
+                _peer_messages.LeaderReport("north-1", 64,
+                                            load._replace(labels=labels), ()))
+            await reply_to_all()
+        # A quarter of the link, and one report more.
+        max_bytes = 250_000 * (clock.monotonic() - started_at) + 4_000
+        self.assertLessEqual(sum(map(len, peering.payloads)), max_bytes)
+        informed_names: set[str] = set()
+        async with asyncio.timeout(5):
+            while informed_names != peering.reachable_names:
+                await reply_to_all()
+                informed_names = {
+                    name for name, report, _ in peering.calls
+                    if report.load.short_backlog_ms == 9
+                }
+        sender.close()
