Keep connections of status requests apart from those of orders

Callers saw tasks run twice. Orders, their repetitions and the status request shared four connections, and each waited for one within its own timeout of 0.7 or 0.8 s; each timeout also replaced the connections of the others.

The status request has a connection of its own now, and orders have three. The test failed before: the request timed out behind six orders without a reply.

--- a/src/gentianlead/platform/_workers.py
+++ b/src/gentianlead/platform/_workers.py
@@ -2,7 +2,7 @@
 
 import datetime
 import json
-from typing import Any
+from typing import Any, NamedTuple
 
 from gentianlead import errors
 from gentianlead import model
@@ -12,15 +12,18 @@
 from gentianlead.platform import _jobs
 from gentianlead.platform import _json
 
-MAX_CONNECTIONS = 4
-"""Connections to one worker: one for the status request that waits for changes
-and the others for concurrent orders. A worker accepts 64 connections from all
-daemons together."""
+MAX_ORDER_CONNECTIONS = 3
+MAX_STATUS_CONNECTIONS = 1
+"""Connections to one worker for concurrent orders, and for the status request
+that renews the lease. They are apart, as status requests that wait for orders
+without a reply would let the lease run out. A worker accepts 64 connections
+from all daemons together."""
 
 MAX_REPORTED_ENDS = 500
 """Highest number of ended runs in a status report. A worker reports the others
 when the first ones are acknowledged."""
 
+_STATUS_PATH = "/hold"
 _EXPECTED_INSTANCE_HEADER = "Gentianlead-Expected-Instance"
 _STATUS_WORKER_REPLACED = 421
 _UNHEALTHY_STATUSES = frozenset({429, 503})
@@ -33,10 +36,22 @@
 }
 
 
+class _WorkerEndpoints(NamedTuple):
+    """Pools of connections to one worker.
+
+    Attributes:
+        orders: Pool of the orders.
+        status: Pool of the status requests.
+    """
+
+    orders: _http.HttpEndpoint
+    status: _http.HttpEndpoint
+
+
 class PlatformWorkerClient(ports.LeasedWorkerClient):
     """Sends orders and status requests to workers and decodes their replies.
 
-    Each worker address has its own pool of connections.
+    Each worker address has its own pools of connections.
     """
 
     def __init__(self, loop_delay: ports.LoopDelay,
@@ -50,7 +65,7 @@
         """
         self._loop_delay = loop_delay
         self._end_limit = end_limit
-        self._endpoints: dict[str, _http.HttpEndpoint] = {}
+        self._endpoints: dict[str, _WorkerEndpoints] = {}
 
     async def start(self, entry: ports.WorkerEntry,
                     order: ports.LeasedStartOrder,
@@ -111,7 +126,8 @@
         wait_ms = int(wait.total_seconds() * 1000)
         if wait_ms:
             document["wait_ms"] = wait_ms
-        reply = await self._call_and_check(entry, "/hold", document, timeout)
+        reply = await self._call_and_check(entry, _STATUS_PATH, document,
+                                           timeout)
         try:
             return _decode_status(reply)
         except errors.ProtocolError as error:
@@ -121,8 +137,7 @@
 
     async def close_connections(self, address: str) -> None:
         """Closes the connections to the worker at an address."""
-        endpoint = self._endpoints.pop(address, None)
-        if endpoint is not None:
+        for endpoint in self._endpoints.pop(address, ()):
             await endpoint.close()
 
     async def close(self) -> None:
@@ -133,11 +148,16 @@
     async def _call(self, entry: ports.WorkerEntry, path: str,
                     document: dict[str, Any],
                     timeout: datetime.timedelta) -> _http.HttpReply:
-        endpoint = self._endpoints.get(entry.address)
-        if endpoint is None:
-            endpoint = _http.HttpEndpoint(entry.address, MAX_CONNECTIONS,
-                                          self._loop_delay, self._end_limit)
-            self._endpoints[entry.address] = endpoint
+        endpoints = self._endpoints.get(entry.address)
+        if endpoints is None:
+            endpoints = _WorkerEndpoints(
+                *(_http.HttpEndpoint(entry.address, max_connections,
+                                     self._loop_delay, self._end_limit)
+                  for max_connections in (MAX_ORDER_CONNECTIONS,
+                                          MAX_STATUS_CONNECTIONS)))
+            self._endpoints[entry.address] = endpoints
+        endpoint = (endpoints.status
+                    if path == _STATUS_PATH else endpoints.orders)
         return await endpoint.call(
             "POST",
             path,
--- a/src/gentianlead/platform/tests/test_clients.py
+++ b/src/gentianlead/platform/tests/test_clients.py
@@ -320,6 +320,21 @@
         self.assertIs((await self.start(SHORT_TIMEOUT)).outcome,
                       ports.StartOutcome.UNKNOWN)
 
+    async def test_status_request_does_not_wait_for_orders(self):
+        """Guards against a lease that runs out behind orders without a reply.
+        """
+        self.stub_server.replies += [None] * 6
+        starts = [
+            asyncio.create_task(self.start(2 * TIMEOUT)) for _ in range(6)
+        ]
+        self.addCleanup(lambda: [start.cancel() for start in starts])
+        await asyncio.sleep(SHORT_TIMEOUT.total_seconds())
+        self.stub_server.replies.insert(0, (200, b'{"clock_ms": 5}'))
+        status = await self.workers.poll_status(self.entry, 7, 0, None,
+                                                datetime.timedelta(0),
+                                                SHORT_TIMEOUT)
+        self.assertEqual(status.clock_ms, 5)
+
     async def test_poll_status(self):
         """Guards against status fields that are decoded as other fields."""
         self.add_reply(
