--- a/src/gentianlead/dispatch/_lease_calls.py
+++ b/src/gentianlead/dispatch/_lease_calls.py
@@ -16,7 +16,8 @@
 stop its runs: covers scheduling delays at the worker."""
 
 CALL_END_LIMIT = datetime.timedelta(seconds=2.5)
-"""Time by which each call to a worker has ended."""
+"""Time by which each call to a worker has ended, also if the delay of the event
+loop is added to its timeout."""
 
 
 def compute_longest_lease_s(lease: datetime.timedelta) -> float:
