Keep and store ends of tasks that another group has

Cause: a leader that gives a run up may move the job, and get the end later. It withheld the acknowledgement, but dropped what it had learned, as it did not have the job. The group that had the job, or the same leader after the job had come back, started the task. What decides about a start was kept elsewhere than what was learned of the end. An end of a job that the leader had not read of yet was even acknowledged at once.

Change: the leader keeps done and failed ends of tasks that it does not have until its view of the topic shows them, and applies them in `put_job`, the only path by which a leader gets a job, before any start. It stores them in a record of their own, r/ID/GROUP, which every leader of the job applies, and stores with its own progress. That includes what it learned while a move was pending. What is superseded stays withheld as before.

--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -384,7 +384,7 @@
         _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
         _scheduler_log.report_crash_events(self.scheduler, self._log,
                                            self._metrics)
-        if any(job.is_dirty for job in self.scheduler.jobs.values()):
+        if self.scheduler.has_unstored_progress():
             self._flush_requested.set()
         if now - self._last_report_at >= REPORT_INTERVAL.total_seconds():
             self._send_report(now)
--- a/src/gentianlead/dispatch/__init__.py
+++ b/src/gentianlead/dispatch/__init__.py
@@ -76,6 +76,7 @@
 from gentianlead.dispatch._records import ProgressRecord
 from gentianlead.dispatch._records import Record
 from gentianlead.dispatch._records import RemovedKey
+from gentianlead.dispatch._records import ReportedEndsRecord
 from gentianlead.dispatch._records import RunLimitsRecord
 from gentianlead.dispatch._records import StepRunLimits
 from gentianlead.dispatch._records import TaskProgress
--- a/src/gentianlead/dispatch/_group.py
+++ b/src/gentianlead/dispatch/_group.py
@@ -75,6 +75,7 @@
         """
         self.end_expired_runs(now)
         self.mark_jobs_reconciled(now)
+        self.untracked_ends.settle_held_ends(now)
         self.crashes.confirm_crashes(now)
         orders: list[_orders.Order] = []
         self._stop_planner.plan(orders, now)
@@ -150,11 +151,12 @@
                                               run.throttle_retry.failure_count))
 
     def mark_progress_stored(self, records: Iterable[_records.Record]) -> bool:
-        """Marks records of progress and of run limits as stored.
+        """Marks what `take_unstored_records` has returned as stored.
 
         Returns:
             Whether starts waited for this.
         """
+        self.untracked_ends.mark_stored()
         has_claim = _crashes.mark_claims_stored(self.jobs, records)
         return _superseded_runs.mark_run_limits_stored(self.jobs,
                                                        records) or has_claim
--- a/src/gentianlead/dispatch/_group_state.py
+++ b/src/gentianlead/dispatch/_group_state.py
@@ -27,6 +27,7 @@
 from gentianlead.dispatch import _superseded_runs
 from gentianlead.dispatch import _suspicions
 from gentianlead.dispatch import _table
+from gentianlead.dispatch import _untracked_ends
 from gentianlead.dispatch import _workers
 
 REMOVED_WORKER_GRACE = datetime.timedelta(milliseconds=2500)
@@ -65,6 +66,7 @@
             caused them.
         find_job_entry: Returns the state of any job of the topic by identifier,
             or None; also of jobs that have ended or belong to other groups.
+        untracked_ends: Applies ends of runs that this leader does not track.
     """
 
     def __init__(self, group: str, epoch: int, timings: _orders.GroupTimings,
@@ -101,7 +103,8 @@
         self.crashes = _crashes.CrashTracker(group, self.jobs)
         self.find_job_entry: Callable[[str],
                                       _table.JobEntry | None] = lambda _: None
-        self._forgotten_limits = _superseded_runs.ForgottenRunLimits()
+        self.untracked_ends = _untracked_ends.UntrackedEnds(
+            group, epoch, self.jobs, self.crashes, self._find_job_entry)
         self._leadership_offset = leadership_offset
         self._takeover_ends_at = now + timings.takeover_wait.total_seconds()
         self._handed_over_runs_end_at = 0.0
@@ -266,26 +269,13 @@
     def _apply_end(self, worker: _workers.WorkerState,
                    ended_run: ports.EndedRun, now: float) -> None:
         run = worker.runs.pop((ended_run.task, ended_run.run), None)
-        job = self.jobs.get(ended_run.task.job_id)
-        is_superseded = run is None and _superseded_runs.is_superseded(
-            ended_run, self.group, job,
-            job.entry if job else self._forgotten_limits.complete(
-                self.find_job_entry(ended_run.task.job_id)))
-        worker.withheld_ends.apply_end(ended_run, is_superseded)
         if run is None:
-            if ended_run.cause is ports.EndCause.DONE:
-                self.late_ends.append(
-                    _superseded_runs.describe_late_end(worker.worker_id,
-                                                       ended_run, job,
-                                                       is_superseded))
-            if job is not None and ended_run.cause is ports.EndCause.DONE:
-                job.mark_task_done(ended_run.task)
-            elif job is not None and ended_run.cause is ports.EndCause.FAILED:
-                job.count_failure(ended_run.task, ended_run.run)
-            if job is not None:
-                job.last_run_number = max(job.last_run_number, ended_run.run)
-                self.crashes.apply_unknown_end(job, ended_run)
+            late_end = self.untracked_ends.apply(worker, ended_run, now)
+            if late_end is not None:
+                self.late_ends.append(late_end)
             return
+        self.untracked_ends.apply_to_withheld(worker, ended_run, False)
+        job = self.jobs.get(ended_run.task.job_id)
         duration_s = now - run.start_sent_at
         self.ended_runs.append(
             _orders.AppliedRunEnd(worker.worker_id, ended_run.task,
@@ -373,6 +363,10 @@
         job.mark_started()
         return run
 
+    def _find_job_entry(self, job_id: str) -> _table.JobEntry | None:
+        # The function is set after the leader was created.
+        return self.find_job_entry(job_id)
+
     def _find_step(self, task: model.TaskKey) -> model.Step | None:
         job = self.jobs.get(task.job_id)
         entry = job.entry if job else self.find_job_entry(task.job_id)
@@ -454,6 +448,7 @@
         known_job = self.jobs.get(job_id)
         if known_job is not None:
             known_job.update_entry(entry)
+            self.untracked_ends.reported_ends.apply(known_job)
             if self.group not in entry.assignment_offsets:
                 self.forget_job(job_id)
             return
@@ -466,6 +461,7 @@
                            is_reconciled=assignment_offset
                            > self._leadership_offset)
         job.service = self.find_queue(job).service
+        self.untracked_ends.reported_ends.apply(job)
         self.jobs[job_id] = job
 
     def cancel_job(self, job_id: str) -> None:
@@ -485,8 +481,7 @@
             self._departed_job_offsets[job_id] = max(
                 self._departed_job_offsets.get(job_id, -1),
                 job.entry.assignment_offsets.get(self.group, job.entry.offset))
-            self._forgotten_limits.add(job, self.group, self.epoch,
-                                       self.find_job_entry)
+            self.untracked_ends.forget_job(job)
             del self.jobs[job_id]
 
     def find_queue(self, job: _runs.JobRun) -> model.Queue:
--- a/src/gentianlead/dispatch/_records.py
+++ b/src/gentianlead/dispatch/_records.py
@@ -222,6 +222,45 @@
             for limits in self.limits)
 
 
+class FailedRuns(NamedTuple):
+    """Lists failed runs of a task.
+
+    Attributes:
+        occurrence: Number of the repetition of the job, from 0.
+        step: Index of the step.
+        index: Index of the task in the step.
+        runs: Numbers of the runs.
+    """
+
+    occurrence: int
+    step: int
+    index: int
+    runs: tuple[int, ...]
+
+
+class ReportedEndsRecord(NamedTuple):
+    """Lists ends of runs that the leader of their worker got without the job.
+
+    Each leader that has the job applies them. The writer cannot store them as
+    its progress: that would need all progress which its group stored before.
+    Daemons of former versions cannot read this record and go on without it.
+
+    Attributes:
+        job_id: Identifier of the job.
+        group: Group whose leader wrote the record.
+        epoch: Epoch of that leader.
+        done_tasks: Tasks that are done, one item for each step and occurrence
+            that has any.
+        failed_runs: Failed runs, one item for each task that has any.
+    """
+
+    job_id: str
+    group: str
+    epoch: int
+    done_tasks: tuple[DoneTasks, ...]
+    failed_runs: tuple[FailedRuns, ...]
+
+
 class MovedRecord(NamedTuple):
     """States that a leader handed tasks over to another group.
 
@@ -397,7 +436,8 @@
 
 Record = (AcceptedRecord | CancelledRecord | EarlyCancelledRecord |
           ProgressRecord | MovedRecord | LeaderRecord | MemberRecord |
-          WorkersRecord | HandoverRecord | RunLimitsRecord | RemovedKey)
+          WorkersRecord | HandoverRecord | RunLimitsRecord |
+          ReportedEndsRecord | RemovedKey)
 
 _RECORD_TYPES: dict[str, type] = {
     "j": AcceptedRecord,
@@ -410,6 +450,7 @@
     "w": WorkersRecord,
     "h": HandoverRecord,
     "l": RunLimitsRecord,
+    "r": ReportedEndsRecord,
 }
 
 
@@ -444,6 +485,8 @@
         return f"e/{record.job_id}/{record.cancellation_id}"
     if isinstance(record, RunLimitsRecord):
         return f"l/{record.job_id}/{record.group}"
+    if isinstance(record, ReportedEndsRecord):
+        return f"r/{record.job_id}/{record.group}"
     if isinstance(record, ProgressRecord):
         return f"p/{record.job_id}/{record.group}"
     # Each move applies on top of the earlier ones, so each has its own key.
--- a/src/gentianlead/dispatch/_succession.py
+++ b/src/gentianlead/dispatch/_succession.py
@@ -35,7 +35,7 @@
         return progress_records
 
     def take_unstored_records(self) -> list[_records.Record]:
-        """Returns all run limits and progress that the caller has to store.
+        """Returns all run limits, ends and progress that the caller stores.
 
         The run limits come first: the progress and the workers may no longer
         show that a run was given up.
@@ -45,7 +45,15 @@
             for record in _superseded_runs.build_run_limits(
                 job, self.group, self.epoch)
         ]
-        return [*run_limits, *self.take_dirty_progress()]
+        return [
+            *run_limits, *self.untracked_ends.take_records(),
+            *self.take_dirty_progress()
+        ]
+
+    def has_unstored_progress(self) -> bool:
+        """Returns whether progress or ends wait for a flush."""
+        return (any(job.is_dirty for job in self.jobs.values()) or
+                self.untracked_ends.has_unstored_ends())
 
     def get_departed_offset(self, job_id: str) -> int | None:
         """Returns the offset up to which `put_job` ignores assignments."""
--- a/src/gentianlead/dispatch/_superseded_runs.py
+++ b/src/gentianlead/dispatch/_superseded_runs.py
@@ -36,6 +36,38 @@
     UNKNOWN = "unknown"
 
 
+class EndRule(enum.Enum):
+    """Decides on the acknowledgement of an end of a run.
+
+    The value is the text in the log of the leader.
+
+    Attributes:
+        NO_RESULT: Acknowledged: the run is neither done nor failed.
+        UNKNOWN_JOB: The topic does not show the job.
+        MORE_ATTEMPTS: Acknowledged: the run failed, and the leader has the task
+            and knows that it may fail again.
+        RUN_LIMIT: Not acknowledged: the run may have been given up.
+        ELSEWHERE: Not acknowledged: the task belongs to another group, or is
+            about to.
+        STORED: Acknowledged: the same, but the progress of the leader's group
+            shows the end.
+        CURRENT: Acknowledged: no later run of the task can exist.
+    """
+
+    NO_RESULT = "no-result"
+    UNKNOWN_JOB = "unknown-job"
+    MORE_ATTEMPTS = "more-attempts"
+    RUN_LIMIT = "run-limit"
+    ELSEWHERE = "elsewhere"
+    STORED = "stored"
+    CURRENT = "current"
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether the end would forbid a later start."""
+        return self in (EndRule.RUN_LIMIT, EndRule.ELSEWHERE)
+
+
 class LateEnd(NamedTuple):
     """End of a done run that the leader did not track, for the log.
 
@@ -47,8 +79,9 @@
         task_state: What the leader knew of the task.
         last_run: Highest run number of the job that the leader knew; 0 if it
             does not have the job.
-        is_superseded: Whether the task may have started again since, so that
-            the end is not acknowledged.
+        rule: What decided whether the end is acknowledged.
+        is_kept: Whether the end is stored for other leaders, as the leader does
+            not have the job.
     """
 
     worker_id: str
@@ -57,7 +90,13 @@
     number: int
     task_state: TaskState
     last_run: int
-    is_superseded: bool
+    rule: EndRule
+    is_kept: bool
+
+    @property
+    def is_superseded(self) -> bool:
+        """Whether the task may have started again since the run."""
+        return self.rule.is_superseded
 
 
 def give_up_run(job: _runs.JobRun, run: _task_runs.Run) -> None:
@@ -171,15 +210,14 @@
     return has_waiting_task
 
 
-def is_superseded(ended_run: ports.EndedRun, group: str,
-                  job: _runs.JobRun | None,
-                  entry: _table.JobEntry | None) -> bool:
-    """Returns whether the end of a run would forbid a later start.
+def find_rule(ended_run: ports.EndedRun, group: str, job: _runs.JobRun | None,
+              entry: _table.JobEntry | None) -> EndRule:
+    """Returns what decides on the acknowledgement of an end of a run.
 
-    That is so if the task may have started again since, and the run is done, or
-    has failed and may be the last one that the queue allows: the failures of a
-    task that is done are not known any more, and another group that has the
-    task may not know of this one for a while.
+    An end would forbid a later start if the task may have started again since,
+    and the run is done, or has failed and may be the last one that the queue
+    allows: the failures of a task that is done are not known any more, and
+    another group that has the task may not know of this one for a while.
 
     Args:
         ended_run: End of a run that the leader does not track.
@@ -187,9 +225,10 @@
         job: The job; None if the leader does not have it.
         entry: The job according to the topic; None if there is none.
     """
-    if entry is None or ended_run.cause not in (ports.EndCause.DONE,
-                                                ports.EndCause.FAILED):
-        return False
+    if ended_run.cause not in (ports.EndCause.DONE, ports.EndCause.FAILED):
+        return EndRule.NO_RESULT
+    if entry is None:
+        return EndRule.UNKNOWN_JOB
     task = ended_run.task
     # The progress that a move carries along is older than the end.
     is_moving = job is not None and job.pending_move_number is not None
@@ -199,23 +238,27 @@
             step_run is not None and task.index not in step_run.done_indexes and
             len({ended_run.run, *step_run.failed_runs.get(task.index, ())
                 }) < entry.job.queue.max_attempts):
-        return False
+        return EndRule.MORE_ATTEMPTS
     if step_run is not None:
         if step_run.run_limits.is_superseded(task.index, ended_run.run):
-            return True
+            return EndRule.RUN_LIMIT
     elif any(
             record.has_run(task, ended_run.run)
             for record in entry.run_limits_by_group.values()):
-        return True
+        return EndRule.RUN_LIMIT
+    if not is_elsewhere:
+        return EndRule.CURRENT
     # A task moves to another group only once no run of it can go on here. One
     # that ended before is in the progress of this group.
     progress = entry.progress_by_group.get(group)
-    return is_elsewhere and not (progress is not None and
-                                 progress.has_end(ended_run))
+    if progress is not None and progress.has_end(ended_run):
+        return EndRule.STORED
+    return EndRule.ELSEWHERE
 
 
 def describe_late_end(worker_id: str, ended_run: ports.EndedRun,
-                      job: _runs.JobRun | None, has_restarted: bool) -> LateEnd:
+                      job: _runs.JobRun | None, rule: EndRule,
+                      is_kept: bool) -> LateEnd:
     """Describes the end of a run that the leader does not track.
 
     Args:
@@ -223,11 +266,12 @@
         ended_run: The end.
         job: The job, to which the end has not been applied; None if the leader
             does not have it.
-        has_restarted: See `is_superseded`.
+        rule: See `LateEnd`.
+        is_kept: See `LateEnd`.
     """
     return LateEnd(worker_id, ended_run.task, ended_run.run, ended_run.number,
                    _find_task_state(ended_run.task, job),
-                   job.last_run_number if job is not None else 0, has_restarted)
+                   job.last_run_number if job is not None else 0, rule, is_kept)
 
 
 def _find_task_state(task: model.TaskKey,
--- a/src/gentianlead/dispatch/_table.py
+++ b/src/gentianlead/dispatch/_table.py
@@ -30,6 +30,8 @@
             once a progress record shows a later run.
         moves_without_start: `MovedRecord.moves_without_start`, likewise.
         run_limits_by_group: Newest record of run limits of each group.
+        reported_ends_by_group: Newest record of ends that the leader of a group
+            got without having the job, by group.
     """
 
     job: model.SteppedJob
@@ -45,6 +47,8 @@
     moves_without_start: int = 0
     run_limits_by_group: Mapping[
         str, _records.RunLimitsRecord] = types.MappingProxyType({})
+    reported_ends_by_group: Mapping[
+        str, _records.ReportedEndsRecord] = types.MappingProxyType({})
 
     @property
     def state(self) -> model.JobState:
@@ -370,7 +374,8 @@
                       now: float) -> None:
         entry = self.jobs.get(record.job_id)
         if isinstance(record,
-                      (_records.ProgressRecord, _records.RunLimitsRecord)):
+                      (_records.ProgressRecord, _records.RunLimitsRecord,
+                       _records.ReportedEndsRecord)):
             self.mark_leader_alive(record.group, record.epoch, now)
         elif isinstance(record, _records.MovedRecord):
             # Only the present leader of a group can store its moves.
@@ -392,6 +397,10 @@
             entry = entry._replace(run_limits_by_group={
                 **entry.run_limits_by_group, record.group: record
             })
+        elif isinstance(record, _records.ReportedEndsRecord):
+            entry = entry._replace(reported_ends_by_group={
+                **entry.reported_ends_by_group, record.group: record
+            })
         self.jobs[record.job_id] = entry
         self.changed_jobs.add(record.job_id)
 
