Log the rule that decides on a late end, and releases of withheld ends

What callers saw: the log showed that an end was withheld, but not why, nor whether its result was kept, nor that it was let go later.

Change: late-end lines have the deciding rule and whether the end is kept for other leaders. A line withheld-ends-released shows each release with its cause: a lapsed run listed later, too many later ends, or a job that does not exist.

There is no line for starts of tasks that are known to be done. A start takes its tasks from waiting_indexes, which has no done task, and put_job applies all stored and kept ends before any plan, so the code leaves no path to one.

--- a/src/gentianlead/cluster/_scheduler_log.py
+++ b/src/gentianlead/cluster/_scheduler_log.py
@@ -38,7 +38,18 @@
                   number=late_end.number,
                   state=late_end.task_state.value,
                   last_run=late_end.last_run,
-                  superseded=late_end.is_superseded)
+                  superseded=late_end.is_superseded,
+                  rule=late_end.rule.value,
+                  kept=late_end.is_kept)
+    untracked_ends = scheduler.untracked_ends
+    released_ends, untracked_ends.released_ends = (untracked_ends.released_ends,
+                                                   [])
+    for released_end in released_ends:
+        log.write("withheld-ends-released",
+                  group=scheduler.group,
+                  worker=released_end.worker_id,
+                  number=released_end.number,
+                  cause=released_end.cause.value)
 
 
 def report_job_end(record: dispatch.ProgressRecord,
