Have the leader of a task read its stored end at once

Cause: daemons pause between two reads of the topic.

Change: once such ends are stored, the daemons that lead the groups of the tasks get a notice and read without the pause, as after a resignation. Both notices are in a module of their own.

--- a/src/gentianlead/cluster/_daemon.py
+++ b/src/gentianlead/cluster/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import datetime
+import functools
 import signal
 from typing import Coroutine
 
@@ -20,6 +21,7 @@
 from gentianlead.cluster import _peering
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _job_topic
+from gentianlead.cluster import _read_notices
 from gentianlead.cluster import _report_sender
 from gentianlead.cluster import _takeover_wait
 from gentianlead.cluster import _unled_groups
@@ -126,8 +128,10 @@
             _peer_messages.NOTICE_CANCEL] = self._serve_cancel_notice
         self._peering.handlers[
             _peer_messages.NOTICE_REPORT] = self._serve_leader_report
-        self._peering.handlers[_peer_messages.NOTICE_RESIGNATION] = (
-            self._serve_resignation_notice)
+        self._read_notices = _read_notices.ReadNotices(self._topic_reader,
+                                                       self._peering,
+                                                       self._send_notice,
+                                                       self._spawn)
         self._caller_server = platform.CallerServer(
             self._job_service, clock, self._observe_request,
             self._load_log.render_metrics)
@@ -203,8 +207,9 @@
     async def _resign_leadership(self,
                                  leader: _group_leader.GroupLeader) -> None:
         await leader.resign()
-        await asyncio.gather(leader.stop(),
-                             self._announce_resignation(leader.group))
+        await asyncio.gather(
+            leader.stop(),
+            self._read_notices.announce_resignation(leader.group))
 
     def _spawn(self, coroutine: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -470,6 +475,10 @@
             self._registry_freshness.is_current)
         leader.scheduler.find_job_entry = self._topic_reader.job_table.jobs.get
         leader.scheduler.crashes.reported_losses = self._reported_losses
+        untracked_ends = leader.scheduler.untracked_ends
+        untracked_ends.on_ends_stored = functools.partial(
+            self._read_notices.announce_ends, group)
+        untracked_ends.get_view_time = lambda: self._topic_reader.fresh_as_of
         leader.audit_log.topic_reader = self._topic_reader
         self._leaders[group] = leader
         for job_entry in self._topic_reader.job_table.jobs.values():
@@ -521,15 +530,6 @@
                             subject=subject,
                             error=str(error))
 
-    async def _announce_resignation(self, group: str) -> None:
-        """Has the other daemons read the topic without their usual pause."""
-        notice = _peer_messages.ResignationNotice(group)
-        await asyncio.gather(*[
-            self._send_notice(peer_name, _peer_messages.NOTICE_RESIGNATION,
-                              notice)
-            for peer_name in self._peering.list_reachable_daemons()
-        ])
-
     def _send_to_leader(self, group: str, subject: str, notice: object) -> None:
         leader_entry = self._topic_reader.job_table.leaders.get(group)
         if leader_entry is None:
@@ -567,11 +567,6 @@
             leader.cancel_job(notice.job_id)
         return True
 
-    async def _serve_resignation_notice(self, payload: bytes) -> object:
-        dispatch.decode_value(payload, _peer_messages.ResignationNotice)
-        self._topic_reader.request_read()
-        return True
-
     async def _serve_leader_report(self, payload: bytes) -> object:
         report = dispatch.decode_value(payload, _peer_messages.LeaderReport)
         self._apply_leader_report(report)
--- a/src/gentianlead/cluster/_peer_messages.py
+++ b/src/gentianlead/cluster/_peer_messages.py
@@ -45,6 +45,16 @@
     group: str
 
 
+class EndsNotice(NamedTuple):
+    """Tells a leader that the ends of some of its tasks are stored.
+
+    Attributes:
+        group: Group whose leader has stored them.
+    """
+
+    group: str
+
+
 class JobStateNotice(NamedTuple):
     """Stored state of one job, as part of a leader's report.
 
@@ -159,6 +169,7 @@
 NOTICE_CANCEL = "cancel"
 NOTICE_REPORT = "report"
 NOTICE_RESIGNATION = "resignation"
+NOTICE_ENDS = "ends"
 CALL_SUBMIT = "submit"
 CALL_CANCEL = "cancel-for-me"
 CALL_STATE = "state"
