Keep no failed runs of long-running tasks for other leaders

Cause: a long-running task may fail any number of times, so that its failures matter to no leader. A leader that got one for a job of another group kept it until the end of the job and wanted to store it with the next flush; the record was left out for having no ends.

Change: ends that do not count for their task are dropped at once. The tests check that, and the cause of each release of withheld ends.

Failed before: test_long_running_task, as the leader had something to store.

--- a/src/gentianlead/dispatch/_reported_ends.py
+++ b/src/gentianlead/dispatch/_reported_ends.py
@@ -37,6 +37,14 @@
         self.done_tasks.update(other.done_tasks)
         self.failed_runs.update(other.failed_runs)
 
+    def remove_uncounted(self, job: model.SteppedJob) -> None:
+        """Removes ends that do not matter for the tasks of a job."""
+        self.done_tasks.difference_update(
+            [task for task in self.done_tasks if not _counts(job, task)])
+        self.failed_runs.difference_update([(task, run)
+                                            for task, run in self.failed_runs
+                                            if not _counts(job, task)])
+
     def remove(self, other: "_JobEnds") -> None:
         """Removes the ends of another object, and failures of done tasks."""
         self.done_tasks.difference_update(other.done_tasks)
@@ -121,7 +129,8 @@
             entry = self._find_job_entry(job_id)
             if entry is not None:
                 self._unstored_jobs.discard(job_id)
-                records += self._build_record(entry, self._ends_by_job[job_id])
+                records.append(
+                    self._build_record(entry, self._ends_by_job[job_id]))
         return records
 
     def forget(self, job_id: str) -> None:
@@ -134,6 +143,7 @@
         if entry is not None:
             if entry.state.is_final:
                 return False
+            ends.remove_uncounted(entry.job)
             ends.remove(_list_shown_ends(entry))
         if ends.is_empty():
             return False
@@ -151,13 +161,14 @@
         if entry is None:
             return
         ends = self._ends_by_job[job_id]
+        ends.remove_uncounted(entry.job)
         ends.remove(_list_shown_ends(entry))
         if ends.is_empty() or entry.state.is_final:
             self.forget(job_id)
 
     def _build_record(self, entry: _table.JobEntry,
-                      ends: _JobEnds) -> list[_records.ReportedEndsRecord]:
-        """Returns the record of a job; none if no end matters for its tasks.
+                      ends: _JobEnds) -> _records.ReportedEndsRecord:
+        """Returns the record of a job.
 
         It replaces the last one of the group, and so has the ends of that one.
         """
@@ -168,25 +179,19 @@
             all_ends.add(_read_reported_ends(last_record))
         done_masks: dict[tuple[int, int], int] = {}
         for task in all_ends.done_tasks:
-            if _counts(entry.job, task):
-                key = (task.occurrence, task.step)
-                done_masks[key] = done_masks.get(key, 0) | 1 << task.index
+            key = (task.occurrence, task.step)
+            done_masks[key] = done_masks.get(key, 0) | 1 << task.index
         failed_runs: dict[model.TaskKey, list[int]] = {}
         for task, run in sorted(all_ends.failed_runs):
-            if _counts(entry.job, task):
-                failed_runs.setdefault(task, []).append(run)
-        if not done_masks and not failed_runs:
-            return []
-        return [
-            _records.ReportedEndsRecord(
-                entry.job.job_id, self._group, self._epoch,
-                tuple(
-                    _records.DoneTasks(*key, format(mask, "x"))
-                    for key, mask in sorted(done_masks.items())),
-                tuple(
-                    _records.FailedRuns(*task[1:], tuple(runs))
-                    for task, runs in failed_runs.items()))
-        ]
+            failed_runs.setdefault(task, []).append(run)
+        return _records.ReportedEndsRecord(
+            entry.job.job_id, self._group, self._epoch,
+            tuple(
+                _records.DoneTasks(*key, format(mask, "x"))
+                for key, mask in sorted(done_masks.items())),
+            tuple(
+                _records.FailedRuns(*task[1:], tuple(runs))
+                for task, runs in failed_runs.items()))
 
 
 def _counts(job: model.SteppedJob, task: model.TaskKey) -> bool:
--- a/src/gentianlead/dispatch/tests/test_reported_ends.py
+++ b/src/gentianlead/dispatch/tests/test_reported_ends.py
@@ -23,11 +23,12 @@
         job: The job.
     """
 
-    def __init__(self, task_count: int = 1):
+    def __init__(self, task_count: int = 1, **step_fields):
         self.table = dispatch.JobTable()
         self.home = self.build_leader("north-1", "w1", builders.EPOCH)
         self.other = self.build_leader("north-2", "w2", builders.EPOCH)
-        self.job = builders.build_job(JOB_ID, builders.build_step(task_count))
+        self.job = builders.build_job(
+            JOB_ID, builders.build_step(task_count, **step_fields))
         self.store(dispatch.AcceptedRecord(self.job, "a#1"))
         self.read(self.home)
         self.orders = self.home.start_all()
@@ -212,6 +213,14 @@
         self.check_done(site.other)
         self.assertIn(f"r/{JOB_ID}/north-1", site.table.keys_by_job[JOB_ID])
 
+    def test_long_running_task(self):
+        """Guards against a record for each failed run of a task that lasts."""
+        site = SiteDriver(is_long_running=True)
+        site.move_away()
+        site.list_end(site.home, cause=ports.EndCause.FAILED)
+        self.assertFalse(site.home.scheduler.has_unstored_progress())
+        self.assertEqual(site.home.scheduler.take_unstored_records(), [])
+
 
 class UnknownJobTest(unittest.TestCase):
     """A worker lists an end before its leader has read of the job."""
@@ -253,3 +262,28 @@
                 home.now += wait_s
                 home.plan()
                 self.assertEqual(self.site.get_acknowledged_number(), 1)
+                (released_end,) = untracked_ends.released_ends
+                self.assertEqual(released_end.cause.value, "no-job")
+
+
+class ReleasedEndTest(unittest.TestCase):
+    """The job of a withheld end is known, and the worker lists later ends."""
+
+    def test_causes(self):
+        """Guards against withheld ends that are let go without a log line."""
+        for cause, later_number, expected_causes in (
+            (ports.EndCause.LEASE_EXPIRED, 2,
+             ["lapsed"]), (ports.EndCause.STOPPED, 400,
+                           ["too-many"]), (ports.EndCause.STOPPED, 2, [])):
+            with self.subTest(expected_causes):
+                site = SiteDriver()
+                site.move_away()
+                site.list_end(site.home)
+                site.home.apply_status(ended=(
+                    builders.build_ended_run(site.orders[0]._replace(
+                        run=1000), later_number, cause),))
+                released_ends = (
+                    site.home.scheduler.untracked_ends.released_ends)
+                self.assertEqual([
+                    released_end.cause.value for released_end in released_ends
+                ], expected_causes)
