--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -398,7 +398,7 @@
         _scheduler_log.report_run_ends(self.scheduler, self._log, self._metrics)
         _scheduler_log.report_crash_events(self.scheduler, self._log,
                                            self._metrics)
-        if any(job.is_dirty for job in self.scheduler.jobs.values()):
+        if self.scheduler.has_unstored_progress():
             self._flush_requested.set()
         if self._is_report_due(now, REPORT_INTERVAL):
             self._send_report(now)
