Wait for heartbeats as long as before in the test of daemon-load lines

A change that blocks the loop for half of the test's 0.6 s left half of the time for heartbeats. The test waits 0.6 s again, and blocks the loop after that.

--- a/src/gentianlead/cluster/tests/test_daemon_load.py
+++ b/src/gentianlead/cluster/tests/test_daemon_load.py
@@ -109,7 +109,7 @@
         load_log = self.load_logs[0]
         load_log.write_line()
         first_totals = load_log.collect()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(0.6)
         time.sleep(0.3)  # Blocks the event loop.
         await asyncio.sleep(0)
         load_log.write_line()
