--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -21,11 +21,18 @@
 TICK_S = 0.02
 ORDER_TIMEOUT_S = 0.3
 LEASE = datetime.timedelta(seconds=1.5)
+CONTACT_S = 1.4
+"""Time for which an impairment is near, shortened like the lease."""
+
 START_PERMISSION_S = 1.2
 TAKEOVER_WAIT = datetime.timedelta(seconds=START_PERMISSION_S + 1.6 + 0.4)
 HEARTBEAT_S = 0.3
 EPOCHS_PER_CLAIM = 64
 
+MAX_APPEND_S = 0.5
+"""Longest time from the report of an end until it is stored while the store is
+up. Any leader must know of the end once it has read the topic after that."""
+
 
 class StoreModel:
     """Models the job topic in the store.
@@ -33,11 +40,13 @@
     Attributes:
         records: Stored records.
         is_down: Whether the store answers no calls.
+        up_since: Time in seconds since which it has answered calls.
     """
 
     def __init__(self) -> None:
         self.records: list[ports.KeyedRecord] = []
         self.is_down = False
+        self.up_since = 0.0
         self._epochs: dict[str, int] = {}
 
     def append(self, group: str, epoch: int,
@@ -65,6 +74,8 @@
         lease: Duration of the leases that it grants.
         start_permission_s: Time in seconds for which an append allows starts.
         takeover_wait: Longest wait for the runs of former leaders.
+        known_until: Time in seconds before which the leader can know of all
+            ends of which any leader was told.
     """
 
     lease = LEASE
@@ -76,6 +87,7 @@
         self.group = group
         self.epoch = epoch
         self.is_stopped = False
+        self.known_until = 0.0
         self.scheduler = dispatch.GroupScheduler(
             group, epoch,
             dispatch.GroupTimings(self.lease, self.lease, self.takeover_wait,
@@ -140,8 +152,13 @@
         if not jobs:
             return
         job = self._site.rng.choice(jobs)
-        destination = self._site.rng.choice(
-            [group for group in GROUPS if group != self.group])
+        self.move_job(
+            job,
+            self._site.rng.choice(
+                [group for group in GROUPS if group != self.group]))
+
+    def move_job(self, job: dispatch.JobRun, destination: str) -> None:
+        """Moves a job to another group."""
         record = dispatch.MovedRecord(job.job.job_id, self.group, (),
                                       destination, job.begin_move(), 0,
                                       job.moves_without_start + 1)
@@ -216,6 +233,8 @@
         self._polls[worker_id] = float("inf")
 
         def apply(status: ports.WorkerStatus) -> None:
+            self._site.observer.add_told_ends(self._site.now, self,
+                                              status.ended)
             self.scheduler.apply_status(worker_id, status, sent_at,
                                         self._site.now)
             if worker.last_applied_end_number > worker.last_stored_end_number:
@@ -238,6 +257,8 @@
     def _send_start(self, order: dispatch.StartOrder) -> None:
         worker = self.scheduler.workers[order.worker_id]
         expiry_ms = worker.extend_lease(self._site.now, self.lease)
+        self._site.observer.add_order(order.task, order.run, self,
+                                      self.known_until)
 
         def apply(reply: ports.StartReply) -> None:
             if reply.outcome is ports.StartOutcome.FENCED:
@@ -268,6 +289,9 @@
 
     def stop(self) -> None:
         """Stops all loops; calls that were sent still take effect."""
+        if not self.is_stopped:
+            self._site.observer.drop_told_ends(self,
+                                               self._site.now - MAX_APPEND_S)
         self.is_stopped = True
 
     def _guard(self, handle: Callable) -> Callable:
@@ -285,17 +309,18 @@
     Attributes:
         table: State of the topic.
         leaders: Leaders in this daemon, by group.
+        next_read_at: Time of the next read of the topic in seconds.
     """
 
     def __init__(self, site: "SiteModel"):
         self.table = dispatch.JobTable()
         self.leaders: dict[str, LeaderModel] = {}
         self._site = site
-        self._next_read_at = 0.0
+        self.next_read_at = 0.0
 
     def advance(self) -> None:
         """Reads new records if it is time to, and runs the leaders."""
-        if (self._site.now >= self._next_read_at and
+        if (self._site.now >= self.next_read_at and
                 not self._site.store.is_down):
             self.read()
         for leader in list(self.leaders.values()):
@@ -303,10 +328,12 @@
 
     def read(self) -> None:
         """Reads all new records; the next read may follow much later."""
-        self._next_read_at = self._site.now + self._site.draw_read_delay()
+        self.next_read_at = self._site.now + self._site.draw_read_delay()
         for stored in self._site.store.records[self.table.position:]:
             self.table.apply(stored, self._site.now)
         for leader in self.leaders.values():
+            if self._site.now - self._site.store.up_since >= MAX_APPEND_S:
+                leader.known_until = self._site.now - MAX_APPEND_S
             if self.table.is_superseded(leader.group, leader.epoch):
                 leader.stop()
         for job_id in sorted(self.table.take_changed_jobs()):
@@ -315,6 +342,7 @@
 
     def lead(self, group: str) -> None:
         """Takes over the leadership of a group."""
+        self._site.impairments.mark(group, self._site.now)
         self.read()
         known_leader = self.table.leaders.get(group)
         epoch = EPOCHS_PER_CLAIM + (known_leader.record.epoch
@@ -349,9 +377,19 @@
         workers: The workers, by identifier.
         observer: Checks all starts and ends.
         tick_s: Step of the simulated time in seconds.
+        contact_s: Time in seconds for which an impairment counts as near.
+        has_random_losses: Whether any call may be late or lost during troubles.
+        impairment_rate: Factor of the rate of impairments.
+        max_jobs: Number of jobs.
+        worker_class: Class of the workers.
     """
 
     tick_s = TICK_S
+    contact_s = CONTACT_S
+    has_random_losses = True
+    impairment_rate = 1.0
+    max_jobs = 12
+    worker_class = fleet_workers.WorkerModel
 
     def __init__(self,
                  seed: int,
@@ -366,6 +404,8 @@
         }
         for worker in self.workers.values():
             worker.max_reported_ends = max_reported_ends
+        self.impairments = self.observer.impairments
+        self.impairments.contact_s = self.contact_s
         self._is_calm = False
         self._cut_until: dict[str, float] = {}
         self._evacuated_until: dict[str, float] = {}
@@ -379,8 +419,8 @@
 
     def _build_workers(self) -> list[fleet_workers.WorkerModel]:
         return [
-            fleet_workers.WorkerModel(f"{group}-w{number}", group, self.rng,
-                                      self.observer)
+            self.worker_class(f"{group}-w{number}", group, self.rng,
+                              self.observer)
             for group in GROUPS
             for number in range(WORKERS_PER_GROUP)
         ]
@@ -464,7 +504,7 @@
                 return
             if self._is_calm or (not self._is_cut(worker_id) and
                                  not self._draw_reply_loss()):
-                self.schedule(self.draw_call_delay(),
+                self.schedule(self._draw_reply_delay(worker_id),
                               lambda: deliver(on_reply, result))
 
         self.schedule(ORDER_TIMEOUT_S, expire)
@@ -476,14 +516,18 @@
         return self.now < self._evacuated_until.get(group, 0.0)
 
     def _draw_reply_loss(self) -> bool:
-        return self.rng.random() <= 0.03
+        return self.has_random_losses and self.rng.random() <= 0.03
+
+    def _draw_reply_delay(self, _: str) -> float:
+        return self.draw_call_delay()
 
     def _is_cut(self, worker_id: str) -> bool:
         return self.now < self._cut_until.get(worker_id, 0.0)
 
     def draw_call_delay(self) -> float:
         """Draws the time that a call or its reply takes, in seconds."""
-        if not self._is_calm and self.rng.random() < 0.02:
+        if (self.has_random_losses and not self._is_calm and
+                self.rng.random() < 0.02):
             return self.rng.uniform(0.1, 2.0)
         return self.rng.uniform(0.001, 0.03)
 
@@ -500,8 +544,12 @@
         else:
             self._end_troubles()
         self.store.is_down = self.now < self._store_down_until
+        if self.store.is_down:
+            self.store.up_since = self.now
+            self.impairments.mark("store", self.now)
         for worker in self.workers.values():
             worker.advance(self.now)
+        self.observer.note_listed_ends(self.now)
         while self._callbacks and self._callbacks[0][0] <= self.now:
             heapq.heappop(self._callbacks)[2]()
         for daemon in self._daemons:
@@ -511,6 +559,7 @@
 
     def _end_troubles(self) -> None:
         self.move_rate = 0.0
+        self.impairments.end_all(self.now)
         self._cut_until.clear()
         self._evacuated_until.clear()
         self._store_down_until = 0.0
@@ -531,17 +580,18 @@
                                             self.rng.uniform(0.2, 1.5))
         if self.store.is_down:
             return
-        if self.rng.random() < 0.004:
+        if self.rng.random() < 0.004 * self.impairment_rate:
             self._store_down_until = self.now + self.rng.uniform(0.2, 1.5)
-        if self.rng.random() < 0.006:
+        if self.rng.random() < 0.006 * self.impairment_rate:
             worker_id = self.rng.choice(list(self.workers))
             self._cut_until[worker_id] = self.now + self.rng.uniform(0.2, 3.0)
-        if self.rng.random() < 0.008:
+            self.impairments.mark(worker_id, self._cut_until[worker_id])
+        if self.rng.random() < 0.008 * self.impairment_rate:
             self.rng.choice(self._daemons).lead(self.rng.choice(GROUPS))
 
     def _accept_job(self) -> None:
         number = next(self._job_numbers)
-        if self.store.is_down or number >= 12:
+        if self.store.is_down or number >= self.max_jobs:
             return
         job = builders.build_job(f"{number:016x}",
                                  builders.build_step(self.rng.randint(1, 3)),
--- a/src/gentianlead/dispatch/tests/resigning_leaders.py
+++ b/src/gentianlead/dispatch/tests/resigning_leaders.py
@@ -296,6 +296,8 @@
     def advance(self) -> None:
         """Reads topics and claims groups if it is time to; runs the leaders."""
         if self.is_frozen:
+            for group in self.leaders:
+                self._site.impairments.mark(group, self._site.now)
             return
         if self._site.now >= self._next_registry_read_at:
             self._next_registry_read_at = (self._site.now +
@@ -423,6 +425,7 @@
         leader = ResigningLeader(self._site, self, group, epoch, offset)
         self._site.log(f"{group} epoch {epoch} is led by {self.node}")
         self.leaders[group] = leader
+        self._site.impairments.mark(group, self._site.now)
         for entry in self.table.jobs.values():
             leader.scheduler.put_job(entry)
         for entry in self.table.recorded_workers.get(group, ()):
--- a/src/gentianlead/dispatch/tests/troubled_fleets.py
+++ b/src/gentianlead/dispatch/tests/troubled_fleets.py
@@ -53,6 +53,7 @@
     """
 
     tick_s = 0.05
+    contact_s = 5.0
 
     def __init__(self, seed: int, trouble_kinds: tuple[str, ...] = ()):
         self.registry: dict = {}
