Count impairments before the listing of an end as near

The model asked only 100 ms after the listing, so an end that a worker listed within the contact time of a cut could count as taken note of.

--- a/src/gentianlead/dispatch/tests/fleet_workers.py
+++ b/src/gentianlead/dispatch/tests/fleet_workers.py
@@ -174,15 +174,19 @@
             end = self._unlisted_ends.pop((worker.instance, ended_run.number),
                                           None)
             if end is not None:
-                self._listed_ends.append((now + NOTED_AFTER_LISTING_S, end))
+                self._listed_ends.append((now, end))
 
     def note_listed_ends(self, now: float) -> None:
-        """Lets listed ends count as taken note of, without impairments."""
-        while self._listed_ends and self._listed_ends[0][0] <= now:
-            _, end = self._listed_ends.pop(0)
+        """Lets listed ends count as taken note of.
+
+        An impairment is near from a contact time before the listing until now.
+        """
+        while self._listed_ends and (self._listed_ends[0][0] +
+                                     NOTED_AFTER_LISTING_S <= now):
+            listed_at, end = self._listed_ends.pop(0)
             worker = end.worker
-            if not self.impairments.is_near(now, worker.worker_id, worker.group,
-                                            "store"):
+            if not self.impairments.is_near(listed_at, worker.worker_id,
+                                            worker.group, "store"):
                 self._note(now, end)
 
     def add_end(self, now: float, task: model.TaskKey, run: int,
