Store ends of other groups in the fleet model

The flush of a leader and the time of its view follow the daemon. Notices to read the topic are not modelled: a daemon that reads late does so with them, too.

--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -122,7 +122,7 @@
         for worker_id, next_poll_at in list(self._polls.items()):
             if next_poll_at <= now:
                 self._poll(worker_id, may_start)
-        if any(job.is_dirty for job in self.scheduler.jobs.values()):
+        if self.scheduler.has_unstored_progress():
             self._flush_requested = True
         if not self._is_flushing and (self._flush_requested or
                                       now - self._flushed_at > HEARTBEAT_S):
@@ -332,6 +332,8 @@
         for stored in self._site.store.records[self.table.position:]:
             self.table.apply(stored, self._site.now)
         for leader in self.leaders.values():
+            read_at = self._site.now
+            leader.scheduler.untracked_ends.get_view_time = lambda: read_at
             if self._site.now - self._site.store.up_since >= MAX_APPEND_S:
                 leader.known_until = self._site.now - MAX_APPEND_S
             if self.table.is_superseded(leader.group, leader.epoch):
