--- a/src/gentianlead/dispatch/tests/late_fleets.py
+++ b/src/gentianlead/dispatch/tests/late_fleets.py
@@ -13,6 +13,10 @@
 MAX_RUN_S = 2.5
 """Longest run of some workers, longer than a lease."""
 
+PROLONGED_TIMEOUT_S = 1.0
+"""Time after which a call of a late leader has failed. Daemons prolong calls by
+the delay of their event loop, up to about 3 times the timeout."""
+
 LATE_SHARE = 0.7
 """Share of the workers of a group whose replies a late leader reads late."""
 
@@ -52,6 +56,11 @@
         """Draws the time until the next read of the topic, in seconds."""
         return self.rng.uniform(0.02, 0.2)
 
+    def _get_timeout_s(self, worker_id: str) -> float:
+        if self.now < self._late_until.get(worker_id, 0.0):
+            return PROLONGED_TIMEOUT_S
+        return super()._get_timeout_s(worker_id)
+
     def _draw_reply_delay(self, worker_id: str) -> float:
         if self.now < self._late_until.get(worker_id, 0.0):
             return self.rng.uniform(self.min_late_reply_s, 0.9)
