--- a/src/gentianlead/dispatch/tests/fleets.py
+++ b/src/gentianlead/dispatch/tests/fleets.py
@@ -14,6 +14,7 @@
 from gentianlead import dispatch
 from gentianlead import ports
 from gentianlead.dispatch.tests import builders
+from gentianlead.dispatch.tests import fleet_stores
 from gentianlead.dispatch.tests import fleet_workers
 
 GROUPS = ("n1", "n2", "n3")
@@ -34,39 +35,6 @@
 up. Any leader must know of the end once it has read the topic after that."""
 
 
-class StoreModel:
-    """Models the job topic in the store.
-
-    Attributes:
-        records: Stored records.
-        is_down: Whether the store answers no calls.
-        up_since: Time in seconds since which it has answered calls.
-    """
-
-    def __init__(self) -> None:
-        self.records: list[ports.KeyedRecord] = []
-        self.is_down = False
-        self.up_since = 0.0
-        self._epochs: dict[str, int] = {}
-
-    def append(self, group: str, epoch: int,
-               records: list[dispatch.Record]) -> int:
-        """Stores records and returns the offset of the first.
-
-        Raises:
-            fleet_workers.FencedError: A leader of the group has a higher epoch.
-        """
-        if epoch < self._epochs.get(group, 0):
-            raise fleet_workers.FencedError()
-        self._epochs[group] = epoch
-        offset = len(self.records)
-        for record in records:
-            self.records.append(
-                dispatch.encode_record(record)._replace(
-                    offset=len(self.records)))
-        return offset
-
-
 class LeaderModel:
     """Models the loops of a group's leader.
 
@@ -317,6 +285,10 @@
         self.leaders: dict[str, LeaderModel] = {}
         self._site = site
         self.next_read_at = 0.0
+        self._read_at = 0.0
+
+    def _get_read_time(self) -> float:
+        return self._read_at
 
     def advance(self) -> None:
         """Reads new records if it is time to, and runs the leaders."""
@@ -331,9 +303,9 @@
         self.next_read_at = self._site.now + self._site.draw_read_delay()
         for stored in self._site.store.records[self.table.position:]:
             self.table.apply(stored, self._site.now)
+        self._read_at = self._site.now
         for leader in self.leaders.values():
-            read_at = self._site.now
-            leader.scheduler.untracked_ends.get_view_time = lambda: read_at
+            leader.scheduler.untracked_ends.get_view_time = self._get_read_time
             if self._site.now - self._site.store.up_since >= MAX_APPEND_S:
                 leader.known_until = self._site.now - MAX_APPEND_S
             if self.table.is_superseded(leader.group, leader.epoch):
@@ -400,7 +372,7 @@
         self.rng = random.Random(seed)
         self.move_rate = self.rng.choice((0.0, 0.02, 0.2))
         self.observer = fleet_workers.RunObserver()
-        self.store = StoreModel()
+        self.store = fleet_stores.StoreModel()
         self.workers = {
             worker.worker_id: worker for worker in self._build_workers()
         }
