Renew the lease at once after a call that did not renew it

A worker that replied to every status call could lose its lease: an order without a reply makes it count as unreachable, the next call renews nothing, and the pauses for withheld ends and for the flush come before the one that does. With an unanswered order each 0.2 s, nine calls got replies, none renewed, and the run was given up (test_unanswered_orders, failed before).

A call that renews nothing and gets a reply is now followed by the next one at once. With that, repeated calls of a late leader need not renew the lease of a worker that may be gone: three renewals before, one now; and an order without a reply does not end the repetition (test_late_calls, both failed before).

--- a/src/gentianlead/cluster/_status_poller.py
+++ b/src/gentianlead/cluster/_status_poller.py
@@ -112,6 +112,7 @@
             worker = self._scheduler.workers.get(worker_id)
             if worker is None:
                 return
+            renews_lease = self._may_renew(worker)
             try:
                 if worker.is_reachable:
                     has_replied = await self._request_status(worker)
@@ -147,6 +148,9 @@
             if not has_replied:
                 await self._clock.sleep(_status_polls.STATUS_RETRY_DELAY)
                 continue
+            if not renews_lease:
+                # The lease goes on running out until the next call.
+                continue
             if not worker.withheld_ends.is_empty:
                 await self._clock.sleep(_status_polls.WITHHELD_POLL_INTERVAL)
             if worker.last_applied_end_number > worker.last_stored_end_number:
@@ -164,10 +168,7 @@
         was_reachable = worker.is_reachable
         delay_before_s = self._loop_delay.read_total_s()
         lease_call = None
-        # A worker may renew its lease although its reply is lost. The lease of
-        # an unreachable worker is therefore not renewed until it replies.
-        if (worker.born_ms and worker.is_reachable and
-                self._is_renewal_allowed()):
+        if self._may_renew(worker) and self._is_renewal_allowed():
             lease_call = worker.begin_lease_call(sent_at)
         status_wait = (datetime.timedelta(0)
                        if worker.worker_id in self._late_calls else
@@ -224,15 +225,26 @@
         self._request_plan()
         return True
 
+    def _may_renew(self, worker: dispatch.WorkerState) -> bool:
+        """Returns whether a call to a worker may renew its lease.
+
+        A worker may renew its lease although its reply is lost. The lease of a
+        worker that is unreachable, or whose last status call got no reply, is
+        therefore not renewed until it replies.
+        """
+        return bool(worker.born_ms and worker.is_reachable and
+                    worker.worker_id not in self._late_calls)
+
     def _must_repeat(self, worker: dispatch.WorkerState, was_reachable: bool,
                      sent_at: float, loop_delay_s: float) -> bool:
         """Returns whether a call without a reply tells nothing of the worker.
 
         That is so if the event loop was late, at most for `MAX_LATE_CALLS`, and
-        if the worker was reachable when the call was sent.
+        if the worker was reachable when the first of these calls was sent.
         """
         known = self._late_calls.get(worker.worker_id, LateCalls(0, sent_at))
-        if (not was_reachable or known.count >= _status_polls.MAX_LATE_CALLS or
+        if (not (was_reachable or known.count) or
+                known.count >= _status_polls.MAX_LATE_CALLS or
                 loop_delay_s < _status_polls.LATE_CALL_DELAY.total_seconds()):
             return False
         self._late_calls[worker.worker_id] = known._replace(count=known.count +
--- a/src/gentianlead/cluster/tests/test_late_calls.py
+++ b/src/gentianlead/cluster/tests/test_late_calls.py
@@ -55,6 +55,7 @@
 
     def start_leader(self, workers: SilencedWorkers,
                      log: fakes.RecordingLog) -> _group_leader.GroupLeader:
+        """Starts a leader of one worker, until the test ends."""
         clock = adapters.SystemClock()
         metrics = _metrics.ClusterMetrics()
         writer = _job_topic.JobTopicWriter(
--- a/src/gentianlead/cluster/tests/test_unanswered_orders.py
+++ b/src/gentianlead/cluster/tests/test_unanswered_orders.py
@@ -21,8 +21,8 @@
                                       ["w1"])
         leader.put_job(
             builders.build_job_entry(
-                builders.build_job("00000000000000aa",
-                                   builders.build_step(1)), 100))
+                builders.build_job("00000000000000aa", builders.build_step(1)),
+                100))
         await leading.wait_until(lambda: workers.running.get("w1"))
         worker = leader.scheduler.workers["w1"]
         await leading.wait_until(lambda: worker.is_reachable and worker.runs)
