--- a/src/gentianlead/platform/tests/test_waiting_calls.py
+++ b/src/gentianlead/platform/tests/test_waiting_calls.py
@@ -38,12 +38,13 @@
         endpoint = _http.HttpEndpoint(f"127.0.0.1:{runner.addresses[0][1]}",
                                       _workers.MAX_ORDER_CONNECTIONS)
         self.addAsyncCleanup(endpoint.close)
-        results = await asyncio.gather(
-            *(endpoint.call("POST", f"/{number}", TIMEOUT)
-              for number in range(CALL_COUNT)),
-            return_exceptions=True)
+        results = await asyncio.gather(*(endpoint.call("POST", f"/{number}",
+                                                       TIMEOUT)
+                                         for number in range(CALL_COUNT)),
+                                       return_exceptions=True)
         unsent_verdicts = [
-            result.verdict for number, result in enumerate(results)
+            result.verdict
+            for number, result in enumerate(results)
             if f"/{number}" not in received
         ]
         print(f"sent {len(received)} of {CALL_COUNT}, failed "
