--- a/src/gentianlead/cluster/_group_leader.py
+++ b/src/gentianlead/cluster/_group_leader.py
@@ -58,8 +58,9 @@
 from polls that renew leases."""
 
 MAX_REPORT_INTERVAL = datetime.timedelta(milliseconds=900)
-"""Time between two reports of a leader whose event loop is late. Daemons use a
-report for 2 s."""
+"""Time between two reports of a leader whose event loop is late. It leaves time
+for a report that waits for its turn: none is used after
+`_admission.MAX_REPORT_AGE`."""
 
 MAX_LOAD_AGE = datetime.timedelta(milliseconds=50)
 """Age up to which the computed load of a group is reused instead of computed
--- a/src/gentianlead/cluster/_status_poller.py
+++ b/src/gentianlead/cluster/_status_poller.py
@@ -100,6 +100,7 @@
 
     async def stop(self) -> None:
         """Cancels all polls and waits until they have ended."""
+        self.is_stopped = True
         tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
--- a/src/gentianlead/dispatch/_member_ranks.py
+++ b/src/gentianlead/dispatch/_member_ranks.py
@@ -9,8 +9,8 @@
 """Rankings that are kept: of each group for some successive memberships."""
 
 LINK_MBIT_S_PER_CORE = 40.0
-"""Bandwidth in Mbit/s that counts as much as one core: a leader among 101
-daemons needs 23 Mbit/s for its reports and 0.57 cores."""
+"""Bandwidth in Mbit/s that a leader needs for its reports while it needs one
+core. The scarcer of the two bounds what a VM can lead."""
 
 
 class RankedMembers(NamedTuple):
