--- a/bench/peer_cost.py
+++ b/bench/peer_cost.py
@@ -28,6 +28,7 @@
 from gentianlead.cluster import _metrics
 from gentianlead.cluster import _peer_messages
 from gentianlead.cluster import _peering
+from gentianlead.cluster import _report_pacer
 from gentianlead.cluster import _report_sender
 
 _HOST = "127.0.0.1"
@@ -124,11 +125,14 @@
 
 async def _measure_reports(peering: _peering.Peering,
                            peer_count: int) -> tuple[float, float]:
-    log = _decision_log.DecisionLog("bench", adapters.SystemClock(),
+    clock = adapters.SystemClock()
+    log = _decision_log.DecisionLog("bench", clock,
                                     os.open(os.devnull, os.O_WRONLY))
     metrics = _metrics.ClusterMetrics()
     metrics.leader_reports.set(_SENT, 0)
-    sender = _report_sender.ReportSender(peering, log, metrics)
+    sender = _report_sender.ReportSender(peering,
+                                         _report_pacer.ReportPacer(0.0, clock),
+                                         log, metrics)
     began = await _read_times(peering)
     async with asyncio.timeout(_TIMEOUT.total_seconds()):
         for number in range(1, _REPORTS + 1):
